--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -169,7 +169,9 @@
 void entry::apply_bounds()
 {
     this->state.limiter.set_tolerance(
-        {this->own.bounds.usage_overshoot, this->own.bounds.usage_slack});
+        {this->own.bounds.usage_window,
+         this->own.bounds.usage_overshoot,
+         this->own.bounds.usage_slack});
     this->state.scheduler.set_retry_bounds(retry_bounds_of(this->own.bounds));
 }
 
--- a/src/greengagedrum/entry/front.cpp
+++ b/src/greengagedrum/entry/front.cpp
@@ -151,7 +151,7 @@
     facts.kind = route.id;
     facts.rule = route.rule;
     facts.stream = route.stream;
-    facts.priority = route.priority;
+    facts.priority = this->state.known.routes()->urgency(route, owner);
     facts.sends_max = route.sends_max;
     facts.objective = route.objective;
     facts.gap_objective = route.gap_objective;
@@ -170,10 +170,8 @@
     if (owner == nullptr)
         return;
     facts.workspace = owner->id;
-    facts.priority = owner->priority.value_or(facts.priority);
     out.origin.workspace = owner->name;
     out.series.workspace = owner->name;
-    out.series.tier = tier_of(facts.priority);
     out.workspace = owner->id;
     const double tokens =
         marks.prompt_tokens
@@ -424,7 +422,8 @@
     const std::shared_ptr<exchange> wire = found->second.wire;
     if (order.verdict.run == base::run_state::not_run)
         this->state.limiter.give_back(found->second.workspace,
-                                      found->second.cost);
+                                      found->second.cost,
+                                      this->state.clock());
     this->finish(order.request, &order.verdict);
     wire->end(order.verdict);
 }
--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -18,6 +18,9 @@
 constexpr double slack_part = 0.25;
 constexpr double overshoot_part = 0.4;
 
+// Uses this close are one entry of the window.
+constexpr base::duration counted_together = std::chrono::milliseconds(50);
+
 // A peer tells five times a second at least: after this time without a word
 // its uses are assumed, for so long at most. By then it is dead, and what its
 // callers ask for comes in elsewhere.
@@ -43,7 +46,8 @@
         }
         fill(own, now);
         own.limit = one.limit;
-        own.level = std::min(own.level, own.limit.burst);
+        // What was let through under the limit before is no debt.
+        own.level = std::clamp(own.level, 0.0, own.limit.burst);
     }
 }
 
@@ -56,12 +60,55 @@
     own.filled_at = now;
 }
 
+void usage_limiter::drop_old(bucket& own, base::instant now) const
+{
+    while (!own.recent.empty() &&
+           now - own.recent.front().at > this->allowed.window) {
+        own.recent_sum -= own.recent.front().amount;
+        own.recent.pop_front();
+    }
+    if (own.recent.empty())
+        own.recent_sum = 0; // no drift of rounding
+}
+
+void usage_limiter::count(bucket& own, double amount, base::instant now)
+{
+    own.level = std::min(own.limit.burst, own.level - amount);
+    own.recent_sum += amount;
+    if (!own.recent.empty() && now - own.recent.back().at < counted_together)
+        own.recent.back().amount += amount;
+    else
+        own.recent.push_back({now, amount});
+}
+
 double usage_limiter::margin(const bucket& own) const
 {
     return slack_part * this->allowed.slack +
            overshoot_part * this->allowed.overshoot * own.limit.burst;
 }
 
+// The sooner of: the bucket has its cost, enough has left the window.
+base::duration usage_limiter::until_allowed(const bucket& own,
+                                            double cost,
+                                            base::instant now) const
+{
+    const double missing = cost - own.level - this->margin(own);
+    const base::duration filled =
+        duration_of(std::max(0.0, missing) / own.limit.per_second);
+    const double bound =
+        own.limit.per_second * seconds_of(this->allowed.window) +
+        own.limit.burst + this->margin(own);
+    double sum = own.recent_sum + cost;
+    if (missing <= 0 || sum <= bound)
+        return base::duration{0};
+    for (const use& one : own.recent) {
+        sum -= one.amount;
+        if (sum <= bound)
+            return std::min(filled, one.at + this->allowed.window - now);
+    }
+    return filled;
+}
+
 std::optional<base::duration> usage_limiter::take(base::workspace_id workspace,
                                                   double cost,
                                                   base::instant now)
@@ -71,21 +118,24 @@
         return std::nullopt;
     bucket& own = found->second;
     fill(own, now);
-    const double missing = cost - own.level - this->margin(own);
-    if (missing > 0)
-        return duration_of(missing / own.limit.per_second);
-    own.level -= cost;
+    this->drop_old(own, now);
+    const base::duration wait = this->until_allowed(own, cost, now);
+    if (wait.count() > 0)
+        return wait;
+    count(own, cost, now);
     own.own += cost;
     return std::nullopt;
 }
 
-void usage_limiter::give_back(base::workspace_id workspace, double cost)
+void usage_limiter::give_back(base::workspace_id workspace,
+                              double cost,
+                              base::instant now)
 {
     const auto found = this->buckets.find(workspace);
     if (found == this->buckets.end() || found->second.limit.per_second <= 0)
         return;
     bucket& own = found->second;
-    own.level = std::min(own.limit.burst, own.level + cost);
+    count(own, -cost, now);
     own.own = std::max(0.0, own.own - cost);
 }
 
@@ -96,9 +146,9 @@
     const auto found = this->buckets.find(workspace);
     if (found == this->buckets.end())
         return;
-    bucket& own = found->second;
-    fill(own, now);
-    own.level = std::min(own.limit.burst, own.level - amount);
+    fill(found->second, now);
+    this->drop_old(found->second, now);
+    count(found->second, amount, now);
 }
 
 void usage_limiter::peer_told(base::slot_id peer,
--- a/src/greengagedrum/quota/usage_limiter.hpp
+++ b/src/greengagedrum/quota/usage_limiter.hpp
@@ -1,11 +1,17 @@
 // Keeps each workspace within its limit over all entries together, without
 // refusing what is within it.
 //
-// Each entry fills one bucket a workspace at the published rate and takes out
-// of it what it let through and what its peers tell that they did. Nothing is
-// divided among entries, since callers are spread unevenly over them. The
-// bucket may go below zero by a part of what the operator tolerates, which
-// covers the time that a peer's word takes.
+// A request is let through when a token bucket of the published rate and burst
+// has its cost, or when all that was let through in the operator's window,
+// this included, is within rate times window plus burst. Either alone bounds
+// every window by that sum, so both together do: the window lets bursts pass
+// that the bucket would refuse, and the bucket lets work go on at the rate when
+// a limit was lowered with the window still full.
+//
+// Each entry counts what it let through and what its peers tell that they did.
+// Nothing is divided among entries, since callers are spread unevenly over
+// them. A part of what the operator tolerates covers the time that a peer's
+// word takes.
 #pragma once
 
 #include <greengagedrum/base/ids.hpp>
@@ -13,6 +19,7 @@
 #include <greengagedrum/routing/configuration.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -28,6 +35,7 @@
 };
 
 struct tolerance {
+    base::duration window = std::chrono::seconds(8);
     double overshoot = 0; // share of the limit
     double slack = 0;     // in the limit's unit, over all entries
 };
@@ -46,7 +54,8 @@
     take(base::workspace_id workspace, double cost, base::instant now);
 
     // It was not run after all.
-    void give_back(base::workspace_id workspace, double cost);
+    void
+    give_back(base::workspace_id workspace, double cost, base::instant now);
 
     void peer_told(base::slot_id peer,
                    base::incarnation life,
@@ -65,11 +74,18 @@
     double level(base::workspace_id workspace) const;
 
 private:
+    struct use {
+        base::instant at;
+        double amount = 0;
+    };
+
     struct bucket {
         routing::usage_limit limit;
         double level = 0;
         base::instant filled_at;
         double own = 0; // let through since the start
+        std::deque<use> recent; // within the window, all entries'
+        double recent_sum = 0;
     };
 
     struct peer_use {
@@ -85,7 +101,11 @@
     };
 
     static void fill(bucket& own, base::instant now);
+    void drop_old(bucket& own, base::instant now) const;
+    static void count(bucket& own, double amount, base::instant now);
     double margin(const bucket& own) const;
+    base::duration
+    until_allowed(const bucket& own, double cost, base::instant now) const;
     void take_out(base::workspace_id workspace, double amount, base::instant now);
 
     base::instant started;
--- a/src/greengagedrum/routing/configuration.hpp
+++ b/src/greengagedrum/routing/configuration.hpp
@@ -65,7 +65,7 @@
     std::string name;
     base::workspace_id id;
     std::vector<std::string> keys;
-    std::optional<std::uint32_t> priority; // goes before the route's
+    std::optional<std::uint32_t> priority; // orders workspaces
     usage_limit limit;
 };
 
--- a/src/greengagedrum/routing/route_table.cpp
+++ b/src/greengagedrum/routing/route_table.cpp
@@ -23,6 +23,19 @@
                                           : letter;
 }
 
+void sort_steps(std::vector<std::uint32_t>& steps)
+{
+    std::sort(steps.begin(), steps.end());
+    steps.erase(std::unique(steps.begin(), steps.end()), steps.end());
+}
+
+std::uint32_t step_of(const std::vector<std::uint32_t>& steps,
+                      std::uint32_t priority)
+{
+    const auto found = std::lower_bound(steps.begin(), steps.end(), priority);
+    return static_cast<std::uint32_t>(found - steps.begin());
+}
+
 } // namespace
 
 std::string plain_host(std::string_view host)
@@ -46,6 +59,23 @@
     }
     for (const service& one : this->config->services)
         this->by_service.emplace(one.id, &one);
+    for (const route& one : this->config->routes)
+        this->route_steps.push_back(one.priority);
+    for (const workspace& one : this->config->workspaces)
+        this->workspace_steps.push_back(one.priority.value_or(0));
+    sort_steps(this->route_steps);
+    sort_steps(this->workspace_steps);
+}
+
+std::uint32_t route_table::urgency(const route& of,
+                                   const workspace* owner) const
+{
+    const std::uint32_t own = step_of(this->route_steps, of.priority);
+    if (owner == nullptr)
+        return own;
+    const std::uint32_t first =
+        step_of(this->workspace_steps, owner->priority.value_or(0));
+    return first * static_cast<std::uint32_t>(this->route_steps.size()) + own;
 }
 
 const route* route_table::find_route(std::string_view host,
--- a/src/greengagedrum/routing/route_table.hpp
+++ b/src/greengagedrum/routing/route_table.hpp
@@ -29,6 +29,11 @@
 
     const service* find_service(base::class_id id) const;
 
+    // 0 is the most urgent. A workspace's own priority goes before the
+    // route's, which orders the requests of workspaces alike; steps that no
+    // workspace or route uses are left out.
+    std::uint32_t urgency(const route& of, const workspace* owner) const;
+
     // `draw` in [0, 1) picks a target by weight.
     static const route_target& pick_target(const route& from, double draw);
 
@@ -37,6 +42,8 @@
     std::unordered_map<std::string, const route*> by_prefix;
     std::unordered_map<std::string_view, const workspace*> by_key;
     std::unordered_map<base::class_id, const service*> by_service;
+    std::vector<std::uint32_t> route_steps;     // priorities in use, sorted
+    std::vector<std::uint32_t> workspace_steps; // the same
 };
 
 using route_table_ptr = std::shared_ptr<const route_table>;
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -20,7 +20,7 @@
 // and this much at least: a prompt that is read in a full engine takes about
 // three times its estimate.
 constexpr double first_event_patience = 4;
-constexpr base::duration first_event_floor = std::chrono::milliseconds(600);
+constexpr base::duration first_event_floor = std::chrono::milliseconds(1000);
 
 // Between events; the sheets allow pauses of 200 ms, callers leave after two
 // seconds without an event.
@@ -161,8 +161,13 @@
         const std::uint32_t free = this->pool.free_places(service);
         if (this->yields_to_peers(next, service, free))
             return;
-        const auto where = this->pool.choose(
-            service, item.facts.prompt_tokens, item.tried, this->now);
+        const placing_question asked{
+            service,
+            item.facts.prompt_tokens,
+            item.facts.output_tokens,
+            placement::seconds_of(item.end_at - this->now),
+            item.tried};
+        const auto where = this->pool.choose(asked, this->now);
         if (where) {
             line.remove(next.request);
             line.served(next.priority, this->now);
@@ -285,8 +290,11 @@
                                this->now - item->sent_at,
                                item->expected,
                                this->now);
+    if (item->events == 0)
+        item->first_event_at = this->now;
     item->events = what.events;
     item->progress_at = this->now;
+    this->pool.progressed(item->upstream, this->now);
     item->silence_told = false;
 }
 
@@ -304,6 +312,11 @@
                                    this->now - item->sent_at,
                                    item->expected,
                                    this->now);
+        if (item->events > 0)
+            this->pool.learn_output(upstream,
+                                    item->facts.output_tokens,
+                                    item->events,
+                                    this->now - item->first_event_at);
         this->lines[item->facts.service].learn_hold(
             item->facts.kind, this->now - item->sent_at);
     } else {
@@ -382,7 +395,10 @@
         item.events == 0
             ? first
             : std::max(gap_floor, 3 * item.facts.gap_objective);
-    if (this->now - item.progress_at < bound || item.silence_told)
+    // An upstream that serves others is alive: it reads a long prompt first.
+    const base::instant last =
+        std::max(item.progress_at, this->pool.progress_at(item.upstream));
+    if (this->now - last < bound || item.silence_told)
         return;
     item.silence_told = true;
     this->pool.bad_end(item.upstream, trouble::silent, this->now);
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -91,6 +91,7 @@
         base::upstream_id upstream;
         base::instant sent_at;
         base::instant progress_at;
+        base::instant first_event_at;
         double expected = 0; // seconds to the first event, when sent
         std::uint32_t events = 0;
         bool silence_told = false;
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -186,13 +186,24 @@
         });
 }
 
-std::optional<placing>
-upstream_pool::choose(base::class_id service,
-                      std::uint32_t prompt_tokens,
-                      std::span<const base::upstream_id> tried,
-                      base::instant now) const
+// From the first event to the last.
+double upstream_pool::output_seconds(const upstream& one,
+                                     const service_state& all,
+                                     std::uint32_t output_tokens) const
 {
-    const auto found = this->services.find(service);
+    const double usual = all.token_time * output_tokens;
+    if (one.event_gap <= 0 || all.event_gap <= 0)
+        return usual;
+    return usual * one.event_gap / all.event_gap;
+}
+
+// Least time to the last event, so that short requests take the slow upstreams
+// and long ones wait for none that can't finish them in time. A probe that is
+// due goes first, or a busy fleet never makes it.
+std::optional<placing> upstream_pool::choose(const placing_question& asked,
+                                             base::instant now) const
+{
+    const auto found = this->services.find(asked.service);
     if (found == this->services.end())
         return std::nullopt;
     const service_state& all = found->second;
@@ -201,22 +212,24 @@
     std::optional<placing> best;
     for (const base::upstream_id id : all.members) {
         const upstream& one = this->upstreams.at(id);
-        if (one.own + one.others >= one.slots ||
-            std::find(tried.begin(), tried.end(), id) != tried.end())
+        const bool tried =
+            std::find(asked.tried.begin(), asked.tried.end(), id) !=
+            asked.tried.end();
+        if (one.own + one.others >= one.slots || tried)
             continue;
         const bool probe = one.trust.may_probe(now);
         if (one.trust.suspected() && !probe &&
             (!any_will_do || one.trust.unreachable()))
             continue;
         const double expected =
-            this->expected_on(one, all, prompt_tokens, now);
-        // A probe that is due goes first, or a busy fleet never makes it.
-        const bool better =
-            !best || (probe && !best->probe) ||
-            (probe == best->probe && expected < best->expected);
+            this->expected_on(one, all, asked.prompt_tokens, now);
+        const double finish =
+            expected + this->output_seconds(one, all, asked.output_tokens);
+        const bool better = !best || (probe && !best->probe) ||
+                            (probe == best->probe && finish < best->finish);
         if (!better)
             continue;
-        best = placing{id, {}, expected, probe};
+        best = placing{id, {}, expected, finish, probe};
         best->why.own = one.own;
         best->why.others = one.others;
         best->why.places = one.slots;
@@ -263,6 +276,37 @@
     all.pace += service_weight * (own->pace - all.pace);
 }
 
+void upstream_pool::progressed(base::upstream_id id, base::instant now)
+{
+    if (upstream* own = this->find(id))
+        own->progress_at = now;
+}
+
+base::instant upstream_pool::progress_at(base::upstream_id id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? base::instant()
+                                          : found->second.progress_at;
+}
+
+void upstream_pool::learn_output(base::upstream_id id,
+                                 std::uint32_t output_tokens,
+                                 std::uint32_t events,
+                                 base::duration took)
+{
+    upstream* own = this->find(id);
+    if (own == nullptr || events < 2 || output_tokens == 0)
+        return;
+    service_state& all = this->services[own->service];
+    const double gap = seconds_of(took) / (events - 1);
+    const auto learn = [](double& known, double seen, double weight) {
+        known = known <= 0 ? seen : known + weight * (seen - known);
+    };
+    learn(own->event_gap, gap, pace_weight);
+    learn(all.event_gap, gap, service_weight);
+    learn(all.token_time, seconds_of(took) / output_tokens, service_weight);
+}
+
 void upstream_pool::ended(base::upstream_id id, std::uint32_t unread)
 {
     upstream* own = this->find(id);
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -32,9 +32,19 @@
     base::upstream_id upstream;
     choice_facts why;
     double expected = 0; // seconds to its first event
+    double finish = 0;   // and to its last
     bool probe = false;
 };
 
+// What a choice has to know of a request.
+struct placing_question {
+    base::class_id service;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t output_tokens = 0; // expected
+    double seconds_left = 0;
+    std::span<const base::upstream_id> tried; // not to be taken again
+};
+
 class upstream_pool
 {
 public:
@@ -49,10 +59,8 @@
     // Peers whose word is too old count as lost.
     void forget_silent_peers(base::instant now);
 
-    // None when no upstream has a free place. Those in `tried` are not taken.
-    std::optional<placing> choose(base::class_id service,
-                                  std::uint32_t prompt_tokens,
-                                  std::span<const base::upstream_id> tried,
+    // None when no upstream has a free place.
+    std::optional<placing> choose(const placing_question& asked,
                                   base::instant now) const;
 
     void sent(const placing& where, std::uint32_t prompt_tokens);
@@ -62,6 +70,14 @@
                      base::duration took,
                      double expected,
                      base::instant now);
+    // Events came on some request there.
+    void progressed(base::upstream_id upstream, base::instant now);
+    base::instant progress_at(base::upstream_id upstream) const;
+    // A stream of so many events took so long from its first to its last.
+    void learn_output(base::upstream_id upstream,
+                      std::uint32_t output_tokens,
+                      std::uint32_t events,
+                      base::duration took);
     // `unread`: its prompt, when no event had come.
     void ended(base::upstream_id upstream, std::uint32_t unread);
 
@@ -96,6 +112,8 @@
         std::uint32_t others_unread = 0;
         double pace = 0; // time taken over time of a usual upstream; 0: unknown
         base::instant paced_at;
+        base::instant progress_at;
+        double event_gap = 0; // seconds between events; 0: unknown
         upstream_trust trust;
     };
 
@@ -107,6 +125,8 @@
     struct service_state {
         std::vector<base::upstream_id> members;
         double pace = 1; // mean of its upstreams'
+        double event_gap = 0;   // the same, in seconds; 0: unknown
+        double token_time = 0;  // seconds for one expected output token
         double bad = 0;  // share of bad ends
     };
 
@@ -117,6 +137,9 @@
                        const service_state& all,
                        std::uint32_t prompt_tokens,
                        base::instant now) const;
+    double output_seconds(const upstream& one,
+                          const service_state& all,
+                          std::uint32_t output_tokens) const;
     void count_peer(const peer_word& word, int sign);
     base::duration oldest_word(base::instant now) const;
     bool all_suspected(const service_state& all) const;
