Traffic: a starved request no longer holds up the line behind it

The first of a starved priority goes to the front of the line, there yielded to more urgent ones at peers, and nothing behind it was placed; the peers' lines stood for the same reason. Ruled out: stale words (what was told of places was within 0.5 of what was taken), suspicion (two or three upstreams at a time). Suspicion is now logged.

--- a/src/greengagedrum/entry/front.cpp
+++ b/src/greengagedrum/entry/front.cpp
@@ -428,6 +428,19 @@
     wire->end(order.verdict);
 }
 
+void front::carry_out_one(const traffic::trust_changed& change)
+{
+    const routing::published_upstream* of =
+        this->state.known.upstreams().find(change.upstream);
+    this->state.log.write(
+        this->state.clock(),
+        "scheduler",
+        change.suspected ? "upstream_suspected" : "upstream_cleared",
+        {{"upstream", of == nullptr ? std::string() : of->name},
+         {"cause", change.cause},
+         {"bad_share", change.bad_share}});
+}
+
 void front::finish(base::request_id id, const base::verdict* failed)
 {
     const auto found = this->requests.find(id);
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -102,6 +102,7 @@
     void carry_out_one(const traffic::stop_send& order);
     void carry_out_one(const traffic::deliver_answer& order);
     void carry_out_one(const traffic::end_request& order);
+    void carry_out_one(const traffic::trust_changed& change);
     void finish(base::request_id id, const base::verdict* failed);
     relay::caller_bounds bounds() const;
 
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -11,6 +11,7 @@
 #include <greengagedrum/routing/configuration.hpp>
 
 #include <cstdint>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -142,8 +143,19 @@
     base::verdict verdict;
 };
 
-using action =
-    std::variant<send_request, stop_send, deliver_answer, end_request>;
+// An upstream came under suspicion, or was cleared of it; for the log.
+struct trust_changed {
+    base::upstream_id upstream;
+    bool suspected = false;
+    std::string_view cause; // what the last bad end was
+    double bad_share = 0;   // of its last ends
+};
+
+using action = std::variant<send_request,
+                            stop_send,
+                            deliver_answer,
+                            end_request,
+                            trust_changed>;
 
 using actions = std::vector<action>;
 
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -159,8 +159,10 @@
     for (const waiting_request& next : line.in_order(this->now)) {
         request& item = this->requests.at(next.request);
         const std::uint32_t free = this->pool.free_places(service);
-        if (this->yields_to_peers(next, service, free))
-            return;
+        // The floor is for work that would yield for ever.
+        const bool floor = line.floor_due(next.priority, this->now);
+        if (!floor && this->yields_to_peers(next, service, free))
+            continue;
         const placing_question asked{
             service,
             item.facts.prompt_tokens,
@@ -243,6 +245,17 @@
     item.send = 0;
 }
 
+void scheduler::bad_end(base::upstream_id upstream, trouble what)
+{
+    this->tell(this->pool.bad_end(upstream, what, this->now));
+}
+
+void scheduler::tell(const std::optional<trust_changed>& change)
+{
+    if (change)
+        this->out->push_back(*change);
+}
+
 // ---- What becomes of a send -------------------------------------------------
 
 void scheduler::on(const not_sent& what)
@@ -250,7 +263,7 @@
     request* item = this->under_way(what.request, what.send);
     if (item == nullptr)
         return;
-    this->pool.bad_end(item->upstream, trouble::unreachable, this->now);
+    this->bad_end(item->upstream, trouble::unreachable);
     item->tried.push_back(item->upstream);
     this->leave_upstream(*item);
     item->sends -= 1;
@@ -305,7 +318,7 @@
         return;
     const base::upstream_id upstream = item->upstream;
     if (what.good) {
-        this->pool.good_end(upstream);
+        this->tell(this->pool.good_end(upstream));
         if (item->events == 0)
             this->pool.first_event(upstream,
                                    item->facts.prompt_tokens,
@@ -320,7 +333,7 @@
         this->lines[item->facts.service].learn_hold(
             item->facts.kind, this->now - item->sent_at);
     } else {
-        this->pool.bad_end(upstream, trouble::failing, this->now);
+        this->bad_end(upstream, trouble::failing);
     }
     const std::uint32_t send = item->send;
     this->leave_upstream(*item);
@@ -339,7 +352,7 @@
     request* item = this->under_way(what.request, what.send);
     if (item == nullptr)
         return;
-    this->pool.bad_end(item->upstream, trouble::broken, this->now);
+    this->bad_end(item->upstream, trouble::broken);
     item->tried.push_back(item->upstream);
     this->leave_upstream(*item);
     if (this->may_repeat(*item) && this->try_again(*item))
@@ -401,7 +414,7 @@
     if (this->now - last < bound || item.silence_told)
         return;
     item.silence_told = true;
-    this->pool.bad_end(item.upstream, trouble::silent, this->now);
+    this->bad_end(item.upstream, trouble::silent);
     const bool again = this->may_repeat(item) &&
                        item.sends < item.facts.sends_max;
     if (!again)
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -116,6 +116,8 @@
                          std::uint32_t free) const;
     void send(request& item, const placing& where);
     void leave_upstream(request& item);
+    void bad_end(base::upstream_id upstream, trouble what);
+    void tell(const std::optional<trust_changed>& change);
     bool may_repeat(const request& item) const;
     bool try_again(request& item);
     void check_time(request& item);
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -318,27 +318,38 @@
         this->upstreams.erase(id);
 }
 
-void upstream_pool::good_end(base::upstream_id id)
+std::optional<trust_changed> upstream_pool::good_end(base::upstream_id id)
 {
     upstream* own = this->find(id);
     if (own == nullptr)
-        return;
-    own->trust.good_end();
+        return std::nullopt;
     service_state& all = this->services[own->service];
     all.bad -= service_weight * all.bad;
+    const bool cleared = own->trust.suspected();
+    own->trust.good_end();
+    if (!cleared)
+        return std::nullopt;
+    return trust_changed{id,
+                         false,
+                         to_string(own->trust.last_trouble()),
+                         own->trust.bad_share()};
 }
 
-void upstream_pool::bad_end(base::upstream_id id,
-                            trouble what,
-                            base::instant now)
+std::optional<trust_changed> upstream_pool::bad_end(base::upstream_id id,
+                                                    trouble what,
+                                                    base::instant now)
 {
     upstream* own = this->find(id);
     if (own == nullptr)
-        return;
+        return std::nullopt;
     service_state& all = this->services[own->service];
+    const bool was = own->trust.suspected();
     own->trust.bad_end(what, all.bad, now);
     if (what == trouble::failing)
         all.bad += service_weight * (1 - all.bad);
+    if (was || !own->trust.suspected())
+        return std::nullopt;
+    return trust_changed{id, true, to_string(what), own->trust.bad_share()};
 }
 
 void upstream_pool::probe_void(base::upstream_id id)
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -81,8 +81,10 @@
     // `unread`: its prompt, when no event had come.
     void ended(base::upstream_id upstream, std::uint32_t unread);
 
-    void good_end(base::upstream_id upstream);
-    void bad_end(base::upstream_id upstream, trouble what, base::instant now);
+    // Set when the upstream's standing changed by it.
+    std::optional<trust_changed> good_end(base::upstream_id upstream);
+    std::optional<trust_changed>
+    bad_end(base::upstream_id upstream, trouble what, base::instant now);
     void probe_void(base::upstream_id upstream);
 
     // Requests that the service's sound upstreams run at once.
--- a/src/greengagedrum/traffic/upstream_trust.cpp
+++ b/src/greengagedrum/traffic/upstream_trust.cpp
@@ -23,6 +23,21 @@
 
 } // namespace
 
+std::string_view to_string(trouble what)
+{
+    switch (what) {
+    case trouble::unreachable:
+        return "unreachable";
+    case trouble::silent:
+        return "silent";
+    case trouble::broken:
+        return "broken";
+    case trouble::failing:
+        return "failing";
+    }
+    return "unknown";
+}
+
 void upstream_trust::doubt(base::instant now)
 {
     this->pause = this->suspect ? std::min(this->pause * 2, last_pause)
--- a/src/greengagedrum/traffic/upstream_trust.hpp
+++ b/src/greengagedrum/traffic/upstream_trust.hpp
@@ -9,6 +9,7 @@
 #include <greengagedrum/base/time.hpp>
 
 #include <cstdint>
+#include <string_view>
 
 namespace greengagedrum::traffic
 {
@@ -20,6 +21,8 @@
     failing,     // it answered with a failure of its own
 };
 
+std::string_view to_string(trouble what);
+
 class upstream_trust
 {
 public:
@@ -47,6 +50,8 @@
         return this->suspect && this->last == trouble::unreachable;
     }
 
+    trouble last_trouble() const { return this->last; }
+
     // Share of bad ends among the last few.
     double bad_share() const { return this->bad; }
 
--- a/src/greengagedrum/traffic/waiting_line.hpp
+++ b/src/greengagedrum/traffic/waiting_line.hpp
@@ -54,6 +54,9 @@
     // place for.
     double seconds_ahead(const waiting_request& item, base::instant now) const;
 
+    // Its priority was given nothing for so long that it goes before all.
+    bool floor_due(std::uint32_t priority, base::instant now) const;
+
     // One of that priority got a place.
     void served(std::uint32_t priority, base::instant now);
 
@@ -71,7 +74,6 @@
     bool goes_before(const waiting_request& left,
                      const waiting_request& right,
                      base::instant now) const;
-    bool floor_due(std::uint32_t priority, base::instant now) const;
 
     std::vector<waiting_request> items;
     std::unordered_map<base::kind_id, double> holds; // seconds
