--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -120,19 +120,22 @@
     this->lines[item.facts.service].add(this->line_entry(item), this->now);
 }
 
-// How long what goes before it keeps the places that are this entry's to use:
-// its part of all, and what its peers leave free beyond theirs.
+// How long what goes before it keeps the places that are this entry's to use
+// (its part of all, and what its peers leave free beyond theirs), or what its
+// priority was given lately says, whichever is longer.
 base::duration scheduler::wait_expected(const request& item) const
 {
     const auto line = this->lines.find(item.facts.service);
     if (line == this->lines.end() || line->second.empty())
         return base::duration{0};
-    const double ahead =
-        line->second.seconds_ahead(this->line_entry(item), this->now);
+    const waiting_request entry = this->line_entry(item);
+    const double ahead = line->second.seconds_ahead(entry, this->now);
+    const double by_rate = line->second.seconds_by_rate(entry, this->now);
     const double all = this->pool.places(item.facts.service);
     const double part = all / static_cast<double>(this->entries);
     const double left = all - this->pool.foreign_places(item.facts.service);
-    return duration_of(ahead / std::max({1.0, part, left}));
+    return duration_of(
+        std::max(ahead / std::max({1.0, part, left}), by_rate));
 }
 
 // Refused at once, a caller can come back in time for a later place; refused
--- a/src/greengagedrum/traffic/waiting_line.cpp
+++ b/src/greengagedrum/traffic/waiting_line.cpp
@@ -2,6 +2,7 @@
 #include <greengagedrum/traffic/waiting_line.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace greengagedrum::traffic
 {
@@ -18,6 +19,12 @@
 constexpr double unknown_hold = 0.5; // seconds
 constexpr double hold_weight = 0.1;
 
+// What a priority is given is judged over the last second or two, and only
+// once its line has stood for so long.
+constexpr double rate_memory = 1.5; // seconds
+constexpr double rate_least = 0.2;  // a second
+constexpr base::duration rate_known_after = std::chrono::milliseconds(600);
+
 } // namespace
 
 std::size_t level_of(std::uint32_t priority)
@@ -39,8 +46,10 @@
                      [&](const waiting_request& one) {
                          return level_of(one.priority) == level;
                      });
-    if (first)
-        this->starved_since.at(level) = now;
+    if (first) {
+        this->levels.at(level).starved_since = now;
+        this->levels.at(level).line_since = now;
+    }
     this->items.push_back(item);
 }
 
@@ -53,7 +62,7 @@
 
 bool waiting_line::floor_due(std::uint32_t priority, base::instant now) const
 {
-    return now - this->starved_since.at(level_of(priority)) >= floor_age;
+    return now - this->levels.at(level_of(priority)).starved_since >= floor_age;
 }
 
 bool waiting_line::goes_before(const waiting_request& left,
@@ -102,7 +111,32 @@
 
 void waiting_line::served(std::uint32_t priority, base::instant now)
 {
-    this->starved_since.at(level_of(priority)) = now;
+    level_state& own = this->levels.at(level_of(priority));
+    own.starved_since = now;
+    own.served = own.served * fading(now - own.served_at) + 1;
+    own.served_at = now;
+}
+
+double waiting_line::fading(base::duration passed)
+{
+    return std::exp(-placement::seconds_of(passed) / rate_memory);
+}
+
+double waiting_line::seconds_by_rate(const waiting_request& item,
+                                     base::instant now) const
+{
+    const std::size_t level = level_of(item.priority);
+    const level_state& own = this->levels.at(level);
+    const auto ahead = std::count_if(
+        this->items.begin(), this->items.end(), [&](const auto& one) {
+            return one.request != item.request &&
+                   level_of(one.priority) == level;
+        });
+    if (ahead == 0 || now - own.line_since < rate_known_after)
+        return 0;
+    const double rate =
+        own.served * fading(now - own.served_at) / rate_memory;
+    return static_cast<double>(ahead) / std::max(rate, rate_least);
 }
 
 void waiting_line::learn_hold(base::kind_id kind, base::duration held)
--- a/src/greengagedrum/traffic/waiting_line.hpp
+++ b/src/greengagedrum/traffic/waiting_line.hpp
@@ -64,6 +64,11 @@
     void learn_hold(base::kind_id kind, base::duration held);
     double hold_seconds(base::kind_id kind) const;
 
+    // How long such a request would wait by what its priority was given
+    // lately: what is more urgent comes in meanwhile and goes first. Zero
+    // while nothing waits or too little is known.
+    double seconds_by_rate(const waiting_request& item, base::instant now) const;
+
     // By priority as it counts now, see `rank`.
     waiting_counts counts(base::instant now) const;
 
@@ -77,7 +82,15 @@
 
     std::vector<waiting_request> items;
     std::unordered_map<base::kind_id, double> holds; // seconds
-    std::array<base::instant, priority_levels> starved_since{};
+    struct level_state {
+        base::instant starved_since;
+        base::instant line_since; // something has waited ever since
+        double served = 0;        // lately, fading
+        base::instant served_at;
+    };
+    static double fading(base::duration passed);
+
+    std::array<level_state, priority_levels> levels;
 };
 
 } // namespace greengagedrum::traffic
