--- /dev/null
+++ b/src/greengagedrum/entry/test/beliefs_test.cpp
@@ -0,0 +1,122 @@
+// What an entry takes from the store and from peers, in any order.
+#include <greengagedrum/entry/beliefs.hpp>
+
+#include <doctest/doctest.h>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+routing::published_item config_item(int version, std::uint64_t revision)
+{
+    return {"op/config",
+            R"({"version": )" + std::to_string(version) + R"(, "routes": []})",
+            revision,
+            false};
+}
+
+routing::published_item upstream_item(const char* name, std::uint64_t revision)
+{
+    return {std::string("servers/") + name,
+            R"({"service": "s", "address": "10.0.0.1:80", "slots": 5})",
+            revision,
+            false};
+}
+
+struct beliefs_fixture {
+    base::instant now{1h};
+    beliefs known;
+
+    belief_changes whole(const routing::item_list& items, std::uint64_t as_of)
+    {
+        return this->known.learn(items, as_of, true, this->now);
+    }
+    belief_changes news(const routing::item_list& items, std::uint64_t as_of)
+    {
+        return this->known.learn(items, as_of, false, this->now);
+    }
+};
+
+} // namespace
+
+// An entry is fed by a peer that is behind the store: a change that was in
+// force must not be taken back.
+TEST_CASE_FIXTURE(beliefs_fixture, "older_configuration_never_comes_back")
+{
+    CHECK(this->whole({config_item(3, 10)}, 10).configuration);
+    CHECK(this->news({config_item(5, 14)}, 14).configuration);
+    CHECK_FALSE(this->whole({config_item(3, 10)}, 12).configuration);
+    CHECK(this->known.configuration_version() == 5);
+    CHECK(this->known.as_of() == 14);
+}
+
+TEST_CASE_FIXTURE(beliefs_fixture,
+                  "unreadable_configuration_leaves_the_last_good")
+{
+    this->whole({config_item(3, 10)}, 10);
+    const auto changes = this->news({{"op/config", "{", 11, false}}, 11);
+    CHECK_FALSE(changes.configuration);
+    CHECK(changes.faults.size() == 1);
+    CHECK(this->known.configuration_version() == 3);
+}
+
+TEST_CASE_FIXTURE(beliefs_fixture,
+                  "upstream_missing_from_a_whole_reading_is_gone")
+{
+    this->whole({upstream_item("i-1", 4), upstream_item("i-2", 5)}, 6);
+    this->news({upstream_item("i-3", 9)}, 9);
+    const auto changes = this->whole({upstream_item("i-2", 5)}, 8);
+    CHECK(changes.left.size() == 1);
+    CHECK(this->known.upstreams().usable_count() == 2); // i-3 is newer
+}
+
+// The store was away for longer than the leases last. On its return it tells of
+// every upstream that it is gone; those that live report within two seconds.
+TEST_CASE_FIXTURE(beliefs_fixture,
+                  "upstreams_lapsed_in_an_outage_are_waited_for")
+{
+    this->whole({upstream_item("i-1", 4), upstream_item("i-2", 5)}, 6);
+    this->known.store_failed(this->now);
+    this->now += 5s;
+    this->known.store_answered(this->now);
+    CHECK(this->whole({}, 20).left.empty());
+    this->now += 1s;
+    this->news({upstream_item("i-1", 25)}, 25);
+    this->now += 1s;
+    CHECK(this->known.expire(this->now).left.size() == 1);
+    CHECK(this->known.upstreams().find(base::upstream_id("i-1")) != nullptr);
+}
+
+TEST_CASE_FIXTURE(beliefs_fixture,
+                  "upstream_removed_on_a_calm_day_is_gone_at_once")
+{
+    this->whole({upstream_item("i-1", 4)}, 6);
+    this->known.store_failed(this->now);
+    this->now += 300ms; // one answer was lost
+    this->known.store_answered(this->now);
+    CHECK(this->news({{"servers/i-1", "", 9, true}}, 9).left.size() == 1);
+}
+
+TEST_CASE_FIXTURE(beliefs_fixture, "peer_that_knows_some_is_given_the_rest")
+{
+    this->whole({config_item(3, 2), upstream_item("i-1", 4)}, 6);
+    this->news({{"servers/i-1", "", 9, true}, upstream_item("i-2", 8)}, 9);
+    const auto some = this->known.items_since(6);
+    CHECK_FALSE(some.whole);
+    CHECK(some.store_revision == 9);
+    CHECK(some.items.size() == 2);
+    const auto all = this->known.items_since(0);
+    CHECK(all.whole);
+    CHECK(all.items.size() == 2); // no removed ones
+
+    beliefs other;
+    other.learn(all.items, all.store_revision, all.whole, this->now);
+    CHECK(other.configuration_version() == 3);
+    CHECK(other.upstreams().usable_count() == 1);
+}
+
+} // namespace greengagedrum::entry
--- /dev/null
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -0,0 +1,206 @@
+#include <greengagedrum/entry/test/entry_fixture.hpp>
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using json = nlohmann::json;
+
+std::string base64_of(const std::string& text)
+{
+    std::string out(4 * ((text.size() + 2) / 3) + 1, '\0');
+    const int size =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                        reinterpret_cast<const unsigned char*>(text.data()),
+                        static_cast<int>(text.size()));
+    out.resize(static_cast<std::size_t>(size));
+    return out;
+}
+
+json item(const std::string& key, const json& value, int revision)
+{
+    return {{"key", key},
+            {"value", base64_of(value.dump())},
+            {"revision", revision},
+            {"createdAt", revision},
+            {"leaseId", 0}};
+}
+
+json route(const char* prefix, const char* type)
+{
+    return {{"name", prefix},
+            {"hostname", "hall.example"},
+            {"prefix", prefix},
+            {"routeType", type},
+            {"timeoutMs", 3000},
+            {"targetLatencyMs", 500},
+            {"maxAttempts", 2},
+            {"service", "models"}};
+}
+
+json configuration()
+{
+    json resumable = route("/stream/", "streaming");
+    resumable["streamResume"] = true;
+    return {{"version", 1},
+            {"routes",
+             {route("/once/", "non_idempotent"),
+              route("/again/", "idempotent"),
+              resumable}},
+            {"services", {{{"name", "models"}}}},
+            {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 65536}}},
+            {"tenants",
+             {{{"name", "gate"}, {"apiKeys", {"key-1"}}, {"ratePerS", 0}}}}};
+}
+
+settings settings_for(int store_port)
+{
+    settings out;
+    out.instance = "entry-1";
+    out.data_centre = "hall";
+    out.ip = "127.0.0.1";
+    out.callers = out.readiness = out.control = out.metrics = {"127.0.0.1", 0};
+    out.store = {"127.0.0.1", static_cast<std::uint16_t>(store_port)};
+    out.bounds.stop = 4s;
+    return out;
+}
+
+} // namespace
+
+stand_in::stand_in()
+{
+    this->server.set_tcp_nodelay(true);
+}
+
+void stand_in::start()
+{
+    this->port = this->server.bind_to_any_port("127.0.0.1");
+    this->thread = std::thread([this] { this->server.listen_after_bind(); });
+    while (!this->server.is_running())
+        std::this_thread::sleep_for(1ms);
+}
+
+stand_in::~stand_in()
+{
+    this->server.stop();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+entry_fixture::entry_fixture()
+{
+    const auto take = [this](const httplib::Request& asked,
+                             httplib::Response& given) {
+        {
+            const std::lock_guard lock(this->mutex);
+            this->requests.push_back(asked);
+        }
+        this->upstream(asked, given);
+    };
+    this->engine.server.Post(".*", take);
+    this->engine.server.Get(".*", take);
+    this->engine.start();
+    this->publish();
+    this->store.start();
+    this->tested = std::make_unique<entry>(settings_for(this->store.port),
+                                           [] { return std::nullopt; });
+    this->thread = std::thread([this] { this->tested->run(); });
+    this->wait_until_configured();
+}
+
+entry_fixture::~entry_fixture()
+{
+    this->tested->stop();
+    this->thread.join();
+}
+
+void entry_fixture::publish()
+{
+    const std::string page = json{
+        {"entries",
+         {item("op/config", configuration(), 1),
+          item("servers/i-1",
+               {{"service", "models"},
+                {"address", "127.0.0.1:" + std::to_string(this->engine.port)},
+                {"slots", 5}},
+               2)}},
+        {"hasMore", false},
+        {"at", 2}}.dump();
+    this->store.server.Get(
+        "/kv-range", [page](const httplib::Request&, httplib::Response& given) {
+            given.set_content(page, "application/json");
+        });
+    this->store.server.Get(
+        "/kv-watch", [](const httplib::Request&, httplib::Response& given) {
+            std::this_thread::sleep_for(20ms);
+            given.set_content(R"({"events": [], "at": 2})", "application/json");
+        });
+}
+
+void entry_fixture::wait_until_configured() const
+{
+    for (int tries = 0; tries < 500; ++tries) {
+        auto asked = this->client();
+        const auto got = asked.Get("/nowhere/", headers());
+        if (got && got->status == 404)
+            return;
+        std::this_thread::sleep_for(10ms);
+    }
+    FAIL("the entry has no configuration");
+}
+
+void entry_fixture::signed_answer(const httplib::Request& asked,
+                                  httplib::Response& given,
+                                  const std::string& body)
+{
+    given.set_header("X-Attempt-Id", asked.get_header_value("X-Attempt-Id"));
+    given.set_header("X-Response-Signature", "signed");
+    given.set_content(body, "text/plain");
+}
+
+httplib::Headers entry_fixture::headers()
+{
+    return {{"Host", "hall.example"},
+            {"X-Attempt-Id", "a-1"},
+            {"X-Deadline-Ms", "2000"},
+            {"Api-Key", "key-1"}};
+}
+
+httplib::Client entry_fixture::client() const
+{
+    const base::ip_endpoint address = this->tested->caller_address();
+    httplib::Client out(address.ip, address.port);
+    out.set_keep_alive(false);
+    return out;
+}
+
+std::string entry_fixture::raw_exchange(const std::string& bytes) const
+{
+    relay::asio::io_context context;
+    relay::tcp::socket socket(context);
+    socket.connect(relay::tcp_endpoint(this->tested->caller_address()));
+    relay::asio::write(socket, relay::asio::buffer(bytes));
+    std::string out;
+    std::array<char, 4096> piece{};
+    relay::error_code fault;
+    while (!fault) {
+        const std::size_t count =
+            socket.read_some(relay::asio::buffer(piece), fault);
+        out.append(piece.data(), count);
+    }
+    return out;
+}
+
+std::vector<httplib::Request> entry_fixture::received() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->requests;
+}
+
+} // namespace greengagedrum::entry
--- /dev/null
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -0,0 +1,79 @@
+// One whole entry over loopback, with stand-ins of the store and of an
+// upstream that answers as the test says.
+#pragma once
+
+#include <greengagedrum/entry/entry.hpp>
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace greengagedrum::entry
+{
+
+// An HTTP stand-in on a port of the kernel's choice.
+class stand_in
+{
+public:
+    stand_in();
+    ~stand_in();
+    stand_in(const stand_in&) = delete;
+    stand_in& operator=(const stand_in&) = delete;
+
+    httplib::Server server;
+    int port = 0;
+
+    void start();
+
+private:
+    std::thread thread;
+};
+
+class entry_fixture
+{
+public:
+    entry_fixture();
+    ~entry_fixture();
+    entry_fixture(const entry_fixture&) = delete;
+    entry_fixture& operator=(const entry_fixture&) = delete;
+
+    // What the upstream does with a request.
+    std::function<void(const httplib::Request&, httplib::Response&)> upstream =
+        [](const httplib::Request& asked, httplib::Response& given) {
+            signed_answer(asked, given, "answer");
+        };
+
+    static void signed_answer(const httplib::Request& asked,
+                              httplib::Response& given,
+                              const std::string& body);
+
+    // Headers of a proper request.
+    static httplib::Headers headers();
+
+    httplib::Client client() const;
+    // Everything that the caller is sent until its connection closes.
+    std::string raw_exchange(const std::string& bytes) const;
+
+    std::vector<httplib::Request> received() const;
+
+    std::unique_ptr<entry> tested;
+
+private:
+    void publish();
+    void wait_until_configured() const;
+
+    stand_in store;
+    stand_in engine;
+    std::thread thread;
+    mutable std::mutex mutex;
+    std::vector<httplib::Request> requests;
+};
+
+} // namespace greengagedrum::entry
--- /dev/null
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -0,0 +1,169 @@
+// Words between entries: their bytes, and who is believed to be there.
+#include <greengagedrum/gossip/peer_table.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace greengagedrum::gossip
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr ip_number own_address = 0x0a010001;
+constexpr ip_number seed = 0x0a020001;
+constexpr ip_number other = 0x0a030001;
+
+word word_from(ip_number address, std::uint64_t life, std::uint64_t sequence)
+{
+    word out;
+    out.address = address;
+    out.life.value = life;
+    out.sequence = sequence;
+    out.instance = "entry-" + std::to_string(address);
+    out.store_revision = 1;
+    return out;
+}
+
+struct peers_fixture {
+    base::instant now{1h};
+    peer_table table{own_address, base::incarnation{1}};
+
+    bool told(ip_number address)
+    {
+        const auto all = this->table.to_tell(this->now);
+        return std::find(all.begin(), all.end(), address) != all.end();
+    }
+};
+
+} // namespace
+
+TEST_CASE("word_encoded_and_decoded_is_the_same")
+{
+    word told = word_from(seed, 7, 9);
+    told.data_centre = "hall";
+    told.stopping = true;
+    told.configuration_revision = 5;
+    told.store_revision = 12;
+    told.uses = {{base::upstream_id("i-1"), 3, 4000}};
+    told.waiting = {{base::class_id("models"), {1, 2, 3, 4}}};
+    told.workspace_uses = {{base::workspace_id("gate"), 123456789012}};
+    told.known = {{other, 250ms}};
+    const auto read = decode_word(encode(told));
+    REQUIRE(read);
+    CHECK(read->life == told.life);
+    CHECK(read->sequence == 9);
+    CHECK(read->instance == told.instance);
+    CHECK(read->data_centre == "hall");
+    CHECK(read->stopping);
+    CHECK(read->configuration_revision == 5);
+    CHECK(read->store_revision == 12);
+    REQUIRE(read->uses.size() == 1);
+    CHECK(read->uses[0].upstream == base::upstream_id("i-1"));
+    CHECK(read->uses[0].requests == 3);
+    CHECK(read->uses[0].prompt_tokens == 4000);
+    CHECK(read->waiting.at(0).counts == traffic::waiting_counts{1, 2, 3, 4});
+    CHECK(read->workspace_uses.at(0).used == 123456789012);
+    CHECK(read->known.at(0).age == 250ms);
+}
+
+TEST_CASE("items_encoded_and_decoded_are_the_same")
+{
+    item_transfer passed;
+    passed.store_revision = 8;
+    passed.whole = true;
+    passed.items = {{"op/config", "{}", 3, false}, {"servers/i", "", 4, true}};
+    const auto read = decode_items(encode(passed));
+    REQUIRE(read);
+    CHECK(read->store_revision == 8);
+    CHECK(read->whole);
+    REQUIRE(read->items.size() == 2);
+    CHECK(read->items[0].value == "{}");
+    CHECK(read->items[1].removed);
+}
+
+TEST_CASE("bytes_that_are_no_word_are_refused")
+{
+    const std::string good = encode(word_from(seed, 1, 1));
+    for (std::size_t length = 0; length < good.size(); length += 7)
+        CHECK_FALSE(decode_word(good.substr(0, length)));
+    CHECK_FALSE(decode_word(std::string(64, '\xff')));
+    CHECK_FALSE(decode_items(std::string(64, '\xff')));
+}
+
+// The seeds may be down when an entry starts, and up later: they are told
+// again and again, but not with every word.
+TEST_CASE_FIXTURE(peers_fixture, "silent_seed_is_told_once_in_a_while")
+{
+    this->table.add_seed(seed);
+    CHECK(this->told(seed));
+    this->now += 10ms;
+    CHECK_FALSE(this->told(seed));
+    this->now += 600ms;
+    CHECK(this->told(seed));
+}
+
+TEST_CASE_FIXTURE(peers_fixture, "entry_named_by_a_peer_is_told")
+{
+    word told = word_from(seed, 1, 1);
+    told.known = {{other, 100ms}, {own_address, 0ms}};
+    CHECK(this->table.heard(told, this->now) == peer_news::found);
+    CHECK(this->told(seed));
+    this->now += 600ms;
+    CHECK(this->told(other));
+    CHECK_FALSE(this->told(own_address));
+    // Being named is no sign of life.
+    CHECK(this->table.alive(this->now) == 1);
+}
+
+TEST_CASE_FIXTURE(peers_fixture, "word_told_late_or_twice_is_outdated")
+{
+    CHECK(this->table.heard(word_from(seed, 1, 5), this->now) ==
+          peer_news::found);
+    CHECK(this->table.heard(word_from(seed, 1, 5), this->now) ==
+          peer_news::outdated);
+    CHECK(this->table.heard(word_from(seed, 1, 4), this->now) ==
+          peer_news::outdated);
+    CHECK(this->table.heard(word_from(seed, 1, 6), this->now) ==
+          peer_news::none);
+}
+
+// The time of day was set back by an hour while an entry was restarted: its new
+// life has a lower number than the old one, and is heard all the same.
+TEST_CASE_FIXTURE(peers_fixture, "life_with_a_lower_number_is_heard")
+{
+    this->table.heard(word_from(seed, 900, 5), this->now);
+    CHECK(this->table.heard(word_from(seed, 100, 1), this->now) ==
+          peer_news::restarted);
+}
+
+TEST_CASE_FIXTURE(peers_fixture, "peer_that_falls_silent_is_reported_once")
+{
+    this->table.heard(word_from(seed, 1, 1), this->now);
+    this->now += 1600ms;
+    CHECK(this->table.fallen_silent(this->now).size() == 1);
+    CHECK(this->table.fallen_silent(this->now).empty());
+    CHECK(this->table.alive(this->now) == 0);
+    CHECK(this->table.alive_lately(this->now) == 1);
+    CHECK(this->table.heard(word_from(seed, 1, 2), this->now) ==
+          peer_news::found);
+}
+
+TEST_CASE_FIXTURE(peers_fixture, "peer_with_the_newest_configuration_is_asked")
+{
+    word old_one = word_from(seed, 1, 1);
+    old_one.configuration_revision = 4;
+    word new_one = word_from(other, 1, 1);
+    new_one.configuration_revision = 9;
+    this->table.heard(old_one, this->now);
+    this->table.heard(new_one, this->now);
+    for (std::uint64_t turn = 0; turn < 4; ++turn)
+        CHECK(this->table.newest_source(this->now, turn)->address == other);
+    this->now += 2s;
+    CHECK_FALSE(this->table.newest_source(this->now, 0));
+}
+
+} // namespace greengagedrum::gossip
--- /dev/null
+++ b/src/greengagedrum/platform/test/platform_test.cpp
@@ -0,0 +1,240 @@
+// The platform's names and formats, read into and written from our types.
+#include <greengagedrum/platform/documents.hpp>
+#include <greengagedrum/platform/headers.hpp>
+#include <greengagedrum/platform/settings_file.hpp>
+#include <greengagedrum/platform/store_calls.hpp>
+
+#include <doctest/doctest.h>
+
+namespace greengagedrum::platform
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr const char* settings_text = R"(
+nodeName = "edge-hall-1"
+ip = "10.1.0.25"
+zone = "hall"
+internalPortRange = [7600,7615]
+seedNodes = ["10.1.0.25:8229","10.2.0.17:8229"]
+somethingNew = { deep = [1, 2] }
+[listen]
+frontend = "10.1.0.25:8221"
+readiness = "10.1.0.25:8224"
+controlPlane = "10.1.0.25:8229"
+[bounds]
+graceS = 8
+retrySlack = 56
+quotaOvershoot = 0.25
+[platform]
+address = "10.200.1.7:8225"
+)";
+
+constexpr const char* configuration_text = R"({"version": 7, "routes": [
+ {"name": "r-1", "hostname": "Hall.Example", "prefix": "/a/",
+  "routeType": "streaming", "timeoutMs": 12000, "targetLatencyMs": 800,
+  "priority": 2, "maxAttempts": 2, "streamResume": true, "targetGapMs": 200,
+  "trafficSplit": [{"service": "s-1", "weight": 90},
+                   {"service": "s-2", "weight": 10}]},
+ {"name": "r-2", "hostname": "hall.example", "prefix": "/b/",
+  "routeType": "non_idempotent", "service": "s-2", "anonymous": true}],
+ "services": [{"name": "s-1", "maxConnections": 370, "engine": {"slots": 5}},
+              {"name": "s-2"}],
+ "limits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 15000},
+ "tenants": [{"name": "gate", "apiKeys": ["k1", "k2"], "priority": 1,
+              "unit": "tokens", "uncachedTokens": 200, "ratePerS": 91282,
+              "burst": 5}]})";
+
+relay::request_head head_with(std::vector<relay::header> headers)
+{
+    return {"POST", "/a/", 11, std::move(headers)};
+}
+
+} // namespace
+
+TEST_CASE("settings_file_is_read_and_unknown_fields_are_ignored")
+{
+    const auto read = read_settings(settings_text);
+    REQUIRE(read);
+    CHECK(read->instance == "edge-hall-1");
+    CHECK(read->data_centre == "hall");
+    CHECK(read->callers.port == 8221);
+    CHECK(read->control.port == 8229);
+    CHECK(read->peer_port == 7600);
+    CHECK(read->seeds.size() == 2);
+    CHECK(read->store.port == 8225);
+    CHECK(read->bounds.stop == 8s);
+    CHECK(read->bounds.retry_slack == 56);
+    CHECK(read->bounds.usage_overshoot == 0.25);
+    CHECK(read->bounds.usage_window == 8s); // its default
+}
+
+TEST_CASE("settings_with_many_faults_name_them_all")
+{
+    const auto read = read_settings("nodeName = \"x\"\nip = \"10.1.0.25\"\n"
+                                    "[listen]\nfrontend = \"nowhere\"\n"
+                                    "[bounds]\ngraceS = -1\n");
+    REQUIRE_FALSE(read);
+    std::string all;
+    for (const std::string& one : read.error())
+        all += one + "\n";
+    for (const char* field : {"zone",
+                              "listen.frontend",
+                              "listen.readiness",
+                              "internalPortRange",
+                              "platform.address",
+                              "bounds.graceS"})
+        CHECK_MESSAGE(all.find(field) != std::string::npos, field);
+}
+
+TEST_CASE("settings_that_are_no_toml_are_refused")
+{
+    CHECK_FALSE(read_settings("= = ="));
+    CHECK_FALSE(read_settings_file("no/such/file"));
+}
+
+TEST_CASE("configuration_is_read_into_our_types")
+{
+    const auto read =
+        read_configuration({"op/config", configuration_text, 31, false});
+    REQUIRE(read);
+    CHECK(read->version == 7);
+    CHECK(read->revision == 31);
+    const routing::route& stream = read->routes.at(0);
+    CHECK(stream.host == "hall.example");
+    CHECK(stream.rule == routing::repeat_rule::resumable);
+    CHECK(stream.stream);
+    CHECK(stream.sends_max == 2);
+    CHECK(stream.timeout == 12s);
+    CHECK(stream.objective == 800ms);
+    CHECK(stream.targets.size() == 2);
+    const routing::route& plain = read->routes.at(1);
+    CHECK(plain.rule == routing::repeat_rule::at_most_once);
+    CHECK(plain.anonymous);
+    CHECK(plain.sends_max == 1);
+    CHECK(plain.targets.at(0).service_name == "s-2");
+    CHECK(read->services.at(0).engine);
+    CHECK_FALSE(read->services.at(1).engine);
+    const routing::workspace& owner = read->workspaces.at(0);
+    CHECK(owner.keys.size() == 2);
+    CHECK(owner.limit.in_tokens);
+    CHECK(owner.limit.plain_tokens == 200);
+    CHECK(read->limits.idle_timeout == 15s);
+}
+
+TEST_CASE("stream_that_may_not_be_resumed_runs_at_most_once")
+{
+    const auto read = read_configuration(
+        {"op/config",
+         R"({"version": 1, "routes": [{"name": "r", "hostname": "h",
+             "prefix": "/", "routeType": "streaming", "service": "s"}]})",
+         1,
+         false});
+    REQUIRE(read);
+    CHECK(read->routes.at(0).rule == routing::repeat_rule::at_most_once);
+}
+
+TEST_CASE("configuration_without_its_fields_is_refused")
+{
+    for (const char* text : {"",
+                             "[]",
+                             "{}",
+                             R"({"version": 1})",
+                             R"({"version": 1, "routes": [{"name": "r"}]})",
+                             R"({"version": "one", "routes": []})"})
+        CHECK_FALSE_MESSAGE(read_configuration({"op/config", text, 1, false}),
+                            text);
+}
+
+TEST_CASE("upstream_entry_is_read")
+{
+    const auto read = read_upstream(
+        {"servers/i-7",
+         R"({"service": "s-1", "address": "10.128.0.9:8080", "zone": "hall",
+             "slots": 5, "state": "draining", "warmupRemainingMs": 250,
+             "sequence": 4})",
+         12,
+         false});
+    REQUIRE(read);
+    CHECK(read->name == "i-7");
+    CHECK(read->service == base::class_id("s-1"));
+    CHECK(read->address.port == 8080);
+    CHECK(read->leaving);
+    CHECK(read->warmup == 250ms);
+    CHECK(read->revision == 12);
+    CHECK_FALSE(read_upstream(
+        {"servers/i-7", R"({"service": "s", "address": "here"})", 1, false}));
+}
+
+TEST_CASE("store_page_and_watch_are_read")
+{
+    const auto page = read_store_answer(
+        R"({"entries": [{"key": "op/config", "value": "e30=", "revision": 4,
+            "createdAt": 1, "leaseId": 0}], "hasMore": true, "at": 9})");
+    REQUIRE(page);
+    CHECK(page->more);
+    CHECK(page->as_of == 9);
+    CHECK(page->items.at(0).value == "{}");
+    const auto watch = read_store_answer(
+        R"({"events": [{"key": "servers/i", "revision": 11, "deleted": true}],
+            "at": 11})");
+    REQUIRE(watch);
+    CHECK(watch->items.at(0).removed);
+    CHECK_FALSE(read_store_answer("{}"));
+    CHECK_FALSE(read_store_answer(
+        R"({"entries": [{"key": "k", "value": "!", "revision": 1}], "at": 1})"));
+}
+
+TEST_CASE("request_marks_are_read_and_odd_ones_refused")
+{
+    request_marks marks;
+    CHECK_FALSE(read_request_marks(head_with({{"x-attempt-id", "9c41"},
+                                              {"Api-Key", "k1"},
+                                              {"X-Deadline-Ms", "1500"},
+                                              {"X-Token-Usage", "1460,80"},
+                                              {"X-Length-Hint", "about 40"},
+                                              {"Last-Event-Id", "12"}}),
+                                   marks));
+    CHECK(marks.attempt == "9c41");
+    CHECK(marks.time_left == 1500ms);
+    CHECK(marks.prompt_tokens == 1460);
+    CHECK(marks.output_tokens == 80);
+    CHECK_FALSE(marks.expected_tokens);
+    CHECK(marks.resume_after == "12");
+    for (const relay::header& odd : {relay::header{"X-Deadline-Ms", "soon"},
+                                     relay::header{"X-Deadline-Ms", "-1"},
+                                     relay::header{"X-Token-Usage", "12"}}) {
+        request_marks other;
+        CHECK(read_request_marks(head_with({odd}), other));
+    }
+    request_marks twice;
+    CHECK(read_request_marks(
+        head_with({{"X-Attempt-Id", "a"}, {"X-Attempt-Id", "b"}}), twice));
+}
+
+// A caller sets headers by which engines keep memory for it or go on from
+// another request's: they are this system's to set.
+TEST_CASE("headers_of_the_system_never_pass_as_the_caller_sent_them")
+{
+    for (const char* name : {"api-key",
+                             "X-Tenant",
+                             "X-Target-Instance",
+                             "X-Retention",
+                             "X-Pin-Ms",
+                             "x-kv-backup",
+                             "Kv-From",
+                             "Kv-Fetch",
+                             "X-Deadline-Ms"})
+        CHECK_FALSE_MESSAGE(passes_to_upstream(name), name);
+    CHECK(passes_to_upstream("X-Model"));
+    CHECK(always_passes("x-attempt-id"));
+    std::string head;
+    write_upstream_marks({"i-7", "gate", 1500ms, "12"}, head);
+    CHECK(head == "X-Deadline-Ms: 1500\r\nX-Target-Instance: i-7\r\n"
+                  "X-Tenant: gate\r\nLast-Event-Id: 12\r\n");
+}
+
+} // namespace greengagedrum::platform
--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -1,7 +1,8 @@
 // Limits over all entries: to the letter, and not a request less.
-#include <doctest/doctest.h>
 #include <greengagedrum/quota/usage_limiter.hpp>
 
+#include <doctest/doctest.h>
+
 #include <deque>
 
 namespace greengagedrum::quota
@@ -94,7 +95,8 @@
 
 // The operator lowers a limit. What was let through under the old one is no
 // debt: work goes on at the new rate at once.
-TEST_CASE_FIXTURE(limiter_fixture, "lowered_limit_lets_its_rate_through_at_once")
+TEST_CASE_FIXTURE(limiter_fixture,
+                  "lowered_limit_lets_its_rate_through_at_once")
 {
     CHECK(this->take(this->own, 850));
     this->limit_to(rate / 2);
--- a/src/greengagedrum/relay/test/message_reader_test.cpp
+++ b/src/greengagedrum/relay/test/message_reader_test.cpp
@@ -1,8 +1,9 @@
 // What is read as a request or an answer, and what is refused.
-#include <doctest/doctest.h>
 #include <greengagedrum/relay/event_splitter.hpp>
 #include <greengagedrum/relay/message_reader.hpp>
 
+#include <doctest/doctest.h>
+
 namespace greengagedrum::relay
 {
 
@@ -58,7 +59,8 @@
     CHECK(this->reader.keeps_open());
 }
 
-TEST_CASE_FIXTURE(reader_fixture, "request_in_chunks_is_joined_without_trailers")
+TEST_CASE_FIXTURE(reader_fixture,
+                  "request_in_chunks_is_joined_without_trailers")
 {
     REQUIRE(this->drip("POST / HTTP/1.1\r\nHost: h\r\n"
                        "Transfer-Encoding: chunked\r\n\r\n"
@@ -110,8 +112,8 @@
     const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
     CHECK(this->refusal(start + "X: " + std::string(600, 'x')) == 431);
     CHECK(this->refusal(start + "Content-Length: 1025\r\n\r\n") == 413);
-    CHECK(this->refusal(start + "Transfer-Encoding: chunked\r\n\r\n" + "800\r\n" +
-                        std::string(2048, 'x')) == 413);
+    CHECK(this->refusal(start + "Transfer-Encoding: chunked\r\n\r\n" +
+                        "800\r\n" + std::string(2048, 'x')) == 413);
 }
 
 TEST_CASE("answer_cut_short_is_not_whole")
@@ -119,17 +121,19 @@
     bool whole = true;
     body_of("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", whole);
     CHECK_FALSE(whole);
-    body_of("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
-            whole);
+    body_of(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+        whole);
     CHECK_FALSE(whole);
 }
 
 TEST_CASE("answer_after_interim_ones_is_read")
 {
     bool whole = false;
-    CHECK(body_of("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\n"
-                  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
-                  whole) == "ok");
+    CHECK(body_of(
+              "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\n"
+              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+              whole) == "ok");
     CHECK(whole);
 }
 
--- a/src/greengagedrum/routing/test/routing_test.cpp
+++ b/src/greengagedrum/routing/test/routing_test.cpp
@@ -1,8 +1,9 @@
 // Which route, workspace and upstream a request may have.
-#include <doctest/doctest.h>
 #include <greengagedrum/routing/route_table.hpp>
 #include <greengagedrum/routing/upstream_directory.hpp>
 
+#include <doctest/doctest.h>
+
 namespace greengagedrum::routing
 {
 
--- a/src/greengagedrum/traffic/test/burst_run.cpp
+++ b/src/greengagedrum/traffic/test/burst_run.cpp
@@ -116,10 +116,10 @@
     {
         std::uniform_real_distribution<double> draw(0, 1);
         for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
-            const double chance = kinds.at(kind).per_second *
-                                  (this->counted() ? this->settings.load
-                                                   : calm_load) *
-                                  static_cast<double>(turn.count()) / 1e6;
+            const double chance =
+                kinds.at(kind).per_second *
+                (this->counted() ? this->settings.load : calm_load) *
+                static_cast<double>(turn.count()) / 1e6;
             if (draw(this->dice) >= chance)
                 continue;
             request_facts facts = stream_facts(
@@ -208,10 +208,9 @@
 
     void finish(const run& what)
     {
-        this->step(what.entry,
-                   progressed{what.request,
-                              what.send,
-                              kinds.at(what.kind).events});
+        this->step(
+            what.entry,
+            progressed{what.request, what.send, kinds.at(what.kind).events});
         this->step(what.entry, answered{what.request, what.send, true});
         const asked_request& asked_one = this->asked[what.request];
         if (!asked_one.counted)
--- a/src/greengagedrum/traffic/test/line_test.cpp
+++ b/src/greengagedrum/traffic/test/line_test.cpp
@@ -11,8 +11,8 @@
 
 const base::slot_id peer("peer");
 
-waiting_request waiting(std::uint64_t id, std::uint32_t priority,
-                        base::instant objective_at)
+waiting_request
+waiting(std::uint64_t id, std::uint32_t priority, base::instant objective_at)
 {
     waiting_request out;
     out.request = base::request_id{id};
@@ -48,7 +48,8 @@
 
 // A dossier that has missed its objective is late whatever is done; a clash
 // check that holds its place for half the time can still be in time.
-TEST_CASE_FIXTURE(line_fixture, "late_work_lets_short_fresh_work_of_next_step_go")
+TEST_CASE_FIXTURE(line_fixture,
+                  "late_work_lets_short_fresh_work_of_next_step_go")
 {
     this->line.learn_hold(base::kind_id("kind-0"), 800ms);
     this->line.learn_hold(base::kind_id("kind-1"), 400ms);
@@ -80,7 +81,8 @@
 // Every entry had a starved request at the front of its line that yielded to
 // more urgent ones elsewhere; nothing behind it was placed. Engines idled while
 // a thousand requests were refused.
-TEST_CASE_FIXTURE(scheduler_fixture, "starved_request_does_not_hold_up_the_line")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "starved_request_does_not_hold_up_the_line")
 {
     this->upstreams(1, 1);
     const auto running = this->arrive(stream_facts(0));
@@ -95,7 +97,8 @@
 }
 
 // A place falls free while a dossier waits at a peer and only notes wait here.
-TEST_CASE_FIXTURE(scheduler_fixture, "less_urgent_work_leaves_the_place_to_a_peers")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "less_urgent_work_leaves_the_place_to_a_peers")
 {
     this->upstreams(1, 1);
     const auto running = this->arrive(stream_facts(0));
@@ -112,7 +115,8 @@
 
 // Eight entries hear of one freed place within 10 ms and all send there: an
 // engine of 5 places held up to 12 requests, and dossiers queued in it.
-TEST_CASE_FIXTURE(scheduler_fixture, "place_freed_by_a_peer_is_left_to_it_first")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "place_freed_by_a_peer_is_left_to_it_first")
 {
     this->upstreams(1, 1);
     const upstream_use taken{base::upstream_id("i-0"), 1, 0};
@@ -156,7 +160,8 @@
     CHECK(refused < 38);
 }
 
-TEST_CASE_FIXTURE(scheduler_fixture, "work_in_line_is_refused_before_its_caller_leaves")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "work_in_line_is_refused_before_its_caller_leaves")
 {
     this->upstreams(1, 1);
     this->arrive(stream_facts());
--- a/src/greengagedrum/traffic/test/scheduler_fixture.hpp
+++ b/src/greengagedrum/traffic/test/scheduler_fixture.hpp
@@ -1,9 +1,10 @@
 // One scheduler with upstreams that the test plays by hand, in virtual time.
 #pragma once
 
-#include <doctest/doctest.h>
 #include <greengagedrum/traffic/scheduler.hpp>
 
+#include <doctest/doctest.h>
+
 #include <string>
 #include <vector>
 
--- a/src/greengagedrum/traffic/test/scheduler_test.cpp
+++ b/src/greengagedrum/traffic/test/scheduler_test.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(scheduler_fixture, "request_with_a_free_place_is_sent_at_once")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "request_with_a_free_place_is_sent_at_once")
 {
     this->upstreams(2, 5);
     const auto id = this->arrive(stream_facts());
@@ -36,7 +37,8 @@
 
 // An isolation confirmation is sent, and its connection is reset. It may have
 // run: sent again, the signalling desk would hold two permits.
-TEST_CASE_FIXTURE(scheduler_fixture, "at_most_once_work_that_broke_is_not_sent_again")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "at_most_once_work_that_broke_is_not_sent_again")
 {
     this->upstreams(3, 5);
     const auto id = this->arrive(facts_of(at_most_once, 3));
@@ -47,7 +49,8 @@
 
 // The upstream says that it did not run the request: it goes elsewhere,
 // whatever its kind.
-TEST_CASE_FIXTURE(scheduler_fixture, "work_turned_away_goes_to_another_upstream")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "work_turned_away_goes_to_another_upstream")
 {
     this->upstreams(3, 5);
     const auto id = this->arrive(facts_of(at_most_once, 2));
@@ -61,7 +64,8 @@
 
 // An idempotent request broke at one upstream, which may have run it, and is
 // turned away by the next. "Not run" would be untrue of it.
-TEST_CASE_FIXTURE(scheduler_fixture, "work_turned_away_after_a_break_may_have_run")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "work_turned_away_after_a_break_may_have_run")
 {
     this->upstreams(3, 5);
     const auto id = this->arrive(facts_of(idempotent, 2));
@@ -105,7 +109,8 @@
     CHECK(this->order<send_request>() != nullptr);
 }
 
-TEST_CASE_FIXTURE(scheduler_fixture, "failure_of_idempotent_work_is_tried_elsewhere")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "failure_of_idempotent_work_is_tried_elsewhere")
 {
     this->upstreams(2, 5);
     const auto id = this->arrive(facts_of(idempotent, 2));
@@ -148,7 +153,8 @@
 // An engine reads a prompt of 40,000 tokens for one caller while streams of
 // others run there. Its silence towards the one was taken for death: the
 // request lost its place, and its caller left without an answer.
-TEST_CASE_FIXTURE(scheduler_fixture, "upstream_that_serves_others_is_not_silent")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "upstream_that_serves_others_is_not_silent")
 {
     this->upstreams(1, 5);
     const auto waiting = this->arrive(facts_of(resumable, 2));
@@ -180,7 +186,8 @@
     CHECK(this->sent().upstream != first.upstream);
 }
 
-TEST_CASE_FIXTURE(scheduler_fixture, "silence_of_at_most_once_work_is_waited_out")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "silence_of_at_most_once_work_is_waited_out")
 {
     this->upstreams(2, 5);
     const auto id = this->arrive(facts_of(at_most_once, 2));
@@ -195,7 +202,8 @@
     CHECK(this->verdict().run == base::run_state::may_have_run);
 }
 
-TEST_CASE_FIXTURE(scheduler_fixture, "service_without_upstreams_refuses_at_once")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "service_without_upstreams_refuses_at_once")
 {
     this->arrive(stream_facts());
     CHECK(this->verdict().run == base::run_state::not_run);
@@ -213,7 +221,8 @@
 }
 
 // The process was frozen and wakes with old beliefs: nothing is sent by them.
-TEST_CASE_FIXTURE(scheduler_fixture, "held_scheduler_sends_nothing_until_let_go")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "held_scheduler_sends_nothing_until_let_go")
 {
     this->upstreams(1, 5);
     this->tested.hold(true);
