--- a/src/greengagedrum/entry/settings.hpp
+++ b/src/greengagedrum/entry/settings.hpp
@@ -28,9 +28,9 @@
     std::string instance;
     std::string data_centre;
     std::string ip;
-    base::ip_endpoint callers;            // clients' requests
-    base::ip_endpoint readiness;          // the balancer's question
-    base::ip_endpoint control;            // peers' questions
+    base::ip_endpoint callers;   // clients' requests
+    base::ip_endpoint readiness; // the balancer's question
+    base::ip_endpoint control;   // peers' questions
     base::ip_endpoint metrics;
     std::uint16_t peer_port = 0;          // UDP, the same on all instances
     std::vector<base::ip_endpoint> seeds; // control addresses of a few others
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -89,8 +89,8 @@
         bool in_line = false;
         std::uint32_t sends = 0;     // that reached an upstream
         std::uint32_t uncertain = 0; // of these, those that may have run it
-        std::uint32_t connects = 0; // also those that did not
-        std::uint32_t send = 0;     // number of the one under way; 0: none
+        std::uint32_t connects = 0;  // also those that did not
+        std::uint32_t send = 0;      // number of the one under way; 0: none
         base::upstream_id upstream;
         base::instant sent_at;
         base::instant progress_at;
--- a/src/greengagedrum/traffic/waiting_line.cpp
+++ b/src/greengagedrum/traffic/waiting_line.cpp
@@ -22,7 +22,7 @@
 
 // What a priority is given is judged over the last few seconds, and only
 // once its line has stood for so long.
-constexpr double rate_least = 0.2;  // a second
+constexpr double rate_least = 0.2; // a second
 constexpr base::duration rate_known_after = std::chrono::milliseconds(600);
 
 } // namespace
