--- a/src/greengagedrum/entry/front.cpp
+++ b/src/greengagedrum/entry/front.cpp
@@ -1,4 +1,5 @@
 #include <greengagedrum/entry/front.hpp>
+#include <greengagedrum/entry/milliseconds.hpp>
 #include <greengagedrum/placement/seconds.hpp>
 #include <greengagedrum/relay/small_server.hpp>
 
@@ -35,11 +36,6 @@
     return base::all_tiers.at(traffic::level_of(priority));
 }
 
-double milliseconds(base::duration value)
-{
-    return static_cast<double>(value.count()) / 1000;
-}
-
 } // namespace
 
 front::front(relay::asio::io_context& context,
@@ -279,33 +275,6 @@
     this->told(traffic::caller_left{id});
 }
 
-// ---- Decisions ------------------------------------------------------------
-
-// Carrying out a decision may tell the next fact at once; it is decided on
-// after all orders of the first were carried out.
-void front::told(const traffic::event& what)
-{
-    this->backlog.push_back(what);
-    if (this->working)
-        return;
-    this->working = true;
-    this->decide_backlog();
-    this->working = false;
-}
-
-void front::decide_backlog()
-{
-    while (!this->backlog.empty()) {
-        const traffic::event next = this->backlog.front();
-        this->backlog.erase(this->backlog.begin());
-        this->note_progress(next);
-        this->note_misdirection(next);
-        traffic::actions orders;
-        this->state.scheduler.step(next, this->state.clock(), orders);
-        this->carry_out(orders);
-    }
-}
-
 void front::tick()
 {
     this->working = true;
@@ -324,186 +293,6 @@
         request.wire->relieve();
 }
 
-void front::note_progress(const traffic::event& what)
-{
-    const auto* progress = std::get_if<traffic::progressed>(&what);
-    if (progress == nullptr)
-        return;
-    const auto found = this->requests.find(progress->request);
-    if (found != this->requests.end() && !found->second.first_event_at)
-        found->second.first_event_at = this->state.clock();
-}
-
-void front::note_misdirection(const traffic::event& what)
-{
-    const auto* away = std::get_if<traffic::turned_away>(&what);
-    if (away == nullptr || away->why != traffic::turn_away::misdirected)
-        return;
-    const auto found = this->sent_to.find(away->request);
-    if (found != this->sent_to.end())
-        this->misdirected(found->second);
-}
-
-void front::misdirected(base::upstream_id upstream)
-{
-    this->upstreams_changed(this->state.known.misdirected(upstream));
-}
-
-void front::upstreams_changed(const belief_changes& changes)
-{
-    const base::instant now = this->state.clock();
-    for (const base::upstream_id id : changes.left)
-        this->state.scheduler.upstream_left(id);
-    for (const routing::published_upstream& one : changes.joined)
-        this->state.scheduler.upstream_joined(one, now);
-}
-
-void front::carry_out(const traffic::actions& orders)
-{
-    for (const traffic::action& one : orders)
-        std::visit([this](const auto& order) { this->carry_out_one(order); },
-                   one);
-    if (!orders.empty())
-        this->uses_changed();
-}
-
-void front::carry_out_one(const traffic::send_request& order)
-{
-    accepted& request = this->requests.at(order.request);
-    const base::instant now = this->state.clock();
-    const routing::published_upstream* to =
-        this->state.known.upstreams().find(order.upstream);
-    if (to == nullptr) {
-        // It left within this very turn.
-        return this->told(traffic::not_sent{order.request, order.send});
-    }
-    this->sent_to[order.request] = order.upstream;
-    if (!request.sent_at)
-        request.sent_at = now;
-    const std::shared_ptr<exchange> wire = request.wire;
-    this->state.log.write(now,
-                          "scheduler",
-                          "request_sent",
-                          {{"request", wire->source().marks.attempt},
-                           {"send", order.send},
-                           {"upstream", to->name},
-                           {"waited_ms", milliseconds(order.why.waited)},
-                           {"own", order.why.own},
-                           {"others", order.why.others},
-                           {"places", order.why.places},
-                           {"told_age_ms", milliseconds(order.why.told_age)},
-                           {"expected_ms", milliseconds(order.why.first_event)},
-                           {"store_revision", this->state.known.as_of()}});
-    wire->send(order.send, *to, order.end_at - now);
-}
-
-void front::carry_out_one(const traffic::stop_send& order)
-{
-    const auto found = this->requests.find(order.request);
-    if (found == this->requests.end())
-        return;
-    found->second.wire->stop_send();
-    this->reported(order.request, {order.send, 0, 0, "stopped here"});
-}
-
-void front::carry_out_one(const traffic::deliver_answer& order)
-{
-    const auto found = this->requests.find(order.request);
-    if (found == this->requests.end())
-        return;
-    const std::shared_ptr<exchange> wire = found->second.wire;
-    this->finish(order.request, nullptr);
-    wire->deliver(this->state.stopping);
-}
-
-void front::carry_out_one(const traffic::end_request& order)
-{
-    const auto found = this->requests.find(order.request);
-    if (found == this->requests.end())
-        return;
-    const std::shared_ptr<exchange> wire = found->second.wire;
-    if (order.verdict.run == base::run_state::not_run)
-        this->state.limiter.give_back(
-            found->second.workspace, found->second.cost, this->state.clock());
-    this->finish(order.request, &order.verdict);
-    wire->end(order.verdict);
-}
-
-void front::carry_out_one(const traffic::trust_changed& change)
-{
-    const routing::published_upstream* of =
-        this->state.known.upstreams().find(change.upstream);
-    this->state.log.write(
-        this->state.clock(),
-        "scheduler",
-        change.suspected ? "upstream_suspected" : "upstream_cleared",
-        {{"upstream", of == nullptr ? std::string() : of->name},
-         {"cause", change.cause},
-         {"bad_share", change.bad_share}});
-}
-
-void front::finish(base::request_id id, const base::verdict* failed)
-{
-    const auto found = this->requests.find(id);
-    const accepted& request = found->second;
-    const base::instant now = this->state.clock();
-    const base::duration total = now - request.arrived;
-    const std::shared_ptr<exchange>& wire = request.wire;
-    telemetry::request_ended ended;
-    ended.series = request.series;
-    if (failed != nullptr)
-        ended.failed = *failed;
-    const base::instant first = request.first_event_at.value_or(now);
-    ended.in_time = first - request.arrived <= request.objective;
-    ended.total = total;
-    if (request.sent_at)
-        ended.queue_wait = *request.sent_at - request.arrived;
-    if (request.first_event_at)
-        ended.first_token = first - request.arrived;
-    this->state.metrics.add(ended);
-    if (failed == nullptr)
-        this->state.log.write(
-            now,
-            "front",
-            "request_answered",
-            {{"request", wire->source().marks.attempt},
-             {"status", wire->status()},
-             {"total_ms", milliseconds(total)},
-             {"first_ms", milliseconds(first - request.arrived)},
-             {"in_time", ended.in_time}});
-    else
-        this->state.log.write(
-            now,
-            "scheduler",
-            "request_ended",
-            {{"request", wire->source().marks.attempt},
-             {"verdict", base::to_string(failed->run)},
-             {"why", base::to_string(failed->why)},
-             {"total_ms", milliseconds(total)},
-             {"waiting", this->state.scheduler.waiting()},
-             {"retry_after_ms",
-              milliseconds(failed->retry_after.value_or(base::duration(0)))}});
-    this->by_caller.erase(wire->from().get());
-    this->sent_to.erase(id);
-    this->requests.erase(found);
-}
-
-void front::reported(base::request_id id, const send_report& what)
-{
-    const auto found = this->requests.find(id);
-    if (found == this->requests.end())
-        return;
-    this->state.log.write(
-        this->state.clock(),
-        "exchange",
-        what.why.empty() ? "send_answered" : "send_failed",
-        {{"request", found->second.wire->source().marks.attempt},
-         {"send", what.send},
-         {"status", what.status},
-         {"events", what.events},
-         {"why", what.why}});
-}
-
 // ---- Stopping -------------------------------------------------------------
 
 void front::begin_stop()
--- /dev/null
+++ b/src/greengagedrum/entry/milliseconds.hpp
@@ -0,0 +1,14 @@
+// Times as log lines have them.
+#pragma once
+
+#include <greengagedrum/base/time.hpp>
+
+namespace greengagedrum::entry
+{
+
+inline double milliseconds(base::duration value)
+{
+    return static_cast<double>(value.count()) / 1000;
+}
+
+} // namespace greengagedrum::entry
--- /dev/null
+++ b/src/greengagedrum/traffic/patience.cpp
@@ -0,0 +1,113 @@
+// Time and repetition: how long a request waits for what, and what may be sent
+// again.
+#include <greengagedrum/placement/seconds.hpp>
+#include <greengagedrum/traffic/scheduler.hpp>
+
+#include <algorithm>
+
+namespace greengagedrum::traffic
+{
+
+using placement::duration_of;
+
+namespace
+{
+
+// A stream's first event counts as overdue after this many times its estimate,
+// and this much at least: a prompt that is read in a full engine takes about
+// three times its estimate.
+constexpr double first_event_patience = 4;
+constexpr base::duration first_event_floor = std::chrono::milliseconds(1000);
+
+// Between events; the sheets allow pauses of 200 ms, callers leave after two
+// seconds without an event.
+constexpr base::duration gap_floor = std::chrono::milliseconds(700);
+
+// How far a wake-up may be off without harm to a deadline.
+constexpr base::duration longest_sleep = std::chrono::milliseconds(250);
+
+} // namespace
+
+std::optional<base::instant> scheduler::next_wake() const
+{
+    std::optional<base::instant> first;
+    for (const auto& [id, item] : this->requests) {
+        base::instant due = item.end_at;
+        if (item.in_line)
+            due = std::min({due, item.give_up_at, this->now + longest_sleep});
+        else
+            due = std::min(due, this->now + longest_sleep);
+        if (!first || due < *first)
+            first = due;
+    }
+    return first;
+}
+
+bool scheduler::may_repeat(const request& item) const
+{
+    return item.facts.rule != routing::repeat_rule::at_most_once;
+}
+
+// Another upstream, within the route's bound, the retries that all entries may
+// make, and the time left.
+bool scheduler::try_again(request& item)
+{
+    if (item.sends >= item.facts.sends_max ||
+        this->now + this->first_event_expected(item) >= item.end_at)
+        return false;
+    if (!this->retries.spend(item.facts.service, this->now))
+        return false;
+    this->join_line(item);
+    return true;
+}
+
+// ---- Time -----------------------------------------------------------------
+
+void scheduler::check_time(request& item)
+{
+    if (item.in_line && item.uncertain == 0 && this->now >= item.give_up_at)
+        return this->refuse(item, base::reason::overloaded);
+    if (this->now >= item.end_at) {
+        if (item.send != 0) {
+            this->out->push_back(stop_send{item.id, item.send});
+            this->pool.probe_void(item.upstream);
+            this->leave_upstream(item);
+        }
+        return this->fail(item, base::reason::deadline);
+    }
+    if (!item.in_line)
+        this->check_silence(item);
+}
+
+// The connection may have gone silent for good, or its upstream hangs. What
+// may be repeated goes elsewhere; any other request waits on, since silence is
+// no proof that it did not run.
+void scheduler::check_silence(request& item)
+{
+    const base::duration first = std::max(
+        first_event_floor, duration_of(first_event_patience * item.expected));
+    const base::duration bound =
+        item.events == 0 ? first
+                         : std::max(gap_floor, 3 * item.facts.gap_objective);
+    // An upstream that serves others is alive: it reads a long prompt first.
+    const base::instant last =
+        std::max(item.progress_at, this->pool.progress_at(item.upstream));
+    if (this->now - last < bound || item.silence_told)
+        return;
+    item.silence_told = true;
+    this->bad_end(item.upstream, trouble::silent);
+    const bool again =
+        this->may_repeat(item) && item.sends < item.facts.sends_max;
+    if (!again)
+        return;
+    const std::uint32_t send = item.send;
+    const base::upstream_id upstream = item.upstream;
+    if (!this->retries.spend(item.facts.service, this->now))
+        return;
+    this->out->push_back(stop_send{item.id, send});
+    this->leave_upstream(item);
+    item.tried.push_back(upstream);
+    this->join_line(item);
+}
+
+} // namespace greengagedrum::traffic
--- /dev/null
+++ b/src/greengagedrum/traffic/placing.cpp
@@ -0,0 +1,161 @@
+// From the line to an upstream: who waits, who is placed, who yields.
+#include <greengagedrum/placement/seconds.hpp>
+#include <greengagedrum/traffic/scheduler.hpp>
+
+#include <algorithm>
+
+namespace greengagedrum::traffic
+{
+
+using placement::duration_of;
+
+base::duration scheduler::first_event_expected(const request& item) const
+{
+    return duration_of(this->pool.usual_first_event(item.facts.service,
+                                                    item.facts.prompt_tokens));
+}
+
+waiting_request scheduler::line_entry(const request& item) const
+{
+    waiting_request out;
+    out.request = item.id;
+    out.kind = item.facts.kind;
+    out.priority = item.facts.priority;
+    out.objective_at =
+        item.arrived + item.facts.objective - this->first_event_expected(item);
+    out.give_up_at = item.give_up_at;
+    return out;
+}
+
+void scheduler::join_line(request& item)
+{
+    item.in_line = true;
+    item.send = 0;
+    this->lines[item.facts.service].add(this->line_entry(item), this->now);
+}
+
+// How long what goes before it keeps the places that are this entry's to use
+// (its part of all, and what its peers leave free beyond theirs), or what its
+// priority was given lately says, whichever is longer.
+base::duration scheduler::wait_expected(const request& item) const
+{
+    const auto line = this->lines.find(item.facts.service);
+    if (line == this->lines.end() || line->second.empty())
+        return base::duration{0};
+    const waiting_request entry = this->line_entry(item);
+    const double ahead = line->second.seconds_ahead(entry, this->now);
+    const double by_rate = line->second.seconds_by_rate(entry, this->now);
+    const double all = this->pool.places(item.facts.service);
+    const double part = all / static_cast<double>(this->entries);
+    const double left = all - this->pool.foreign_places(item.facts.service);
+    return duration_of(std::max(ahead / std::max({1.0, part, left}), by_rate));
+}
+
+// Refused at once, a caller can come back in time for a later place; refused
+// after it has waited in vain, it can't.
+bool scheduler::hopeless(const request& item) const
+{
+    return this->now + this->wait_expected(item) > item.give_up_at;
+}
+
+// ---- Placing --------------------------------------------------------------
+
+void scheduler::place_waiting()
+{
+    if (this->held)
+        return;
+    for (auto& [service, line] : this->lines) {
+        if (!line.empty())
+            this->place_service(service, line);
+    }
+}
+
+void scheduler::place_service(base::class_id service, waiting_line& line)
+{
+    for (const waiting_request& next : line.in_order(this->now)) {
+        request& item = this->requests.at(next.request);
+        const std::uint32_t free = this->pool.free_places(service, this->now);
+        // The floor is for work that would yield for ever.
+        const bool floor = line.floor_due(next.priority, this->now);
+        if (!floor && this->yields_to_peers(next, service, free))
+            continue;
+        const placing_question asked{service,
+                                     item.facts.prompt_tokens,
+                                     item.facts.output_tokens,
+                                     item.tried};
+        const auto where = this->pool.choose(asked, this->now);
+        if (where) {
+            line.remove(next.request);
+            line.served(next.priority, this->now);
+            this->send(item, *where);
+        } else if (item.tried.empty()) {
+            return; // nobody behind it finds a place either
+        }
+    }
+}
+
+// Failure guarded against: a place falls free, and whoever sees it first takes
+// it for a less urgent request than one that waits at another entry. A peer's
+// word counts for as long as it takes that peer to tell anew.
+bool scheduler::yields_to_peers(const waiting_request& item,
+                                base::class_id service,
+                                std::uint32_t free) const
+{
+    constexpr base::duration word_holds = std::chrono::milliseconds(300);
+    const std::uint32_t rank = waiting_line::rank(item, this->now);
+    std::uint32_t before = 0;
+    for (const auto& [peer, word] : this->waiting_at_peers) {
+        if (this->now - word.at > word_holds)
+            continue;
+        for (const service_waiting& one : word.services) {
+            if (one.service != service)
+                continue;
+            for (std::size_t level = 0; level < level_of(rank); ++level)
+                before += one.counts.at(level);
+        }
+    }
+    return before > 0 && before >= free;
+}
+
+void scheduler::send(request& item, const placing& where)
+{
+    item.in_line = false;
+    item.connects += 1;
+    item.send = item.connects;
+    item.upstream = where.upstream;
+    item.sent_at = this->now;
+    item.progress_at = this->now;
+    item.expected = where.expected;
+    item.events = 0;
+    item.silence_told = false;
+    item.sends += 1;
+    item.uncertain += 1;
+    this->pool.sent(where, item.facts.prompt_tokens);
+    this->count.sent += 1;
+    if (item.sends > 1)
+        this->count.retried += 1;
+    send_request order{
+        item.id, item.send, where.upstream, item.end_at, where.why};
+    order.why.waited = this->now - item.arrived;
+    this->out->push_back(order);
+}
+
+std::vector<service_waiting> scheduler::own_waiting(base::instant at) const
+{
+    std::vector<service_waiting> out;
+    for (const auto& [service, line] : this->lines) {
+        if (!line.empty())
+            out.push_back({service, line.counts(at)});
+    }
+    return out;
+}
+
+std::size_t scheduler::waiting() const
+{
+    std::size_t sum = 0;
+    for (const auto& [service, line] : this->lines)
+        sum += line.size();
+    return sum;
+}
+
+} // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -16,19 +16,6 @@
 // the time left, and with so many the service is away.
 constexpr std::uint32_t connects_max = 5;
 
-// A stream's first event counts as overdue after this many times its estimate,
-// and this much at least: a prompt that is read in a full engine takes about
-// three times its estimate.
-constexpr double first_event_patience = 4;
-constexpr base::duration first_event_floor = std::chrono::milliseconds(1000);
-
-// Between events; the sheets allow pauses of 200 ms, callers leave after two
-// seconds without an event.
-constexpr base::duration gap_floor = std::chrono::milliseconds(700);
-
-// How far a wake-up may be off without harm to a deadline.
-constexpr base::duration longest_sleep = std::chrono::milliseconds(250);
-
 } // namespace
 
 // ---- Doors ----------------------------------------------------------------
@@ -59,21 +46,6 @@
     this->out = nullptr;
 }
 
-std::optional<base::instant> scheduler::next_wake() const
-{
-    std::optional<base::instant> first;
-    for (const auto& [id, item] : this->requests) {
-        base::instant due = item.end_at;
-        if (item.in_line)
-            due = std::min({due, item.give_up_at, this->now + longest_sleep});
-        else
-            due = std::min(due, this->now + longest_sleep);
-        if (!first || due < *first)
-            first = due;
-    }
-    return first;
-}
-
 // ---- Arrival --------------------------------------------------------------
 
 void scheduler::on(const request_arrived& what)
@@ -96,137 +68,6 @@
     this->join_line(item);
 }
 
-base::duration scheduler::first_event_expected(const request& item) const
-{
-    return duration_of(this->pool.usual_first_event(item.facts.service,
-                                                    item.facts.prompt_tokens));
-}
-
-waiting_request scheduler::line_entry(const request& item) const
-{
-    waiting_request out;
-    out.request = item.id;
-    out.kind = item.facts.kind;
-    out.priority = item.facts.priority;
-    out.objective_at =
-        item.arrived + item.facts.objective - this->first_event_expected(item);
-    out.give_up_at = item.give_up_at;
-    return out;
-}
-
-void scheduler::join_line(request& item)
-{
-    item.in_line = true;
-    item.send = 0;
-    this->lines[item.facts.service].add(this->line_entry(item), this->now);
-}
-
-// How long what goes before it keeps the places that are this entry's to use
-// (its part of all, and what its peers leave free beyond theirs), or what its
-// priority was given lately says, whichever is longer.
-base::duration scheduler::wait_expected(const request& item) const
-{
-    const auto line = this->lines.find(item.facts.service);
-    if (line == this->lines.end() || line->second.empty())
-        return base::duration{0};
-    const waiting_request entry = this->line_entry(item);
-    const double ahead = line->second.seconds_ahead(entry, this->now);
-    const double by_rate = line->second.seconds_by_rate(entry, this->now);
-    const double all = this->pool.places(item.facts.service);
-    const double part = all / static_cast<double>(this->entries);
-    const double left = all - this->pool.foreign_places(item.facts.service);
-    return duration_of(std::max(ahead / std::max({1.0, part, left}), by_rate));
-}
-
-// Refused at once, a caller can come back in time for a later place; refused
-// after it has waited in vain, it can't.
-bool scheduler::hopeless(const request& item) const
-{
-    return this->now + this->wait_expected(item) > item.give_up_at;
-}
-
-// ---- Placing --------------------------------------------------------------
-
-void scheduler::place_waiting()
-{
-    if (this->held)
-        return;
-    for (auto& [service, line] : this->lines) {
-        if (!line.empty())
-            this->place_service(service, line);
-    }
-}
-
-void scheduler::place_service(base::class_id service, waiting_line& line)
-{
-    for (const waiting_request& next : line.in_order(this->now)) {
-        request& item = this->requests.at(next.request);
-        const std::uint32_t free = this->pool.free_places(service, this->now);
-        // The floor is for work that would yield for ever.
-        const bool floor = line.floor_due(next.priority, this->now);
-        if (!floor && this->yields_to_peers(next, service, free))
-            continue;
-        const placing_question asked{service,
-                                     item.facts.prompt_tokens,
-                                     item.facts.output_tokens,
-                                     item.tried};
-        const auto where = this->pool.choose(asked, this->now);
-        if (where) {
-            line.remove(next.request);
-            line.served(next.priority, this->now);
-            this->send(item, *where);
-        } else if (item.tried.empty()) {
-            return; // nobody behind it finds a place either
-        }
-    }
-}
-
-// Failure guarded against: a place falls free, and whoever sees it first takes
-// it for a less urgent request than one that waits at another entry. A peer's
-// word counts for as long as it takes that peer to tell anew.
-bool scheduler::yields_to_peers(const waiting_request& item,
-                                base::class_id service,
-                                std::uint32_t free) const
-{
-    constexpr base::duration word_holds = std::chrono::milliseconds(300);
-    const std::uint32_t rank = waiting_line::rank(item, this->now);
-    std::uint32_t before = 0;
-    for (const auto& [peer, word] : this->waiting_at_peers) {
-        if (this->now - word.at > word_holds)
-            continue;
-        for (const service_waiting& one : word.services) {
-            if (one.service != service)
-                continue;
-            for (std::size_t level = 0; level < level_of(rank); ++level)
-                before += one.counts.at(level);
-        }
-    }
-    return before > 0 && before >= free;
-}
-
-void scheduler::send(request& item, const placing& where)
-{
-    item.in_line = false;
-    item.connects += 1;
-    item.send = item.connects;
-    item.upstream = where.upstream;
-    item.sent_at = this->now;
-    item.progress_at = this->now;
-    item.expected = where.expected;
-    item.events = 0;
-    item.silence_told = false;
-    item.sends += 1;
-    item.uncertain += 1;
-    this->pool.sent(where, item.facts.prompt_tokens);
-    this->count.sent += 1;
-    if (item.sends > 1)
-        this->count.retried += 1;
-    send_request order{
-        item.id, item.send, where.upstream, item.end_at, where.why};
-    order.why.waited = this->now - item.arrived;
-    this->out->push_back(order);
-}
-
 scheduler::request* scheduler::under_way(base::request_id id,
                                          std::uint32_t send)
 {
@@ -361,73 +202,6 @@
     this->fail(*item, base::reason::upstream_failed);
 }
 
-bool scheduler::may_repeat(const request& item) const
-{
-    return item.facts.rule != routing::repeat_rule::at_most_once;
-}
-
-// Another upstream, within the route's bound, the retries that all entries may
-// make, and the time left.
-bool scheduler::try_again(request& item)
-{
-    if (item.sends >= item.facts.sends_max ||
-        this->now + this->first_event_expected(item) >= item.end_at)
-        return false;
-    if (!this->retries.spend(item.facts.service, this->now))
-        return false;
-    this->join_line(item);
-    return true;
-}
-
-// ---- Time -----------------------------------------------------------------
-
-void scheduler::check_time(request& item)
-{
-    if (item.in_line && item.uncertain == 0 && this->now >= item.give_up_at)
-        return this->refuse(item, base::reason::overloaded);
-    if (this->now >= item.end_at) {
-        if (item.send != 0) {
-            this->out->push_back(stop_send{item.id, item.send});
-            this->pool.probe_void(item.upstream);
-            this->leave_upstream(item);
-        }
-        return this->fail(item, base::reason::deadline);
-    }
-    if (!item.in_line)
-        this->check_silence(item);
-}
-
-// The connection may have gone silent for good, or its upstream hangs. What
-// may be repeated goes elsewhere; any other request waits on, since silence is
-// no proof that it did not run.
-void scheduler::check_silence(request& item)
-{
-    const base::duration first = std::max(
-        first_event_floor, duration_of(first_event_patience * item.expected));
-    const base::duration bound =
-        item.events == 0 ? first
-                         : std::max(gap_floor, 3 * item.facts.gap_objective);
-    // An upstream that serves others is alive: it reads a long prompt first.
-    const base::instant last =
-        std::max(item.progress_at, this->pool.progress_at(item.upstream));
-    if (this->now - last < bound || item.silence_told)
-        return;
-    item.silence_told = true;
-    this->bad_end(item.upstream, trouble::silent);
-    const bool again =
-        this->may_repeat(item) && item.sends < item.facts.sends_max;
-    if (!again)
-        return;
-    const std::uint32_t send = item.send;
-    const base::upstream_id upstream = item.upstream;
-    if (!this->retries.spend(item.facts.service, this->now))
-        return;
-    this->out->push_back(stop_send{item.id, send});
-    this->leave_upstream(item);
-    item.tried.push_back(upstream);
-    this->join_line(item);
-}
-
 void scheduler::on(const caller_left& what)
 {
     const auto found = this->requests.find(what.request);
@@ -513,22 +287,4 @@
     this->retries.set_entries(this->entries);
 }
 
-std::vector<service_waiting> scheduler::own_waiting(base::instant at) const
-{
-    std::vector<service_waiting> out;
-    for (const auto& [service, line] : this->lines) {
-        if (!line.empty())
-            out.push_back({service, line.counts(at)});
-    }
-    return out;
-}
-
-std::size_t scheduler::waiting() const
-{
-    std::size_t sum = 0;
-    for (const auto& [service, line] : this->lines)
-        sum += line.size();
-    return sum;
-}
-
 } // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -13,28 +13,6 @@
 namespace
 {
 
-// A usual upstream's time to its first event: a fixed part and one that grows
-// with the prompt tokens before it. Only their relation matters, since each
-// upstream's pace against them is learnt; 50 ms and 50 tokens a millisecond
-// are those of a current engine of 70 billion parameters.
-constexpr double first_event_base = 0.050;  // seconds
-constexpr double prompt_token_cost = 20e-6; // seconds
-
-// Running beside others costs an upstream this part of its speed when full.
-constexpr double crowding = 0.25;
-
-// One slow answer may have other reasons; four in a row say it is slow.
-constexpr double pace_weight = 0.3;
-constexpr double pace_least = 0.02;
-constexpr double pace_most = 50;
-
-// A pace that nothing confirms gives way to the usual one, so that an
-// upstream which was slow is tried again.
-constexpr double pace_memory = 4; // seconds
-
-// The service's means move slowly: they stand for dozens of ends.
-constexpr double service_weight = 0.03;
-
 // A peer tells at least five times a second; after this silence it is dead,
 // paused or cut off, and what it had under way is over or about to be.
 constexpr base::duration peer_silence = std::chrono::milliseconds(1500);
@@ -47,17 +25,6 @@
 constexpr base::duration turn_step = std::chrono::milliseconds(5);
 constexpr std::uint64_t turns = 6;
 
-// Upstreams that are this much alike are told apart by place: the own data
-// centre's first, and then in an order of the entry's own, or all entries
-// would choose the same one at once.
-constexpr double far_share = 0.06;
-constexpr double order_share = 0.04;
-
-double usual_seconds(double prompt_tokens)
-{
-    return first_event_base + prompt_token_cost * prompt_tokens;
-}
-
 } // namespace
 
 upstream_pool::upstream* upstream_pool::find(base::upstream_id id)
@@ -180,16 +147,6 @@
     return one.slots - std::min(one.slots, taken);
 }
 
-double upstream_pool::distance(base::upstream_id id, const upstream& one) const
-{
-    constexpr double range = 1024;
-    const double order =
-        static_cast<double>(placement::mix(this->own_place.salt, id.value) %
-                            static_cast<std::uint64_t>(range)) /
-        range;
-    return 1 + (one.near ? 0 : far_share) + order_share * order;
-}
-
 void upstream_pool::peer_lost(base::slot_id peer)
 {
     const auto found = this->told.find(peer);
@@ -218,95 +175,6 @@
     return oldest;
 }
 
-// ---- Choice ---------------------------------------------------------------
-
-double upstream_pool::pace_of(const upstream& one,
-                              const service_state& all,
-                              base::instant now) const
-{
-    if (one.pace <= 0)
-        return all.pace;
-    const double idle = seconds_of(now - one.paced_at);
-    const double kept = std::max(0.0, 1 - idle / pace_memory);
-    return one.pace * kept + all.pace * (1 - kept);
-}
-
-double upstream_pool::expected_on(const upstream& one,
-                                  const service_state& all,
-                                  std::uint32_t prompt_tokens,
-                                  base::instant now) const
-{
-    const double unread =
-        static_cast<double>(one.own_unread) + one.others_unread + prompt_tokens;
-    const double taken = one.own + one.others;
-    const double crowd = 1 + crowding * taken / one.slots;
-    return this->pace_of(one, all, now) * usual_seconds(unread) * crowd;
-}
-
-bool upstream_pool::all_suspected(const service_state& all) const
-{
-    return std::all_of(
-        all.members.begin(), all.members.end(), [&](base::upstream_id id) {
-            return this->upstreams.at(id).trust.suspected();
-        });
-}
-
-// From the first event to the last.
-double upstream_pool::output_seconds(const upstream& one,
-                                     const service_state& all,
-                                     std::uint32_t output_tokens) const
-{
-    const double usual = all.token_time * output_tokens;
-    if (one.event_gap <= 0 || all.event_gap <= 0)
-        return usual;
-    return usual * one.event_gap / all.event_gap;
-}
-
-// Least time to the last event, so that short requests take the slow upstreams
-// and long ones wait for none that can't finish them in time. A probe that is
-// due goes first, or a busy fleet never makes it.
-std::optional<placing> upstream_pool::choose(const placing_question& asked,
-                                             base::instant now) const
-{
-    const auto found = this->services.find(asked.service);
-    if (found == this->services.end())
-        return std::nullopt;
-    const service_state& all = found->second;
-    // When every upstream fails some requests, suspicion tells nothing apart.
-    const bool any_will_do = this->all_suspected(all);
-    std::optional<placing> best;
-    for (const base::upstream_id id : all.members) {
-        const upstream& one = this->upstreams.at(id);
-        const bool tried =
-            std::find(asked.tried.begin(), asked.tried.end(), id) !=
-            asked.tried.end();
-        if (tried || open_places(one, now) == 0)
-            continue;
-        const bool probe = one.trust.may_probe(now);
-        if (one.trust.suspected() && !probe &&
-            (!any_will_do || one.trust.unreachable()))
-            continue;
-        const double expected =
-            this->expected_on(one, all, asked.prompt_tokens, now);
-        const double finish =
-            this->distance(id, one) *
-            (expected + this->output_seconds(one, all, asked.output_tokens));
-        const bool better = !best || (probe && !best->probe) ||
-                            (probe == best->probe && finish < best->finish);
-        if (!better)
-            continue;
-        best = placing{id, {}, expected, finish, probe};
-        best->why.own = one.own;
-        best->why.others = one.others;
-        best->why.places = one.slots;
-    }
-    if (best) {
-        best->why.told_age = this->oldest_word(now);
-        best->why.first_event = placement::duration_of(best->expected);
-    }
-    return best;
-}
-
 // ---- Own requests ---------------------------------------------------------
 
 void upstream_pool::sent(const placing& where, std::uint32_t prompt_tokens)
@@ -320,27 +188,6 @@
         own->trust.probe_sent();
 }
 
-void upstream_pool::first_event(base::upstream_id id,
-                                std::uint32_t prompt_tokens,
-                                base::duration took,
-                                double expected,
-                                base::instant now)
-{
-    upstream* own = this->find(id);
-    if (own == nullptr)
-        return;
-    own->own_unread -= std::min(own->own_unread, prompt_tokens);
-    if (expected <= 0)
-        return;
-    service_state& all = this->services[own->service];
-    const double before = this->pace_of(*own, all, now);
-    const double ratio = seconds_of(took) / expected;
-    const double seen = std::clamp(before * ratio, pace_least, pace_most);
-    own->pace = before + pace_weight * (seen - before);
-    own->paced_at = now;
-    all.pace += service_weight * (own->pace - all.pace);
-}
-
 void upstream_pool::progressed(base::upstream_id id, base::instant now)
 {
     if (upstream* own = this->find(id))
@@ -354,24 +201,6 @@
                                           : found->second.progress_at;
 }
 
-void upstream_pool::learn_output(base::upstream_id id,
-                                 std::uint32_t output_tokens,
-                                 std::uint32_t events,
-                                 base::duration took)
-{
-    upstream* own = this->find(id);
-    if (own == nullptr || events < 2 || output_tokens == 0)
-        return;
-    service_state& all = this->services[own->service];
-    const double gap = seconds_of(took) / (events - 1);
-    const auto learn = [](double& known, double seen, double weight) {
-        known = known <= 0 ? seen : known + weight * (seen - known);
-    };
-    learn(own->event_gap, gap, pace_weight);
-    learn(all.event_gap, gap, service_weight);
-    learn(all.token_time, seconds_of(took) / output_tokens, service_weight);
-}
-
 void upstream_pool::ended(base::upstream_id id, std::uint32_t unread)
 {
     upstream* own = this->find(id);
@@ -464,14 +293,6 @@
     return sum;
 }
 
-double upstream_pool::usual_first_event(base::class_id service,
-                                        std::uint32_t prompt_tokens) const
-{
-    const auto found = this->services.find(service);
-    const double pace = found == this->services.end() ? 1 : found->second.pace;
-    return pace * usual_seconds(prompt_tokens);
-}
-
 std::vector<upstream_use> upstream_pool::own_uses() const
 {
     std::vector<upstream_use> out;
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -113,6 +113,9 @@
     std::size_t peers() const { return this->told.size(); }
 
 private:
+    // A service's means move slowly: they stand for dozens of ends.
+    static constexpr double service_weight = 0.03;
+
     struct upstream {
         base::class_id service;
         std::uint32_t slots = 1;
