--- a/src/greengagedrum/traffic/choice.cpp
+++ b/src/greengagedrum/traffic/choice.cpp
@@ -32,6 +32,10 @@
 // upstream which was slow is tried again.
 constexpr double pace_memory = 4; // seconds
 
+// A data centre with upstreams that can't be reached may be cut off as a whole:
+// with one of three lost, the others count as twice as slow.
+constexpr double lost_weight = 3;
+
 // Upstreams that are this much alike are told apart by place: the own data
 // centre's first, and then in an order of the entry's own, or all entries
 // would choose the same one at once.
@@ -52,7 +56,25 @@
         static_cast<double>(placement::mix(this->own_place.salt, id.value) %
                             static_cast<std::uint64_t>(range)) /
         range;
-    return 1 + (one.near ? 0 : far_share) + order_share * order;
+    const bool near =
+        one.data_centre == base::data_centre_id(this->own_place.data_centre);
+    return 1 + (near ? 0 : far_share) + order_share * order;
+}
+
+upstream_pool::lost_shares
+upstream_pool::lost_by_place(const service_state& all) const
+{
+    std::map<base::data_centre_id, std::pair<double, double>> counts;
+    for (const base::upstream_id id : all.members) {
+        const upstream& one = this->upstreams.at(id);
+        auto& [lost, members] = counts[one.data_centre];
+        lost += one.trust.unreachable() ? 1 : 0;
+        members += 1;
+    }
+    lost_shares out;
+    for (const auto& [place, count] : counts)
+        out[place] = count.first / count.second;
+    return out;
 }
 
 // ---- Choice ---------------------------------------------------------------
@@ -111,6 +133,7 @@
     const service_state& all = found->second;
     // When every upstream fails some requests, suspicion tells nothing apart.
     const bool any_will_do = this->all_suspected(all);
+    const lost_shares lost = this->lost_by_place(all);
     std::optional<placing> best;
     for (const base::upstream_id id : all.members) {
         const upstream& one = this->upstreams.at(id);
@@ -127,6 +150,7 @@
             this->expected_on(one, all, asked.prompt_tokens, now);
         const double finish =
             this->distance(id, one) *
+            (1 + lost_weight * lost.at(one.data_centre)) *
             (expected + this->output_seconds(one, all, asked.output_tokens));
         const bool better = !best || (probe && !best->probe) ||
                             (probe == best->probe && finish < best->finish);
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -12,9 +12,11 @@
 namespace
 {
 
-// Connects that may fail before a request is given up on: each takes a part of
-// the time left, and with so many the service is away.
-constexpr std::uint32_t connects_max = 5;
+// Connects that may fail before a request is given up on. Behind a cut that
+// refuses them they fail within milliseconds, and most upstreams with them:
+// with five, requests ended though three upstreams of their own place were
+// there.
+constexpr std::uint32_t connects_max = 12;
 
 } // namespace
 
--- a/src/greengagedrum/traffic/test/scheduler_test.cpp
+++ b/src/greengagedrum/traffic/test/scheduler_test.cpp
@@ -109,6 +109,39 @@
     CHECK(this->order<send_request>() != nullptr);
 }
 
+// A data centre is cut off while a stream runs there. The entry still believes
+// in nine upstreams of the others, whose connects are refused in milliseconds;
+// the stream must reach one of its own place and not end after five of them.
+TEST_CASE_FIXTURE(scheduler_fixture, "stream_behind_a_cut_finds_its_own_place")
+{
+    for (int number = 0; number < 12; ++number) {
+        auto entry = upstream_named("i-" + std::to_string(number), 5);
+        entry.data_centre =
+            number < 3 ? "hall" : "away-" + std::to_string(number % 3);
+        this->tested.upstream_joined(entry, this->now);
+    }
+    // Their own are busy, so that the first choices are elsewhere.
+    const std::vector<upstream_use> busy = {
+        {base::upstream_id("i-0"), 4, 20000},
+        {base::upstream_id("i-1"), 4, 20000},
+        {base::upstream_id("i-2"), 4, 20000}};
+    this->tested.peer_told(base::slot_id("peer"), busy, {}, this->now);
+    const auto id = this->arrive(facts_of(resumable, 2));
+    int failed = 0;
+    while (this->order<send_request>() != nullptr) {
+        const auto send = this->sent();
+        const bool own = send.upstream == base::upstream_id("i-0") ||
+                         send.upstream == base::upstream_id("i-1") ||
+                         send.upstream == base::upstream_id("i-2");
+        if (own)
+            break;
+        failed += 1;
+        this->step(not_sent{id, send.send});
+    }
+    REQUIRE(this->order<send_request>() != nullptr);
+    CHECK(failed <= 6);
+}
+
 // A cut takes eleven of twelve upstreams away. Each of them is due for its
 // probe every second; sent one after another they would delay every request.
 TEST_CASE_FIXTURE(scheduler_fixture, "many_dead_upstreams_share_few_probes")
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -52,7 +52,7 @@
     own.service = entry.service;
     own.slots = entry.slots;
     own.listed = true;
-    own.near = entry.data_centre == this->own_place.data_centre;
+    own.data_centre = base::data_centre_id(entry.data_centre);
     if (!fresh)
         return;
     // Peers may have told of it before it was known here.
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -13,6 +13,7 @@
 #include <greengagedrum/traffic/messages.hpp>
 #include <greengagedrum/traffic/upstream_trust.hpp>
 
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -121,7 +122,7 @@
         base::class_id service;
         std::uint32_t slots = 1;
         bool listed = true;
-        bool near = true; // in the own data centre
+        base::data_centre_id data_centre;
         // Until when each place that a peer freed is left to that peer.
         std::vector<base::instant> peers_turns;
         std::uint32_t own = 0;
@@ -166,6 +167,9 @@
                     base::instant now);
     static std::uint32_t open_places(const upstream& one, base::instant now);
     double distance(base::upstream_id id, const upstream& one) const;
+    // Data centres with upstreams that can't be reached, and their share.
+    using lost_shares = std::map<base::data_centre_id, double>;
+    lost_shares lost_by_place(const service_state& all) const;
     base::duration oldest_word(base::instant now) const;
     bool all_suspected(const service_state& all) const;
     upstream* find(base::upstream_id id);
