Quota: a fresh process gives no second window

Until a process has lived for a window, only its bucket counts, which now starts full (it started empty: the limit was set after the level).

--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -168,6 +168,32 @@
     const workspace_use long_ago[] = {{planning, 5'000'000}};
     fresh.peer_told(
         base::slot_id("peer"), base::incarnation{2}, long_ago, this->now);
+    CHECK(this->take(fresh, 90));
+}
+
+// All entries are killed at once and start again a second later, in the middle
+// of a busy workspace's window. What they let through before is forgotten; with
+// the whole window given anew, it would have its limit twice.
+TEST_CASE_FIXTURE(limiter_fixture, "fresh_process_gives_no_second_window")
+{
+    usage_limiter fresh(this->now);
+    fresh.set_tolerance({8s, 0, 0});
+    routing::configuration config;
+    routing::workspace one;
+    one.id = planning;
+    one.limit = {rate, burst, true, 0};
+    config.workspaces.push_back(one);
+    fresh.set_limits(config, this->now);
+    double let = 0;
+    for (int step = 0; step < 400; ++step) {
+        this->now += 20ms;
+        let += this->take(fresh, 7) ? 7 : 0;
+        if (step == 0)
+            CHECK_FALSE(this->take(fresh, 200));
+    }
+    CHECK(let <= rate * window_seconds + burst);
+    CHECK(let > 0.9 * rate * window_seconds);
+    this->now += 8s;
     CHECK(this->take(fresh, 800));
 }
 
--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -41,6 +41,7 @@
         const auto [found, fresh] = this->buckets.try_emplace(one.id);
         bucket& own = found->second;
         if (fresh) {
+            own.limit = one.limit;
             own.filled_at = now;
             own.level = one.limit.burst;
         }
@@ -94,6 +95,9 @@
     const double missing = cost - own.level - this->margin(own);
     const base::duration filled =
         duration_of(std::max(0.0, missing) / own.limit.per_second);
+    // A process knows nothing of what was let through before its start.
+    if (missing > 0 && now - this->started < this->allowed.window)
+        return filled;
     const double bound =
         own.limit.per_second * seconds_of(this->allowed.window) +
         own.limit.burst + this->margin(own);
