--- /dev/null
+++ b/fuzz/peer_words.cpp
@@ -0,0 +1,28 @@
+// Datagrams and items of peers. What is taken can be encoded again; anything
+// else is refused.
+#include <greengagedrum/gossip/peer_table.hpp>
+
+#include "require.hpp"
+
+#include <chrono>
+#include <vector>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size)
+{
+    using namespace greengagedrum;
+    using fuzz::require;
+    const std::string text(fuzz::text_of(data, size));
+    if (const auto word = gossip::decode_word(text)) {
+        require(gossip::decode_word(gossip::encode(*word)).has_value(),
+                "a word that was read can be told again");
+        gossip::peer_table table(1, base::incarnation{1});
+        const base::instant now(std::chrono::hours(1));
+        table.heard(*word, now);
+        table.to_tell(now);
+    }
+    if (const auto items = gossip::decode_items(text))
+        require(gossip::decode_items(gossip::encode(*items)).has_value(),
+                "items that were read can be passed on");
+    return 0;
+}
--- a/src/greengagedrum/admission/limiter.cpp
+++ b/src/greengagedrum/admission/limiter.cpp
@@ -8,7 +8,6 @@
 
 namespace
 {
-constexpr double ticks_per_second = 1e6;
 
 // A kind that was idle may spend what it saved in this many seconds at once.
 constexpr double burst_seconds = 2.0;
@@ -32,8 +31,8 @@
 double limiter::level_at(const bucket& own, base::instant now)
 {
     const double rate = own.bound.tokens_per_second;
-    const double passed =
-        static_cast<double>((now - own.filled).count()) / ticks_per_second;
+    const double passed = static_cast<double>((now - own.filled).count()) /
+                          base::ticks_per_second;
     return std::min(rate * burst_seconds, own.level + rate * passed);
 }
 
@@ -92,7 +91,7 @@
     const double seconds = -level / own.bound.tokens_per_second;
     // One tick more than enough, so that the level is above zero by then.
     return base::duration(1 + static_cast<base::duration::rep>(
-                                  std::ceil(seconds * ticks_per_second)));
+                                  std::ceil(seconds * base::ticks_per_second)));
 }
 
 std::uint64_t limiter::spent(const limit_key& key) const
--- a/src/greengagedrum/admission/run_estimator.cpp
+++ b/src/greengagedrum/admission/run_estimator.cpp
@@ -7,7 +7,6 @@
 
 namespace
 {
-constexpr double ticks_per_second = 1e6;
 constexpr double learning_rate = 0.1; // weight of the newest request
 constexpr double factor_least = 0.01;
 constexpr double factor_most = 100.0;
@@ -57,7 +56,7 @@
     const speed& own = this->of(item.upstream_class);
     const double seconds = own.factor * nominal(own, item);
     return base::duration(
-        static_cast<base::duration::rep>(seconds * ticks_per_second));
+        static_cast<base::duration::rep>(seconds * base::ticks_per_second));
 }
 
 base::duration run_estimator::prefill(const base::work& item) const
@@ -74,7 +73,7 @@
         return;
     speed& own = found->second;
     const double seconds =
-        static_cast<double>(actual.count()) / ticks_per_second;
+        static_cast<double>(actual.count()) / base::ticks_per_second;
     const double ratio =
         std::clamp(seconds / nominal(own, item), factor_least, factor_most);
     own.factor += learning_rate * (ratio - own.factor);
--- a/src/greengagedrum/callers/body_bounds.cpp
+++ b/src/greengagedrum/callers/body_bounds.cpp
@@ -24,7 +24,7 @@
     return value;
 }
 
-problem refuse(http_status status, std::string title)
+problem problem_with(http_status status, std::string title)
 {
     return problem{status, std::move(title)};
 }
@@ -34,16 +34,16 @@
 {
     const std::size_t given = request.get_header_value_count("Content-Length");
     if (given == 0 || request.has_header("Transfer-Encoding"))
-        return refuse(http_status::length_required,
-                      "a body with Content-Length is expected");
+        return problem_with(http_status::length_required,
+                            "a body with Content-Length is expected");
     const auto length = read_length(request.get_header_value("Content-Length"));
     if (given != 1 || !length)
-        return refuse(http_status::bad_request,
-                      "Content-Length: one whole number is expected");
+        return problem_with(http_status::bad_request,
+                            "Content-Length: one whole number is expected");
     if (*length > body_bytes_max)
-        return refuse(http_status::payload_too_large,
-                      "the body is over the bound of " +
-                          std::to_string(body_bytes_max) + " bytes");
+        return problem_with(http_status::payload_too_large,
+                            "the body is over the bound of " +
+                                std::to_string(body_bytes_max) + " bytes");
     return std::nullopt;
 }
 
@@ -53,8 +53,8 @@
                                          std::size_t body_bytes_max)
 {
     if (request.has_header("Content-Encoding"))
-        return refuse(http_status::unsupported_media_type,
-                      "Content-Encoding: a plain body is expected");
+        return problem_with(http_status::unsupported_media_type,
+                            "Content-Encoding: a plain body is expected");
     const bool told = request.has_header("Content-Length") ||
                       request.has_header("Transfer-Encoding");
     if (!told && request.method != "POST")
--- a/src/greengagedrum/ctl/check_command.cpp
+++ b/src/greengagedrum/ctl/check_command.cpp
@@ -13,8 +13,6 @@
 namespace
 {
 
-constexpr int json_indent = 2;
-
 void print_json(const config::check_result& result,
                 std::size_t documents,
                 std::ostream& to)
--- a/src/greengagedrum/ctl/command.cpp
+++ b/src/greengagedrum/ctl/command.cpp
@@ -4,6 +4,7 @@
 #include <greengagedrum/ctl/explain_command.hpp>
 #include <greengagedrum/ctl/render_command.hpp>
 #include <greengagedrum/ctl/status_command.hpp>
+#include <greengagedrum/ctl/trace_command.hpp>
 
 #include <array>
 #include <iomanip>
@@ -22,6 +23,7 @@
     command{"render", "show a workspace's settings in force", run_render},
     command{"explain", "show where a kind of request may go", run_explain},
     command{"status", "compare daemons by their admin ports", run_status},
+    command{"trace", "show a request's life from log lines", run_trace},
     command{"drain", "tell a daemon to finish its work and end", run_drain},
 };
 
--- a/src/greengagedrum/ctl/command.hpp
+++ b/src/greengagedrum/ctl/command.hpp
@@ -20,6 +20,9 @@
     usage = 2,  // wrong arguments, or nothing there to look at
 };
 
+// How far JSON that people read is indented.
+inline constexpr int json_indent = 2;
+
 // Where a command writes. Tests give string streams.
 struct output {
     std::ostream& out;
--- a/src/greengagedrum/ctl/render_command.cpp
+++ b/src/greengagedrum/ctl/render_command.cpp
@@ -17,8 +17,6 @@
 namespace
 {
 
-constexpr int json_indent = 2;
-
 struct rendered_workspace {
     config::workspace_document workspace;
     std::vector<config::effective_kind> kinds;
@@ -53,7 +51,7 @@
                               config::effective_settings(*from, *workspace)};
 }
 
-void print_text(const rendered_workspace& rendered, std::ostream& to)
+void write_text(const rendered_workspace& rendered, std::ostream& to)
 {
     constexpr int member_width = 20;
     constexpr int value_width = 26;
@@ -73,7 +71,7 @@
     }
 }
 
-void print_json(const rendered_workspace& rendered, std::ostream& to)
+void write_json(const rendered_workspace& rendered, std::ostream& to)
 {
     nlohmann::json kinds = nlohmann::json::object();
     for (const config::effective_kind& kind : rendered.kinds) {
@@ -114,7 +112,7 @@
                << "\n";
         return exit_code::usage;
     }
-    const auto print = json ? print_json : print_text;
+    const auto print = json ? write_json : write_text;
     print(*rendered, to.out);
     return exit_code::good;
 }
--- a/src/greengagedrum/ctl/status_command.cpp
+++ b/src/greengagedrum/ctl/status_command.cpp
@@ -17,7 +17,6 @@
 
 using nlohmann::json;
 
-constexpr int json_indent = 2;
 constexpr int address_width = 22;
 constexpr int column_width = 15;
 
@@ -140,7 +139,7 @@
         to << "  warning: " << warning.get<std::string>() << "\n";
 }
 
-void print_text(const std::vector<seen_daemon>& all, std::ostream& to)
+void write_status_text(const std::vector<seen_daemon>& all, std::ostream& to)
 {
     to << std::left << std::setw(address_width) << "address";
     for (const char* name : columns)
@@ -155,7 +154,7 @@
         to << "* behind the highest of these daemons\n";
 }
 
-void print_json(const std::vector<seen_daemon>& all, std::ostream& to)
+void write_status_json(const std::vector<seen_daemon>& all, std::ostream& to)
 {
     json list = json::array();
     for (const seen_daemon& one : all) {
@@ -209,7 +208,7 @@
     for (const std::string& text : options->operands)
         all.push_back(look_at(text));
     mark_behind(all);
-    const auto print = as_json != 0 ? print_json : print_text;
+    const auto print = as_json != 0 ? write_status_json : write_status_text;
     print(all, to.out);
     const bool good = std::all_of(
         all.begin(), all.end(), [](const auto& one) { return one.good(); });
--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -13,14 +13,14 @@
 constexpr std::size_t behind_most = 256U << 10U;
 constexpr std::size_t behind_little = 32U << 10U;
 
-constexpr unsigned ok = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned first_server_error = 500;
 
 bool is_event_stream(const relay::answer_head& head)
 {
     const auto type = relay::find_header(head.headers, "Content-Type");
-    return head.status == ok && type && type->starts_with("text/event-stream");
+    return head.status == relay::status_ok && type &&
+           type->starts_with("text/event-stream");
 }
 
 unsigned status_of(const base::verdict& verdict)
@@ -120,8 +120,8 @@
         platform::read_answer_marks(this->answer);
     if (marks.attempt != this->origin.marks.attempt)
         return "the answer is another request's";
-    const bool success =
-        this->answer.status >= ok && this->answer.status < first_redirect;
+    const bool success = this->answer.status >= relay::status_ok &&
+                         this->answer.status < first_redirect;
     if (success && !marks.has_signature)
         return "a success without the upstream's signature";
     // Nobody asked for one, so these aren't the upstream's bytes.
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -25,7 +25,6 @@
 constexpr base::duration ask_bound = std::chrono::milliseconds(400);
 
 constexpr std::string_view items_path = "/items?since=";
-constexpr unsigned ok = 200;
 
 } // namespace
 
@@ -232,7 +231,7 @@
         ask_bound,
         [this, to](tl::expected<relay::fetched, std::string> got) {
             this->asking = false;
-            if (got && got->status == ok) {
+            if (got && got->status == relay::status_ok) {
                 if (const auto items = gossip::decode_items(got->body))
                     return this->events.items(*items);
             }
--- a/src/greengagedrum/entry/store_reader.cpp
+++ b/src/greengagedrum/entry/store_reader.cpp
@@ -26,8 +26,6 @@
 constexpr auto failure_pause = std::chrono::milliseconds(100);
 constexpr std::uint32_t failure_steps = 4;
 
-constexpr unsigned ok = 200;
-
 } // namespace
 
 store_reader::store_reader(relay::asio::io_context& context,
@@ -83,7 +81,7 @@
 
 void store_reader::on_page(const relay::fetched& got)
 {
-    if (got.status != ok)
+    if (got.status != relay::status_ok)
         return this->failed("status " + std::to_string(got.status));
     auto page = platform::read_store_answer(got.body);
     if (!page)
@@ -125,7 +123,7 @@
         this->after = 0;
         return this->ask();
     }
-    if (got.status != ok)
+    if (got.status != relay::status_ok)
         return this->failed("status " + std::to_string(got.status));
     const auto news = platform::read_store_answer(got.body);
     if (!news)
--- a/src/greengagedrum/peers/frame.cpp
+++ b/src/greengagedrum/peers/frame.cpp
@@ -13,7 +13,6 @@
 {
 
 constexpr std::string_view hello_magic = "ggdpeer1"; // with the version
-constexpr unsigned byte_bits = 8;
 constexpr std::size_t length_bytes = 4;
 constexpr std::size_t header_bytes = 3; // kind and interval
 
--- a/src/greengagedrum/peers/frame.hpp
+++ b/src/greengagedrum/peers/frame.hpp
@@ -25,6 +25,8 @@
 namespace greengagedrum::peers
 {
 
+inline constexpr unsigned byte_bits = 8;
+
 inline constexpr std::size_t nonce_bytes = 16;
 inline constexpr std::size_t mac_bytes = 16;
 inline constexpr std::size_t key_bytes = 32;
--- a/src/greengagedrum/peers/link.cpp
+++ b/src/greengagedrum/peers/link.cpp
@@ -18,7 +18,6 @@
 constexpr std::size_t read_bytes = std::size_t{64} * 1024;
 constexpr int reads_max = 4; // in a row, so that no link holds up the others
 constexpr int promises_missed = 3; // heartbeats not come: the link is silent
-constexpr unsigned byte_bits = 8;
 constexpr std::size_t number_bytes = 4;
 constexpr std::size_t control_times_max = 64;
 
--- a/src/greengagedrum/relay/asio.hpp
+++ b/src/greengagedrum/relay/asio.hpp
@@ -1,6 +1,11 @@
 // The parts of Boost.Asio that the relay uses, and the names it gives them.
 #pragma once
 
+// What needs no template is compiled once, in asio_source.cpp.
+#ifndef BOOST_ASIO_SEPARATE_COMPILATION
+#define BOOST_ASIO_SEPARATE_COMPILATION
+#endif
+
 // <utility> first: Boost 1.74 under C++20 does not find std::exchange else.
 #include <greengagedrum/base/ip_address.hpp>
 
--- a/src/greengagedrum/relay/message_head.hpp
+++ b/src/greengagedrum/relay/message_head.hpp
@@ -9,6 +9,8 @@
 namespace greengagedrum::relay
 {
 
+inline constexpr unsigned status_ok = 200;
+
 struct header {
     std::string name; // as received
     std::string value;
--- a/src/greengagedrum/relay/message_reader.cpp
+++ b/src/greengagedrum/relay/message_reader.cpp
@@ -18,7 +18,6 @@
 
 constexpr std::string_view head_end = "\r\n\r\n";
 constexpr std::size_t answer_head_most = 64U << 10U;
-constexpr unsigned first_final_status = 200;
 
 std::string_view plain(string_view text)
 {
@@ -351,7 +350,7 @@
         if (fault && fault != http::error::need_more)
             return tl::unexpected(read_fault{502, fault.message()});
         const bool interim =
-            this->head_done() && this->head().status < first_final_status;
+            this->head_done() && this->head().status < status_ok;
         if (interim)
             this->begin();
         else if (count == 0)
--- a/src/greengagedrum/relay/small_server.cpp
+++ b/src/greengagedrum/relay/small_server.cpp
@@ -62,7 +62,7 @@
 {
     const small_answer given = this->answer(from->head().target);
     std::string head = "HTTP/1.1 " + std::to_string(given.status) +
-                       (given.status == 200 ? " OK" : " Unavailable") +
+                       (given.status == status_ok ? " OK" : " Unavailable") +
                        "\r\nContent-Type: " + given.type + "\r\n";
     from->answer(std::move(head), given.body);
 }
--- a/src/greengagedrum/upstreams/call.cpp
+++ b/src/greengagedrum/upstreams/call.cpp
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr std::size_t reply_max = std::size_t{4} << 20U; // of a service
 
--- a/src/greengagedrum/upstreams/connection_pool.hpp
+++ b/src/greengagedrum/upstreams/connection_pool.hpp
@@ -19,6 +19,8 @@
 namespace greengagedrum::upstreams
 {
 
+inline constexpr int status_ok = 200;
+
 struct pool_options {
     std::chrono::milliseconds connect_timeout{500};
     std::chrono::milliseconds read_timeout{60'000};
--- a/src/greengagedrum/upstreams/report_client.cpp
+++ b/src/greengagedrum/upstreams/report_client.cpp
@@ -1,4 +1,5 @@
 #include <greengagedrum/base/ip_address.hpp>
+#include <greengagedrum/upstreams/connection_pool.hpp>
 #include <greengagedrum/upstreams/report_client.hpp>
 #include <greengagedrum/upstreams/report_reader.hpp>
 
@@ -10,7 +11,6 @@
 namespace
 {
 
-constexpr int status_ok = 200;
 constexpr std::size_t body_max = std::size_t{1} << 20U; // bytes
 
 } // namespace
--- a/src/load/http_endpoint.cpp
+++ b/src/load/http_endpoint.cpp
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds longest_connect{1'000};
-constexpr milliseconds shortest{1};
+constexpr milliseconds shortest_bound{1};
 
 } // namespace
 
@@ -30,7 +30,7 @@
 
 void bound_client(httplib::Client& client, milliseconds longest)
 {
-    const milliseconds bound = std::max(longest, shortest);
+    const milliseconds bound = std::max(longest, shortest_bound);
     client.set_connection_timeout(std::min(bound, longest_connect));
     client.set_read_timeout(bound);
     client.set_write_timeout(bound);
