--- /dev/null
+++ b/src/programs/ggd_bench_traffic.cpp
@@ -0,0 +1,114 @@
+// What a decision about a request costs, over the number of upstreams.
+#include <greengagedrum/traffic/scheduler.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <string>
+
+namespace
+{
+
+using namespace greengagedrum;
+using clock_type = std::chrono::steady_clock;
+
+constexpr std::array<std::size_t, 4> sizes = {12, 90, 300, 4600};
+constexpr std::size_t data_centres = 4;
+constexpr std::uint32_t slots = 5;
+constexpr std::size_t peers = 7;
+constexpr std::uint64_t warm_up = 200;
+constexpr std::uint64_t measured = 2000;
+
+double microseconds_since(clock_type::time_point from)
+{
+    return std::chrono::duration<double, std::micro>(clock_type::now() - from)
+        .count();
+}
+
+struct run {
+    base::instant now{std::chrono::hours(1)};
+    traffic::scheduler tested{{0.2, 50, std::chrono::seconds(10)}, {"dc-0", 1}};
+    traffic::actions out;
+
+    explicit run(std::size_t upstreams)
+    {
+        for (std::size_t number = 0; number < upstreams; ++number) {
+            routing::published_upstream entry;
+            entry.name = "i-" + std::to_string(number);
+            entry.id = base::upstream_id(entry.name);
+            entry.service = base::class_id("models");
+            entry.data_centre = "dc-" + std::to_string(number % data_centres);
+            entry.slots = slots;
+            this->tested.upstream_joined(entry, this->now);
+        }
+    }
+
+    // A word of each peer, with one request on every third upstream.
+    void hear(std::size_t upstreams)
+    {
+        std::vector<traffic::upstream_use> uses;
+        for (std::size_t number = 0; number < upstreams; number += 3)
+            uses.push_back(
+                {base::upstream_id("i-" + std::to_string(number)), 1, 0});
+        for (std::size_t peer = 0; peer < peers; ++peer)
+            this->tested.peer_told(
+                base::slot_id(std::to_string(peer)), uses, {}, this->now);
+    }
+
+    // One request from its arrival to its answer.
+    void serve(std::uint64_t number)
+    {
+        this->now += std::chrono::milliseconds(1);
+        const base::request_id id{number};
+        traffic::request_facts facts;
+        facts.service = base::class_id("models");
+        facts.stream = true;
+        facts.prompt_tokens = 3000;
+        facts.output_tokens = 100;
+        facts.objective = std::chrono::milliseconds(800);
+        facts.time_left = std::chrono::seconds(12);
+        this->out.clear();
+        this->tested.step(
+            traffic::request_arrived{id, facts}, this->now, this->out);
+        for (const traffic::action& one : this->out) {
+            const auto* send = std::get_if<traffic::send_request>(&one);
+            if (send == nullptr)
+                continue;
+            const std::uint32_t order = send->send;
+            traffic::actions rest;
+            this->tested.step(
+                traffic::progressed{id, order, 1}, this->now, rest);
+            this->tested.step(
+                traffic::answered{id, order, true}, this->now, rest);
+            return;
+        }
+    }
+};
+
+void measure(std::size_t upstreams)
+{
+    run bench(upstreams);
+    bench.hear(upstreams);
+    std::uint64_t number = 1;
+    for (; number <= warm_up; ++number)
+        bench.serve(number);
+    auto from = clock_type::now();
+    for (; number <= warm_up + measured; ++number)
+        bench.serve(number);
+    const double request = microseconds_since(from) / measured;
+    from = clock_type::now();
+    bench.hear(upstreams);
+    const double word = microseconds_since(from) / peers;
+    std::printf("%6zu upstreams: %9.2f us a request, %9.2f us a peer's word\n",
+                upstreams,
+                request,
+                word);
+}
+
+} // namespace
+
+int main()
+{
+    for (const std::size_t upstreams : sizes)
+        measure(upstreams);
+}
