--- a/src/greengagedrum/ctl/trace_command.cpp
+++ b/src/greengagedrum/ctl/trace_command.cpp
@@ -63,7 +63,9 @@
     for (const auto& [name, value] : one.fields.items()) {
         const bool head = name == "time" || name == "level" || name == "duty" ||
                           name == "event" || name == "request";
-        if (head || value == "")
+        const bool empty =
+            value.is_string() && value.get_ref<const std::string&>().empty();
+        if (head || empty)
             continue;
         to << "  " << name << "="
            << (value.is_string() ? value.get<std::string>() : value.dump());
