Entry: the whole-path tests have no races of their own

Cause: under the thread sanitizer the stand-ins' threads used the fixture's handler and list while the test set or destroyed them; requests reach them through sockets and a library that it can't see. Handlers now take the fixture's mutex first and last, the stand-ins stop before what they use, and no local of a test outlives its scope in a handler.

--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -86,22 +86,30 @@
         std::this_thread::sleep_for(1ms);
 }
 
-stand_in::~stand_in()
+void stand_in::stop()
 {
     this->server.stop();
     if (this->thread.joinable())
         this->thread.join();
 }
 
+stand_in::~stand_in()
+{
+    this->stop();
+}
+
 entry_fixture::entry_fixture()
 {
     const auto take = [this](const httplib::Request& asked,
                              httplib::Response& given) {
+        handler chosen;
         {
             const std::lock_guard lock(this->mutex);
             this->requests.push_back(asked);
+            chosen = this->upstream;
         }
-        this->upstream(asked, given);
+        chosen(asked, given);
+        const std::lock_guard lock(this->mutex);
     };
     this->engine.server.Post(".*", take);
     this->engine.server.Get(".*", take);
@@ -112,12 +120,22 @@
                                            [] { return std::nullopt; });
     this->thread = std::thread([this] { this->tested->run(); });
     this->wait_until_configured();
+    const std::lock_guard lock(this->mutex);
 }
 
 entry_fixture::~entry_fixture()
 {
     this->tested->stop();
     this->thread.join();
+    this->engine.stop();
+    this->store.stop();
+    const std::lock_guard lock(this->mutex);
+}
+
+void entry_fixture::answer_with(handler what)
+{
+    const std::lock_guard lock(this->mutex);
+    this->upstream = std::move(what);
 }
 
 void entry_fixture::publish()
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -31,6 +31,7 @@
     int port = 0;
 
     void start();
+    void stop();
 
 private:
     std::thread thread;
@@ -44,11 +45,11 @@
     entry_fixture(const entry_fixture&) = delete;
     entry_fixture& operator=(const entry_fixture&) = delete;
 
-    // What the upstream does with a request.
-    std::function<void(const httplib::Request&, httplib::Response&)> upstream =
-        [](const httplib::Request& asked, httplib::Response& given) {
-            signed_answer(asked, given, "answer");
-        };
+    using handler =
+        std::function<void(const httplib::Request&, httplib::Response&)>;
+
+    // What the upstream does with a request; a signed answer, if not said.
+    void answer_with(handler what);
 
     static void signed_answer(const httplib::Request& asked,
                               httplib::Response& given,
@@ -69,11 +70,19 @@
     void publish();
     void wait_until_configured() const;
 
+    // Before the stand-ins, whose threads use them. Handlers take the mutex
+    // first and last: requests come through sockets and a library that the
+    // thread sanitizer can't see, so it is what orders them after the test's
+    // own steps.
+    mutable std::mutex mutex;
+    std::vector<httplib::Request> requests;
+    handler upstream = [](const httplib::Request& asked,
+                          httplib::Response& given) {
+        signed_answer(asked, given, "answer");
+    };
     stand_in store;
     stand_in engine;
     std::thread thread;
-    mutable std::mutex mutex;
-    std::vector<httplib::Request> requests;
 };
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/test/entry_test.cpp
+++ b/src/greengagedrum/entry/test/entry_test.cpp
@@ -93,12 +93,12 @@
 // came late on its connection. The caller must not be given them.
 TEST_CASE_FIXTURE(entry_fixture, "answer_to_another_request_is_not_passed_on")
 {
-    this->upstream = [](const httplib::Request& asked,
-                        httplib::Response& given) {
-        signed_answer(asked, given, "another's");
-        given.headers.erase("X-Attempt-Id");
-        given.set_header("X-Attempt-Id", "a-0");
-    };
+    this->answer_with(
+        [](const httplib::Request& asked, httplib::Response& given) {
+            signed_answer(asked, given, "another's");
+            given.headers.erase("X-Attempt-Id");
+            given.set_header("X-Attempt-Id", "a-0");
+        });
     auto asked = this->client();
     const auto got = asked.Post("/once/", headers(), "", "text/plain");
     REQUIRE(got);
@@ -109,12 +109,12 @@
 
 TEST_CASE_FIXTURE(entry_fixture, "success_without_signature_is_not_passed_on")
 {
-    this->upstream = [](const httplib::Request& asked,
-                        httplib::Response& given) {
-        given.set_header("X-Attempt-Id",
-                         asked.get_header_value("X-Attempt-Id"));
-        given.set_content("unsigned", "text/plain");
-    };
+    this->answer_with(
+        [](const httplib::Request& asked, httplib::Response& given) {
+            given.set_header("X-Attempt-Id",
+                             asked.get_header_value("X-Attempt-Id"));
+            given.set_content("unsigned", "text/plain");
+        });
     auto asked = this->client();
     CHECK(asked.Post("/once/", headers(), "", "text/plain")->status == 502);
 }
@@ -123,10 +123,10 @@
 // The caller is told so, and when to come back.
 TEST_CASE_FIXTURE(entry_fixture, "request_turned_away_is_refused_as_not_run")
 {
-    this->upstream = [](const httplib::Request&, httplib::Response& given) {
+    this->answer_with([](const httplib::Request&, httplib::Response& given) {
         given.status = 503;
         given.set_header("X-Not-Executed", "1");
-    };
+    });
     auto asked = this->client();
     const auto got = asked.Post("/once/", headers(), "", "text/plain");
     REQUIRE(got);
@@ -137,11 +137,11 @@
 
 TEST_CASE_FIXTURE(entry_fixture, "upstreams_own_failure_is_passed_unchanged")
 {
-    this->upstream = [](const httplib::Request& asked,
-                        httplib::Response& given) {
-        signed_answer(asked, given, "its failure");
-        given.status = 500;
-    };
+    this->answer_with(
+        [](const httplib::Request& asked, httplib::Response& given) {
+            signed_answer(asked, given, "its failure");
+            given.status = 500;
+        });
     auto asked = this->client();
     const auto got = asked.Post("/once/", headers(), "", "text/plain");
     REQUIRE(got);
@@ -152,10 +152,10 @@
 
 TEST_CASE_FIXTURE(entry_fixture, "stream_is_passed_event_by_event_to_its_end")
 {
-    this->upstream = [](const httplib::Request& asked,
-                        httplib::Response& given) {
-        stream_events(asked, given, 1, 20, false);
-    };
+    this->answer_with(
+        [](const httplib::Request& asked, httplib::Response& given) {
+            stream_events(asked, given, 1, 20, false);
+        });
     auto asked = this->client();
     const auto got = asked.Post("/stream/", headers(), "", "text/plain");
     REQUIRE(got);
@@ -168,20 +168,20 @@
 TEST_CASE_FIXTURE(entry_fixture,
                   "stream_cut_and_not_resumed_does_not_look_whole")
 {
-    this->upstream = [](const httplib::Request& asked,
-                        httplib::Response& given) {
-        stream_events(asked, given, 1, 7, true);
-    };
+    this->answer_with(
+        [](const httplib::Request& asked, httplib::Response& given) {
+            stream_events(asked, given, 1, 7, true);
+        });
     auto asked = this->client();
     CHECK_FALSE(asked.Post("/stream/", headers(), "", "text/plain"));
 }
 
 TEST_CASE_FIXTURE(entry_fixture, "requests_sent_ahead_are_answered_in_order")
 {
-    this->upstream = [](const httplib::Request& asked,
-                        httplib::Response& given) {
-        signed_answer(asked, given, "<" + asked.path + ">");
-    };
+    this->answer_with(
+        [](const httplib::Request& asked, httplib::Response& given) {
+            signed_answer(asked, given, "<" + asked.path + ">");
+        });
     const std::string rest = " HTTP/1.1\r\nHost: hall.example\r\n"
                              "X-Attempt-Id: a-1\r\nApi-Key: key-1\r\n";
     const std::string got =
@@ -206,12 +206,12 @@
 // and the caller is told that the connection closes.
 TEST_CASE_FIXTURE(entry_fixture, "request_under_way_at_a_stop_is_answered")
 {
-    this->upstream = [this](const httplib::Request& asked,
-                            httplib::Response& given) {
-        this->tested->stop();
-        std::this_thread::sleep_for(200ms);
-        signed_answer(asked, given, "late but whole");
-    };
+    this->answer_with(
+        [this](const httplib::Request& asked, httplib::Response& given) {
+            this->tested->stop();
+            std::this_thread::sleep_for(200ms);
+            signed_answer(asked, given, "late but whole");
+        });
     auto asked = this->client();
     const auto got = asked.Post("/once/", headers(), "", "text/plain");
     REQUIRE(got);
@@ -223,24 +223,24 @@
 // which ends the work there.
 TEST_CASE_FIXTURE(entry_fixture, "work_of_a_caller_that_left_is_broken_off")
 {
-    std::atomic<bool> broken_off{false};
-    this->upstream = [&](const httplib::Request& asked,
-                         httplib::Response& given) {
+    const auto broken_off = std::make_shared<std::atomic<bool>>(false);
+    this->answer_with([broken_off](const httplib::Request& asked,
+                                   httplib::Response& given) {
         given.set_header("X-Attempt-Id",
                          asked.get_header_value("X-Attempt-Id"));
         given.set_header("X-Response-Signature", "signed");
         given.set_chunked_content_provider(
             "text/event-stream",
-            [&](std::size_t offset, httplib::DataSink& sink) {
+            [broken_off](std::size_t offset, httplib::DataSink& sink) {
                 const std::string text =
                     "id: " + std::to_string(offset + 1) + "\ndata: x\n\n";
                 std::this_thread::sleep_for(20ms);
                 if (sink.is_writable() && sink.write(text.data(), text.size()))
                     return true;
-                broken_off = true;
+                *broken_off = true;
                 return false;
             });
-    };
+    });
     {
         relay::asio::io_context context;
         relay::tcp::socket leaver(context);
@@ -253,9 +253,9 @@
         std::array<char, 64> some{};
         leaver.read_some(relay::asio::buffer(some));
     }
-    for (int tries = 0; tries < 200 && !broken_off; ++tries)
+    for (int tries = 0; tries < 200 && !*broken_off; ++tries)
         std::this_thread::sleep_for(10ms);
-    CHECK(broken_off);
+    CHECK(*broken_off);
 }
 
 } // namespace greengagedrum::entry
