Platform: numbers beyond their types are bounded

Cause: the fuzzer found a store item whose sequence of 33 digits was converted to a whole number, which is undefined. Counts, versions and times are now brought within what our types hold.

--- a/src/greengagedrum/platform/documents.cpp
+++ b/src/greengagedrum/platform/documents.cpp
@@ -1,4 +1,5 @@
 #include <greengagedrum/platform/documents.hpp>
+#include <greengagedrum/platform/json_numbers.hpp>
 #include <greengagedrum/routing/route_table.hpp>
 
 #include <nlohmann/json.hpp>
@@ -17,7 +18,10 @@
 
 base::duration milliseconds_of(const json& from, const char* name)
 {
-    const double value = from.value(name, 0.0);
+    // A day: far above any timeout, and no sum with it overflows.
+    constexpr double most = 86'400'000;
+    const double value =
+        std::clamp(from.value(name, 0.0), 0.0, most); // milliseconds
     return base::duration(static_cast<base::duration::rep>(value * 1000));
 }
 
@@ -60,8 +64,8 @@
     out.rule = read_rule(from);
     out.stream = from.value("routeType", ""s) == "streaming";
     out.anonymous = from.value("anonymous", false);
-    out.priority = from.value("priority", 0U);
-    out.sends_max = std::max(1U, from.value("maxAttempts", 1U));
+    out.priority = bounded_number(from, "priority", 0U);
+    out.sends_max = std::max(1U, bounded_number(from, "maxAttempts", 1U));
     out.timeout = milliseconds_of(from, "timeoutMs");
     out.objective = milliseconds_of(from, "targetLatencyMs");
     out.gap_objective = milliseconds_of(from, "targetGapMs");
@@ -75,7 +79,7 @@
     out.name = from.at("name").get<std::string>();
     out.id = base::class_id(out.name);
     out.engine = from.contains("engine");
-    out.connections_max = from.value("maxConnections", 0U);
+    out.connections_max = bounded_number(from, "maxConnections", 0U);
     return out;
 }
 
@@ -86,7 +90,7 @@
     out.id = base::workspace_id(out.name);
     out.keys = from.value("apiKeys", std::vector<std::string>());
     if (const auto own = from.find("priority"); own != from.end())
-        out.priority = own->get<std::uint32_t>();
+        out.priority = bounded_number<std::uint32_t>(*own);
     // Named for requests, but in the unit that `unit` says.
     out.limit.per_second = from.value("ratePerS", 0.0);
     out.limit.burst = from.value("burst", 0.0);
@@ -99,8 +103,8 @@
 routing::caller_limits read_limits(const json& from)
 {
     routing::caller_limits out;
-    out.head_bytes = from.value("maxHeaderBytes", std::size_t{0});
-    out.body_bytes = from.value("maxBodyBytes", std::size_t{0});
+    out.head_bytes = bounded_number(from, "maxHeaderBytes", std::size_t{0});
+    out.body_bytes = bounded_number(from, "maxBodyBytes", std::size_t{0});
     out.head_timeout = milliseconds_of(from, "headerTimeoutMs");
     out.idle_timeout = milliseconds_of(from, "idleTimeoutMs");
     return out;
@@ -121,7 +125,7 @@
     try {
         const json from = json::parse(item.value);
         routing::configuration out;
-        out.version = from.at("version").get<std::int64_t>();
+        out.version = bounded_number<std::int64_t>(from.at("version"));
         out.revision = item.revision;
         for (const json& one : from.at("routes"))
             out.routes.push_back(read_route(one));
@@ -151,10 +155,10 @@
             return tl::unexpected("no address: " + address);
         out.address = *endpoint;
         out.data_centre = from.value("zone", ""s);
-        out.slots = std::max(1U, from.value("slots", 1U));
+        out.slots = std::max(1U, bounded_number(from, "slots", 1U));
         out.leaving = from.value("state", "ready"s) != "ready";
         out.warmup = milliseconds_of(from, "warmupRemainingMs");
-        out.sequence = from.value("sequence", std::uint64_t{0});
+        out.sequence = bounded_number(from, "sequence", std::uint64_t{0});
         out.revision = item.revision;
         return out;
     } catch (const json::exception& fault) {
--- a/src/greengagedrum/platform/store_calls.cpp
+++ b/src/greengagedrum/platform/store_calls.cpp
@@ -1,3 +1,4 @@
+#include <greengagedrum/platform/json_numbers.hpp>
 #include <greengagedrum/platform/store_calls.hpp>
 
 #include <nlohmann/json.hpp>
@@ -58,7 +59,7 @@
 {
     routing::published_item out;
     out.key = from.at("key").get<std::string>();
-    out.revision = from.at("revision").get<std::uint64_t>();
+    out.revision = bounded_number<std::uint64_t>(from.at("revision"));
     out.removed = from.value("deleted", false);
     if (!out.removed)
         out.value = bytes_from_base64(from.at("value").get<std::string>());
@@ -91,7 +92,7 @@
     try {
         const json body = json::parse(text);
         store_answer out;
-        out.as_of = body.at("at").get<std::uint64_t>();
+        out.as_of = bounded_number<std::uint64_t>(body.at("at"));
         out.more = body.value("hasMore", false);
         // A page has "entries", a watch "events".
         const char* list = body.contains("events") ? "events" : "entries";
