--- a/src/greengagedrum/entry/decisions.cpp
+++ b/src/greengagedrum/entry/decisions.cpp
@@ -2,6 +2,8 @@
 #include <greengagedrum/entry/front.hpp>
 #include <greengagedrum/entry/milliseconds.hpp>
 
+#include <algorithm>
+
 namespace greengagedrum::entry
 {
 
@@ -38,8 +40,23 @@
     if (progress == nullptr)
         return;
     const auto found = this->requests.find(progress->request);
-    if (found != this->requests.end() && !found->second.first_event_at)
-        found->second.first_event_at = this->state.clock();
+    if (found == this->requests.end())
+        return;
+    accepted& request = found->second;
+    const base::instant now = this->state.clock();
+    if (!request.first_event_at)
+        request.first_event_at = now;
+    else
+        request.longest_gap =
+            std::max(request.longest_gap, now - request.last_event_at);
+    request.last_event_at = now;
+}
+
+bool front::accepted::in_time(base::instant first) const
+{
+    const bool steady = this->gap_objective.count() == 0 ||
+                        this->longest_gap <= this->gap_objective;
+    return steady && first - this->arrived <= this->objective;
 }
 
 void front::note_misdirection(const traffic::event& what)
@@ -162,7 +179,7 @@
     if (failed != nullptr)
         ended.failed = *failed;
     const base::instant first = request.first_event_at.value_or(now);
-    ended.in_time = first - request.arrived <= request.objective;
+    ended.in_time = request.in_time(first);
     ended.total = total;
     if (request.sent_at)
         ended.queue_wait = *request.sent_at - request.arrived;
@@ -178,6 +195,7 @@
              {"status", wire->status()},
              {"total_ms", milliseconds(total)},
              {"first_ms", milliseconds(first - request.arrived)},
+             {"longest_gap_ms", milliseconds(request.longest_gap)},
              {"in_time", ended.in_time}});
     else
         this->state.log.write(
--- a/src/greengagedrum/entry/front.cpp
+++ b/src/greengagedrum/entry/front.cpp
@@ -216,6 +216,7 @@
     fresh.cost = request.cost;
     fresh.series = request.series;
     fresh.objective = request.facts.objective;
+    fresh.gap_objective = request.facts.gap_objective;
     fresh.wire = this->make_exchange(from, std::move(request.origin));
     this->by_caller[from.get()] = id;
     this->told(traffic::request_arrived{id, request.facts});
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -65,8 +65,13 @@
         double cost = 0; // counted against its workspace's limit
         telemetry::series_key series;
         base::duration objective{0};
+        base::duration gap_objective{0}; // between events; 0: none
         std::optional<base::instant> sent_at;
         std::optional<base::instant> first_event_at;
+        base::instant last_event_at;
+        base::duration longest_gap{0}; // between events
+
+        bool in_time(base::instant first) const;
     };
 
     // What was found out about a request before it is decided on.
