Traffic: speeds learnt from every event and told to peers; long prompts kept off slow engines

A long prompt makes all streams beside it pause there (reading in pieces of a quarter of a second).

Now each event teaches the engine's speed, entries tell it with their use of places, and how much is read in a pause is learnt in prompt tokens over all engines. A place where a request would be late, or make others pause, is left to one that suits it while waiting for a better one costs nothing.

--- a/src/greengagedrum/entry/decisions.cpp
+++ b/src/greengagedrum/entry/decisions.cpp
@@ -118,6 +118,8 @@
                            {"places", order.why.places},
                            {"told_age_ms", milliseconds(order.why.told_age)},
                            {"expected_ms", milliseconds(order.why.first_event)},
+                           {"gap_ms", milliseconds(order.why.gap)},
+                           {"suits", order.why.suits},
                            {"store_revision", this->state.known.as_of()}});
     wire->send(order.send, *to, order.end_at - now);
 }
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -175,7 +175,7 @@
     out.stopping = this->state.stopping;
     out.configuration_revision = this->state.known.configuration_revision();
     out.store_revision = this->state.known.as_of();
-    out.uses = this->state.scheduler.own_uses();
+    out.uses = this->state.scheduler.own_uses(now);
     out.waiting = this->state.scheduler.own_waiting(now);
     out.workspace_uses = this->state.limiter.own_uses();
     out.known = this->table.some_known(now);
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -164,7 +164,8 @@
     VT_USES = 20,
     VT_WAITING = 22,
     VT_WORKSPACE_USES = 24,
-    VT_KNOWN = 26
+    VT_KNOWN = 26,
+    VT_EVENT_GAPS_US = 28
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -202,6 +203,9 @@
   const flatbuffers::Vector<const greengagedrum::gossip::wire::Known *> *known() const {
     return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::Known *> *>(VT_KNOWN);
   }
+  const flatbuffers::Vector<uint32_t> *event_gaps_us() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_EVENT_GAPS_US);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -222,6 +226,8 @@
            verifier.VerifyVector(workspace_uses()) &&
            VerifyOffset(verifier, VT_KNOWN) &&
            verifier.VerifyVector(known()) &&
+           VerifyOffset(verifier, VT_EVENT_GAPS_US) &&
+           verifier.VerifyVector(event_gaps_us()) &&
            verifier.EndTable();
   }
 };
@@ -266,6 +272,9 @@
   void add_known(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Known *>> known) {
     fbb_.AddOffset(Word::VT_KNOWN, known);
   }
+  void add_event_gaps_us(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> event_gaps_us) {
+    fbb_.AddOffset(Word::VT_EVENT_GAPS_US, event_gaps_us);
+  }
   explicit WordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -290,12 +299,14 @@
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Use *>> uses = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Waiting *>> waiting = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::WorkspaceUse *>> workspace_uses = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Known *>> known = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Known *>> known = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> event_gaps_us = 0) {
   WordBuilder builder_(_fbb);
   builder_.add_store_revision(store_revision);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_event_gaps_us(event_gaps_us);
   builder_.add_known(known);
   builder_.add_workspace_uses(workspace_uses);
   builder_.add_waiting(waiting);
@@ -320,13 +331,15 @@
     const std::vector<greengagedrum::gossip::wire::Use> *uses = nullptr,
     const std::vector<greengagedrum::gossip::wire::Waiting> *waiting = nullptr,
     const std::vector<greengagedrum::gossip::wire::WorkspaceUse> *workspace_uses = nullptr,
-    const std::vector<greengagedrum::gossip::wire::Known> *known = nullptr) {
+    const std::vector<greengagedrum::gossip::wire::Known> *known = nullptr,
+    const std::vector<uint32_t> *event_gaps_us = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
   auto waiting__ = waiting ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Waiting>(*waiting) : 0;
   auto workspace_uses__ = workspace_uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::WorkspaceUse>(*workspace_uses) : 0;
   auto known__ = known ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Known>(*known) : 0;
+  auto event_gaps_us__ = event_gaps_us ? _fbb.CreateVector<uint32_t>(*event_gaps_us) : 0;
   return greengagedrum::gossip::wire::CreateWord(
       _fbb,
       life,
@@ -340,7 +353,8 @@
       uses__,
       waiting__,
       workspace_uses__,
-      known__);
+      known__,
+      event_gaps_us__);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/test/gossip_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -48,7 +48,7 @@
     told.stopping = true;
     told.configuration_revision = 5;
     told.store_revision = 12;
-    told.uses = {{base::upstream_id("i-1"), 3, 4000}};
+    told.uses = {{base::upstream_id("i-1"), 3, 4000, 55ms}};
     told.waiting = {{base::class_id("models"), {1, 2, 3, 4}}};
     told.workspace_uses = {{base::workspace_id("gate"), 123456789012}};
     told.known = {{other, 250ms}};
@@ -65,6 +65,7 @@
     CHECK(read->uses[0].upstream == base::upstream_id("i-1"));
     CHECK(read->uses[0].requests == 3);
     CHECK(read->uses[0].prompt_tokens == 4000);
+    CHECK(read->uses[0].event_gap == 55ms);
     CHECK(read->waiting.at(0).counts == traffic::waiting_counts{1, 2, 3, 4});
     CHECK(read->workspace_uses.at(0).used == 123456789012);
     CHECK(read->known.at(0).age == 250ms);
--- a/src/greengagedrum/gossip/word.cpp
+++ b/src/greengagedrum/gossip/word.cpp
@@ -33,6 +33,32 @@
     return from == nullptr ? std::string() : from->str();
 }
 
+std::uint32_t microseconds_of(base::duration value)
+{
+    constexpr std::int64_t most = 60'000'000;
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(value.count(), 0, most));
+}
+
+// An entry of an earlier build tells no gaps.
+std::vector<traffic::upstream_use>
+uses_of(const flatbuffers::Vector<const wire::Use*>& list,
+        const flatbuffers::Vector<std::uint32_t>* gaps)
+{
+    std::vector<traffic::upstream_use> out;
+    for (const wire::Use* one : list) {
+        const std::size_t at = out.size();
+        traffic::upstream_use use{base::upstream_id(one->upstream()),
+                                  one->requests(),
+                                  one->prompt_tokens()};
+        if (gaps != nullptr && at < gaps->size())
+            use.event_gap = std::chrono::microseconds(
+                gaps->Get(static_cast<flatbuffers::uoffset_t>(at)));
+        out.push_back(use);
+    }
+    return out;
+}
+
 traffic::service_waiting waiting_of(const wire::Waiting& from)
 {
     return {base::class_id(from.service()),
@@ -45,8 +71,11 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     std::vector<wire::Use> uses;
-    for (const auto& one : told.uses)
+    std::vector<std::uint32_t> gaps;
+    for (const auto& one : told.uses) {
         uses.emplace_back(one.upstream.value, one.requests, one.prompt_tokens);
+        gaps.push_back(microseconds_of(one.event_gap));
+    }
     std::vector<wire::Waiting> waiting;
     for (const auto& one : told.waiting)
         waiting.emplace_back(one.service.value,
@@ -72,7 +101,8 @@
                                        builder.CreateVectorOfStructs(uses),
                                        builder.CreateVectorOfStructs(waiting),
                                        builder.CreateVectorOfStructs(spent),
-                                       builder.CreateVectorOfStructs(known));
+                                       builder.CreateVectorOfStructs(known),
+                                       builder.CreateVector(gaps));
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -92,12 +122,8 @@
     out.stopping = root->stopping();
     out.configuration_revision = root->configuration_revision();
     out.store_revision = root->store_revision();
-    if (const auto* list = root->uses()) {
-        for (const wire::Use* one : *list)
-            out.uses.push_back({base::upstream_id(one->upstream()),
-                                one->requests(),
-                                one->prompt_tokens()});
-    }
+    if (const auto* list = root->uses())
+        out.uses = uses_of(*list, root->event_gaps_us());
     if (const auto* list = root->waiting()) {
         for (const wire::Waiting* one : *list)
             out.waiting.push_back(waiting_of(*one));
--- /dev/null
+++ b/src/greengagedrum/traffic/event_speed.cpp
@@ -0,0 +1,76 @@
+#include <greengagedrum/traffic/event_speed.hpp>
+
+namespace greengagedrum::traffic
+{
+
+namespace
+{
+
+// An upstream that turns slow shows within ten events, a fraction of a second;
+// one event that waited for a long prompt moves the mean by a tenth.
+constexpr double newest = 0.1;
+
+// Streams bring events many times a second, so an entry that has had none for
+// this long has no stream there.
+constexpr base::duration own_holds = std::chrono::seconds(1);
+
+// Afterwards the upstream may have changed: a slowed one is taken for a usual
+// one again, gets work and shows what it is.
+constexpr base::duration last_holds = std::chrono::seconds(10);
+
+} // namespace
+
+void event_speed::seen(base::duration gap, base::instant now)
+{
+    const auto value = static_cast<double>(gap.count());
+    const bool known = this->own > 0 && now - this->own_at < last_holds;
+    this->own = known ? this->own + newest * (value - this->own) : value;
+    this->own_at = now;
+    this->last = this->mean(now);
+    this->last_at = now;
+}
+
+void event_speed::told(base::duration gap, base::instant now)
+{
+    if (gap.count() <= 0)
+        return;
+    this->told_sum += gap;
+    this->told_count += 1;
+    this->last = this->mean(now);
+    this->last_at = now;
+}
+
+void event_speed::withdrawn(base::duration gap)
+{
+    if (gap.count() <= 0 || this->told_count == 0)
+        return;
+    this->told_sum -= gap;
+    this->told_count -= 1;
+}
+
+base::duration event_speed::own_gap(base::instant now) const
+{
+    if (this->own <= 0 || now - this->own_at > own_holds)
+        return base::duration{0};
+    return base::duration(static_cast<std::int64_t>(this->own));
+}
+
+base::duration event_speed::mean(base::instant now) const
+{
+    const base::duration own_part = this->own_gap(now);
+    const std::int64_t count =
+        this->told_count + (own_part.count() > 0 ? 1 : 0);
+    if (count == 0)
+        return base::duration{0};
+    return (this->told_sum + own_part) / count;
+}
+
+base::duration event_speed::gap(base::instant now) const
+{
+    const base::duration fresh = this->mean(now);
+    if (fresh.count() > 0)
+        return fresh;
+    return now - this->last_at < last_holds ? this->last : base::duration{0};
+}
+
+} // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -115,6 +115,8 @@
     std::uint32_t places = 0;
     base::duration told_age{0};    // of the peers' oldest word
     base::duration first_event{0}; // expected
+    base::duration gap{0};         // the longest expected there meanwhile
+    std::string_view suits;        // a suitability
 };
 
 struct send_request {
--- a/src/greengagedrum/traffic/placing.cpp
+++ b/src/greengagedrum/traffic/placing.cpp
@@ -82,8 +82,13 @@
         const placing_question asked{service,
                                      item.facts.prompt_tokens,
                                      item.facts.output_tokens,
-                                     item.tried};
+                                     item.tried,
+                                     item.arrived + item.facts.objective -
+                                         this->now,
+                                     item.facts.gap_objective};
         const auto where = this->pool.choose(asked, this->now);
+        if (where && this->awaits_better(item, next, *where))
+            continue;
         if (where) {
             line.remove(next.request);
             line.served(next.priority, this->now);
@@ -94,6 +99,23 @@
     }
 }
 
+// A place where it would be late, or delay others, is left to a request that
+// suits it for as long as waiting for a better one costs nothing: while it can
+// be in time there, or until its objective has passed anyway. Under load places
+// fall free every few milliseconds.
+bool scheduler::awaits_better(const request& item,
+                              const waiting_request& entry,
+                              const placing& offered) const
+{
+    if (offered.probe || offered.best_full <= offered.suits)
+        return false;
+    if (offered.best_full == suitability::in_time)
+        return this->now < entry.objective_at;
+    const base::instant until =
+        std::min(item.arrived + item.facts.objective, item.give_up_at);
+    return this->now < until;
+}
+
 // Failure guarded against: a place falls free, and whoever sees it first takes
 // it for a less urgent request than one that waits at another entry. A peer's
 // word counts for as long as it takes that peer to tell anew.
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -149,9 +149,12 @@
                                this->now);
     if (item->events == 0)
         item->first_event_at = this->now;
+    const base::duration gap =
+        item->events == 0 ? base::duration{0} : this->now - item->progress_at;
+    this->pool.progressed(
+        item->upstream, what.events - item->events, gap, this->now);
     item->events = what.events;
     item->progress_at = this->now;
-    this->pool.progressed(item->upstream, this->now);
     item->silence_told = false;
 }
 
@@ -169,11 +172,11 @@
                                    this->now - item->sent_at,
                                    item->expected,
                                    this->now);
-        if (item->events > 0)
+        if (item->events > 1)
             this->pool.learn_output(upstream,
                                     item->facts.output_tokens,
-                                    item->events,
-                                    this->now - item->first_event_at);
+                                    this->now - item->first_event_at,
+                                    this->now);
         this->lines[item->facts.service].learn_hold(item->facts.kind,
                                                     this->now - item->sent_at);
     } else {
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -71,7 +71,10 @@
     // While held, nothing is sent: what is known of the world is too old.
     void hold(bool held) { this->held = held; }
 
-    std::vector<upstream_use> own_uses() const { return this->pool.own_uses(); }
+    std::vector<upstream_use> own_uses(base::instant now) const
+    {
+        return this->pool.own_uses(now);
+    }
     std::vector<service_waiting> own_waiting(base::instant now) const;
 
     std::size_t in_flight() const { return this->requests.size(); }
@@ -114,6 +117,9 @@
     bool hopeless(const request& item) const;
     void place_waiting();
     void place_service(base::class_id service, waiting_line& line);
+    bool awaits_better(const request& item,
+                       const waiting_request& entry,
+                       const placing& offered) const;
     bool yields_to_peers(const waiting_request& item,
                          base::class_id service,
                          std::uint32_t free) const;
--- a/src/greengagedrum/traffic/test/burst_run.cpp
+++ b/src/greengagedrum/traffic/test/burst_run.cpp
@@ -231,7 +231,7 @@
             this->under_way.push_back(
                 {this->now + word_way,
                  from,
-                 this->entries[from]->own_uses(),
+                 this->entries[from]->own_uses(this->now),
                  this->entries[from]->own_waiting(this->now)});
         }
         while (!this->under_way.empty() &&
--- /dev/null
+++ b/src/greengagedrum/traffic/test/placing_test.cpp
@@ -0,0 +1,153 @@
+// Where requests go among engines of unlike speed.
+#include <greengagedrum/traffic/test/scheduler_fixture.hpp>
+
+namespace greengagedrum::traffic
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const base::upstream_id quick("i-0");
+const base::upstream_id slow("i-1");
+
+constexpr base::duration quick_gap = 12ms;
+constexpr base::duration slow_gap = 55ms;
+constexpr std::uint32_t long_prompt = 6000;
+constexpr int streams = 20; // enough to learn the pauses from
+
+request_facts prompt_of(std::uint32_t tokens)
+{
+    request_facts out = stream_facts();
+    out.prompt_tokens = tokens;
+    return out;
+}
+
+// Two engines of five places. Streams have run on the quick one and shown how
+// long they pause while prompts are read; a peer has four streams on the other
+// and tells that it takes four times as long from event to event.
+struct unlike_engines_fixture : scheduler_fixture {
+    unlike_engines_fixture()
+    {
+        this->upstreams(2, 5);
+        this->peer_has(quick, 0, quick_gap);
+        this->peer_has(slow, 4, slow_gap);
+        for (int count = 0; count < streams; ++count)
+            this->run_quick_stream();
+    }
+
+    void run_quick_stream()
+    {
+        this->peer_tells_anew();
+        const auto id = this->arrive(prompt_of(1000));
+        const send_request order = this->sent();
+        REQUIRE(order.upstream == quick);
+        this->now += 70ms;
+        this->step(progressed{id, order.send, 1});
+        for (std::uint32_t event = 2; event <= 120; ++event) {
+            this->now += event % 12 == 0 ? 5 * quick_gap : quick_gap;
+            this->step(progressed{id, order.send, event});
+        }
+        this->answer(id, order.send);
+    }
+
+    void peer_has(base::upstream_id upstream,
+                  std::uint32_t requests,
+                  base::duration gap)
+    {
+        const upstream_use uses[] = {{upstream, requests, 0, gap}};
+        this->tested.peer_told(
+            base::slot_id("peer-" + std::to_string(upstream.value)),
+            uses,
+            {},
+            this->now);
+    }
+
+    void peer_tells_anew() { this->peer_has(slow, 4, slow_gap); }
+
+    // Until the quick engine is full.
+    void fill_quick_engine()
+    {
+        this->peer_tells_anew();
+        for (int count = 0; count < 5; ++count) {
+            this->arrive(prompt_of(1000));
+            REQUIRE(this->sent().upstream == quick);
+        }
+    }
+};
+
+} // namespace
+
+// Planners' streams run on the slow engine when a long dossier joins them. The
+// engine reads it in pieces of a quarter of a second, and all of them pause for
+// longer than their callers were promised. Without the guard it is sent there,
+// since that is the only free place.
+TEST_CASE_FIXTURE(unlike_engines_fixture,
+                  "long_prompt_is_kept_off_a_slow_engine_with_streams")
+{
+    this->fill_quick_engine();
+    this->arrive(prompt_of(long_prompt));
+    CHECK(this->order<send_request>() == nullptr);
+    CHECK(this->tested.waiting() == 1);
+}
+
+// The place that the dossier leaves is not left idle.
+TEST_CASE_FIXTURE(unlike_engines_fixture,
+                  "short_prompt_takes_the_place_that_a_long_one_leaves")
+{
+    this->fill_quick_engine();
+    this->arrive(prompt_of(long_prompt));
+    const auto brief = this->arrive(prompt_of(200));
+    CHECK(this->sent().request == brief);
+    CHECK(this->sent().upstream == slow);
+}
+
+// Waiting ends when it can't help any more: a late dossier is better than none.
+TEST_CASE_FIXTURE(unlike_engines_fixture,
+                  "long_prompt_takes_any_place_once_it_is_late")
+{
+    this->fill_quick_engine();
+    const auto dossier = this->arrive(prompt_of(long_prompt));
+    for (int step = 0; step < 160; ++step) {
+        this->peer_tells_anew();
+        this->pass(5ms);
+        if (this->order<send_request>() != nullptr)
+            break;
+    }
+    CHECK(this->sent().request == dossier);
+    CHECK(this->sent().upstream == slow);
+}
+
+// What peers see of an engine's speed counts: this entry has never sent a
+// request to the slow one.
+TEST_CASE_FIXTURE(unlike_engines_fixture,
+                  "speed_told_by_peers_chooses_the_quick_engine")
+{
+    this->peer_has(slow, 0, slow_gap);
+    for (int count = 0; count < 4; ++count) {
+        this->arrive(prompt_of(1000));
+        CHECK(this->sent().upstream == quick);
+    }
+}
+
+// An engine turns slow; nobody sends to it for a while, and it recovers. What
+// was known of it is too old after some seconds, and it gets work again.
+TEST_CASE_FIXTURE(unlike_engines_fixture,
+                  "slow_engine_is_tried_again_after_some_seconds")
+{
+    this->peer_has(slow, 0, slow_gap);
+    this->pass(2s); // the peer is forgotten
+    this->pass(10s);
+    for (int count = 0; count < 3; ++count)
+        this->arrive(prompt_of(1000));
+    CHECK(this->tested.upstreams().free_places(engines, this->now) == 7);
+    bool tried = false;
+    for (int count = 0; count < 5 && !tried; ++count) {
+        this->arrive(prompt_of(1000));
+        tried = this->sent().upstream == slow;
+    }
+    CHECK(tried);
+}
+
+} // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -62,6 +62,7 @@
                 continue;
             own.others += use.requests;
             own.others_unread += use.prompt_tokens;
+            own.speed.told(use.event_gap, now);
         }
     }
 }
@@ -86,19 +87,27 @@
 
 // ---- What peers tell ------------------------------------------------------
 
-void upstream_pool::count_peer(const peer_word& word, int sign)
+void upstream_pool::count_peer(const peer_word& word, base::instant now)
 {
     for (const upstream_use& use : word.uses) {
         upstream* own = this->find(use.upstream);
         if (own == nullptr)
             continue;
-        if (sign > 0) {
-            own->others += use.requests;
-            own->others_unread += use.prompt_tokens;
+        own->others += use.requests;
+        own->others_unread += use.prompt_tokens;
+        own->speed.told(use.event_gap, now);
+    }
+}
+
+void upstream_pool::uncount_peer(const peer_word& word)
+{
+    for (const upstream_use& use : word.uses) {
+        upstream* own = this->find(use.upstream);
+        if (own == nullptr)
             continue;
-        }
         own->others -= std::min(own->others, use.requests);
         own->others_unread -= std::min(own->others_unread, use.prompt_tokens);
+        own->speed.withdrawn(use.event_gap);
     }
 }
 
@@ -112,10 +121,10 @@
         if (const upstream* one = this->find(use.upstream))
             before.emplace_back(use.upstream, one->others);
     }
-    this->count_peer(word, -1);
+    this->uncount_peer(word);
     word.uses.assign(uses.begin(), uses.end());
     word.at = now;
-    this->count_peer(word, 1);
+    this->count_peer(word, now);
     for (const auto& [id, others] : before) {
         if (upstream* one = this->find(id))
             this->note_turns(id, *one, others, now);
@@ -157,7 +166,7 @@
     const auto found = this->told.find(peer);
     if (found == this->told.end())
         return;
-    this->count_peer(found->second, -1);
+    this->uncount_peer(found->second);
     this->told.erase(found);
 }
 
@@ -197,12 +206,6 @@
     this->services[own->service].probe_at = now + probe_gap;
 }
 
-void upstream_pool::progressed(base::upstream_id id, base::instant now)
-{
-    if (upstream* own = this->find(id))
-        own->progress_at = now;
-}
-
 base::instant upstream_pool::progress_at(base::upstream_id id) const
 {
     const auto found = this->upstreams.find(id);
@@ -302,12 +305,13 @@
     return sum;
 }
 
-std::vector<upstream_use> upstream_pool::own_uses() const
+std::vector<upstream_use> upstream_pool::own_uses(base::instant now) const
 {
     std::vector<upstream_use> out;
     for (const auto& [id, one] : this->upstreams) {
         if (one.own > 0)
-            out.push_back({id, one.own, one.own_unread});
+            out.push_back(
+                {id, one.own, one.own_unread, one.speed.own_gap(now)});
     }
     return out;
 }
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -10,6 +10,8 @@
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
 #include <greengagedrum/routing/upstream_directory.hpp>
+#include <greengagedrum/traffic/event_speed.hpp>
+#include <greengagedrum/traffic/gap_reading.hpp>
 #include <greengagedrum/traffic/messages.hpp>
 #include <greengagedrum/traffic/upstream_trust.hpp>
 
@@ -29,6 +31,14 @@
     base::upstream_id upstream;
     std::uint32_t requests = 0;
     std::uint32_t prompt_tokens = 0; // not yet read by it
+    base::duration event_gap{0};     // seen there; zero: nothing lately
+};
+
+// How well an upstream suits a request, by what is expected there.
+enum class suitability : std::uint8_t {
+    disturbs, // streams there would pause beyond the objective
+    late,     // the request would miss its own objective
+    in_time,
 };
 
 struct placing {
@@ -37,6 +47,9 @@
     double expected = 0; // seconds to its first event
     double finish = 0;   // and to its last
     bool probe = false;
+    suitability suits = suitability::disturbs;
+    // The best of those that are full now.
+    suitability best_full = suitability::disturbs;
 };
 
 // What a choice has to know of a request.
@@ -45,6 +58,8 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0;          // expected
     std::span<const base::upstream_id> tried; // not to be taken again
+    base::duration first_event_within{0};     // of its objective, what is left
+    base::duration gap_objective{0};          // between events; 0: none
 };
 
 // Where this entry stands, which tells its choices from its peers'.
@@ -81,14 +96,18 @@
                      base::duration took,
                      double expected,
                      base::instant now);
-    // Events came on some request there.
-    void progressed(base::upstream_id upstream, base::instant now);
+    // So many events came on some request there, `gap` after its last ones
+    // (zero: they were its first).
+    void progressed(base::upstream_id upstream,
+                    std::uint32_t events,
+                    base::duration gap,
+                    base::instant now);
     base::instant progress_at(base::upstream_id upstream) const;
-    // A stream of so many events took so long from its first to its last.
+    // A stream of so many tokens took so long from its first event to its last.
     void learn_output(base::upstream_id upstream,
                       std::uint32_t output_tokens,
-                      std::uint32_t events,
-                      base::duration took);
+                      base::duration took,
+                      base::instant now);
     // `unread`: its prompt, when no event had come.
     void ended(base::upstream_id upstream, std::uint32_t unread);
 
@@ -110,7 +129,7 @@
                              std::uint32_t prompt_tokens) const;
 
     // Of this entry, for its peers.
-    std::vector<upstream_use> own_uses() const;
+    std::vector<upstream_use> own_uses(base::instant now) const;
 
     std::size_t peers() const { return this->told.size(); }
 
@@ -132,7 +151,7 @@
         double pace = 0; // time taken over time of a usual upstream; 0: unknown
         base::instant paced_at;
         base::instant progress_at;
-        double event_gap = 0; // seconds between events; 0: unknown
+        event_speed speed;
         upstream_trust trust;
     };
 
@@ -148,8 +167,12 @@
         double token_time = 0;  // seconds for one expected output token
         double bad = 0;         // share of bad ends
         base::instant probe_at; // when the next probe may be sent
+        gap_reading gaps;
     };
 
+    // How slow it is against the service's mean; none while that is unknown.
+    static std::optional<double>
+    slowness(const upstream& one, const service_state& all, base::instant now);
     double pace_of(const upstream& one,
                    const service_state& all,
                    base::instant now) const;
@@ -159,8 +182,18 @@
                        base::instant now) const;
     double output_seconds(const upstream& one,
                           const service_state& all,
-                          std::uint32_t output_tokens) const;
-    void count_peer(const peer_word& word, int sign);
+                          std::uint32_t output_tokens,
+                          base::instant now) const;
+    double gap_expected(const upstream& one,
+                        const service_state& all,
+                        std::uint32_t prompt_tokens,
+                        base::instant now) const;
+    suitability suits(const upstream& one,
+                      const service_state& all,
+                      const placing_question& asked,
+                      base::instant now) const;
+    void count_peer(const peer_word& word, base::instant now);
+    void uncount_peer(const peer_word& word);
     void note_turns(base::upstream_id id,
                     upstream& one,
                     std::uint32_t before,
