Entry: tests of the whole path end at once

Cause: each test's entry waited out its bound for stopping (4 s), since the test keeps a connection, and the stand-in's server its kept connections (5 s).

--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -67,7 +67,7 @@
     out.ip = "127.0.0.1";
     out.callers = out.readiness = out.control = out.metrics = {"127.0.0.1", 0};
     out.store = {"127.0.0.1", static_cast<std::uint16_t>(store_port)};
-    out.bounds.stop = 4s;
+    out.bounds.stop = 1s;
     return out;
 }
 
@@ -76,6 +76,8 @@
 stand_in::stand_in()
 {
     this->server.set_tcp_nodelay(true);
+    // Its stop waits for kept connections.
+    this->server.set_keep_alive_timeout(1);
 }
 
 void stand_in::start()
