--- a/fuzz/peer_words.cpp
+++ b/fuzz/peer_words.cpp
@@ -16,10 +16,11 @@
     if (const auto word = gossip::decode_word(text)) {
         require(gossip::decode_word(gossip::encode(*word)).has_value(),
                 "a word that was read can be told again");
-        gossip::peer_table table(1, base::incarnation{1});
+        gossip::peer_table table(1, "hall", base::incarnation{1});
         const base::instant now(std::chrono::hours(1));
         table.heard(*word, now);
-        table.to_tell(now);
+        table.to_tell(gossip::audience::own_data_centre, now);
+        table.to_tell(gossip::audience::others, now);
     }
     if (const auto items = gossip::decode_items(text))
         require(gossip::decode_items(gossip::encode(*items)).has_value(),
--- a/src/greengagedrum/entry/front.cpp
+++ b/src/greengagedrum/entry/front.cpp
@@ -33,7 +33,8 @@
 
 base::tier tier_of(std::uint32_t priority)
 {
-    return base::all_tiers.at(traffic::level_of(priority));
+    return base::all_tiers.at(
+        std::min<std::size_t>(priority, base::all_tiers.size() - 1));
 }
 
 } // namespace
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -11,11 +11,16 @@
 
 // Words are told at changes, but no closer than this among few entries: a
 // place taken is known everywhere within 10 ms and a datagram's way. Among
-// many, the gap grows with their number, so that what one entry sends stays
-// bounded by 1,000 datagrams a second.
+// more in a data centre the gap grows with their number, so that what one entry
+// sends them stays bounded by 1,000 datagrams a second.
 constexpr base::duration gap_among_few = std::chrono::milliseconds(10);
 constexpr std::size_t few = 10;
 
+// Other data centres' upstreams are the second choice, so words to there may
+// be older; with the square of the number of entries, up to the most that
+// limits and the liveness of peers allow.
+constexpr base::duration far_gap_most = std::chrono::milliseconds(200);
+
 // Without a change, as a sign of life.
 constexpr base::duration quiet_gap = std::chrono::milliseconds(200);
 
@@ -54,7 +59,9 @@
     : context(context), socket(context), timer(context),
       client(std::make_shared<relay::http_get>(context)), own(given),
       life(life), state(state), events(std::move(events)),
-      table(relay::asio::ip::make_address_v4(given.ip).to_uint(), life)
+      table(relay::asio::ip::make_address_v4(given.ip).to_uint(),
+            given.data_centre,
+            life)
 {
     const relay::udp::endpoint address(relay::asio::ip::make_address(given.ip),
                                        given.peer_port);
@@ -138,28 +145,51 @@
 
 // ---- Telling --------------------------------------------------------------
 
-base::duration peer_link::least_gap() const
+base::duration peer_link::gap_to(gossip::audience who) const
 {
-    const std::size_t peers = std::max(few, this->alive());
-    return gap_among_few * static_cast<std::int64_t>(peers) /
-           static_cast<std::int64_t>(few);
+    const base::instant now = this->state.clock();
+    if (who == gossip::audience::own_data_centre) {
+        const std::size_t near = std::max(few, this->table.alive_near(now));
+        return gap_among_few * static_cast<std::int64_t>(near) /
+               static_cast<std::int64_t>(few);
+    }
+    const std::size_t all = std::max(few, this->alive());
+    const base::duration grown = gap_among_few *
+                                 static_cast<std::int64_t>(all * all) /
+                                 static_cast<std::int64_t>(few * few);
+    return std::min(grown, far_gap_most);
 }
 
 void peer_link::tell_soon()
+{
+    this->near.due = true;
+    this->far.due = true;
+    this->schedule();
+}
+
+void peer_link::schedule()
 {
     if (this->timer_set)
         return;
+    this->tell_due();
     const base::instant now = this->state.clock();
-    const base::duration passed = now - this->told_at;
-    const base::duration gap = this->least_gap();
-    if (passed >= gap)
-        return this->tell();
+    std::optional<base::duration> wait;
+    const auto await = [&](const telling& state, gossip::audience who) {
+        if (!state.due)
+            return;
+        const base::duration left = state.told_at + this->gap_to(who) - now;
+        wait = wait ? std::min(*wait, left) : left;
+    };
+    await(this->near, gossip::audience::own_data_centre);
+    await(this->far, gossip::audience::others);
+    if (!wait)
+        return;
     this->timer_set = true;
-    this->timer.expires_after(gap - passed);
+    this->timer.expires_after(*wait);
     this->timer.async_wait([this](relay::error_code fault) {
         this->timer_set = false;
         if (!fault)
-            this->tell();
+            this->schedule();
     });
 }
 
@@ -182,12 +212,28 @@
     return out;
 }
 
-void peer_link::tell()
+void peer_link::tell_due()
+{
+    const base::instant now = this->state.clock();
+    const auto ripe = [&](const telling& state, gossip::audience who) {
+        return state.due && now - state.told_at >= this->gap_to(who);
+    };
+    if (ripe(this->near, gossip::audience::own_data_centre))
+        this->tell(gossip::audience::own_data_centre, this->near);
+    if (ripe(this->far, gossip::audience::others))
+        this->tell(gossip::audience::others, this->far);
+}
+
+void peer_link::tell(gossip::audience who, telling& state)
 {
     const base::instant now = this->state.clock();
-    this->told_at = now;
+    state = {false, now};
+    const std::vector<gossip::ip_number> to_tell =
+        this->table.to_tell(who, now);
+    if (to_tell.empty())
+        return;
     const std::string bytes = gossip::encode(this->own_word());
-    for (const gossip::ip_number address : this->table.to_tell(now)) {
+    for (const gossip::ip_number address : to_tell) {
         const relay::udp::endpoint to(relay::asio::ip::address_v4(address),
                                       this->own.peer_port);
         // One that can't be sent is lost like any other datagram.
@@ -201,13 +247,17 @@
 void peer_link::tick(base::duration store_age)
 {
     const base::instant now = this->state.clock();
-    if (now - this->told_at >= quiet_gap)
-        this->tell();
+    if (now - this->near.told_at >= quiet_gap)
+        this->tell(gossip::audience::own_data_centre, this->near);
+    if (now - this->far.told_at >= quiet_gap)
+        this->tell(gossip::audience::others, this->far);
     for (const std::string& peer : this->table.fallen_silent(now)) {
         this->state.log.write(now, "peers", "peer_silent", {{"peer", peer}});
         this->state.scheduler.peer_lost(base::slot_id(peer));
     }
     this->state.scheduler.set_entries(this->table.alive_lately(now) + 1);
+    this->state.scheduler.set_word_gap(
+        this->gap_to(gossip::audience::own_data_centre));
     this->state.limiter.assume_silent_peers(now);
     if (store_age > store_late)
         this->ask_peer(now);
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -50,9 +50,17 @@
 private:
     void receive();
     void on_word(std::string_view bytes);
-    void tell();
+    // What one audience is owed.
+    struct telling {
+        bool due = false;
+        base::instant told_at;
+    };
+
+    void tell_due();
+    void tell(gossip::audience who, telling& state);
+    void schedule();
     gossip::word own_word();
-    base::duration least_gap() const;
+    base::duration gap_to(gossip::audience who) const;
     void ask_peer(base::instant now);
 
     relay::asio::io_context& context;
@@ -67,7 +75,8 @@
     peer_events events;
     gossip::peer_table table;
     std::uint64_t sequence = 0;
-    base::instant told_at;
+    telling near;
+    telling far;
     base::instant asked_at;
     std::uint64_t turn = 0;
     bool timer_set = false;
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -21,6 +21,8 @@
 
 struct Waiting;
 
+struct WaitingLevels;
+
 struct WorkspaceUse;
 
 struct Known;
@@ -104,6 +106,33 @@
 };
 FLATBUFFERS_STRUCT_END(Waiting, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) WaitingLevels FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  uint16_t counts_[12];
+
+ public:
+  WaitingLevels()
+      : service_(0),
+        counts_() {
+  }
+  WaitingLevels(uint64_t _service)
+      : service_(flatbuffers::EndianScalar(_service)),
+        counts_() {
+  }
+  WaitingLevels(uint64_t _service, flatbuffers::span<const uint16_t, 12> _counts)
+      : service_(flatbuffers::EndianScalar(_service)) {
+    flatbuffers::CastToArray(counts_).CopyFromSpan(_counts);
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  const flatbuffers::Array<uint16_t, 12> *counts() const {
+    return &flatbuffers::CastToArray(counts_);
+  }
+};
+FLATBUFFERS_STRUCT_END(WaitingLevels, 32);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) WorkspaceUse FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t workspace_;
@@ -162,10 +191,10 @@
     VT_CONFIGURATION_REVISION = 16,
     VT_STORE_REVISION = 18,
     VT_USES = 20,
-    VT_WAITING = 22,
     VT_WORKSPACE_USES = 24,
     VT_KNOWN = 26,
-    VT_EVENT_GAPS_US = 28
+    VT_EVENT_GAPS_US = 28,
+    VT_WAITING_LEVELS = 30
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -194,9 +223,6 @@
   const flatbuffers::Vector<const greengagedrum::gossip::wire::Use *> *uses() const {
     return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::Use *> *>(VT_USES);
   }
-  const flatbuffers::Vector<const greengagedrum::gossip::wire::Waiting *> *waiting() const {
-    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::Waiting *> *>(VT_WAITING);
-  }
   const flatbuffers::Vector<const greengagedrum::gossip::wire::WorkspaceUse *> *workspace_uses() const {
     return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::WorkspaceUse *> *>(VT_WORKSPACE_USES);
   }
@@ -206,6 +232,9 @@
   const flatbuffers::Vector<uint32_t> *event_gaps_us() const {
     return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_EVENT_GAPS_US);
   }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::WaitingLevels *> *waiting_levels() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::WaitingLevels *> *>(VT_WAITING_LEVELS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -220,14 +249,14 @@
            VerifyField<uint64_t>(verifier, VT_STORE_REVISION, 8) &&
            VerifyOffset(verifier, VT_USES) &&
            verifier.VerifyVector(uses()) &&
-           VerifyOffset(verifier, VT_WAITING) &&
-           verifier.VerifyVector(waiting()) &&
            VerifyOffset(verifier, VT_WORKSPACE_USES) &&
            verifier.VerifyVector(workspace_uses()) &&
            VerifyOffset(verifier, VT_KNOWN) &&
            verifier.VerifyVector(known()) &&
            VerifyOffset(verifier, VT_EVENT_GAPS_US) &&
            verifier.VerifyVector(event_gaps_us()) &&
+           VerifyOffset(verifier, VT_WAITING_LEVELS) &&
+           verifier.VerifyVector(waiting_levels()) &&
            verifier.EndTable();
   }
 };
@@ -263,9 +292,6 @@
   void add_uses(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Use *>> uses) {
     fbb_.AddOffset(Word::VT_USES, uses);
   }
-  void add_waiting(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Waiting *>> waiting) {
-    fbb_.AddOffset(Word::VT_WAITING, waiting);
-  }
   void add_workspace_uses(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::WorkspaceUse *>> workspace_uses) {
     fbb_.AddOffset(Word::VT_WORKSPACE_USES, workspace_uses);
   }
@@ -275,6 +301,9 @@
   void add_event_gaps_us(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> event_gaps_us) {
     fbb_.AddOffset(Word::VT_EVENT_GAPS_US, event_gaps_us);
   }
+  void add_waiting_levels(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::WaitingLevels *>> waiting_levels) {
+    fbb_.AddOffset(Word::VT_WAITING_LEVELS, waiting_levels);
+  }
   explicit WordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -297,19 +326,19 @@
     uint64_t configuration_revision = 0,
     uint64_t store_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Use *>> uses = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Waiting *>> waiting = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::WorkspaceUse *>> workspace_uses = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Known *>> known = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> event_gaps_us = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> event_gaps_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::WaitingLevels *>> waiting_levels = 0) {
   WordBuilder builder_(_fbb);
   builder_.add_store_revision(store_revision);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_waiting_levels(waiting_levels);
   builder_.add_event_gaps_us(event_gaps_us);
   builder_.add_known(known);
   builder_.add_workspace_uses(workspace_uses);
-  builder_.add_waiting(waiting);
   builder_.add_uses(uses);
   builder_.add_address(address);
   builder_.add_data_centre(data_centre);
@@ -329,17 +358,17 @@
     uint64_t configuration_revision = 0,
     uint64_t store_revision = 0,
     const std::vector<greengagedrum::gossip::wire::Use> *uses = nullptr,
-    const std::vector<greengagedrum::gossip::wire::Waiting> *waiting = nullptr,
     const std::vector<greengagedrum::gossip::wire::WorkspaceUse> *workspace_uses = nullptr,
     const std::vector<greengagedrum::gossip::wire::Known> *known = nullptr,
-    const std::vector<uint32_t> *event_gaps_us = nullptr) {
+    const std::vector<uint32_t> *event_gaps_us = nullptr,
+    const std::vector<greengagedrum::gossip::wire::WaitingLevels> *waiting_levels = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
-  auto waiting__ = waiting ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Waiting>(*waiting) : 0;
   auto workspace_uses__ = workspace_uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::WorkspaceUse>(*workspace_uses) : 0;
   auto known__ = known ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Known>(*known) : 0;
   auto event_gaps_us__ = event_gaps_us ? _fbb.CreateVector<uint32_t>(*event_gaps_us) : 0;
+  auto waiting_levels__ = waiting_levels ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::WaitingLevels>(*waiting_levels) : 0;
   return greengagedrum::gossip::wire::CreateWord(
       _fbb,
       life,
@@ -351,10 +380,10 @@
       configuration_revision,
       store_revision,
       uses__,
-      waiting__,
       workspace_uses__,
       known__,
-      event_gaps_us__);
+      event_gaps_us__,
+      waiting_levels__);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/peer_table.cpp
+++ b/src/greengagedrum/gossip/peer_table.cpp
@@ -1,5 +1,7 @@
 #include <greengagedrum/gossip/peer_table.hpp>
 
+#include <algorithm>
+
 namespace greengagedrum::gossip
 {
 
@@ -48,6 +50,7 @@
         return peer_news::outdated;
     const bool was_alive = one.alive_told;
     one.instance = told.instance;
+    one.near = told.data_centre == this->data_centre;
     one.life = told.life;
     one.sequence = told.sequence;
     one.heard_at = now;
@@ -64,11 +67,15 @@
     return was_alive ? peer_news::none : peer_news::found;
 }
 
-std::vector<ip_number> peer_table::to_tell(base::instant now)
+std::vector<ip_number> peer_table::to_tell(audience who, base::instant now)
 {
+    const bool near = who == audience::own_data_centre;
     std::vector<ip_number> out;
     for (auto& [address, one] : this->peers) {
-        if (!is_alive(one, now)) {
+        const bool alive = is_alive(one, now);
+        if ((alive && one.near) != near)
+            continue;
+        if (!alive) {
             if (now - one.tried_at < retry_period)
                 continue;
             one.tried_at = now;
@@ -120,6 +127,14 @@
     return count;
 }
 
+std::size_t peer_table::alive_near(base::instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->peers.begin(), this->peers.end(), [&](const auto& entry) {
+            return entry.second.near && is_alive(entry.second, now);
+        }));
+}
+
 std::size_t peer_table::alive_lately(base::instant now) const
 {
     std::size_t count = 0;
--- a/src/greengagedrum/gossip/peer_table.hpp
+++ b/src/greengagedrum/gossip/peer_table.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace greengagedrum::gossip
@@ -22,18 +23,27 @@
     outdated   // the word is older than one already taken
 };
 
+// Whom a word is for.
+enum class audience : std::uint8_t {
+    own_data_centre,
+    others,
+};
+
 class peer_table
 {
 public:
-    peer_table(ip_number own, base::incarnation life) : own(own), life(life) {}
+    peer_table(ip_number own, std::string data_centre, base::incarnation life)
+        : own(own), data_centre(std::move(data_centre)), life(life)
+    {
+    }
 
     void add_seed(ip_number address);
 
     peer_news heard(const word& told, base::instant now);
 
-    // Addresses to be told now: those that are alive, and once in a while
-    // those that may be.
-    std::vector<ip_number> to_tell(base::instant now);
+    // Addresses to be told now: those that are alive, of the own data centre
+    // or of the others, and with the others once in a while those that may be.
+    std::vector<ip_number> to_tell(audience who, base::instant now);
 
     // For the own word: those heard lately, a few at a time in turn.
     std::vector<known_entry> some_known(base::instant now);
@@ -42,6 +52,7 @@
     std::vector<std::string> fallen_silent(base::instant now);
 
     std::size_t alive(base::instant now) const;
+    std::size_t alive_near(base::instant now) const;
     // Alive now, or not long ago.
     std::size_t alive_lately(base::instant now) const;
 
@@ -58,6 +69,7 @@
 private:
     struct peer {
         std::string instance;
+        bool near = false; // of the own data centre
         base::incarnation life;
         std::uint64_t sequence = 0;
         std::optional<base::instant> heard_at; // empty: only named by others
@@ -73,6 +85,7 @@
     static bool is_alive(const peer& one, base::instant now);
 
     ip_number own;
+    std::string data_centre;
     base::incarnation life;
     std::map<ip_number, peer> peers;
     ip_number next_named = 0;
--- a/src/greengagedrum/gossip/test/gossip_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -30,11 +30,14 @@
 
 struct peers_fixture {
     base::instant now{1h};
-    peer_table table{own_address, base::incarnation{1}};
+    peer_table table{own_address, "hall", base::incarnation{1}};
 
     bool told(ip_number address)
     {
-        const auto all = this->table.to_tell(this->now);
+        auto all = this->table.to_tell(audience::others, this->now);
+        const auto near =
+            this->table.to_tell(audience::own_data_centre, this->now);
+        all.insert(all.end(), near.begin(), near.end());
         return std::find(all.begin(), all.end(), address) != all.end();
     }
 };
--- a/src/greengagedrum/gossip/word.cpp
+++ b/src/greengagedrum/gossip/word.cpp
@@ -2,6 +2,7 @@
 #include <greengagedrum/gossip/word.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace greengagedrum::gossip
 {
@@ -59,10 +60,26 @@
     return out;
 }
 
-traffic::service_waiting waiting_of(const wire::Waiting& from)
+wire::WaitingLevels levels_of(const traffic::service_waiting& told)
 {
-    return {base::class_id(from.service()),
-            {from.urgent(), from.second(), from.third(), from.rest()}};
+    std::array<std::uint16_t, traffic::priority_levels> counts{};
+    std::transform(told.counts.begin(),
+                   told.counts.end(),
+                   counts.begin(),
+                   [](std::uint32_t count) {
+                       return static_cast<std::uint16_t>(
+                           std::min<std::uint32_t>(count, UINT16_MAX));
+                   });
+    return {told.service.value, counts};
+}
+
+traffic::service_waiting waiting_of(const wire::WaitingLevels& from)
+{
+    traffic::service_waiting out{base::class_id(from.service()), {}};
+    for (std::size_t level = 0; level < out.counts.size(); ++level)
+        out.counts.at(level) =
+            from.counts()->Get(static_cast<flatbuffers::uoffset_t>(level));
+    return out;
 }
 
 } // namespace
@@ -76,13 +93,9 @@
         uses.emplace_back(one.upstream.value, one.requests, one.prompt_tokens);
         gaps.push_back(microseconds_of(one.event_gap));
     }
-    std::vector<wire::Waiting> waiting;
+    std::vector<wire::WaitingLevels> waiting;
     for (const auto& one : told.waiting)
-        waiting.emplace_back(one.service.value,
-                             one.counts[0],
-                             one.counts[1],
-                             one.counts[2],
-                             one.counts[3]);
+        waiting.push_back(levels_of(one));
     std::vector<wire::WorkspaceUse> spent;
     for (const auto& one : told.workspace_uses)
         spent.emplace_back(one.workspace.value, one.used);
@@ -99,10 +112,10 @@
                                        told.configuration_revision,
                                        told.store_revision,
                                        builder.CreateVectorOfStructs(uses),
-                                       builder.CreateVectorOfStructs(waiting),
                                        builder.CreateVectorOfStructs(spent),
                                        builder.CreateVectorOfStructs(known),
-                                       builder.CreateVector(gaps));
+                                       builder.CreateVector(gaps),
+                                       builder.CreateVectorOfStructs(waiting));
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -124,8 +137,8 @@
     out.store_revision = root->store_revision();
     if (const auto* list = root->uses())
         out.uses = uses_of(*list, root->event_gaps_us());
-    if (const auto* list = root->waiting()) {
-        for (const wire::Waiting* one : *list)
+    if (const auto* list = root->waiting_levels()) {
+        for (const wire::WaitingLevels* one : *list)
             out.waiting.push_back(waiting_of(*one));
     }
     if (const auto* list = root->workspace_uses()) {
--- a/src/greengagedrum/traffic/choice.cpp
+++ b/src/greengagedrum/traffic/choice.cpp
@@ -1,4 +1,4 @@
-// Which upstream a request goes to, and how fast each is thought to be.
+// Which upstream a request goes to.
 #include <greengagedrum/placement/mix.hpp>
 #include <greengagedrum/placement/seconds.hpp>
 #include <greengagedrum/traffic/upstream_pool.hpp>
@@ -13,25 +13,6 @@
 namespace
 {
 
-// A usual upstream's time to its first event: a fixed part and one that grows
-// with the prompt tokens before it. Only their relation matters, since each
-// upstream's pace against them is learnt; 50 ms and 50 tokens a millisecond
-// are those of a current engine of 70 billion parameters.
-constexpr double first_event_base = 0.050;  // seconds
-constexpr double prompt_token_cost = 20e-6; // seconds
-
-// Running beside others costs an upstream this part of its speed when full.
-constexpr double crowding = 0.25;
-
-// One slow answer may have other reasons; four in a row say it is slow.
-constexpr double pace_weight = 0.3;
-constexpr double pace_least = 0.02;
-constexpr double pace_most = 50;
-
-// A pace that nothing confirms gives way to the usual one, so that an
-// upstream which was slow is tried again.
-constexpr double pace_memory = 4; // seconds
-
 // A data centre with upstreams that can't be reached may be cut off as a whole:
 // with one of three lost, the others count as twice as slow.
 constexpr double lost_weight = 3;
@@ -42,23 +23,22 @@
 constexpr double far_share = 0.06;
 constexpr double order_share = 0.04;
 
-// Of the mean time between events on a busy engine, about three quarters are
-// its own work (46 of 55 to 60 ms on the slowest seen); the rest is the reading
-// of prompts, which is counted by itself.
-constexpr double usual_gap_part = 0.75;
-
 // Expected pauses scatter about those that come by a quarter, on the low side
 // while an engine reads nothing.
 constexpr double gap_margin = 1.25;
 
-// What one event teaches of the service's mean; an entry sees hundreds a
-// second.
-constexpr double event_weight = 0.002;
+// Among many entries words are old when they come, and all that know the same
+// of an upstream meet there. Above this many, upstreams whose ends are alike
+// within the most below are chosen among by lot.
+constexpr double few_entries = 10;
+constexpr double alike_most = 0.6;
 
-double usual_seconds(double prompt_tokens)
-{
-    return first_event_base + prompt_token_cost * prompt_tokens;
-}
+// Entries that may send to an upstream of another data centre: about as many
+// as it has places.
+constexpr std::uint64_t far_users = 8;
+
+// Against one of the own data centre, of which more is known.
+constexpr double far_weight = 0.02;
 
 // What one place has to offer a request.
 struct merit {
@@ -80,7 +60,7 @@
     return "unknown";
 }
 
-bool goes_before(const merit& one, const placing& other)
+bool goes_before(const merit& one, const merit& other)
 {
     if (one.probe != other.probe)
         return one.probe;
@@ -98,9 +78,12 @@
         static_cast<double>(placement::mix(this->own_place.salt, id.value) %
                             static_cast<std::uint64_t>(range)) /
         range;
-    const bool near =
-        one.data_centre == base::data_centre_id(this->own_place.data_centre);
-    return 1 + (near ? 0 : far_share) + order_share * order;
+    return 1 + (this->is_near(one) ? 0 : far_share) + order_share * order;
+}
+
+bool upstream_pool::is_near(const upstream& one) const
+{
+    return one.data_centre == base::data_centre_id(this->own_place.data_centre);
 }
 
 upstream_pool::lost_shares
@@ -121,45 +104,6 @@
 
 // ---- Choice ---------------------------------------------------------------
 
-std::optional<double> upstream_pool::slowness(const upstream& one,
-                                              const service_state& all,
-                                              base::instant now)
-{
-    const double gap = seconds_of(one.speed.gap(now));
-    if (gap <= 0 || all.event_gap <= 0)
-        return std::nullopt;
-    return std::clamp(gap / all.event_gap, pace_least, pace_most);
-}
-
-// Events tell it best: a stream brings dozens a second, and peers tell theirs.
-// Learnt from first events alone, engines that are four times as slow as others
-// were taken for 1.0 to 1.5 times as slow, since each entry sends to one of
-// them every few seconds only.
-double upstream_pool::pace_of(const upstream& one,
-                              const service_state& all,
-                              base::instant now) const
-{
-    if (const auto slow = slowness(one, all, now))
-        return all.pace * *slow;
-    if (one.pace <= 0)
-        return all.pace;
-    const double idle = seconds_of(now - one.paced_at);
-    const double kept = std::max(0.0, 1 - idle / pace_memory);
-    return one.pace * kept + all.pace * (1 - kept);
-}
-
-double upstream_pool::expected_on(const upstream& one,
-                                  const service_state& all,
-                                  std::uint32_t prompt_tokens,
-                                  base::instant now) const
-{
-    const double unread =
-        static_cast<double>(one.own_unread) + one.others_unread + prompt_tokens;
-    const double taken = one.own + one.others;
-    const double crowd = 1 + crowding * taken / one.slots;
-    return this->pace_of(one, all, now) * usual_seconds(unread) * crowd;
-}
-
 bool upstream_pool::all_suspected(const service_state& all) const
 {
     return std::all_of(
@@ -168,29 +112,6 @@
         });
 }
 
-// From the first event to the last.
-double upstream_pool::output_seconds(const upstream& one,
-                                     const service_state& all,
-                                     std::uint32_t output_tokens,
-                                     base::instant now) const
-{
-    return all.token_time * output_tokens * slowness(one, all, now).value_or(1);
-}
-
-// Seconds that a stream there waits between two events while the prompt is
-// read.
-double upstream_pool::gap_expected(const upstream& one,
-                                   const service_state& all,
-                                   std::uint32_t prompt_tokens,
-                                   base::instant now) const
-{
-    const double unread =
-        static_cast<double>(one.own_unread) + one.others_unread + prompt_tokens;
-    const double read = std::min(unread, all.gaps.most());
-    return usual_gap_part * seconds_of(one.speed.gap(now)) +
-           this->pace_of(one, all, now) * prompt_token_cost * read;
-}
-
 // Failure guarded against: one engine in three reads three times as slowly.
 // Whatever runs there pauses beyond its objective as soon as a long prompt
 // joins: of 93 late dossiers of a heavy day 71 were late by a pause, nearly all
@@ -210,35 +131,82 @@
                                                         : suitability::in_time;
 }
 
-// Among those that suit best, the least time to the last event. A probe that is
-// due goes first, or a busy fleet never makes it.
-std::optional<placing> upstream_pool::choose(const placing_question& asked,
-                                             base::instant now) const
+// An upstream with a free place, as it looks to one request.
+struct upstream_pool::candidate {
+    base::upstream_id id;
+    const upstream* one = nullptr;
+    std::uint32_t open = 0;
+    double expected = 0;
+    merit worth;
+};
+
+struct upstream_pool::offers {
+    std::vector<candidate> open;
+    suitability best_full = suitability::disturbs;
+};
+
+// Failure guarded against: 80 entries before 90 engines at the usual load, a
+// third of all places free. All chose the engine that looked best, of which
+// each knew of one to four requests, and met there in a queue: a third of all
+// requests came late.
+void upstream_pool::set_entries(std::size_t count)
 {
-    const auto found = this->services.find(asked.service);
-    if (found == this->services.end())
-        return std::nullopt;
-    const service_state& all = found->second;
+    this->entries = std::max<std::size_t>(1, count);
+    this->alike =
+        alike_most *
+        std::max(0.0, 1 - few_entries / static_cast<double>(this->entries));
+}
+
+// Of other data centres' upstreams an entry among many uses some, drawn for
+// good, while its own has enough that are sound: words from there are old, and
+// all that found their own places taken met where one seemed free. A request
+// that has failed elsewhere may go to any.
+bool upstream_pool::may_use(base::upstream_id id,
+                            const upstream& one,
+                            const placing_question& asked) const
+{
+    if (this->is_near(one) || this->entries <= far_users ||
+        !asked.tried.empty())
+        return true;
+    const std::uint64_t lot =
+        placement::mix(placement::mix(this->own_place.salt, id.value), 1);
+    return lot % this->entries < far_users;
+}
+
+std::size_t upstream_pool::sound_nearby(const service_state& all) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        all.members.begin(), all.members.end(), [&](base::upstream_id id) {
+            const upstream& one = this->upstreams.at(id);
+            return this->is_near(one) && !one.trust.suspected();
+        }));
+}
+
+upstream_pool::offers upstream_pool::open_offers(const service_state& all,
+                                                 const placing_question& asked,
+                                                 base::instant now) const
+{
+    offers out;
     // When every upstream fails some requests, suspicion tells nothing apart.
     const bool any_will_do = this->all_suspected(all);
+    const bool enough_nearby = this->sound_nearby(all) >= far_users;
     const lost_shares lost = this->lost_by_place(all);
-    std::optional<placing> best;
-    suitability best_full = suitability::disturbs;
     for (const base::upstream_id id : all.members) {
         const upstream& one = this->upstreams.at(id);
         const bool tried =
             std::find(asked.tried.begin(), asked.tried.end(), id) !=
             asked.tried.end();
-        if (tried)
+        if (tried || (enough_nearby && !this->may_use(id, one, asked)))
             continue;
         const bool probe = now >= all.probe_at && one.trust.may_probe(now);
         if (one.trust.suspected() && !probe &&
             (!any_will_do || one.trust.unreachable()))
             continue;
         const suitability suits = this->suits(one, all, asked, now);
-        if (open_places(one, now) == 0) {
+        const std::uint32_t open = open_places(one, now);
+        if (open == 0) {
             if (!probe)
-                best_full = std::max(best_full, suits);
+                out.best_full = std::max(out.best_full, suits);
             continue;
         }
         const double expected =
@@ -248,92 +216,76 @@
             (1 + lost_weight * lost.at(one.data_centre)) *
             (expected +
              this->output_seconds(one, all, asked.output_tokens, now));
-        if (best && !goes_before({probe, suits, finish}, *best))
-            continue;
-        best = placing{id, {}, expected, finish, probe, suits};
-        best->why.gap = placement::duration_of(
-            this->gap_expected(one, all, asked.prompt_tokens, now));
-        best->why.suits = to_string(suits);
-        best->why.own = one.own;
-        best->why.others = one.others;
-        best->why.places = one.slots;
+        out.open.push_back({id, &one, open, expected, {probe, suits, finish}});
     }
-    if (best) {
-        best->best_full = best_full;
-        best->why.told_age = this->oldest_word(now);
-        best->why.first_event = placement::duration_of(best->expected);
-    }
-    return best;
-}
-
-void upstream_pool::progressed(base::upstream_id id,
-                               std::uint32_t events,
-                               base::duration gap,
-                               base::instant now)
-{
-    upstream* own = this->find(id);
-    if (own == nullptr)
-        return;
-    own->progress_at = now;
-    if (gap.count() <= 0 || events == 0)
-        return;
-    own->speed.seen(gap / events, now);
-    service_state& all = this->services[own->service];
-    const double seen = seconds_of(gap) / events;
-    all.event_gap = all.event_gap <= 0
-                        ? seen
-                        : all.event_gap + event_weight * (seen - all.event_gap);
-    const double token = this->pace_of(*own, all, now) * prompt_token_cost;
-    const double usual = usual_gap_part * seconds_of(own->speed.gap(now));
-    all.gaps.seen((seconds_of(gap) - usual) / token);
-}
-
-void upstream_pool::first_event(base::upstream_id id,
-                                std::uint32_t prompt_tokens,
-                                base::duration took,
-                                double expected,
-                                base::instant now)
-{
-    upstream* own = this->find(id);
-    if (own == nullptr)
-        return;
-    own->own_unread -= std::min(own->own_unread, prompt_tokens);
-    if (expected <= 0)
-        return;
-    service_state& all = this->services[own->service];
-    const double before = this->pace_of(*own, all, now);
-    const double ratio = seconds_of(took) / expected;
-    const double seen = std::clamp(before * ratio, pace_least, pace_most);
-    own->pace = before + pace_weight * (seen - before);
-    own->paced_at = now;
-    // A slow upstream says of the mean what it would if it were a usual one.
-    const double usual = own->pace / slowness(*own, all, now).value_or(1);
-    all.pace += service_weight * (usual - all.pace);
+    return out;
 }
 
-void upstream_pool::learn_output(base::upstream_id id,
-                                 std::uint32_t output_tokens,
-                                 base::duration took,
-                                 base::instant now)
+// The best one, or among many entries one that is about as good, by lot.
+const upstream_pool::candidate* upstream_pool::pick(const offers& from,
+                                                    std::uint64_t draw) const
 {
-    upstream* own = this->find(id);
-    if (own == nullptr || output_tokens == 0)
-        return;
-    service_state& all = this->services[own->service];
-    const double seen =
-        seconds_of(took) / output_tokens / slowness(*own, all, now).value_or(1);
-    all.token_time =
-        all.token_time <= 0
-            ? seen
-            : all.token_time + service_weight * (seen - all.token_time);
+    const auto best = std::min_element(
+        from.open.begin(), from.open.end(), [](const auto& one, const auto& b) {
+            return goes_before(one.worth, b.worth);
+        });
+    if (best == from.open.end())
+        return nullptr;
+    if (this->alike <= 0 || best->worth.probe)
+        return &*best;
+    const auto weight = [&](const candidate& one) {
+        if (one.worth.suits != best->worth.suits || one.worth.probe ||
+            one.worth.finish > best->worth.finish * (1 + this->alike))
+            return 0.0;
+        return one.open * (this->is_near(*one.one) ? 1 : far_weight);
+    };
+    double sum = 0;
+    for (const candidate& one : from.open)
+        sum += weight(one);
+    constexpr double range = 1U << 20U;
+    const std::uint64_t lot = placement::mix(this->own_place.salt, draw);
+    double left = sum *
+                  static_cast<double>(lot % static_cast<std::uint64_t>(range)) /
+                  range;
+    for (const candidate& one : from.open) {
+        left -= weight(one);
+        if (left < 0)
+            return &one;
+    }
+    return &*best;
 }
 
-double upstream_pool::usual_first_event(base::class_id service,
-                                        std::uint32_t prompt_tokens) const
+// Among those that suit best, the least time to the last event. A probe that is
+// due goes first, or a busy fleet never makes it.
+std::optional<placing> upstream_pool::choose(const placing_question& asked,
+                                             base::instant now) const
 {
-    const auto found = this->services.find(service);
-    const double pace = found == this->services.end() ? 1 : found->second.pace;
-    return pace * usual_seconds(prompt_tokens);
+    const auto found = this->services.find(asked.service);
+    if (found == this->services.end())
+        return std::nullopt;
+    const service_state& all = found->second;
+    const offers offered = this->open_offers(all, asked, now);
+    const candidate* chosen = this->pick(offered, asked.draw);
+    if (chosen == nullptr)
+        return std::nullopt;
+    const upstream& one = *chosen->one;
+    placing out;
+    out.upstream = chosen->id;
+    out.expected = chosen->expected;
+    out.finish = chosen->worth.finish;
+    out.probe = chosen->worth.probe;
+    out.suits = chosen->worth.suits;
+    out.best_full = offered.best_full;
+    out.why = {{},
+               one.own,
+               one.others,
+               one.slots,
+               this->oldest_word(now),
+               placement::duration_of(chosen->expected),
+               placement::duration_of(
+                   this->gap_expected(one, all, asked.prompt_tokens, now)),
+               to_string(chosen->worth.suits)};
+    return out;
 }
 
 } // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -274,10 +274,15 @@
                           std::span<const service_waiting> waiting,
                           base::instant at)
 {
-    this->pool.peer_told(peer, uses, at);
     peer_waiting& word = this->waiting_at_peers[peer];
     word.at = at;
     word.services.assign(waiting.begin(), waiting.end());
+    const auto waiters = std::count_if(
+        this->waiting_at_peers.begin(),
+        this->waiting_at_peers.end(),
+        [](const auto& entry) { return !entry.second.services.empty(); });
+    this->pool.set_waiting_peers(static_cast<std::size_t>(waiters));
+    this->pool.peer_told(peer, uses, at);
 }
 
 void scheduler::peer_lost(base::slot_id peer)
@@ -290,6 +295,7 @@
 {
     this->entries = std::max<std::size_t>(1, count);
     this->retries.set_entries(this->entries);
+    this->pool.set_entries(this->entries);
 }
 
 } // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -63,6 +63,8 @@
     void peer_lost(base::slot_id peer);
     // Entries that take requests, this one included.
     void set_entries(std::size_t count);
+    // Between two words of a peer close by, at the least.
+    void set_word_gap(base::duration gap) { this->pool.set_word_gap(gap); }
     void set_retry_bounds(const retry_bounds& bounds)
     {
         this->retries.set_bounds(bounds);
--- a/src/greengagedrum/traffic/test/burst_run.cpp
+++ b/src/greengagedrum/traffic/test/burst_run.cpp
@@ -14,12 +14,18 @@
 
 constexpr double calm_load = 0.7;
 constexpr base::duration turn = 2ms;
-constexpr base::duration word_gap = 10ms;
 constexpr base::duration word_way = 2ms;
 constexpr double prompt_tokens_per_ms = 50;
 constexpr base::duration fixed_first = 45ms;
 constexpr base::duration event_gap = 16ms;
 
+constexpr double engines_of_the_usual_load = 8;
+
+std::string place_of(std::size_t number, const burst_settings& settings)
+{
+    return "place-" + std::to_string(number % settings.data_centres);
+}
+
 const std::array<burst_kind, 3> kinds = {burst_kind{17, 3700, 40, 800ms},
                                          burst_kind{13, 2900, 17, 1200ms},
                                          burst_kind{25, 1100, 57, 1200ms}};
@@ -40,6 +46,13 @@
     std::deque<run> waiting;
     std::vector<run> running;
     base::instant read_until;
+    double slowness = 1;
+
+    base::duration times(base::duration usual) const
+    {
+        return std::chrono::duration_cast<base::duration>(usual *
+                                                          this->slowness);
+    }
 
     void admit(base::instant now, std::uint32_t slots)
     {
@@ -49,10 +62,11 @@
             const burst_kind& kind = kinds.at(next.kind);
             const auto reading = std::chrono::duration_cast<base::duration>(
                 std::chrono::duration<double, std::milli>(
-                    kind.prompt_tokens / prompt_tokens_per_ms));
+                    this->slowness * kind.prompt_tokens /
+                    prompt_tokens_per_ms));
             this->read_until = std::max(this->read_until, now) + reading;
-            next.first_at = this->read_until + fixed_first;
-            next.ends_at = next.first_at + event_gap * kind.events;
+            next.first_at = this->read_until + this->times(fixed_first);
+            next.ends_at = next.first_at + this->times(event_gap * kind.events);
             this->running.push_back(next);
         }
     }
@@ -61,10 +75,17 @@
 struct word_under_way {
     base::instant at;
     std::size_t from = 0;
+    bool to_near = true; // to its own data centre, else to the others
     std::vector<upstream_use> uses;
     std::vector<service_waiting> waiting;
 };
 
+// An entry's words to one side.
+struct word_state {
+    bool due = false; // there is something to tell
+    base::instant told_at;
+};
+
 struct asked_request {
     std::size_t kind = 0;
     base::instant arrived;
@@ -77,17 +98,22 @@
 public:
     explicit burst(const burst_settings& given)
         : settings(given), dice(given.seed), engines_there(given.engines),
-          told(given.entries), told_at(given.entries)
+          near_words(given.entries), far_words(given.entries)
     {
         for (std::size_t entry = 0; entry < given.entries; ++entry) {
             this->entries.push_back(std::make_unique<scheduler>(
-                retry_bounds{}, standpoint{"", 1000 + entry}));
+                retry_bounds{},
+                standpoint{place_of(entry, given), 1000 + entry}));
             this->entries.back()->set_entries(given.entries);
-            for (std::size_t one = 0; one < given.engines; ++one)
-                this->entries.back()->upstream_joined(
-                    upstream_named(std::to_string(one), given.slots),
-                    this->now);
+            this->entries.back()->set_word_gap(given.near_gap);
+            for (std::size_t one = 0; one < given.engines; ++one) {
+                auto engine = upstream_named(std::to_string(one), given.slots);
+                engine.data_centre = place_of(one, given);
+                this->entries.back()->upstream_joined(engine, this->now);
+            }
         }
+        for (std::size_t one = 2; one < given.engines; one += 3)
+            this->engines_there[one].slowness = given.slow;
         for (std::size_t one = 0; one < given.engines; ++one)
             this->by_id[base::upstream_id(std::to_string(one))] = one;
     }
@@ -114,14 +140,21 @@
 private:
     void let_arrive()
     {
-        std::uniform_real_distribution<double> draw(0, 1);
         for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
-            const double chance =
-                kinds.at(kind).per_second *
-                (this->counted() ? this->settings.load : calm_load) *
-                static_cast<double>(turn.count()) / 1e6;
-            if (draw(this->dice) >= chance)
-                continue;
+            const double usual = kinds.at(kind).per_second *
+                                 static_cast<double>(this->settings.engines) /
+                                 engines_of_the_usual_load;
+            std::poisson_distribution<int> arrivals(
+                usual * (this->counted() ? this->settings.load : calm_load) *
+                static_cast<double>(turn.count()) / 1e6);
+            for (int count = arrivals(this->dice); count > 0; --count)
+                this->let_one_arrive(kind);
+        }
+    }
+
+    void let_one_arrive(std::size_t kind)
+    {
+        {
             request_facts facts = stream_facts(
                 this->settings.priorities ? static_cast<std::uint32_t>(kind)
                                           : 0);
@@ -151,7 +184,12 @@
     {
         for (const action& one : orders) {
             if (const auto* send = std::get_if<send_request>(&one)) {
-                engine& to = this->engines_there[this->by_id[send->upstream]];
+                const std::size_t number = this->by_id[send->upstream];
+                engine& to = this->engines_there[number];
+                this->result.sent += 1;
+                if (place_of(number, this->settings) !=
+                    place_of(entry, this->settings))
+                    this->result.sent_far += 1;
                 run fresh;
                 fresh.entry = entry;
                 fresh.request = send->request;
@@ -166,8 +204,10 @@
             if (const auto* ended = std::get_if<end_request>(&one))
                 this->count_refusal(ended->request);
         }
-        if (!orders.empty())
-            this->told[entry] = true;
+        if (!orders.empty()) {
+            this->near_words[entry].due = true;
+            this->far_words[entry].due = true;
+        }
     }
 
     void count_refusal(base::request_id id)
@@ -224,22 +264,17 @@
         if (!this->settings.entries_talk)
             return;
         for (std::size_t from = 0; from < this->entries.size(); ++from) {
-            if (!this->told[from] || this->now < this->told_at[from] + word_gap)
-                continue;
-            this->told[from] = false;
-            this->told_at[from] = this->now;
-            this->under_way.push_back(
-                {this->now + word_way,
-                 from,
-                 this->entries[from]->own_uses(this->now),
-                 this->entries[from]->own_waiting(this->now)});
+            this->tell(from, true);
+            this->tell(from, false);
         }
         while (!this->under_way.empty() &&
                this->under_way.front().at <= this->now) {
             const word_under_way word = this->under_way.front();
             this->under_way.pop_front();
             for (std::size_t to = 0; to < this->entries.size(); ++to) {
-                if (to != word.from)
+                const bool is_near = place_of(to, this->settings) ==
+                                     place_of(word.from, this->settings);
+                if (to != word.from && is_near == word.to_near)
                     this->entries[to]->peer_told(
                         base::slot_id(std::to_string(word.from)),
                         word.uses,
@@ -249,6 +284,23 @@
         }
     }
 
+    void tell(std::size_t from, bool to_near)
+    {
+        word_state& state =
+            to_near ? this->near_words[from] : this->far_words[from];
+        const base::duration gap =
+            to_near ? this->settings.near_gap : this->settings.far_gap;
+        if (!state.due || this->now < state.told_at + gap)
+            return;
+        state = {false, this->now};
+        this->under_way.push_back(
+            {this->now + word_way,
+             from,
+             to_near,
+             this->entries[from]->own_uses(this->now),
+             this->entries[from]->own_waiting(this->now)});
+    }
+
     burst_settings settings;
     std::mt19937_64 dice;
     base::instant now{1h};
@@ -259,8 +311,8 @@
     std::map<base::request_id, asked_request> asked;
     std::deque<word_under_way> under_way;
     std::uint64_t next = 1;
-    std::vector<bool> told; // there is something to tell
-    std::vector<base::instant> told_at;
+    std::vector<word_state> near_words;
+    std::vector<word_state> far_words;
     burst_result result;
 };
 
--- a/src/greengagedrum/traffic/test/burst_run.hpp
+++ b/src/greengagedrum/traffic/test/burst_run.hpp
@@ -29,11 +29,17 @@
     std::size_t engines = 8;
     std::uint32_t slots = 5;
     double load = 1; // times the usual
+    double slow = 1; // every third engine takes so many times as long
     // Before it, the entries work at 0.7 of the usual load; only requests that
     // come later are counted.
     base::duration calm = std::chrono::seconds(10);
     base::duration length = std::chrono::seconds(6);
     bool entries_talk = true;
+    // Entries and engines are dealt out to so many data centres in turn.
+    std::size_t data_centres = 1;
+    // Between an entry's words to its own data centre, and to the others.
+    base::duration near_gap = std::chrono::milliseconds(10);
+    base::duration far_gap = std::chrono::milliseconds(10);
     bool priorities = true; // else all requests are alike
     std::uint64_t seed = 7;
 };
@@ -45,6 +51,8 @@
     std::array<std::uint32_t, 3> refused_early{}; // within a second
     std::array<std::uint32_t, 3> refused_late{};
     std::uint32_t most_on_one = 0; // requests on one engine at once
+    std::uint32_t sent = 0;
+    std::uint32_t sent_far = 0; // of these, to another data centre
 
     double in_time_share(std::size_t kind) const
     {
--- a/src/greengagedrum/traffic/test/burst_test.cpp
+++ b/src/greengagedrum/traffic/test/burst_test.cpp
@@ -78,4 +78,33 @@
     CHECK(told.in_time_share(0) > alone.in_time_share(0) + 0.1);
 }
 
+// Eighty entries before ninety engines, at the usual load: a third of all
+// places is free. Between two words of an entry dozens of requests are placed,
+// and entries that all choose the best engine they know of meet there: its
+// queue makes callers wait though others idle.
+TEST_CASE("many_entries_at_the_usual_load_do_not_meet_on_one_engine")
+{
+    burst_settings settings;
+    settings.entries = 80;
+    settings.engines = 88;
+    settings.load = 0.55;
+    settings.calm = std::chrono::seconds(2);
+    settings.length = std::chrono::seconds(2);
+    settings.data_centres = 4;
+    settings.slow = 4;
+    settings.near_gap = std::chrono::milliseconds(20);
+    settings.far_gap = std::chrono::milliseconds(200);
+    const burst_result got = play_burst(settings);
+    MESSAGE("in time: " << got.in_time_share(0) << " " << got.in_time_share(1)
+                        << " " << got.in_time_share(2)
+                        << ", most on one engine: " << got.most_on_one
+                        << ", to other data centres: " << got.sent_far << " of "
+                        << got.sent);
+    CHECK(got.in_time_share(0) > 0.97);
+    CHECK(got.in_time_share(1) > 0.97);
+    CHECK(got.in_time_share(2) > 0.97);
+    CHECK(got.most_on_one <= 9);
+    CHECK(got.sent_far * 5 < got.sent);
+}
+
 } // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/test/line_test.cpp
+++ b/src/greengagedrum/traffic/test/line_test.cpp
@@ -198,4 +198,59 @@
     CHECK(this->sent().upstream == base::upstream_id("i-0"));
 }
 
+// Three kinds of request, two ranks of workspaces: six priorities. A dossier of
+// the second rank comes while notes of the same rank wait for seconds. It goes
+// before them, and is not to be refused for their wait.
+TEST_CASE_FIXTURE(line_fixture, "wait_of_a_dossier_is_not_that_of_later_notes")
+{
+    for (std::uint64_t note = 1; note <= 20; ++note)
+        this->line.add(waiting(note, 5, this->now), this->now);
+    this->now += 2s;
+    const waiting_request dossier = waiting(99, 3, this->now + 500ms);
+    CHECK(this->line.seconds_by_rate(dossier, this->now) == 0);
+    CHECK(this->line.seconds_by_rate(waiting(98, 5, this->now), this->now) > 5);
+}
+
+// Most callers came to one entry of forty, which holds forty places and fills
+// them anew as they fall free. By an equal split it would have one place, and
+// refuse nearly all.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "entry_with_most_callers_counts_on_the_places_it_holds")
+{
+    this->tested.set_entries(40);
+    this->upstreams(8, 5);
+    for (int count = 0; count < 40; ++count)
+        this->arrive(stream_facts());
+    for (int count = 0; count < 20; ++count) {
+        this->arrive(stream_facts());
+        CHECK(this->order<end_request>() == nullptr);
+    }
+    CHECK(this->tested.waiting() == 20);
+}
+
+// Two dozen engines come back at once while all entries have lines. If each
+// entry filled each of them, seven would queue for every place.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "engine_that_comes_back_is_not_filled_alone")
+{
+    constexpr std::uint64_t peers = 20;
+    this->upstreams(1, 5);
+    for (int count = 0; count < 10; ++count)
+        this->arrive(stream_facts());
+    for (std::uint64_t number = 0; number < peers; ++number) {
+        const service_waiting line[] = {{engines, {5}}};
+        this->tested.peer_told(
+            base::slot_id(std::to_string(number)), {}, line, this->now);
+    }
+    this->tested.upstream_joined(upstream_named("back", 5), this->now);
+    this->pass(1ms);
+    std::size_t sent_now = 0;
+    for (const action& one : this->last)
+        sent_now += std::holds_alternative<send_request>(one) ? 1 : 0;
+    CHECK(sent_now <= 2);
+    // Nobody else takes them: they are used all the same.
+    this->pass(110ms);
+    CHECK(this->tested.waiting() == 0);
+}
+
 } // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -23,12 +23,14 @@
 constexpr base::duration peer_silence = std::chrono::milliseconds(1500);
 
 // A peer that freed a place knows it at once and refills it from its own line;
-// its word of that takes up to 10 ms and the way. Whoever is left takes turns,
-// so that one place isn't taken by all that hear of it: without turns, entries
-// with lines put 6 to 12 requests on engines of 5 places.
-constexpr base::duration peers_turn = std::chrono::milliseconds(14);
+// its word of that takes up to the gap between words and the way. Whoever is
+// left takes turns, so that one place isn't taken by all that hear of it:
+// without turns, entries with lines put 6 to 12 requests on engines of 5
+// places.
+constexpr base::duration word_way = std::chrono::milliseconds(4);
+// The step stands for the time in which some of the others hear of it.
 constexpr base::duration turn_step = std::chrono::milliseconds(5);
-constexpr std::uint64_t turns = 6;
+constexpr std::uint64_t turns_least = 6;
 
 } // namespace
 
@@ -55,6 +57,7 @@
     own.data_centre = base::data_centre_id(entry.data_centre);
     if (!fresh)
         return;
+    this->note_join(entry.id, own, now);
     // Peers may have told of it before it was known here.
     for (const auto& [peer, word] : this->told) {
         for (const upstream_use& use : word.uses) {
@@ -138,10 +141,8 @@
 {
     std::erase_if(one.peers_turns,
                   [&](base::instant until) { return until <= now; });
-    const std::uint64_t turn =
-        placement::mix(this->own_place.salt, id.value) % turns;
     const base::instant until =
-        now + peers_turn + turn_step * static_cast<std::int64_t>(turn);
+        now + this->peers_turn + this->own_turn(id.value);
     for (std::uint32_t freed = one.others; freed < before; ++freed)
         one.peers_turns.push_back(until);
     // Places that were taken again are no longer waited for.
@@ -151,6 +152,32 @@
         one.peers_turns.erase(one.peers_turns.begin());
 }
 
+base::duration upstream_pool::own_turn(std::uint64_t lot) const
+{
+    const std::uint64_t turn =
+        placement::mix(this->own_place.salt, lot) % (this->waiting_peers + 1);
+    return turn_step * static_cast<std::int64_t>(turn);
+}
+
+// Failure guarded against: two dozen engines come back at once while all
+// entries have lines. Each entry filled each of them for itself, up to 35
+// requests on engines of 5 places.
+void upstream_pool::note_join(base::upstream_id id,
+                              upstream& one,
+                              base::instant now)
+{
+    if (this->waiting_peers == 0)
+        return;
+    for (std::uint64_t place = 0; place < one.slots; ++place)
+        one.peers_turns.push_back(
+            now + this->own_turn(placement::mix(id.value, place)));
+}
+
+void upstream_pool::set_word_gap(base::duration gap)
+{
+    this->peers_turn = gap + word_way;
+}
+
 std::uint32_t upstream_pool::open_places(const upstream& one, base::instant now)
 {
     const auto awaited = static_cast<std::uint32_t>(
@@ -305,6 +332,17 @@
     return sum;
 }
 
+std::uint32_t upstream_pool::own_places(base::class_id service) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end())
+        return 0;
+    std::uint32_t sum = 0;
+    for (const base::upstream_id id : found->second.members)
+        sum += this->upstreams.at(id).own;
+    return sum;
+}
+
 std::vector<upstream_use> upstream_pool::own_uses(base::instant now) const
 {
     std::vector<upstream_use> out;
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -60,6 +60,7 @@
     std::span<const base::upstream_id> tried; // not to be taken again
     base::duration first_event_within{0};     // of its objective, what is left
     base::duration gap_objective{0};          // between events; 0: none
+    std::uint64_t draw = 0;                   // any number, for choices by lot
 };
 
 // Where this entry stands, which tells its choices from its peers'.
@@ -84,6 +85,14 @@
     // Peers whose word is too old count as lost.
     void forget_silent_peers(base::instant now);
 
+    // Entries that take requests, this one included.
+    void set_entries(std::size_t count);
+
+    // Between two words of a peer close by, at the least.
+    void set_word_gap(base::duration gap);
+    // Peers with requests that wait: they are after each place that falls free.
+    void set_waiting_peers(std::size_t count) { this->waiting_peers = count; }
+
     // None when no upstream has a free place.
     std::optional<placing> choose(const placing_question& asked,
                                   base::instant now) const;
@@ -120,8 +129,9 @@
     // Requests that the service's sound upstreams run at once.
     std::uint32_t places(base::class_id service) const;
     std::uint32_t free_places(base::class_id service, base::instant now) const;
-    // Taken by peers.
+    // Taken by peers, and by this entry.
     std::uint32_t foreign_places(base::class_id service) const;
+    std::uint32_t own_places(base::class_id service) const;
     bool known(base::class_id service) const;
 
     // Seconds to the first event on a usual upstream with nothing before it.
@@ -164,6 +174,7 @@
         std::vector<base::upstream_id> members;
         double pace = 1;        // mean of its upstreams'
         double event_gap = 0;   // the same, in seconds; 0: unknown
+        double events = 0;      // that taught it
         double token_time = 0;  // seconds for one expected output token
         double bad = 0;         // share of bad ends
         base::instant probe_at; // when the next probe may be sent
@@ -198,7 +209,14 @@
                     upstream& one,
                     std::uint32_t before,
                     base::instant now);
+    void note_join(base::upstream_id id, upstream& one, base::instant now);
+    base::duration own_turn(std::uint64_t lot) const;
     static std::uint32_t open_places(const upstream& one, base::instant now);
+    bool is_near(const upstream& one) const;
+    std::size_t sound_nearby(const service_state& all) const;
+    bool may_use(base::upstream_id id,
+                 const upstream& one,
+                 const placing_question& asked) const;
     double distance(base::upstream_id id, const upstream& one) const;
     // Data centres with upstreams that can't be reached, and their share.
     using lost_shares = std::map<base::data_centre_id, double>;
@@ -207,7 +225,18 @@
     bool all_suspected(const service_state& all) const;
     upstream* find(base::upstream_id id);
 
+    struct candidate;
+    struct offers;
+    offers open_offers(const service_state& all,
+                       const placing_question& asked,
+                       base::instant now) const;
+    const candidate* pick(const offers& open, std::uint64_t draw) const;
+
     standpoint own_place;
+    std::size_t entries = 1;
+    double alike = 0; // see set_entries()
+    std::size_t waiting_peers = 0;
+    base::duration peers_turn = std::chrono::milliseconds(14);
     std::unordered_map<base::upstream_id, upstream> upstreams;
     std::unordered_map<base::class_id, service_state> services;
     std::unordered_map<base::slot_id, peer_word> told;
--- /dev/null
+++ b/src/greengagedrum/traffic/upstream_speeds.cpp
@@ -0,0 +1,182 @@
+// How fast each upstream is thought to be, and what that means for a request.
+#include <greengagedrum/placement/seconds.hpp>
+#include <greengagedrum/traffic/upstream_pool.hpp>
+
+#include <algorithm>
+
+namespace greengagedrum::traffic
+{
+
+using placement::seconds_of;
+
+namespace
+{
+
+// A usual upstream's time to its first event: a fixed part and one that grows
+// with the prompt tokens before it. Only their relation matters, since each
+// upstream's pace against them is learnt; 50 ms and 50 tokens a millisecond
+// are those of a current engine of 70 billion parameters.
+constexpr double first_event_base = 0.050;  // seconds
+constexpr double prompt_token_cost = 20e-6; // seconds
+
+// Running beside others costs an upstream this part of its speed when full.
+constexpr double crowding = 0.25;
+
+// One slow answer may have other reasons; four in a row say it is slow.
+constexpr double pace_weight = 0.3;
+constexpr double pace_least = 0.02;
+constexpr double pace_most = 50;
+
+// A pace that nothing confirms gives way to the usual one, so that an
+// upstream which was slow is tried again.
+constexpr double pace_memory = 4; // seconds
+
+// Of the mean time between events on a busy engine, about three quarters are
+// its own work (46 of 55 to 60 ms on the slowest seen); the rest is the reading
+// of prompts, which is counted by itself.
+constexpr double usual_gap_part = 0.75;
+
+// What one event teaches of the service's mean; an entry sees hundreds a
+// second. The first ones weigh more, or one that came late would stand for all.
+constexpr double event_weight = 0.002;
+
+double usual_seconds(double prompt_tokens)
+{
+    return first_event_base + prompt_token_cost * prompt_tokens;
+}
+
+} // namespace
+
+std::optional<double> upstream_pool::slowness(const upstream& one,
+                                              const service_state& all,
+                                              base::instant now)
+{
+    const double gap = seconds_of(one.speed.gap(now));
+    if (gap <= 0 || all.event_gap <= 0)
+        return std::nullopt;
+    return std::clamp(gap / all.event_gap, pace_least, pace_most);
+}
+
+// Events tell it best: a stream brings dozens a second, and peers tell theirs.
+// Learnt from first events alone, engines that are four times as slow as others
+// were taken for 1.0 to 1.5 times as slow, since each entry sends to one of
+// them every few seconds only.
+double upstream_pool::pace_of(const upstream& one,
+                              const service_state& all,
+                              base::instant now) const
+{
+    if (const auto slow = slowness(one, all, now))
+        return all.pace * *slow;
+    if (one.pace <= 0)
+        return all.pace;
+    const double idle = seconds_of(now - one.paced_at);
+    const double kept = std::max(0.0, 1 - idle / pace_memory);
+    return one.pace * kept + all.pace * (1 - kept);
+}
+
+double upstream_pool::expected_on(const upstream& one,
+                                  const service_state& all,
+                                  std::uint32_t prompt_tokens,
+                                  base::instant now) const
+{
+    const double unread =
+        static_cast<double>(one.own_unread) + one.others_unread + prompt_tokens;
+    const double taken = one.own + one.others;
+    const double crowd = 1 + crowding * taken / one.slots;
+    return this->pace_of(one, all, now) * usual_seconds(unread) * crowd;
+}
+
+// From the first event to the last.
+double upstream_pool::output_seconds(const upstream& one,
+                                     const service_state& all,
+                                     std::uint32_t output_tokens,
+                                     base::instant now) const
+{
+    return all.token_time * output_tokens * slowness(one, all, now).value_or(1);
+}
+
+// Seconds that a stream there waits between two events while the prompt is
+// read.
+double upstream_pool::gap_expected(const upstream& one,
+                                   const service_state& all,
+                                   std::uint32_t prompt_tokens,
+                                   base::instant now) const
+{
+    const double unread =
+        static_cast<double>(one.own_unread) + one.others_unread + prompt_tokens;
+    const double read = std::min(unread, all.gaps.most());
+    return usual_gap_part * seconds_of(one.speed.gap(now)) +
+           this->pace_of(one, all, now) * prompt_token_cost * read;
+}
+
+void upstream_pool::progressed(base::upstream_id id,
+                               std::uint32_t events,
+                               base::duration gap,
+                               base::instant now)
+{
+    upstream* own = this->find(id);
+    if (own == nullptr)
+        return;
+    own->progress_at = now;
+    if (gap.count() <= 0 || events == 0)
+        return;
+    own->speed.seen(gap / events, now);
+    service_state& all = this->services[own->service];
+    const double seen = seconds_of(gap) / events;
+    all.events += events;
+    const double weight = std::max(event_weight, events / all.events);
+    all.event_gap += weight * (seen - all.event_gap);
+    const double token = this->pace_of(*own, all, now) * prompt_token_cost;
+    const double usual = usual_gap_part * seconds_of(own->speed.gap(now));
+    all.gaps.seen((seconds_of(gap) - usual) / token);
+}
+
+void upstream_pool::first_event(base::upstream_id id,
+                                std::uint32_t prompt_tokens,
+                                base::duration took,
+                                double expected,
+                                base::instant now)
+{
+    upstream* own = this->find(id);
+    if (own == nullptr)
+        return;
+    own->own_unread -= std::min(own->own_unread, prompt_tokens);
+    if (expected <= 0)
+        return;
+    service_state& all = this->services[own->service];
+    const double before = this->pace_of(*own, all, now);
+    const double ratio = seconds_of(took) / expected;
+    const double seen = std::clamp(before * ratio, pace_least, pace_most);
+    own->pace = before + pace_weight * (seen - before);
+    own->paced_at = now;
+    // A slow upstream says of the mean what it would if it were a usual one.
+    const double usual = own->pace / slowness(*own, all, now).value_or(1);
+    all.pace += service_weight * (usual - all.pace);
+}
+
+void upstream_pool::learn_output(base::upstream_id id,
+                                 std::uint32_t output_tokens,
+                                 base::duration took,
+                                 base::instant now)
+{
+    upstream* own = this->find(id);
+    if (own == nullptr || output_tokens == 0)
+        return;
+    service_state& all = this->services[own->service];
+    const double seen =
+        seconds_of(took) / output_tokens / slowness(*own, all, now).value_or(1);
+    all.token_time =
+        all.token_time <= 0
+            ? seen
+            : all.token_time + service_weight * (seen - all.token_time);
+}
+
+double upstream_pool::usual_first_event(base::class_id service,
+                                        std::uint32_t prompt_tokens) const
+{
+    const auto found = this->services.find(service);
+    const double pace = found == this->services.end() ? 1 : found->second.pace;
+    return pace * usual_seconds(prompt_tokens);
+}
+
+} // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/waiting_line.hpp
+++ b/src/greengagedrum/traffic/waiting_line.hpp
@@ -32,8 +32,10 @@
     base::instant give_up_at;   // last start that is of any use
 };
 
-// Waiting requests by priority; the last one counts all beyond.
-inline constexpr std::size_t priority_levels = 4;
+// Waiting requests by priority; the last one counts all beyond. Priorities of
+// workspaces times those of routes: with four, all kinds of all but the most
+// urgent workspaces were one, and dossiers were thought to wait behind notes.
+inline constexpr std::size_t priority_levels = 12;
 using waiting_counts = std::array<std::uint32_t, priority_levels>;
 
 std::size_t level_of(std::uint32_t priority);
