Entry: one entry a data centre reads the store, the others learn from it

Now the first live entry of a data centre reads; it tells the age of its last answer and the revision of the newest change, and the others fetch what changed from it. Whoever hears of no answer younger than 1.2 s reads for itself, and one whose call failed goes on until it is answered, since the length of an outage decides what lapses mean.

What an entry holds no longer counts in its wait: what peers leave free already says it (found by taking it out: no test failed).

--- a/src/greengagedrum/entry/beliefs.cpp
+++ b/src/greengagedrum/entry/beliefs.cpp
@@ -98,6 +98,7 @@
     this->table = std::make_shared<const routing::route_table>(
         std::make_shared<const routing::configuration>(*read));
     out.configuration = true;
+    this->change = std::max(this->change, item.revision);
 }
 
 void beliefs::take_upstream(const routing::published_item& item,
@@ -117,6 +118,8 @@
         }
         change = this->directory.learn(*read);
     }
+    if (item.removed || change != routing::upstream_change::none)
+        this->change = std::max(this->change, item.revision);
     if (change == routing::upstream_change::left)
         out.left.push_back(name);
     else if (change != routing::upstream_change::none)
--- a/src/greengagedrum/entry/beliefs.hpp
+++ b/src/greengagedrum/entry/beliefs.hpp
@@ -53,6 +53,8 @@
     }
 
     std::uint64_t as_of() const { return this->revision; }
+    // Of the newest item that changed anything.
+    std::uint64_t changed_at() const { return this->change; }
     std::uint64_t configuration_revision() const;
     std::int64_t configuration_version() const;
 
@@ -74,6 +76,7 @@
     routing::route_table_ptr table;
     routing::upstream_directory directory;
     std::uint64_t revision = 0;
+    std::uint64_t change = 0;
     std::optional<base::instant> away_since;
     base::instant doubted_until;
 };
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -75,6 +75,7 @@
     peer_told.load_changed = [this] { this->callers->tick(); };
     peer_told.items = [this](const gossip::item_transfer& got) {
         this->on_news(got.items, got.store_revision, got.whole, "peer");
+        this->store->known_up_to(this->state.known.as_of());
     };
     this->peers = std::make_unique<peer_link>(
         this->context, given, this->life, this->state, std::move(peer_told));
@@ -88,6 +89,7 @@
         this->on_store_failed(why);
     };
     store_told.answered = [this] { this->on_store_answered(); };
+    store_told.may_rest = [this] { return this->peers->store_is_read(); };
     this->store = std::make_unique<store_reader>(
         this->context, given.store, std::move(store_told));
     this->readiness = std::make_unique<relay::small_server>(
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -24,8 +24,11 @@
 // Without a change, as a sign of life.
 constexpr base::duration quiet_gap = std::chrono::milliseconds(200);
 
-// From this age of the store's last answer on, a peer is asked instead.
-constexpr base::duration store_late = std::chrono::milliseconds(700);
+// A reader's watch and the pause after it take up to 900 ms, its word up to
+// 200 ms more. When the newest answer that any peer had is older, nobody may be
+// reading. What changed meanwhile is then in force within 1.5 s.
+constexpr base::duration read_lately = std::chrono::milliseconds(1200);
+
 constexpr base::duration ask_gap = std::chrono::milliseconds(250);
 constexpr base::duration ask_bound = std::chrono::milliseconds(400);
 
@@ -137,12 +140,21 @@
     this->state.limiter.peer_told(slot, word->life, word->workspace_uses, now);
     if (this->state.scheduler.waiting() > 0)
         this->events.load_changed();
-    const bool newer_config = word->configuration_revision >
-                              this->state.known.configuration_revision();
-    if (newer_config)
+    this->peer_read_at = std::max(this->peer_read_at, now - word->store_age);
+    if (word->change_revision > this->state.known.as_of())
         this->ask_peer(now);
 }
 
+// Failure guarded against: the reader of a data centre dies, is frozen or is
+// turned away by the store. Its last answer grows old, and whoever notices
+// reads for itself.
+bool peer_link::store_is_read() const
+{
+    const base::instant now = this->state.clock();
+    return now - this->peer_read_at <= read_lately &&
+           this->table.has_reader_nearby(now);
+}
+
 // ---- Telling --------------------------------------------------------------
 
 base::duration peer_link::gap_to(gossip::audience who) const
@@ -205,6 +217,8 @@
     out.stopping = this->state.stopping;
     out.configuration_revision = this->state.known.configuration_revision();
     out.store_revision = this->state.known.as_of();
+    out.change_revision = this->state.known.changed_at();
+    out.store_age = now - this->own_read_at;
     out.uses = this->state.scheduler.own_uses(now);
     out.waiting = this->state.scheduler.own_waiting(now);
     out.workspace_uses = this->state.limiter.own_uses();
@@ -244,7 +258,7 @@
 
 // ---- Time -----------------------------------------------------------------
 
-void peer_link::tick(base::duration store_age)
+void peer_link::tick(bool store_fails)
 {
     const base::instant now = this->state.clock();
     if (now - this->near.told_at >= quiet_gap)
@@ -259,7 +273,10 @@
     this->state.scheduler.set_word_gap(
         this->gap_to(gossip::audience::own_data_centre));
     this->state.limiter.assume_silent_peers(now);
-    if (store_age > store_late)
+    const auto newest = this->table.newest_source(now, this->turn);
+    const bool changed =
+        newest && newest->change_revision > this->state.known.as_of();
+    if (store_fails || changed)
         this->ask_peer(now);
 }
 
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -39,8 +39,13 @@
     void tell_soon();
 
     // Time has passed: tells, notices who fell silent, asks a peer for what
-    // the store does not give. `store_age`: since the store's last answer.
-    void tick(base::duration store_age);
+    // the store does not give.
+    void tick(bool store_fails);
+
+    // Another entry is to read the store for this one, and what was heard of
+    // it lately shows that someone does.
+    bool store_is_read() const;
+    void store_answered() { this->own_read_at = this->state.clock(); }
 
     void reseed(const settings& given);
 
@@ -78,6 +83,8 @@
     telling near;
     telling far;
     base::instant asked_at;
+    base::instant own_read_at;  // the store's last answer, to this entry
+    base::instant peer_read_at; // the same of its peers, the newest
     std::uint64_t turn = 0;
     bool timer_set = false;
     bool asking = false;
--- a/src/greengagedrum/entry/store_reader.cpp
+++ b/src/greengagedrum/entry/store_reader.cpp
@@ -10,11 +10,13 @@
 {
 
 // Between watches. A change is to be in force within 2 s: this, a call's few
-// milliseconds, and as much again for an entry that learns of it from a peer.
-// Two calls a second from each of 350 entries are 700 of the 2,000 a second
-// that the store gives.
+// milliseconds, and a quarter of a second for an entry that learns of it from a
+// peer.
 constexpr auto pause_between = std::chrono::milliseconds(400);
 
+// How soon a resting reader notices that it is to read again.
+constexpr auto rest_step = std::chrono::milliseconds(100);
+
 // A watch is answered within this even when nothing changes.
 constexpr auto watch_wait = std::chrono::milliseconds(500);
 
@@ -47,6 +49,12 @@
         this->ask();
 }
 
+void store_reader::known_up_to(std::uint64_t as_of)
+{
+    if (this->after > 0)
+        this->after = std::max(this->after, as_of);
+}
+
 void store_reader::stop()
 {
     this->stopped = true;
@@ -150,9 +158,20 @@
         return;
     this->timer.expires_after(pause);
     this->timer.async_wait([this](relay::error_code fault) {
-        if (!fault && !this->asking)
+        if (fault || this->asking)
+            return;
+        if (this->rests())
+            this->again_after(rest_step);
+        else
             this->ask();
     });
 }
 
+// One that has failed goes on until it was answered: how long the store was
+// away decides what lapses mean.
+bool store_reader::rests() const
+{
+    return this->after > 0 && !this->failing() && this->events.may_rest();
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/store_reader.hpp
+++ b/src/greengagedrum/entry/store_reader.hpp
@@ -27,6 +27,8 @@
         news;
     std::function<void(const std::string& why)> failed;
     std::function<void()> answered;
+    // True while another entry reads for this one.
+    std::function<bool()> may_rest;
 };
 
 class store_reader
@@ -41,6 +43,12 @@
     // Ask now: what is known may be old.
     void hurry();
 
+    // A peer has passed all up to that revision.
+    void known_up_to(std::uint64_t as_of);
+
+    // The last call failed.
+    bool failing() const { return this->failures > 0; }
+
     void stop();
 
 private:
@@ -50,6 +58,7 @@
     void on_page(const relay::fetched& got);
     void on_watch(const relay::fetched& got);
     void again_after(base::duration pause);
+    bool rests() const;
     void failed(const std::string& why);
 
     relay::asio::steady_timer timer;
--- a/src/greengagedrum/entry/upkeep.cpp
+++ b/src/greengagedrum/entry/upkeep.cpp
@@ -102,6 +102,7 @@
 {
     const base::instant now = this->state.clock();
     this->state.known.store_answered(now);
+    this->peers->store_answered();
     if (this->store_away)
         logs::write(
             logs::level::info,
@@ -138,7 +139,7 @@
     this->ticked_at = now;
     this->apply(this->state.known.expire(now), "lapse");
     this->callers->tick();
-    this->peers->tick(now - this->store_answered_at);
+    this->peers->tick(this->store->failing());
     if (now - this->swept_at >= sweep_period) {
         this->swept_at = now;
         this->readiness->check_time(now);
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -194,7 +194,9 @@
     VT_WORKSPACE_USES = 24,
     VT_KNOWN = 26,
     VT_EVENT_GAPS_US = 28,
-    VT_WAITING_LEVELS = 30
+    VT_WAITING_LEVELS = 30,
+    VT_CHANGE_REVISION = 32,
+    VT_STORE_AGE_MS = 34
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -235,6 +237,12 @@
   const flatbuffers::Vector<const greengagedrum::gossip::wire::WaitingLevels *> *waiting_levels() const {
     return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::WaitingLevels *> *>(VT_WAITING_LEVELS);
   }
+  uint64_t change_revision() const {
+    return GetField<uint64_t>(VT_CHANGE_REVISION, 0);
+  }
+  uint32_t store_age_ms() const {
+    return GetField<uint32_t>(VT_STORE_AGE_MS, 3600000);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -257,6 +265,8 @@
            verifier.VerifyVector(event_gaps_us()) &&
            VerifyOffset(verifier, VT_WAITING_LEVELS) &&
            verifier.VerifyVector(waiting_levels()) &&
+           VerifyField<uint64_t>(verifier, VT_CHANGE_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STORE_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -304,6 +314,12 @@
   void add_waiting_levels(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::WaitingLevels *>> waiting_levels) {
     fbb_.AddOffset(Word::VT_WAITING_LEVELS, waiting_levels);
   }
+  void add_change_revision(uint64_t change_revision) {
+    fbb_.AddElement<uint64_t>(Word::VT_CHANGE_REVISION, change_revision, 0);
+  }
+  void add_store_age_ms(uint32_t store_age_ms) {
+    fbb_.AddElement<uint32_t>(Word::VT_STORE_AGE_MS, store_age_ms, 3600000);
+  }
   explicit WordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -329,12 +345,16 @@
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::WorkspaceUse *>> workspace_uses = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Known *>> known = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> event_gaps_us = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::WaitingLevels *>> waiting_levels = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::WaitingLevels *>> waiting_levels = 0,
+    uint64_t change_revision = 0,
+    uint32_t store_age_ms = 3600000) {
   WordBuilder builder_(_fbb);
+  builder_.add_change_revision(change_revision);
   builder_.add_store_revision(store_revision);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_store_age_ms(store_age_ms);
   builder_.add_waiting_levels(waiting_levels);
   builder_.add_event_gaps_us(event_gaps_us);
   builder_.add_known(known);
@@ -361,7 +381,9 @@
     const std::vector<greengagedrum::gossip::wire::WorkspaceUse> *workspace_uses = nullptr,
     const std::vector<greengagedrum::gossip::wire::Known> *known = nullptr,
     const std::vector<uint32_t> *event_gaps_us = nullptr,
-    const std::vector<greengagedrum::gossip::wire::WaitingLevels> *waiting_levels = nullptr) {
+    const std::vector<greengagedrum::gossip::wire::WaitingLevels> *waiting_levels = nullptr,
+    uint64_t change_revision = 0,
+    uint32_t store_age_ms = 3600000) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -383,7 +405,9 @@
       workspace_uses__,
       known__,
       event_gaps_us__,
-      waiting_levels__);
+      waiting_levels__,
+      change_revision,
+      store_age_ms);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/peer_table.cpp
+++ b/src/greengagedrum/gossip/peer_table.cpp
@@ -56,7 +56,7 @@
     one.heard_at = now;
     one.alive_told = true;
     one.stopping = told.stopping;
-    one.configuration_revision = told.configuration_revision;
+    one.change_revision = told.change_revision;
     one.store_revision = told.store_revision;
     for (const known_entry& named : told.known) {
         if (named.address != this->own && named.age < forgotten_after)
@@ -146,25 +146,33 @@
 std::optional<peer_table::source>
 peer_table::newest_source(base::instant now, std::uint64_t turn) const
 {
-    std::vector<source> best;
+    std::vector<source> known;
     for (const auto& [address, one] : this->peers) {
-        if (!is_alive(one, now) || one.store_revision == 0)
-            continue;
-        // Those that read the store themselves are within a second of each
-        // other; which of them is asked spreads by turn.
-        best.push_back(
-            {address, one.configuration_revision, one.store_revision});
+        if (is_alive(one, now) && one.store_revision > 0)
+            known.push_back(
+                {address, one.near, one.change_revision, one.store_revision});
     }
-    if (best.empty())
+    if (known.empty())
         return std::nullopt;
-    source chosen = best[turn % best.size()];
-    for (const source& one : best) {
-        const bool newer =
-            one.configuration_revision > chosen.configuration_revision;
-        if (newer)
-            chosen = one;
-    }
-    return chosen;
+    std::rotate(known.begin(),
+                known.begin() +
+                    static_cast<std::ptrdiff_t>(turn % known.size()),
+                known.end());
+    return *std::max_element(
+        known.begin(), known.end(), [](const source& one, const source& other) {
+            return std::pair(one.change_revision, one.near) <
+                   std::pair(other.change_revision, other.near);
+        });
+}
+
+bool peer_table::has_reader_nearby(base::instant now) const
+{
+    return std::any_of(
+        this->peers.begin(), this->peers.end(), [&](const auto& entry) {
+            const peer& one = entry.second;
+            return entry.first < this->own && one.near && !one.stopping &&
+                   is_alive(one, now);
+        });
 }
 
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/peer_table.hpp
+++ b/src/greengagedrum/gossip/peer_table.hpp
@@ -58,14 +58,19 @@
 
     struct source {
         ip_number address = 0;
-        std::uint64_t configuration_revision = 0;
+        bool near = false;
+        std::uint64_t change_revision = 0;
         std::uint64_t store_revision = 0;
     };
-    // The live peer with the newest word of the store; `turn` picks among
-    // equals.
+    // The live peer with the newest change known of the store's, of the own
+    // data centre if there is one; `turn` picks among equals.
     std::optional<source> newest_source(base::instant now,
                                         std::uint64_t turn) const;
 
+    // A live peer of the own data centre comes before this entry: it is to
+    // read the store for both.
+    bool has_reader_nearby(base::instant now) const;
+
 private:
     struct peer {
         std::string instance;
@@ -78,7 +83,7 @@
         bool seed = false;
         bool alive_told = false;
         bool stopping = false;
-        std::uint64_t configuration_revision = 0;
+        std::uint64_t change_revision = 0;
         std::uint64_t store_revision = 0;
     };
 
--- a/src/greengagedrum/gossip/test/gossip_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -50,6 +50,8 @@
     told.data_centre = "hall";
     told.stopping = true;
     told.configuration_revision = 5;
+    told.change_revision = 11;
+    told.store_age = 120ms;
     told.store_revision = 12;
     told.uses = {{base::upstream_id("i-1"), 3, 4000, 55ms}};
     told.waiting = {{base::class_id("models"), {1, 2, 3, 4}}};
@@ -63,6 +65,8 @@
     CHECK(read->data_centre == "hall");
     CHECK(read->stopping);
     CHECK(read->configuration_revision == 5);
+    CHECK(read->change_revision == 11);
+    CHECK(read->store_age == 120ms);
     CHECK(read->store_revision == 12);
     REQUIRE(read->uses.size() == 1);
     CHECK(read->uses[0].upstream == base::upstream_id("i-1"));
@@ -159,9 +163,9 @@
 TEST_CASE_FIXTURE(peers_fixture, "peer_with_the_newest_configuration_is_asked")
 {
     word old_one = word_from(seed, 1, 1);
-    old_one.configuration_revision = 4;
+    old_one.change_revision = 4;
     word new_one = word_from(other, 1, 1);
-    new_one.configuration_revision = 9;
+    new_one.change_revision = 9;
     this->table.heard(old_one, this->now);
     this->table.heard(new_one, this->now);
     for (std::uint64_t turn = 0; turn < 4; ++turn)
@@ -170,4 +174,28 @@
     CHECK_FALSE(this->table.newest_source(this->now, 0));
 }
 
+// One entry a data centre reads the store. It is stopped, or falls silent: the
+// next one takes over, without being told by anyone.
+TEST_CASE_FIXTURE(peers_fixture, "reader_nearby_is_the_first_live_entry")
+{
+    CHECK_FALSE(this->table.has_reader_nearby(this->now));
+    word first = word_from(own_address - 1, 1, 1);
+    first.data_centre = "elsewhere";
+    this->table.heard(first, this->now);
+    CHECK_FALSE(this->table.has_reader_nearby(this->now));
+    first.sequence = 2;
+    first.data_centre = "hall";
+    this->table.heard(first, this->now);
+    CHECK(this->table.has_reader_nearby(this->now));
+    first.sequence = 3;
+    first.stopping = true;
+    this->table.heard(first, this->now);
+    CHECK_FALSE(this->table.has_reader_nearby(this->now));
+    first.sequence = 4;
+    first.stopping = false;
+    this->table.heard(first, this->now);
+    this->now += 2s;
+    CHECK_FALSE(this->table.has_reader_nearby(this->now));
+}
+
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/word.cpp
+++ b/src/greengagedrum/gossip/word.cpp
@@ -115,7 +115,9 @@
                                        builder.CreateVectorOfStructs(spent),
                                        builder.CreateVectorOfStructs(known),
                                        builder.CreateVector(gaps),
-                                       builder.CreateVectorOfStructs(waiting));
+                                       builder.CreateVectorOfStructs(waiting),
+                                       told.change_revision,
+                                       milliseconds_of(told.store_age));
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -135,6 +137,8 @@
     out.stopping = root->stopping();
     out.configuration_revision = root->configuration_revision();
     out.store_revision = root->store_revision();
+    out.change_revision = root->change_revision();
+    out.store_age = std::chrono::milliseconds(root->store_age_ms());
     if (const auto* list = root->uses())
         out.uses = uses_of(*list, root->event_gaps_us());
     if (const auto* list = root->waiting_levels()) {
--- a/src/greengagedrum/gossip/word.hpp
+++ b/src/greengagedrum/gossip/word.hpp
@@ -33,6 +33,10 @@
     bool stopping = false;
     std::uint64_t configuration_revision = 0;
     std::uint64_t store_revision = 0; // as of which the upstreams are known
+    // Of the newest change known of configuration or upstreams; reports that
+    // change nothing move the store's revision on all the time.
+    std::uint64_t change_revision = 0;
+    base::duration store_age{0}; // since the store last answered the sender
     std::vector<traffic::upstream_use> uses;
     std::vector<traffic::service_waiting> waiting;
     std::vector<quota::workspace_use> workspace_uses;
--- a/src/greengagedrum/traffic/placing.cpp
+++ b/src/greengagedrum/traffic/placing.cpp
@@ -35,8 +35,8 @@
 }
 
 // How long what goes before it keeps the places that are this entry's to use
-// (its part of all, what its peers leave free beyond theirs, or what it holds),
-// or what its priority was given lately says, whichever is longer.
+// (its part of all, and what its peers leave free beyond theirs), or what its
+// priority was given lately says, whichever is longer.
 base::duration scheduler::wait_expected(const request& item) const
 {
     const auto line = this->lines.find(item.facts.service);
@@ -48,10 +48,7 @@
     const double all = this->pool.places(item.facts.service);
     const double part = all / static_cast<double>(this->entries);
     const double left = all - this->pool.foreign_places(item.facts.service);
-    // Callers are spread unevenly, and what it holds it fills again by itself.
-    const double held = this->pool.own_places(item.facts.service);
-    return duration_of(
-        std::max(ahead / std::max({1.0, part, left, held}), by_rate));
+    return duration_of(std::max(ahead / std::max({1.0, part, left}), by_rate));
 }
 
 // Refused at once, a caller can come back in time for a later place; refused
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -332,17 +332,6 @@
     return sum;
 }
 
-std::uint32_t upstream_pool::own_places(base::class_id service) const
-{
-    const auto found = this->services.find(service);
-    if (found == this->services.end())
-        return 0;
-    std::uint32_t sum = 0;
-    for (const base::upstream_id id : found->second.members)
-        sum += this->upstreams.at(id).own;
-    return sum;
-}
-
 std::vector<upstream_use> upstream_pool::own_uses(base::instant now) const
 {
     std::vector<upstream_use> out;
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -129,9 +129,8 @@
     // Requests that the service's sound upstreams run at once.
     std::uint32_t places(base::class_id service) const;
     std::uint32_t free_places(base::class_id service, base::instant now) const;
-    // Taken by peers, and by this entry.
+    // Taken by peers.
     std::uint32_t foreign_places(base::class_id service) const;
-    std::uint32_t own_places(base::class_id service) const;
     bool known(base::class_id service) const;
 
     // Seconds to the first event on a usual upstream with nothing before it.
