--- /dev/null
+++ b/src/greengagedrum/entry/settings.cpp
@@ -0,0 +1,48 @@
+#include <greengagedrum/entry/settings.hpp>
+
+#include <sstream>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+std::int64_t milliseconds_of(base::duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+void print(const bounds& given, std::ostream& out)
+{
+    out << "stop_ms = " << milliseconds_of(given.stop) << '\n'
+        << "configuration_ms = " << milliseconds_of(given.configuration) << '\n'
+        << "drain_ms = " << milliseconds_of(given.drain) << '\n'
+        << "retry_ratio = " << given.retry_ratio << '\n'
+        << "retry_window_ms = " << milliseconds_of(given.retry_window) << '\n'
+        << "retry_slack = " << given.retry_slack << '\n'
+        << "usage_window_ms = " << milliseconds_of(given.usage_window) << '\n'
+        << "usage_overshoot = " << given.usage_overshoot << '\n'
+        << "usage_slack = " << given.usage_slack << '\n';
+}
+
+} // namespace
+
+std::string to_text(const settings& given)
+{
+    std::ostringstream out;
+    out << "instance = " << given.instance << '\n'
+        << "data_centre = " << given.data_centre << '\n'
+        << "callers = " << base::to_string(given.callers) << '\n'
+        << "readiness = " << base::to_string(given.readiness) << '\n'
+        << "control = " << base::to_string(given.control) << '\n'
+        << "metrics = " << base::to_string(given.metrics) << '\n'
+        << "peer_port = " << given.peer_port << '\n'
+        << "store = " << base::to_string(given.store) << '\n';
+    for (const base::ip_endpoint& seed : given.seeds)
+        out << "seed = " << base::to_string(seed) << '\n';
+    print(given.bounds, out);
+    return out.str();
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/settings.hpp
+++ b/src/greengagedrum/entry/settings.hpp
@@ -38,4 +38,7 @@
     entry::bounds bounds;
 };
 
+// A "name = value" a line, as --print-settings shows it.
+std::string to_text(const settings& given);
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/platform/settings_file.cpp
+++ b/src/greengagedrum/platform/settings_file.cpp
@@ -140,7 +140,6 @@
     out.callers = from.endpoint("listen.frontend");
     out.readiness = from.endpoint("listen.readiness");
     out.control = from.endpoint("listen.controlPlane");
-    out.metrics = {out.ip, metrics_port};
     out.peer_port = from.first_port("internalPortRange");
     out.seeds = from.endpoints("seedNodes");
     out.store = from.endpoint("platform.address");
--- a/src/greengagedrum/platform/settings_file.hpp
+++ b/src/greengagedrum/platform/settings_file.hpp
@@ -5,7 +5,6 @@
 
 #include <tl/expected.hpp>
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,10 +17,6 @@
 inline constexpr const char* default_settings_path =
     "/etc/greengagedrum/node.toml";
 
-// Where metrics are served, as the deploy file says: the settings name no
-// address for them.
-inline constexpr std::uint16_t metrics_port = 9464;
-
 // All faults at once, each with the name of its field; unknown fields are
 // ignored, since the platform may add some.
 using settings_faults = std::vector<std::string>;
--- a/src/programs/greengagedrum_entry.cpp
+++ b/src/programs/greengagedrum_entry.cpp
@@ -1,8 +1,11 @@
-// The entry on the users' instances, driven by the platform's settings file.
+// The entry on the users' instances: what the instance is comes from the
+// platform's settings file, how the program behaves from flags and variables.
 #include <greengagedrum/entry/entry.hpp>
 #include <greengagedrum/logs/output.hpp>
 #include <greengagedrum/logs/write.hpp>
 #include <greengagedrum/platform/settings_file.hpp>
+#include <greengagedrum/settings/entry_options.hpp>
+#include <greengagedrum/settings/help.hpp>
 
 #include <unistd.h>
 
@@ -22,8 +25,11 @@
 
 constexpr int exit_usage = 2;
 
-std::string settings_path()
+// Ours goes before the platform's variable.
+std::string settings_path(const settings::entry_options& options)
 {
+    if (options.settings_file)
+        return *options.settings_file;
     const char* named = std::getenv(platform::settings_variable);
     return named == nullptr ? platform::default_settings_path : named;
 }
@@ -35,12 +41,20 @@
             std::istreambuf_iterator<char>()};
 }
 
+// The settings file names no address for metrics.
+entry::settings with_metrics(entry::settings given, std::uint16_t port)
+{
+    given.metrics = {given.ip, port};
+    return given;
+}
+
 // The platform may change the file without a signal.
 class settings_watch
 {
 public:
-    explicit settings_watch(std::string path)
-        : path(std::move(path)), seen(text_of(this->path))
+    settings_watch(std::string path, std::uint16_t metrics_port)
+        : path(std::move(path)), seen(text_of(this->path)),
+          metrics_port(metrics_port)
     {
     }
 
@@ -52,7 +66,7 @@
         this->seen = std::move(text);
         const auto read = platform::read_settings(this->seen);
         if (read)
-            return *read;
+            return with_metrics(*read, this->metrics_port);
         for (const std::string& fault : read.error())
             logs::write(logs::level::error,
                         "settings",
@@ -64,12 +78,15 @@
 private:
     std::string path;
     std::string seen;
+    std::uint16_t metrics_port;
 };
 
-int serve(const entry::settings& given, const std::string& path)
+int serve(const entry::settings& given,
+          const std::string& path,
+          const settings::entry_options& options)
 {
-    const logs::output lines(logs::level::info, STDOUT_FILENO);
-    settings_watch watch(path);
+    const logs::output lines(options.log_level, STDOUT_FILENO);
+    settings_watch watch(path, options.metrics_port);
     try {
         entry::entry self(given, [&watch] { return watch.read_again(); });
         self.run();
@@ -83,16 +100,47 @@
     }
 }
 
+int report(const std::vector<std::string>& faults)
+{
+    for (const std::string& fault : faults)
+        std::cerr << "greengagedrum-entry: " << fault << '\n';
+    return exit_usage;
+}
+
+// With --check and --print-settings the file counts as well.
+int run(const settings::entry_start& start)
+{
+    using settings::command;
+    const command wanted = start.parsed.wanted;
+    const bool file_counts =
+        wanted != command::help && wanted != command::version;
+    const std::string path = settings_path(start.values);
+    const auto given = platform::read_settings_file(path);
+    if (file_counts && !given)
+        return report(given.error());
+    if (const auto code = settings::answer_command(
+            settings::entry_table(), start.parsed, std::cout)) {
+        if (wanted == command::print_settings)
+            std::cout << entry::to_text(
+                with_metrics(*given, start.values.metrics_port));
+        return *code;
+    }
+    return serve(
+        with_metrics(*given, start.values.metrics_port), path, start.values);
+}
+
 } // namespace
 
-int main()
+int main(int argc, char** argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    const std::string path = settings_path();
-    const auto given = platform::read_settings_file(path);
-    if (given)
-        return serve(*given, path);
-    for (const std::string& fault : given.error())
-        std::cerr << "greengagedrum-entry: " << fault << '\n';
-    return exit_usage;
+    const auto arguments = settings::program_arguments(argc, argv);
+    const auto start =
+        settings::parse_entry(arguments, settings::process_environment);
+    if (start)
+        return run(*start);
+    std::vector<std::string> faults;
+    for (const settings::setting_fault& fault : start.error())
+        faults.push_back(settings::to_string(fault));
+    return report(faults);
 }
