--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -43,6 +43,20 @@
         this->peer.set_limits(config, this->now);
     }
 
+    // Of a process that starts now, under the usual limit.
+    usage_limiter fresh_limiter(const tolerance& allowed) const
+    {
+        usage_limiter out(this->now);
+        out.set_tolerance(allowed);
+        routing::configuration config;
+        routing::workspace one;
+        one.id = planning;
+        one.limit = {rate, burst, true, 0};
+        config.workspaces.push_back(one);
+        out.set_limits(config, this->now);
+        return out;
+    }
+
     bool take(usage_limiter& from, double cost)
     {
         return !from.take(planning, cost, this->now);
@@ -163,14 +177,7 @@
     CHECK(this->take(this->own, rate * window_seconds + burst + 0.25 * slack));
     CHECK_FALSE(this->take(this->own, 1));
 
-    usage_limiter fresh(this->now);
-    fresh.set_tolerance({8s, 0, slack});
-    routing::configuration config;
-    routing::workspace one;
-    one.id = planning;
-    one.limit = {rate, burst, true, 0};
-    config.workspaces.push_back(one);
-    fresh.set_limits(config, this->now);
+    usage_limiter fresh = this->fresh_limiter({8s, 0, slack});
     CHECK(this->take(fresh, burst));
     CHECK_FALSE(this->take(fresh, 1));
 }
@@ -179,14 +186,7 @@
 // their start, hours ago. None of it belongs into the window.
 TEST_CASE_FIXTURE(limiter_fixture, "history_of_peers_is_no_use_of_now")
 {
-    usage_limiter fresh(this->now);
-    fresh.set_tolerance({8s, 0, 0});
-    routing::configuration config;
-    routing::workspace one;
-    one.id = planning;
-    one.limit = {rate, burst, true, 0};
-    config.workspaces.push_back(one);
-    fresh.set_limits(config, this->now);
+    usage_limiter fresh = this->fresh_limiter({8s, 0, 0});
     const workspace_use long_ago[] = {{planning, 5'000'000}};
     fresh.peer_told(
         base::slot_id("peer"), base::incarnation{2}, long_ago, this->now);
@@ -198,14 +198,7 @@
 // the whole window given anew, it would have its limit twice.
 TEST_CASE_FIXTURE(limiter_fixture, "fresh_process_gives_no_second_window")
 {
-    usage_limiter fresh(this->now);
-    fresh.set_tolerance({8s, 0, 0});
-    routing::configuration config;
-    routing::workspace one;
-    one.id = planning;
-    one.limit = {rate, burst, true, 0};
-    config.workspaces.push_back(one);
-    fresh.set_limits(config, this->now);
+    usage_limiter fresh = this->fresh_limiter({8s, 0, 0});
     double let = 0;
     for (int step = 0; step < 400; ++step) {
         this->now += 20ms;
