Gossip: a word owed far away delays none nearby

Cause, found by reading the change: one timer served both audiences, set for whichever word was owed when it was armed; a place taken while the next word to other data centres was owed in up to 200 ms was told nearby only then. When to tell whom is a class of its own now, without clock or sockets; its test fails when the nearby word waits for the far one.

--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -9,21 +9,6 @@
 namespace
 {
 
-// Words are told at changes, but no closer than this among few entries: a
-// place taken is known everywhere within 10 ms and a datagram's way. Among
-// more in a data centre the gap grows with their number, so that what one entry
-// sends them stays bounded by 1,000 datagrams a second.
-constexpr base::duration gap_among_few = std::chrono::milliseconds(10);
-constexpr std::size_t few = 10;
-
-// Other data centres' upstreams are the second choice, so words to there may
-// be older; with the square of the number of entries, up to the most that
-// limits and the liveness of peers allow.
-constexpr base::duration far_gap_most = std::chrono::milliseconds(200);
-
-// Without a change, as a sign of life.
-constexpr base::duration quiet_gap = std::chrono::milliseconds(200);
-
 // A reader's watch and the pause after it take up to 900 ms, its word up to
 // 200 ms more. When the newest answer that any peer had is older, nobody may be
 // reading. What changed meanwhile is then in force within 1.5 s.
@@ -169,51 +154,27 @@
 
 // ---- Telling --------------------------------------------------------------
 
-base::duration peer_link::gap_to(gossip::audience who) const
-{
-    const base::instant now = this->state.clock();
-    if (who == gossip::audience::own_data_centre) {
-        const std::size_t near = std::max(few, this->table.alive_near(now));
-        return gap_among_few * static_cast<std::int64_t>(near) /
-               static_cast<std::int64_t>(few);
-    }
-    const std::size_t all = std::max(few, this->alive());
-    const base::duration grown = gap_among_few *
-                                 static_cast<std::int64_t>(all * all) /
-                                 static_cast<std::int64_t>(few * few);
-    return std::min(grown, far_gap_most);
-}
-
 void peer_link::tell_soon()
 {
-    this->near.due = true;
-    this->far.due = true;
-    this->schedule();
+    this->schedule.changed();
+    this->tell_due();
+    this->set_timer();
 }
 
-void peer_link::schedule()
+// A word that is owed sooner than the one that the timer is set for moves it.
+void peer_link::set_timer()
 {
-    if (this->timer_set)
-        return;
-    this->tell_due();
-    const base::instant now = this->state.clock();
-    std::optional<base::duration> wait;
-    const auto await = [&](const telling& state, gossip::audience who) {
-        if (!state.due)
-            return;
-        const base::duration left = state.told_at + this->gap_to(who) - now;
-        wait = wait ? std::min(*wait, left) : left;
-    };
-    await(this->near, gossip::audience::own_data_centre);
-    await(this->far, gossip::audience::others);
-    if (!wait)
+    const auto next = this->schedule.next();
+    if (!next || (this->wakes_at && *this->wakes_at <= *next))
         return;
-    this->timer_set = true;
-    this->timer.expires_after(*wait);
+    this->wakes_at = next;
+    this->timer.expires_after(*next - this->state.clock());
     this->timer.async_wait([this](relay::error_code fault) {
-        this->timer_set = false;
-        if (!fault)
-            this->schedule();
+        if (fault)
+            return;
+        this->wakes_at.reset();
+        this->tell_due();
+        this->set_timer();
     });
 }
 
@@ -241,19 +202,17 @@
 void peer_link::tell_due()
 {
     const base::instant now = this->state.clock();
-    const auto ripe = [&](const telling& state, gossip::audience who) {
-        return state.due && now - state.told_at >= this->gap_to(who);
-    };
-    if (ripe(this->near, gossip::audience::own_data_centre))
-        this->tell(gossip::audience::own_data_centre, this->near);
-    if (ripe(this->far, gossip::audience::others))
-        this->tell(gossip::audience::others, this->far);
+    for (const gossip::audience who :
+         {gossip::audience::own_data_centre, gossip::audience::others}) {
+        if (this->schedule.is_due(who, now))
+            this->tell(who);
+    }
 }
 
-void peer_link::tell(gossip::audience who, telling& state)
+void peer_link::tell(gossip::audience who)
 {
     const base::instant now = this->state.clock();
-    state = {false, now};
+    this->schedule.told(who, now);
     const std::vector<gossip::ip_number> to_tell =
         this->table.to_tell(who, now);
     if (to_tell.empty())
@@ -273,17 +232,15 @@
 void peer_link::tick(bool store_fails)
 {
     const base::instant now = this->state.clock();
-    if (now - this->near.told_at >= quiet_gap)
-        this->tell(gossip::audience::own_data_centre, this->near);
-    if (now - this->far.told_at >= quiet_gap)
-        this->tell(gossip::audience::others, this->far);
+    this->schedule.set_peers(this->table.alive_near(now), this->alive());
+    this->tell_due();
     for (const std::string& peer : this->table.fallen_silent(now)) {
         this->state.log.write(now, "peers", "peer_silent", {{"peer", peer}});
         this->state.scheduler.peer_lost(base::slot_id(peer));
     }
     this->state.scheduler.set_entries(this->table.alive_lately(now) + 1);
     this->state.scheduler.set_word_gap(
-        this->gap_to(gossip::audience::own_data_centre));
+        this->schedule.gap(gossip::audience::own_data_centre));
     this->state.limiter.assume_silent_peers(now);
     const auto newest = this->table.newest_source(now, this->turn);
     const bool changed =
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -8,12 +8,14 @@
 #include <greengagedrum/entry/front.hpp>
 #include <greengagedrum/entry/settings.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
+#include <greengagedrum/gossip/word_schedule.hpp>
 #include <greengagedrum/relay/http_get.hpp>
 #include <greengagedrum/relay/small_server.hpp>
 
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace greengagedrum::entry
@@ -55,17 +57,10 @@
 private:
     void receive();
     void on_word(std::string_view bytes);
-    // What one audience is owed.
-    struct telling {
-        bool due = false;
-        base::instant told_at;
-    };
-
     void tell_due();
-    void tell(gossip::audience who, telling& state);
-    void schedule();
+    void tell(gossip::audience who);
+    void set_timer();
     gossip::word own_word();
-    base::duration gap_to(gossip::audience who) const;
     void ask_peer(base::instant now);
 
     relay::asio::io_context& context;
@@ -80,13 +75,12 @@
     peer_events events;
     gossip::peer_table table;
     std::uint64_t sequence = 0;
-    telling near;
-    telling far;
+    gossip::word_schedule schedule;
+    std::optional<base::instant> wakes_at; // by the timer
     base::instant asked_at;
     base::instant own_read_at;  // the store's last answer, to this entry
     base::instant peer_read_at; // the same of its peers, the newest
     std::uint64_t turn = 0;
-    bool timer_set = false;
     bool asking = false;
 };
 
--- /dev/null
+++ b/src/greengagedrum/gossip/test/word_schedule_test.cpp
@@ -0,0 +1,64 @@
+// How soon a place that was taken is known elsewhere.
+#include <greengagedrum/gossip/word_schedule.hpp>
+
+#include <doctest/doctest.h>
+
+namespace greengagedrum::gossip
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr audience near = audience::own_data_centre;
+constexpr audience far = audience::others;
+
+struct schedule_fixture {
+    base::instant now{1h};
+    word_schedule tested;
+
+    schedule_fixture()
+    {
+        this->tested.told(near, this->now);
+        this->tested.told(far, this->now);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(schedule_fixture, "few_entries_are_all_told_alike")
+{
+    this->tested.set_peers(1, 7);
+    this->tested.changed();
+    CHECK_FALSE(this->tested.is_due(far, this->now + 9ms));
+    CHECK(this->tested.is_due(near, this->now + 10ms));
+    CHECK(this->tested.is_due(far, this->now + 10ms));
+}
+
+// Eighty entries. A place is taken while a word to other data centres is owed
+// in 150 ms: the own data centre hears of it in its 20 ms all the same, or
+// twenty entries meet on that place.
+TEST_CASE_FIXTURE(schedule_fixture, "word_owed_far_away_delays_none_nearby")
+{
+    this->tested.set_peers(19, 79);
+    this->now += 30ms;
+    this->tested.changed();
+    this->tested.told(near, this->now);
+    CHECK(*this->tested.next() == base::instant(1h + 200ms)); // the far one
+    this->now += 5ms;
+    this->tested.changed();
+    CHECK(*this->tested.next() == this->now + 14ms);
+    CHECK(this->tested.is_due(near, this->now + 14ms));
+    CHECK_FALSE(this->tested.is_due(far, this->now + 14ms));
+}
+
+TEST_CASE_FIXTURE(schedule_fixture, "quiet_entry_gives_a_sign_of_life")
+{
+    CHECK_FALSE(this->tested.next());
+    CHECK_FALSE(this->tested.is_due(near, this->now + 199ms));
+    CHECK(this->tested.is_due(near, this->now + 200ms));
+    CHECK(this->tested.is_due(far, this->now + 200ms));
+}
+
+} // namespace greengagedrum::gossip
--- /dev/null
+++ b/src/greengagedrum/gossip/word_schedule.cpp
@@ -0,0 +1,79 @@
+#include <greengagedrum/gossip/word_schedule.hpp>
+
+#include <algorithm>
+
+namespace greengagedrum::gossip
+{
+
+namespace
+{
+
+// A place taken is known everywhere within 10 ms and a datagram's way. Among
+// more entries in a data centre the gap grows with their number, so that what
+// one entry sends them stays bounded by 1,000 datagrams a second.
+constexpr base::duration gap_among_few = std::chrono::milliseconds(10);
+constexpr std::size_t few = 10;
+
+// Other data centres' upstreams are the second choice, so words to there may
+// be older; with the square of the number of entries, up to the most that
+// limits and the liveness of peers allow.
+constexpr base::duration far_gap_most = std::chrono::milliseconds(200);
+
+// Without a change, as a sign of life.
+constexpr base::duration quiet_gap = std::chrono::milliseconds(200);
+
+} // namespace
+
+void word_schedule::set_peers(std::size_t near_peers, std::size_t all_peers)
+{
+    const auto close = static_cast<std::int64_t>(std::max(few, near_peers));
+    const auto all = static_cast<std::int64_t>(std::max(few, all_peers));
+    constexpr auto least = static_cast<std::int64_t>(few);
+    this->near.gap = gap_among_few * close / least;
+    this->far.gap =
+        std::min(gap_among_few * (all * all) / (least * least), far_gap_most);
+}
+
+const word_schedule::telling& word_schedule::of(audience who) const
+{
+    return who == audience::own_data_centre ? this->near : this->far;
+}
+
+base::duration word_schedule::gap(audience who) const
+{
+    return this->of(who).gap;
+}
+
+void word_schedule::changed()
+{
+    this->near.has_news = true;
+    this->far.has_news = true;
+}
+
+void word_schedule::told(audience who, base::instant now)
+{
+    telling& state = who == audience::own_data_centre ? this->near : this->far;
+    state.has_news = false;
+    state.told_at = now;
+}
+
+bool word_schedule::is_due(audience who, base::instant now) const
+{
+    const telling& state = this->of(who);
+    const base::duration passed = now - state.told_at;
+    return passed >= quiet_gap || (state.has_news && passed >= state.gap);
+}
+
+std::optional<base::instant> word_schedule::next() const
+{
+    std::optional<base::instant> first;
+    for (const telling* one : {&this->near, &this->far}) {
+        if (!one->has_news)
+            continue;
+        const base::instant due = one->told_at + one->gap;
+        first = first ? std::min(*first, due) : due;
+    }
+    return first;
+}
+
+} // namespace greengagedrum::gossip
--- a/src/greengagedrum/traffic/choice.cpp
+++ b/src/greengagedrum/traffic/choice.cpp
@@ -37,11 +37,15 @@
 // as it has places.
 constexpr std::uint64_t far_users = 8;
 
+// With fewer sound upstreams than this in the own data centre, any will do: a
+// small service, or one of which the own data centre has lost its part.
+constexpr std::size_t nearby_enough = 8;
+
 // Against one of the own data centre, of which more is known.
 constexpr double far_weight = 0.02;
 
-// What one place has to offer a request.
-struct merit {
+// How good a place is for one request.
+struct rating {
     bool probe = false;
     suitability suits = suitability::disturbs;
     double finish = 0; // seconds
@@ -60,7 +64,7 @@
     return "unknown";
 }
 
-bool goes_before(const merit& one, const merit& other)
+bool goes_before(const rating& one, const rating& other)
 {
     if (one.probe != other.probe)
         return one.probe;
@@ -137,7 +141,7 @@
     const upstream* one = nullptr;
     std::uint32_t open = 0;
     double expected = 0;
-    merit worth;
+    rating rated;
 };
 
 struct upstream_pool::offers {
@@ -189,7 +193,7 @@
     offers out;
     // When every upstream fails some requests, suspicion tells nothing apart.
     const bool any_will_do = this->all_suspected(all);
-    const bool enough_nearby = this->sound_nearby(all) >= far_users;
+    const bool enough_nearby = this->sound_nearby(all) >= nearby_enough;
     const lost_shares lost = this->lost_by_place(all);
     for (const base::upstream_id id : all.members) {
         const upstream& one = this->upstreams.at(id);
@@ -221,21 +225,24 @@
     return out;
 }
 
-// The best one, or among many entries one that is about as good, by lot.
+// The best one, or among many entries one that is about as good, by lot:
+// weighted by its open places, near ones far before others.
 const upstream_pool::candidate* upstream_pool::pick(const offers& from,
                                                     std::uint64_t draw) const
 {
-    const auto best = std::min_element(
-        from.open.begin(), from.open.end(), [](const auto& one, const auto& b) {
-            return goes_before(one.worth, b.worth);
-        });
+    const auto best =
+        std::min_element(from.open.begin(),
+                         from.open.end(),
+                         [](const auto& one, const auto& other) {
+                             return goes_before(one.rated, other.rated);
+                         });
     if (best == from.open.end())
         return nullptr;
-    if (this->alike <= 0 || best->worth.probe)
+    if (this->alike <= 0 || best->rated.probe)
         return &*best;
     const auto weight = [&](const candidate& one) {
-        if (one.worth.suits != best->worth.suits || one.worth.probe ||
-            one.worth.finish > best->worth.finish * (1 + this->alike))
+        if (one.rated.suits != best->rated.suits || one.rated.probe ||
+            one.rated.finish > best->rated.finish * (1 + this->alike))
             return 0.0;
         return one.open * (this->is_near(*one.one) ? 1 : far_weight);
     };
@@ -272,9 +279,9 @@
     placing out;
     out.upstream = chosen->id;
     out.expected = chosen->expected;
-    out.finish = chosen->worth.finish;
-    out.probe = chosen->worth.probe;
-    out.suits = chosen->worth.suits;
+    out.finish = chosen->rated.finish;
+    out.probe = chosen->rated.probe;
+    out.suits = chosen->rated.suits;
     out.best_full = offered.best_full;
     out.why = {{},
                one.own,
@@ -284,7 +291,7 @@
                placement::duration_of(chosen->expected),
                placement::duration_of(
                    this->gap_expected(one, all, asked.prompt_tokens, now)),
-               to_string(chosen->worth.suits)};
+               to_string(chosen->rated.suits)};
     return out;
 }
 
