--- a/src/greengagedrum/relay/message_reader.cpp
+++ b/src/greengagedrum/relay/message_reader.cpp
@@ -87,35 +87,23 @@
     return {};
 }
 
-} // namespace
-
-// ---- Requests -------------------------------------------------------------
-
-class request_reader::parser : public http::basic_parser<true>
+// What both kinds of message have in common: headers and a body.
+template <bool is_request, class Head>
+class collecting_parser : public http::basic_parser<is_request>
 {
 public:
-    parser()
+    Head head;
+    std::string body;
+
+protected:
+    explicit collecting_parser(std::uint32_t head_bytes_most)
     {
         this->eager(false);
-        this->header_limit(std::numeric_limits<std::uint32_t>::max());
+        this->header_limit(head_bytes_most);
         this->body_limit(std::numeric_limits<std::uint64_t>::max() / 2);
     }
 
-    request_head head;
-    std::string body;
-
 private:
-    void on_request_impl(http::verb,
-                         string_view method,
-                         string_view target,
-                         int version,
-                         error_code&) override
-    {
-        this->head.method = plain(method);
-        this->head.target = plain(target);
-        this->head.version = static_cast<unsigned>(version);
-    }
-    void on_response_impl(int, string_view, int, error_code&) override {}
     // Fields after the head are trailers, which are not passed on.
     void on_field_impl(http::field,
                        string_view name,
@@ -148,6 +136,29 @@
     void on_finish_impl(error_code&) override {}
 };
 
+} // namespace
+
+// ---- Requests -------------------------------------------------------------
+
+class request_reader::parser : public collecting_parser<true, request_head>
+{
+public:
+    parser() : collecting_parser(std::numeric_limits<std::uint32_t>::max()) {}
+
+private:
+    void on_request_impl(http::verb,
+                         string_view method,
+                         string_view target,
+                         int version,
+                         error_code&) override
+    {
+        this->head.method = plain(method);
+        this->head.target = plain(target);
+        this->head.version = static_cast<unsigned>(version);
+    }
+    void on_response_impl(int, string_view, int, error_code&) override {}
+};
+
 request_reader::request_reader(const read_bounds& bounds)
     : bounds(bounds), inner(std::make_unique<parser>())
 {
@@ -250,20 +261,14 @@
 
 // ---- Answers --------------------------------------------------------------
 
-class answer_reader::parser : public http::basic_parser<false>
+class answer_reader::parser : public collecting_parser<false, answer_head>
 {
 public:
-    explicit parser(bool to_head)
+    explicit parser(bool to_head) : collecting_parser(answer_head_most)
     {
-        this->eager(false);
-        this->header_limit(answer_head_most);
-        this->body_limit(std::numeric_limits<std::uint64_t>::max() / 2);
         this->skip(to_head);
     }
 
-    answer_head head;
-    std::string body;
-
 private:
     void on_request_impl(
         http::verb, string_view, string_view, int, error_code&) override
@@ -278,35 +283,6 @@
         this->head.reason = plain(reason);
         this->head.version = static_cast<unsigned>(version);
     }
-    void on_field_impl(http::field,
-                       string_view name,
-                       string_view value,
-                       error_code&) override
-    {
-        if (!this->is_header_done())
-            this->head.headers.push_back(
-                {std::string(plain(name)), std::string(plain(value))});
-    }
-    void on_header_impl(error_code&) override {}
-    void on_body_init_impl(const boost::optional<std::uint64_t>&,
-                           error_code&) override
-    {
-    }
-    std::size_t on_body_impl(string_view bytes, error_code&) override
-    {
-        this->body.append(bytes.data(), bytes.size());
-        return bytes.size();
-    }
-    void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override
-    {
-    }
-    std::size_t
-    on_chunk_body_impl(std::uint64_t, string_view bytes, error_code&) override
-    {
-        this->body.append(bytes.data(), bytes.size());
-        return bytes.size();
-    }
-    void on_finish_impl(error_code&) override {}
 };
 
 answer_reader::answer_reader(bool to_head) : to_head(to_head)
