Entry: a refusal that bears another request's id is no promise

Cause: an upstream's "not run" was believed whatever request it named; the request could then be sent a second time. Test first: refusal_of_another_request_is_no_promise. Parts of a listing of the store have a callback of their own, so that only whole news end a pause.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -86,6 +86,11 @@
                              bool whole) {
         this->on_news(items, as_of, whole, "store");
     };
+    store_told.part = [this](const routing::item_list& items) {
+        this->apply(
+            this->state.known.learn(items, 0, false, this->state.clock()),
+            "store");
+    };
     store_told.failed = [this](const std::string& why) {
         this->on_store_failed(why);
     };
--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -208,7 +208,11 @@
         platform::read_answer_marks(this->answer);
     const bool misdirected =
         this->answer.status == platform::misdirected_status;
-    if (misdirected || marks.not_run) {
+    // Failure guarded against: an answer that bears another request's id says
+    // "not run" of that one; believed, this one would be sent a second time.
+    const bool of_another =
+        !marks.attempt.empty() && marks.attempt != this->origin.marks.attempt;
+    if ((misdirected || marks.not_run) && !of_another) {
         this->report(misdirected ? "another upstream answers there"
                                  : "turned away");
         this->events.told(
--- a/src/greengagedrum/entry/store_reader.cpp
+++ b/src/greengagedrum/entry/store_reader.cpp
@@ -116,7 +116,7 @@
 {
     if (items.empty() || items.back().key <= this->last_key)
         return this->failed("pages that don't go on");
-    this->events.news(items, 0, false);
+    this->events.part(items);
     this->last_key = items.back().key;
     for (routing::published_item& one : items)
         this->pages.push_back(std::move(one));
--- a/src/greengagedrum/entry/store_reader.hpp
+++ b/src/greengagedrum/entry/store_reader.hpp
@@ -25,6 +25,9 @@
     std::function<void(
         const routing::item_list& items, std::uint64_t as_of, bool whole)>
         news;
+    // Some of all items, before the rest of them has come: true of them, and no
+    // sign that anything else is known.
+    std::function<void(const routing::item_list& items)> part;
     std::function<void(const std::string& why)> failed;
     std::function<void()> answered;
     // True while another entry reads for this one.
--- a/src/greengagedrum/entry/test/beliefs_test.cpp
+++ b/src/greengagedrum/entry/test/beliefs_test.cpp
@@ -125,6 +125,17 @@
     CHECK(this->news({upstream_item("i-2", 9)}, 9).joined.empty());
 }
 
+// Upstreams come and go for weeks, and another writer's keys are never the
+// same. What peers are still told of those that are gone has an end.
+TEST_CASE_FIXTURE(beliefs_fixture, "removed_and_unreadable_items_are_bounded")
+{
+    for (std::uint64_t one = 1; one <= 10'000; ++one) {
+        const std::string key = "servers/x-" + std::to_string(one);
+        this->news({{key, "", one, one % 2 == 0}}, one);
+    }
+    CHECK(this->known.items_since(1).items.size() < 5'000);
+}
+
 TEST_CASE_FIXTURE(beliefs_fixture,
                   "entry_without_birth_read_first_is_dropped_later")
 {
--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -44,7 +44,7 @@
             {"service", "models"}};
 }
 
-json configuration()
+json configuration(double limit_per_second)
 {
     json resumable = route("/stream/", "streaming");
     resumable["streamResume"] = true;
@@ -56,10 +56,15 @@
             {"services", {{{"name", "models"}}}},
             {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 65536}}},
             {"tenants",
-             {{{"name", "gate"}, {"apiKeys", {"key-1"}}, {"ratePerS", 0}}}}};
+             {{{"name", "gate"},
+               {"apiKeys", {"key-1"}},
+               {"unit", "tokens"},
+               {"uncachedTokens", 200},
+               {"ratePerS", limit_per_second},
+               {"burst", limit_per_second}}}}};
 }
 
-settings settings_for(int store_port)
+settings settings_for(int store_port, const entry_options& wanted)
 {
     settings out;
     out.instance = "entry-1";
@@ -68,6 +73,8 @@
     out.callers = out.readiness = out.control = out.metrics = {"127.0.0.1", 0};
     out.store = {"127.0.0.1", static_cast<std::uint16_t>(store_port)};
     out.bounds.stop = 1s;
+    out.peer_port = wanted.peer_port;
+    out.seeds = wanted.seeds;
     return out;
 }
 
@@ -100,7 +107,7 @@
     this->stop();
 }
 
-entry_fixture::entry_fixture()
+entry_fixture::entry_fixture(const entry_options& wanted)
 {
     const auto take = [this](const httplib::Request& asked,
                              httplib::Response& given) {
@@ -116,10 +123,10 @@
     this->engine.server.Post(".*", take);
     this->engine.server.Get(".*", take);
     this->engine.start();
-    this->publish();
+    this->publish(wanted.limit_per_second);
     this->store.start();
-    this->tested = std::make_unique<entry>(settings_for(this->store.port),
-                                           [] { return std::nullopt; });
+    this->tested = std::make_unique<entry>(
+        settings_for(this->store.port, wanted), [] { return std::nullopt; });
     this->thread = std::thread([this] { this->tested->run(); });
     this->wait_until_configured();
     const std::lock_guard lock(this->mutex);
@@ -140,11 +147,11 @@
     this->upstream = std::move(what);
 }
 
-void entry_fixture::publish()
+void entry_fixture::publish(double limit_per_second)
 {
     const std::string page = json{
         {"entries",
-         {item("op/config", configuration(), 1),
+         {item("op/config", configuration(limit_per_second), 1),
           item("servers/i-1",
                {{"service", "models"},
                 {"address", "127.0.0.1:" + std::to_string(this->engine.port)},
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -37,10 +37,17 @@
     std::thread thread;
 };
 
+// What a test may want of the entry beside the usual.
+struct entry_options {
+    double limit_per_second = 0; // of the workspace, in tokens; 0: none
+    std::uint16_t peer_port = 0; // 0: any
+    std::vector<base::ip_endpoint> seeds{};
+};
+
 class entry_fixture
 {
 public:
-    entry_fixture();
+    explicit entry_fixture(const entry_options& wanted = {});
     ~entry_fixture();
     entry_fixture(const entry_fixture&) = delete;
     entry_fixture& operator=(const entry_fixture&) = delete;
@@ -67,7 +74,7 @@
     std::unique_ptr<entry> tested;
 
 private:
-    void publish();
+    void publish(double limit_per_second);
     void wait_until_configured() const;
 
     // Before the stand-ins, whose threads use them. Handlers take the mutex
--- a/src/greengagedrum/entry/test/entry_test.cpp
+++ b/src/greengagedrum/entry/test/entry_test.cpp
@@ -135,6 +135,26 @@
     CHECK_FALSE(got->has_header("X-Not-Executed"));
 }
 
+// An upstream answers with another request's refusal, which says that it did
+// not run that one. What it did with this one nobody knows: the caller must not
+// be told that it may ask again.
+TEST_CASE_FIXTURE(entry_fixture, "refusal_of_another_request_is_no_promise")
+{
+    for (const int status : {503, 421}) {
+        this->answer_with(
+            [status](const httplib::Request&, httplib::Response& given) {
+                given.status = status;
+                given.set_header("X-Attempt-Id", "a-0");
+                given.set_header("X-Not-Executed", "1");
+            });
+        auto asked = this->client();
+        const auto got = asked.Post("/once/", headers(), "", "text/plain");
+        REQUIRE(got);
+        CHECK(got->status == 502);
+    }
+    CHECK(this->received().size() == 2);
+}
+
 TEST_CASE_FIXTURE(entry_fixture, "upstreams_own_failure_is_passed_unchanged")
 {
     this->answer_with(
--- /dev/null
+++ b/src/greengagedrum/entry/test/limit_test.cpp
@@ -0,0 +1,118 @@
+// What an entry tells its peers of a workspace's limit, request by request.
+#include <greengagedrum/entry/test/entry_fixture.hpp>
+#include <greengagedrum/gossip/word.hpp>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t plain_cost = 200; // tokens
+
+// The place of another entry: the same port, at another address of loopback.
+class peer_place
+{
+public:
+    peer_place() : socket(this->context)
+    {
+        this->socket.open(relay::udp::v4());
+        this->socket.bind({relay::asio::ip::make_address("127.0.0.2"), 0});
+        this->socket.non_blocking(true);
+    }
+
+    std::uint16_t port() const { return this->socket.local_endpoint().port(); }
+
+    // Until a message of the entry says so, for three seconds at most.
+    bool hears(const std::function<bool(const quota::workspace_use&)>& said)
+    {
+        for (int tries = 0; tries < 300; ++tries) {
+            relay::error_code fault;
+            const std::size_t count =
+                this->socket.receive(relay::asio::buffer(this->room), 0, fault);
+            if (fault) {
+                std::this_thread::sleep_for(10ms);
+                continue;
+            }
+            const auto told = gossip::decode_word({this->room.data(), count});
+            REQUIRE(told);
+            for (const quota::workspace_use& one : told->workspace_uses) {
+                if (said(one))
+                    return true;
+            }
+        }
+        return false;
+    }
+
+private:
+    relay::asio::io_context context;
+    relay::udp::socket socket;
+    std::array<char, 65'536> room{};
+};
+
+struct limit_fixture : peer_place, entry_fixture {
+    limit_fixture() : entry_fixture({100'000, this->port(), {{"127.0.0.2", 1}}})
+    {
+    }
+};
+
+} // namespace
+
+// An entry's peers count what it lets through. A request counts as waiting
+// until it is sent, and as used from then on.
+TEST_CASE_FIXTURE(limit_fixture, "cost_is_told_as_used_once_a_request_is_sent")
+{
+    auto asked = this->client();
+    REQUIRE(asked.Get("/again/", headers()));
+    CHECK(this->hears([](const quota::workspace_use& one) {
+        return one.used == plain_cost && one.waiting == 0 &&
+               one.lately == plain_cost;
+    }));
+}
+
+// Callers leave while their requests wait for a slot. Nothing of these was
+// sent: the workspace may use their cost for others, or an impatient burst
+// would take its whole limit and get nothing for it.
+TEST_CASE_FIXTURE(limit_fixture, "cost_of_a_caller_that_left_the_queue_is_free")
+{
+    constexpr std::uint64_t slots = 5;
+    std::atomic<bool> answer{false};
+    this->answer_with(
+        [&answer](const httplib::Request& got, httplib::Response& given) {
+            while (!answer)
+                std::this_thread::sleep_for(5ms);
+            signed_answer(got, given, "late");
+        });
+    std::vector<std::thread> callers;
+    for (std::uint64_t count = 0; count < slots; ++count)
+        callers.emplace_back([this] {
+            auto asked = this->client();
+            asked.Get("/again/", headers());
+        });
+    const bool full = this->hears([](const quota::workspace_use& one) {
+        return one.used == slots * plain_cost;
+    });
+    {
+        relay::asio::io_context context;
+        relay::tcp::socket leaver(context);
+        leaver.connect(relay::tcp_endpoint(this->tested->caller_address()));
+        const std::string text =
+            "GET /again/ HTTP/1.1\r\nHost: hall.example\r\n"
+            "X-Attempt-Id: a-1\r\nApi-Key: key-1\r\n\r\n";
+        relay::asio::write(leaver, relay::asio::buffer(text));
+        CHECK(this->hears([](const quota::workspace_use& one) {
+            return one.waiting == plain_cost;
+        }));
+    }
+    CHECK(this->hears([](const quota::workspace_use& one) {
+        return one.waiting == 0 && one.used == slots * plain_cost;
+    }));
+    answer = true;
+    for (std::thread& one : callers)
+        one.join();
+    CHECK(full);
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/upkeep.cpp
+++ b/src/greengagedrum/entry/upkeep.cpp
@@ -42,9 +42,7 @@
     this->apply(
         this->state.known.learn(items, as_of, whole, this->state.clock()),
         source);
-    // A part of a list may be older than what was believed before.
-    if (as_of > 0)
-        this->end_pause(source);
+    this->end_pause(source);
 }
 
 void entry::apply(const belief_changes& changes, const char* source)
