Tests: guards of limits, queues and peers that had no test

Waiting requests of silent peers, peers that stopped or are lost for good, the floor beside urgent work, the queue of a lost peer, entries never heard.

--- a/src/greengagedrum/gossip/test/gossip_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -151,6 +151,18 @@
     CHECK(this->table.some_known(audience::others, this->now).size() == 1);
 }
 
+TEST_CASE_FIXTURE(peers_fixture, "entries_named_and_never_heard_are_counted")
+{
+    this->table.add_seed(seed);
+    CHECK(this->table.unheard() == 1);
+    word told = word_from(seed, 1, 1);
+    told.known = {{other, 100ms}};
+    this->table.heard(told, this->now);
+    CHECK(this->table.unheard() == 1);
+    this->table.heard(word_from(other, 1, 1), this->now);
+    CHECK(this->table.unheard() == 0);
+}
+
 TEST_CASE_FIXTURE(peers_fixture, "word_told_late_or_twice_is_outdated")
 {
     CHECK(this->table.heard(word_from(seed, 1, 5), this->now) ==
--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -65,6 +65,15 @@
         return true;
     }
 
+    void hear_peer(const std::vector<workspace_use>& uses, bool stopping)
+    {
+        this->own.peer_told(base::slot_id("peer"),
+                            base::incarnation{2},
+                            uses,
+                            stopping,
+                            this->now);
+    }
+
     // Each tells the other all that it let through.
     void talk()
     {
@@ -295,4 +304,50 @@
     CHECK_FALSE(this->take(fresh, 10));
 }
 
+// A peer has requests that wait as it falls silent. Of what is left each side
+// uses its part, and theirs is part of the peer's.
+TEST_CASE_FIXTURE(limiter_fixture,
+                  "waiting_requests_of_a_silent_peer_are_its_own")
+{
+    this->hear_peer({{planning, 0, 400, 0}}, false);
+    this->now += 500ms;
+    this->own.assume_silent_peers(this->now);
+    CHECK(this->take(this->own, 400));
+    CHECK_FALSE(this->take(this->own, 100));
+}
+
+// An entry said that it stops, and is silent then: it uses nothing.
+TEST_CASE_FIXTURE(limiter_fixture,
+                  "peer_that_stopped_leaves_the_limit_to_others")
+{
+    this->hear_peer({{planning, 100, 0, 100}}, true);
+    this->now += 500ms;
+    this->own.assume_silent_peers(this->now);
+    CHECK(this->take(this->own, 790));
+}
+
+// An instance is lost for good. Its part of the limits is kept from the others
+// for half a minute, and not for ever.
+TEST_CASE_FIXTURE(limiter_fixture, "peer_lost_for_good_gives_its_part_back")
+{
+    this->hear_peer({{planning, 100, 0, 100}}, false);
+    this->now += 20s;
+    this->own.assume_silent_peers(this->now);
+    CHECK_FALSE(this->take(this->own, 800));
+    this->now += 11s;
+    this->own.assume_silent_peers(this->now);
+    CHECK(this->take(this->own, 800));
+}
+
+// A peer's requests wait and are refused there: what they would have cost is
+// free again, though the peer has sent nothing meanwhile.
+TEST_CASE_FIXTURE(limiter_fixture,
+                  "waiting_requests_that_end_at_a_peer_are_free")
+{
+    this->hear_peer({{planning, 100, 700, 100}}, false);
+    CHECK_FALSE(this->take(this->own, 300));
+    this->hear_peer({{planning, 100, 0, 100}}, false);
+    CHECK(this->take(this->own, 300));
+}
+
 } // namespace greengagedrum::quota
--- a/src/greengagedrum/traffic/test/line_test.cpp
+++ b/src/greengagedrum/traffic/test/line_test.cpp
@@ -228,6 +228,40 @@
     CHECK(this->tested.waiting() == 20);
 }
 
+// Two of a starved priority wait here, nine urgent requests at a peer, and two
+// slots come up. The floor is due for one; the other yields.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "floor_that_is_met_lets_urgent_work_go_first")
+{
+    this->upstreams(1, 2);
+    this->arrive(stream_facts(0));
+    this->arrive(stream_facts(0));
+    for (int count = 0; count < 4; ++count)
+        this->arrive(stream_facts(2));
+    const service_waiting queue{engines, {9, 0, 0, 0}};
+    this->tested.peer_told(peer, {}, {&queue, 1}, this->now);
+    this->tested.upstream_joined(upstream_named("more", 2), this->now);
+    this->pass(20ms);
+    CHECK(this->tested.waiting() == 3);
+}
+
+// A peer had a queue and is gone: nobody's turn is waited for any more.
+TEST_CASE_FIXTURE(scheduler_fixture, "queue_of_a_lost_peer_has_no_turn")
+{
+    this->upstreams(1, 1);
+    this->arrive(stream_facts());
+    this->arrive(stream_facts());
+    for (std::uint64_t number = 0; number < 20; ++number) {
+        const service_waiting queue[] = {{engines, {5}}};
+        const base::slot_id one(std::to_string(number));
+        this->tested.peer_told(one, {}, queue, this->now);
+        this->tested.peer_lost(one);
+    }
+    this->tested.upstream_joined(upstream_named("back", 5), this->now);
+    this->pass(1ms);
+    CHECK(this->tested.waiting() == 0);
+}
+
 // Two dozen engines come back at once while all entries have lines. If each
 // entry filled each of them, seven would queue for every place.
 TEST_CASE_FIXTURE(scheduler_fixture,
