--- /dev/null
+++ b/src/greengagedrum/dispatch/member_desk.cpp
@@ -0,0 +1,261 @@
+#include <greengagedrum/dispatch/member_desk.hpp>
+
+#include <algorithm>
+
+namespace greengagedrum::dispatch
+{
+
+namespace
+{
+
+// Own requests are counted from one; no process takes 2^63 of them.
+constexpr std::uint64_t members_bit = 1ULL << 63U;
+
+// The scheduler here sends each of them once: what comes after is a new send.
+constexpr std::uint32_t only_send = 1;
+
+traffic::event event_of(base::request_id id, send_change what)
+{
+    switch (what) {
+    case send_change::first_event:
+        return traffic::progressed{id, only_send, 1};
+    case send_change::good:
+        return traffic::answered{id, only_send, true};
+    case send_change::failing:
+        return traffic::answered{id, only_send, false};
+    case send_change::not_sent:
+        return traffic::not_sent{id, only_send};
+    case send_change::full:
+        return traffic::turned_away{id, only_send, traffic::turn_away::full};
+    case send_change::misdirected:
+        return traffic::turned_away{
+            id, only_send, traffic::turn_away::misdirected};
+    case send_change::broken:
+        break;
+    }
+    return traffic::broken{id, only_send};
+}
+
+} // namespace
+
+bool member_desk::is_members(base::request_id id)
+{
+    return (id.value & members_bit) != 0;
+}
+
+// ---- Reports --------------------------------------------------------------
+
+desk_news member_desk::report(base::slot_id member,
+                              base::incarnation life,
+                              const member_report& told,
+                              std::span<const traffic::upstream_use> uses)
+{
+    desk_news out;
+    member_state& state = this->of[member];
+    if (state.life != life) {
+        out = this->lost(member);
+        this->of[member].life = life;
+    }
+    member_state& own = this->of[member];
+    own.reports += 1;
+    for (const send_news& one : told.news)
+        this->take_news(own, one, out);
+    std::unordered_map<base::upstream_id, traffic::upstream_use> others;
+    // What it sees of upstreams' speed counts, whoever placed the request.
+    for (const traffic::upstream_use& use : uses)
+        others[use.upstream] = {use.upstream, 0, 0, use.event_gap};
+    for (const running_send& one : told.running) {
+        const auto found = own.sends.find(one.name);
+        if (found != own.sends.end()) {
+            send_state& send = this->sends.at(found->second.value);
+            send.running = true;
+            send.shown_in = own.reports;
+            if (send.granted)
+                continue;
+        }
+        // Sent by the member itself, or placed by a dispatcher before this one.
+        traffic::upstream_use& use = others[one.upstream];
+        use.upstream = one.upstream;
+        use.requests += 1;
+        use.prompt_tokens += one.unread_tokens;
+    }
+    for (const wanted_place& one : told.wanted)
+        this->take_wanted(member, own, one, out);
+    this->drop_unnamed(own, out);
+    for (const auto& [id, use] : others)
+        out.others.push_back(use);
+    return out;
+}
+
+void member_desk::take_news(member_state& member,
+                            const send_news& news,
+                            desk_news& out)
+{
+    if (news.number <= member.news_taken)
+        return;
+    member.news_taken = news.number;
+    const auto found = member.sends.find(news.name);
+    if (found == member.sends.end())
+        return;
+    const base::request_id id = found->second;
+    out.events.push_back(event_of(id, news.what));
+    if (news.what == send_change::first_event)
+        return;
+    member.sends.erase(found);
+    this->sends.erase(id.value);
+}
+
+void member_desk::take_wanted(base::slot_id id,
+                              member_state& member,
+                              const wanted_place& wanted,
+                              desk_news& out)
+{
+    const auto [found, fresh] = member.sends.try_emplace(wanted.name);
+    if (fresh) {
+        found->second = base::request_id{members_bit | this->next++};
+        send_state& send = this->sends[found->second.value];
+        send.member = id;
+        send.name = wanted.name;
+        send.cost = {wanted.facts.workspace, wanted.cost};
+        send.counted = wanted.counted;
+        out.arrived.emplace_back(found->second, wanted);
+    }
+    send_state& send = this->sends.at(found->second.value);
+    send.shown_in = member.reports;
+    // The reply to it was lost, or crossed this report.
+    if (send.granted || send.declined)
+        member.unanswered = true;
+}
+
+// A send that a whole report does not name has ended: its caller left, it was
+// given up on, or its end was told in news that a dispatcher before this one
+// took.
+void member_desk::drop_unnamed(member_state& member, desk_news& out)
+{
+    std::vector<base::request_id> gone;
+    for (const auto& [name, id] : member.sends) {
+        if (this->sends.at(id.value).shown_in != member.reports)
+            gone.push_back(id);
+    }
+    for (const base::request_id id : gone)
+        this->drop(id, out);
+}
+
+void member_desk::drop(base::request_id id, desk_news& out)
+{
+    const auto found = this->sends.find(id.value);
+    const send_state& send = found->second;
+    if (!send.declined)
+        out.events.emplace_back(traffic::caller_left{id});
+    if (!send.declined && !send.granted && !send.counted)
+        out.withdrawn.push_back(send.cost);
+    this->of.at(send.member).sends.erase(send.name);
+    this->sends.erase(found);
+}
+
+desk_news member_desk::lost(base::slot_id member)
+{
+    desk_news out;
+    const auto found = this->of.find(member);
+    if (found == this->of.end())
+        return out;
+    std::vector<base::request_id> all;
+    for (const auto& [name, id] : found->second.sends)
+        all.push_back(id);
+    for (const base::request_id id : all)
+        this->drop(id, out);
+    this->of.erase(member);
+    return out;
+}
+
+desk_news member_desk::lost_all()
+{
+    desk_news out;
+    std::vector<base::request_id> all;
+    for (const auto& [id, send] : this->sends)
+        all.push_back(base::request_id{id});
+    for (const base::request_id id : all)
+        this->drop(id, out);
+    this->of.clear();
+    return out;
+}
+
+// ---- Decisions ------------------------------------------------------------
+
+std::optional<counted_cost>
+member_desk::granted(const traffic::send_request& order)
+{
+    const auto found = this->sends.find(order.request.value);
+    if (found == this->sends.end())
+        return std::nullopt;
+    send_state& send = found->second;
+    send.granted = granted_place{send.name,
+                                 order.upstream,
+                                 order.why.first_event,
+                                 order.why.own + order.why.others,
+                                 order.why.places};
+    this->of.at(send.member).unanswered = true;
+    if (send.counted)
+        return std::nullopt;
+    return send.cost;
+}
+
+std::optional<counted_cost> member_desk::declined(base::request_id id,
+                                                  const base::verdict& why)
+{
+    const auto found = this->sends.find(id.value);
+    if (found == this->sends.end() || found->second.granted)
+        return std::nullopt;
+    send_state& send = found->second;
+    send.declined = declined_place{
+        send.name, why.why, why.retry_after.value_or(base::duration(0))};
+    this->of.at(send.member).unanswered = true;
+    if (send.counted)
+        return std::nullopt;
+    return send.cost;
+}
+
+std::optional<counted_cost> member_desk::forget(base::request_id id)
+{
+    const auto found = this->sends.find(id.value);
+    if (found == this->sends.end())
+        return std::nullopt;
+    const send_state gone = found->second;
+    this->of.at(gone.member).sends.erase(gone.name);
+    this->sends.erase(found);
+    if (gone.counted)
+        return std::nullopt;
+    return gone.cost;
+}
+
+// ---- Replies --------------------------------------------------------------
+
+std::vector<base::slot_id> member_desk::unanswered() const
+{
+    std::vector<base::slot_id> out;
+    for (const auto& [member, state] : this->of) {
+        if (state.unanswered)
+            out.push_back(member);
+    }
+    return out;
+}
+
+dispatcher_reply member_desk::reply(base::slot_id member)
+{
+    dispatcher_reply out;
+    const auto found = this->of.find(member);
+    if (found == this->of.end())
+        return out;
+    found->second.unanswered = false;
+    out.news_taken = found->second.news_taken;
+    for (const auto& [name, id] : found->second.sends) {
+        const send_state& send = this->sends.at(id.value);
+        if (send.declined)
+            out.declined.push_back(*send.declined);
+        else if (send.granted && !send.running)
+            out.granted.push_back(*send.granted);
+    }
+    return out;
+}
+
+} // namespace greengagedrum::dispatch
--- /dev/null
+++ b/src/greengagedrum/dispatch/member_desk.hpp
@@ -0,0 +1,108 @@
+// At a dispatcher: the requests of its members, between their reports and the
+// decisions here.
+//
+// A member's send is one request to the scheduler here, under an id of its own.
+// All of this is rebuilt from the members' next reports, so a dispatcher may
+// die at any moment: its successor hears of every send that waits or runs.
+#pragma once
+
+#include <greengagedrum/dispatch/messages.hpp>
+#include <greengagedrum/traffic/messages.hpp>
+#include <greengagedrum/traffic/upstream_pool.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace greengagedrum::dispatch
+{
+
+// A cost that a limit holds, or held, for a member's request.
+struct counted_cost {
+    base::workspace_id workspace;
+    double amount = 0;
+};
+
+// What one report means here.
+struct desk_news {
+    std::vector<traffic::event> events; // in order, of known sends
+    // Sends that are new: to be let through by the limit, and then told as
+    // arrived.
+    std::vector<std::pair<base::request_id, wanted_place>> arrived;
+    std::vector<counted_cost> withdrawn;       // of sends that got no place
+    std::vector<traffic::upstream_use> others; // placed by nobody here
+};
+
+class member_desk
+{
+public:
+    // Ids given by the desk differ from those of own requests.
+    static bool is_members(base::request_id id);
+
+    desk_news report(base::slot_id member,
+                     base::incarnation life,
+                     const member_report& told,
+                     std::span<const traffic::upstream_use> uses);
+
+    // The member has died or was cut off: what it wanted is nobody's.
+    desk_news lost(base::slot_id member);
+    // Another entry places from now on.
+    desk_news lost_all();
+
+    // The send got a place. What is to be counted against its limit; empty when
+    // it was counted before, or is no longer wanted.
+    std::optional<counted_cost> granted(const traffic::send_request& order);
+
+    // The send got none. What the limit is to give back; empty when it had a
+    // place, or is no longer wanted.
+    std::optional<counted_cost> declined(base::request_id id,
+                                         const base::verdict& why);
+
+    // The send was to have a place and has none: asked for again, it is a new
+    // one. What the limit is to give back, as above.
+    std::optional<counted_cost> forget(base::request_id id);
+
+    // Members that have not been told what was decided.
+    std::vector<base::slot_id> unanswered() const;
+    // For that member now; all of it that the member has not shown to have.
+    dispatcher_reply reply(base::slot_id member);
+
+    std::size_t members() const { return this->of.size(); }
+
+private:
+    struct send_state {
+        base::slot_id member;
+        send_name name;
+        counted_cost cost;
+        bool counted = false;
+        std::optional<granted_place> granted;
+        std::optional<declined_place> declined;
+        bool running = false;       // the member shows that it was sent
+        std::uint64_t shown_in = 0; // the report that named it last
+    };
+
+    struct member_state {
+        base::incarnation life;
+        std::uint64_t reports = 0;
+        std::uint64_t news_taken = 0;
+        bool unanswered = false;
+        std::map<send_name, base::request_id> sends;
+    };
+
+    void take_news(member_state& member, const send_news& news, desk_news& out);
+    void take_wanted(base::slot_id id,
+                     member_state& member,
+                     const wanted_place& wanted,
+                     desk_news& out);
+    void drop(base::request_id id, desk_news& out);
+    void drop_unnamed(member_state& member, desk_news& out);
+
+    std::unordered_map<base::slot_id, member_state> of;
+    std::unordered_map<std::uint64_t, send_state> sends;
+    std::uint64_t next = 1;
+};
+
+} // namespace greengagedrum::dispatch
--- /dev/null
+++ b/src/greengagedrum/dispatch/messages.hpp
@@ -0,0 +1,92 @@
+// What the entries of a large data centre and their dispatcher tell each other
+// of requests.
+//
+// The dispatcher places the requests of all entries of its data centre; the
+// others are its members. A member stays responsible for its requests: it
+// holds the caller's connection, sends to the upstream that the dispatcher
+// names, and decides alone what may be sent again. Each message is whole, so
+// that a lost one is made good by the next.
+#pragma once
+
+#include <greengagedrum/base/ids.hpp>
+#include <greengagedrum/base/time.hpp>
+#include <greengagedrum/base/verdict.hpp>
+#include <greengagedrum/traffic/messages.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+namespace greengagedrum::dispatch
+{
+
+// One send of a request, by the member's own numbers.
+struct send_name {
+    base::request_id request;
+    std::uint32_t send = 0;
+    auto operator<=>(const send_name&) const = default;
+};
+
+// A request that waits for a place.
+struct wanted_place {
+    send_name name;
+    traffic::request_facts facts; // times from now on
+    std::vector<base::upstream_id> tried;
+    double cost = 0;      // against its workspace's limit
+    bool counted = false; // the limit holds it already
+};
+
+struct running_send {
+    send_name name;
+    base::upstream_id upstream;
+    std::uint32_t unread_tokens = 0; // of its prompt
+};
+
+enum class send_change : std::uint8_t {
+    first_event,
+    good,        // the whole answer has come
+    failing,     // an answer, but no good one
+    not_sent,    // no connection
+    full,        // the upstream did not run it
+    misdirected, // another upstream answers there
+    broken,
+};
+
+struct send_news {
+    std::uint64_t number = 0; // grows by one with each news of a life
+    send_name name;
+    send_change what = send_change::first_event;
+};
+
+struct member_report {
+    std::vector<wanted_place> wanted;
+    std::vector<running_send> running;
+    std::vector<send_news> news; // that the dispatcher may not have
+};
+
+struct granted_place {
+    send_name name;
+    base::upstream_id upstream;
+    base::duration expected{0}; // to its first event
+    std::uint32_t taken = 0;    // places there, by others
+    std::uint32_t places = 0;
+};
+
+struct declined_place {
+    send_name name;
+    base::reason why = base::reason::overloaded;
+    base::duration retry_after{0};
+};
+
+struct dispatcher_reply {
+    std::uint64_t news_taken = 0; // up to this number
+    std::vector<granted_place> granted;
+    std::vector<declined_place> declined;
+
+    bool empty() const
+    {
+        return this->granted.empty() && this->declined.empty();
+    }
+};
+
+} // namespace greengagedrum::dispatch
--- /dev/null
+++ b/src/greengagedrum/dispatch/test/member_desk_test.cpp
@@ -0,0 +1,200 @@
+// A dispatcher's book of its members' sends, message by message.
+#include <greengagedrum/dispatch/member_desk.hpp>
+#include <greengagedrum/dispatch/send_journal.hpp>
+
+#include <doctest/doctest.h>
+
+namespace greengagedrum::dispatch
+{
+
+namespace
+{
+
+const base::slot_id member("member");
+const base::slot_id other_member("other");
+const base::upstream_id engine("engine");
+const base::workspace_id planning("planning");
+
+struct desk_fixture {
+    member_desk desk;
+    member_report told; // what the member says at present
+
+    static wanted_place wanted(std::uint64_t request, std::uint32_t send = 1)
+    {
+        wanted_place out;
+        out.name = {base::request_id{request}, send};
+        out.facts.workspace = planning;
+        out.facts.delegated = true;
+        out.cost = 100;
+        return out;
+    }
+
+    desk_news report(std::uint64_t life = 1)
+    {
+        return this->desk.report(
+            member, base::incarnation{life}, this->told, {});
+    }
+
+    base::request_id arrive(std::uint64_t request)
+    {
+        this->told.wanted.push_back(wanted(request));
+        const desk_news news = this->report();
+        REQUIRE(news.arrived.size() == 1);
+        return news.arrived.front().first;
+    }
+
+    std::optional<counted_cost> grant(base::request_id id)
+    {
+        traffic::send_request order;
+        order.request = id;
+        order.send = 1;
+        order.upstream = engine;
+        return this->desk.granted(order);
+    }
+
+    // The member has sent what it was granted.
+    void run_all()
+    {
+        for (const wanted_place& one : this->told.wanted)
+            this->told.running.push_back({one.name, engine, 0});
+        this->told.wanted.clear();
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(desk_fixture, "wanted_place_told_again_arrives_once")
+{
+    const base::request_id id = this->arrive(7);
+    CHECK(member_desk::is_members(id));
+    CHECK(this->report().arrived.empty());
+    CHECK(this->desk.unanswered().empty());
+}
+
+// The datagram with a granted place is lost. The member goes on to ask, and is
+// told again until it shows that it has sent the request.
+TEST_CASE_FIXTURE(desk_fixture, "granted_place_is_told_until_it_is_taken")
+{
+    const base::request_id id = this->arrive(7);
+    const auto cost = this->grant(id);
+    REQUIRE(cost);
+    CHECK(cost->amount == 100);
+    CHECK(this->desk.unanswered().size() == 1);
+    CHECK(this->desk.reply(member).granted.size() == 1);
+    CHECK(this->desk.unanswered().empty());
+    this->report();
+    CHECK(this->desk.unanswered().size() == 1);
+    CHECK(this->desk.reply(member).granted.at(0).upstream == engine);
+    this->run_all();
+    CHECK(this->report().events.empty());
+    CHECK(this->desk.unanswered().empty());
+    CHECK(this->desk.reply(member).granted.empty());
+}
+
+// A caller leaves while its request waits, or after the place was granted. The
+// place must not stay taken, and the limit gets back what was not sent.
+TEST_CASE_FIXTURE(desk_fixture, "send_that_is_not_named_any_more_has_ended")
+{
+    this->arrive(7);
+    this->told.wanted.clear();
+    const desk_news waited = this->report();
+    CHECK(waited.events.size() == 1);
+    CHECK(waited.withdrawn.size() == 1);
+    this->grant(this->arrive(8));
+    this->told.wanted.clear();
+    const desk_news granted = this->report();
+    REQUIRE(granted.events.size() == 1);
+    CHECK(std::holds_alternative<traffic::caller_left>(granted.events[0]));
+    CHECK(granted.withdrawn.empty());
+}
+
+TEST_CASE_FIXTURE(desk_fixture, "news_told_twice_counts_once")
+{
+    const base::request_id id = this->arrive(7);
+    this->grant(id);
+    this->run_all();
+    const send_name name = this->told.running.at(0).name;
+    this->told.news = {{1, name, send_change::first_event},
+                       {2, name, send_change::good}};
+    this->told.running.clear();
+    const desk_news news = this->report();
+    REQUIRE(news.events.size() == 2);
+    CHECK(std::get<traffic::answered>(news.events[1]).request == id);
+    CHECK(this->report().events.empty());
+    CHECK(this->desk.reply(member).news_taken == 2);
+}
+
+// A dispatcher takes over from one that died: its members run requests that it
+// has not placed. They take places all the same.
+TEST_CASE_FIXTURE(desk_fixture, "sends_placed_before_this_dispatcher_count")
+{
+    this->told.running = {{{base::request_id{3}, 1}, engine, 500},
+                          {{base::request_id{4}, 2}, engine, 0}};
+    const desk_news news = this->report();
+    REQUIRE(news.others.size() == 1);
+    CHECK(news.others[0].requests == 2);
+    CHECK(news.others[0].prompt_tokens == 500);
+}
+
+TEST_CASE_FIXTURE(desk_fixture, "speed_that_a_member_sees_counts_without_load")
+{
+    const traffic::upstream_use seen{
+        engine, 3, 0, std::chrono::milliseconds(40)};
+    const desk_news news =
+        this->desk.report(member, base::incarnation{1}, this->told, {&seen, 1});
+    REQUIRE(news.others.size() == 1);
+    CHECK(news.others[0].requests == 0);
+    CHECK(news.others[0].event_gap == std::chrono::milliseconds(40));
+}
+
+TEST_CASE_FIXTURE(desk_fixture, "member_that_started_anew_wants_nothing_old")
+{
+    this->arrive(7);
+    this->told.wanted = {wanted(1)};
+    const desk_news news = this->report(2);
+    CHECK(news.events.size() == 1);
+    CHECK(news.arrived.size() == 1);
+    CHECK(this->desk.lost(member).events.size() == 1);
+    CHECK(this->desk.lost(other_member).events.empty());
+}
+
+TEST_CASE_FIXTURE(desk_fixture, "declined_place_is_told_with_its_time")
+{
+    const base::request_id id = this->arrive(7);
+    const auto cost = this->desk.declined(
+        id, base::not_run(base::reason::overloaded, std::chrono::seconds(2)));
+    CHECK(cost);
+    const dispatcher_reply reply = this->desk.reply(member);
+    REQUIRE(reply.declined.size() == 1);
+    CHECK(reply.declined[0].retry_after == std::chrono::seconds(2));
+    // The member has ended it: nothing else follows.
+    this->told.wanted.clear();
+    const desk_news news = this->report();
+    CHECK(news.events.empty());
+    CHECK(news.withdrawn.empty());
+}
+
+TEST_CASE("journal_tells_first_event_once_and_forgets_what_was_taken")
+{
+    send_journal journal;
+    const base::request_id id{5};
+    journal.note(traffic::progressed{id, 1, 1});
+    journal.note(traffic::progressed{id, 1, 9});
+    journal.note(traffic::answered{id, 1, true});
+    REQUIRE(journal.untold().size() == 2);
+    CHECK(journal.untold()[0].what == send_change::first_event);
+    journal.taken(1);
+    REQUIRE(journal.untold().size() == 1);
+    CHECK(journal.untold()[0].what == send_change::good);
+}
+
+TEST_CASE("journal_of_a_member_without_dispatcher_is_bounded")
+{
+    send_journal journal;
+    for (std::uint64_t one = 1; one <= 1000; ++one)
+        journal.note(traffic::broken{base::request_id{one}, 1});
+    CHECK(journal.untold().size() == 64);
+    CHECK(journal.untold().back().number == 1000);
+}
+
+} // namespace greengagedrum::dispatch
--- a/src/greengagedrum/entry/decisions.cpp
+++ b/src/greengagedrum/entry/decisions.cpp
@@ -28,6 +28,8 @@
         this->backlog.erase(this->backlog.begin());
         this->note_progress(next);
         this->note_misdirection(next);
+        if (this->state.delegating)
+            this->journal.note(next);
         traffic::actions orders;
         this->state.scheduler.step(next, this->state.clock(), orders);
         this->carry_out(orders);
@@ -94,6 +96,8 @@
 
 void front::carry_out_one(const traffic::send_request& order)
 {
+    if (dispatch::member_desk::is_members(order.request))
+        return this->grant(order);
     accepted& request = this->requests.at(order.request);
     const base::instant now = this->state.clock();
     const routing::published_upstream* to =
@@ -105,7 +109,8 @@
     this->sent_to[order.request] = order.upstream;
     if (!request.sent_at) {
         request.sent_at = now;
-        this->state.limiter.sent(request.workspace, request.cost, now);
+        if (request.counted)
+            this->state.limiter.sent(request.workspace, request.cost, now);
     }
     const std::shared_ptr<exchange> wire = request.wire;
     this->state.log.write(now,
@@ -147,6 +152,8 @@
 
 void front::carry_out_one(const traffic::end_request& order)
 {
+    if (dispatch::member_desk::is_members(order.request))
+        return this->decline(order);
     const auto found = this->requests.find(order.request);
     if (found == this->requests.end())
         return;
@@ -159,6 +166,8 @@
 
 void front::return_cost(const accepted& request)
 {
+    if (!request.counted)
+        return;
     const base::instant now = this->state.clock();
     quota::usage_limiter& limiter = this->state.limiter;
     if (request.sent_at)
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -78,6 +78,26 @@
         this->end_pause("peer");
         this->store->known_up_to(this->state.known.as_of());
     };
+    peer_told.delegate = [this](bool to_another) {
+        this->callers->delegate(to_another);
+    };
+    peer_told.report = [this] { return this->callers->report_to_dispatcher(); };
+    peer_told.replied = [this](const dispatch::dispatcher_reply& what) {
+        this->callers->replied(what);
+    };
+    peer_told.member_reported = [this](base::slot_id member,
+                                       const gossip::word& told) {
+        this->callers->reported(member, told.life, told.report, told.uses);
+    };
+    peer_told.member_lost = [this](base::slot_id member) {
+        this->callers->member_lost(member);
+    };
+    peer_told.members_unanswered = [this] {
+        return this->callers->desk().unanswered();
+    };
+    peer_told.reply = [this](base::slot_id member) {
+        return this->callers->desk().reply(member);
+    };
     this->peers = std::make_unique<peer_link>(
         this->context, given, this->life, this->state, std::move(peer_told));
     store_events store_told;
--- a/src/greengagedrum/entry/front.cpp
+++ b/src/greengagedrum/entry/front.cpp
@@ -191,8 +191,10 @@
     const std::string attempt = request.origin.marks.attempt;
     if (refusal)
         return this->refuse(from, attempt, *refusal);
+    const bool counted = !this->state.delegating;
     const auto over =
-        this->state.limiter.take(request.workspace, request.cost, now);
+        counted ? this->state.limiter.take(request.workspace, request.cost, now)
+                : std::nullopt;
     this->state.log.write(
         now,
         "front",
@@ -215,12 +217,15 @@
     fresh.arrived = now - waited;
     fresh.workspace = request.workspace;
     fresh.cost = request.cost;
+    fresh.counted = counted;
     fresh.series = request.series;
     fresh.objective = request.facts.objective;
     fresh.gap_objective = request.facts.gap_objective;
     fresh.wire = this->make_exchange(from, std::move(request.origin));
     this->by_caller[from.get()] = id;
     this->told(traffic::request_arrived{id, request.facts});
+    if (this->state.delegating)
+        this->uses_changed();
 }
 
 void front::refuse(const relay::caller_ptr& from,
@@ -277,6 +282,8 @@
     this->requests.erase(request);
     this->sent_to.erase(id);
     this->told(traffic::caller_left{id});
+    if (this->state.delegating)
+        this->uses_changed();
 }
 
 void front::place()
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -1,6 +1,8 @@
 // Takes callers' requests, has them decided, and carries the decisions out.
 #pragma once
 
+#include <greengagedrum/dispatch/member_desk.hpp>
+#include <greengagedrum/dispatch/send_journal.hpp>
 #include <greengagedrum/entry/beliefs.hpp>
 #include <greengagedrum/entry/decision_log.hpp>
 #include <greengagedrum/entry/exchange.hpp>
@@ -28,6 +30,9 @@
     decision_log log;
     telemetry::registry metrics;
     bool stopping = false;
+    // Another entry places this one's requests and counts them against their
+    // limits.
+    bool delegating = false;
 };
 
 class front
@@ -55,16 +60,34 @@
     std::size_t in_flight() const { return this->requests.size(); }
     std::size_t callers_open() const { return this->callers.size(); }
 
-    // Told when the places taken on upstreams have changed.
+    // Told when the places taken on upstreams have changed, or what waits for
+    // them.
     std::function<void()> uses_changed = [] {};
 
+    // ---- Where one entry of a data centre places for all --------------------
+
+    // Another entry places from now on, or this one does again.
+    void delegate(bool to_another);
+    // To whoever places, and what it replied.
+    dispatch::member_report report_to_dispatcher() const;
+    void replied(const dispatch::dispatcher_reply& what);
+
+    // What a member reported, and that it is gone.
+    void reported(base::slot_id member,
+                  base::incarnation life,
+                  const dispatch::member_report& told,
+                  std::span<const traffic::upstream_use> uses);
+    void member_lost(base::slot_id member);
+    dispatch::member_desk& desk() { return this->members; }
+
 private:
     struct accepted {
         std::shared_ptr<exchange> wire;
         base::instant arrived;
         base::instant end_at;
         base::workspace_id workspace;
-        double cost = 0; // counted against its workspace's limit
+        double cost = 0;     // counted against its workspace's limit
+        bool counted = true; // here, and not where it is placed
         telemetry::series_key series;
         base::duration objective{0};
         base::duration gap_objective{0}; // between events; 0: none
@@ -113,6 +136,12 @@
     void carry_out_one(const traffic::deliver_answer& order);
     void carry_out_one(const traffic::end_request& order);
     void carry_out_one(const traffic::trust_changed& change);
+    void grant(const traffic::send_request& order);
+    void decline(const traffic::end_request& order);
+    void take(const dispatch::desk_news& news);
+    void arrived_at_member(base::request_id id,
+                           const dispatch::wanted_place& wanted);
+    void count_again(base::request_id id);
     // The request did not run: its workspace may use the cost for others.
     void return_cost(const accepted& request);
     void finish(base::request_id id, const base::verdict* failed);
@@ -126,6 +155,8 @@
     std::unordered_map<base::request_id, accepted> requests;
     std::unordered_map<relay::caller_connection*, base::request_id> by_caller;
     std::unordered_map<base::request_id, base::upstream_id> sent_to;
+    dispatch::member_desk members;
+    dispatch::send_journal journal;
     std::uint64_t next_request = 1;
     std::mt19937_64 dice;
     bool working = false; // events told meanwhile wait in `backlog`
--- /dev/null
+++ b/src/greengagedrum/entry/member_requests.cpp
@@ -0,0 +1,162 @@
+// Requests that are placed for other entries, and own ones that another entry
+// places.
+#include <greengagedrum/entry/front.hpp>
+#include <greengagedrum/entry/milliseconds.hpp>
+
+namespace greengagedrum::entry
+{
+
+// ---- Own requests, placed by another entry --------------------------------
+
+dispatch::member_report front::report_to_dispatcher() const
+{
+    const base::instant now = this->state.clock();
+    dispatch::member_report out;
+    for (traffic::waiting_send& one :
+         this->state.scheduler.waiting_sends(now)) {
+        const auto found = this->requests.find(one.request);
+        if (found == this->requests.end())
+            continue;
+        const accepted& request = found->second;
+        // A request that was sent before is counted somewhere already.
+        const bool counted = request.counted || request.sent_at;
+        out.wanted.push_back({{one.request, one.send},
+                              one.facts,
+                              std::move(one.tried),
+                              request.cost,
+                              counted});
+    }
+    for (const traffic::sent_request& one :
+         this->state.scheduler.sent_requests()) {
+        if (dispatch::member_desk::is_members(one.request))
+            continue;
+        out.running.push_back(
+            {{one.request, one.send}, one.upstream, one.unread_tokens});
+    }
+    out.news = this->journal.untold();
+    return out;
+}
+
+void front::replied(const dispatch::dispatcher_reply& what)
+{
+    this->journal.taken(what.news_taken);
+    for (const dispatch::granted_place& one : what.granted)
+        this->told(traffic::place_granted{one.name.request,
+                                          one.name.send,
+                                          one.upstream,
+                                          one.expected,
+                                          one.taken,
+                                          one.places});
+    for (const dispatch::declined_place& one : what.declined)
+        this->told(
+            traffic::place_declined{one.name.request,
+                                    one.name.send,
+                                    base::not_run(one.why, one.retry_after)});
+}
+
+void front::delegate(bool to_another)
+{
+    if (this->state.delegating == to_another)
+        return;
+    this->state.delegating = to_another;
+    this->state.scheduler.delegate(to_another);
+    if (to_another)
+        return this->take(this->members.lost_all());
+    // Whoever counted for this entry may be gone, and what it knew with it.
+    this->state.limiter.restart(this->state.clock());
+    std::vector<base::request_id> known;
+    for (const auto& [id, request] : this->requests)
+        known.push_back(id);
+    for (const base::request_id id : known)
+        this->count_again(id);
+}
+
+// A request that waits was to be counted by the entry that placed it.
+void front::count_again(base::request_id id)
+{
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end())
+        return;
+    accepted& request = found->second;
+    if (request.sent_at)
+        return;
+    const auto over = this->state.limiter.take(
+        request.workspace, request.cost, this->state.clock());
+    request.counted = !over;
+    if (!over)
+        return;
+    traffic::end_request order{
+        id, base::not_run(base::reason::limit_reached, over)};
+    this->told(traffic::caller_left{id});
+    this->carry_out_one(order);
+}
+
+// ---- Members' requests ----------------------------------------------------
+
+void front::reported(base::slot_id member,
+                     base::incarnation life,
+                     const dispatch::member_report& told,
+                     std::span<const traffic::upstream_use> uses)
+{
+    const dispatch::desk_news news =
+        this->members.report(member, life, told, uses);
+    this->state.scheduler.peer_told(
+        member, news.others, {}, this->state.clock());
+    this->take(news);
+}
+
+void front::member_lost(base::slot_id member)
+{
+    this->take(this->members.lost(member));
+}
+
+void front::take(const dispatch::desk_news& news)
+{
+    const base::instant now = this->state.clock();
+    for (const dispatch::counted_cost& cost : news.withdrawn)
+        this->state.limiter.withdrawn(cost.workspace, cost.amount, now);
+    for (const traffic::event& one : news.events)
+        this->told(one);
+    for (const auto& [id, wanted] : news.arrived)
+        this->arrived_at_member(id, wanted);
+}
+
+void front::arrived_at_member(base::request_id id,
+                              const dispatch::wanted_place& wanted)
+{
+    const auto over = wanted.counted
+                          ? std::nullopt
+                          : this->state.limiter.take(wanted.facts.workspace,
+                                                     wanted.cost,
+                                                     this->state.clock());
+    if (over) {
+        // The limit has nothing of it to give back.
+        this->members.declined(
+            id, base::not_run(base::reason::limit_reached, over));
+        return;
+    }
+    this->told(traffic::request_arrived{id, wanted.facts, wanted.tried});
+}
+
+void front::grant(const traffic::send_request& order)
+{
+    const base::instant now = this->state.clock();
+    if (this->state.known.upstreams().find(order.upstream) == nullptr) {
+        // It left within this very turn.
+        if (const auto cost = this->members.forget(order.request))
+            this->state.limiter.withdrawn(cost->workspace, cost->amount, now);
+        return this->told(traffic::caller_left{order.request});
+    }
+    if (const auto cost = this->members.granted(order))
+        this->state.limiter.sent(cost->workspace, cost->amount, now);
+}
+
+void front::decline(const traffic::end_request& order)
+{
+    const auto cost = this->members.declined(order.request, order.verdict);
+    if (cost)
+        this->state.limiter.withdrawn(
+            cost->workspace, cost->amount, this->state.clock());
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -28,6 +28,12 @@
 
 constexpr std::string_view items_path = "/items?since=";
 
+std::uint32_t strength_of(const settings& given)
+{
+    constexpr double thousandths = 1000;
+    return static_cast<std::uint32_t>(thousandths * given.processors);
+}
+
 } // namespace
 
 std::string items_target(std::uint64_t since)
@@ -58,7 +64,11 @@
       life(life), state(state), events(std::move(events)),
       table(relay::asio::ip::make_address_v4(given.ip).to_uint(),
             given.data_centre,
-            life)
+            life),
+      order(relay::asio::ip::make_address_v4(given.ip).to_uint(),
+            base::data_centre_id(given.data_centre),
+            strength_of(given)),
+      dispatcher_at(state.clock()), placing_since(state.clock())
 {
     const relay::udp::endpoint address(relay::asio::ip::make_address(given.ip),
                                        given.peer_port);
@@ -119,8 +129,8 @@
     const gossip::peer_news news = this->table.heard(*word, now);
     if (news == gossip::peer_news::outdated)
         return;
-    const base::slot_id slot(word->instance);
-    if (news != gossip::peer_news::none) {
+    this->order.heard(*word, now);
+    if (news != gossip::peer_news::none)
         this->state.log.write(
             now,
             "peers",
@@ -128,14 +138,31 @@
             {{"peer", word->instance},
              {"config_revision", word->configuration_revision},
              {"store_revision", word->store_revision}});
-        this->state.scheduler.set_entries(this->table.alive_lately(now) + 1);
-    }
-    this->state.scheduler.peer_told(slot, word->uses, word->waiting, now);
-    this->state.limiter.peer_told(
-        slot, word->life, word->workspace_uses, word->stopping, now);
-    if (this->state.scheduler.waiting() > 0)
-        this->events.load_changed();
     this->peer_read_at = std::max(this->peer_read_at, now - word->store_age);
+    switch (word->kind) {
+    case gossip::word_kind::load:
+        if (this->large)
+            this->answer_greeting(*word, now);
+        else
+            this->take_load(*word, now);
+        break;
+    case gossip::word_kind::dispatcher_load:
+        this->take_load(*word, now);
+        break;
+    case gossip::word_kind::report:
+        this->take_report(*word, now);
+        break;
+    case gossip::word_kind::reply:
+        this->take_reply(*word, now);
+        break;
+    case gossip::word_kind::greeting:
+        this->answer_greeting(*word, now);
+        break;
+    case gossip::word_kind::greeting_answer:
+        break;
+    }
+    if (news != gossip::peer_news::none)
+        this->update_role(now);
     if (word->configuration_revision >
             this->state.known.configuration_revision() ||
         word->change_revision > this->state.known.changed_at())
@@ -152,9 +179,10 @@
     const base::instant now = this->state.clock();
     const base::duration bound =
         std::min(this->own.bounds.configuration, this->own.bounds.drain);
+    const bool has_reader = this->large ? this->dispatcher.has_value()
+                                        : this->table.has_reader_nearby(now);
     return now - this->own_read_at < bound * rest_parts / all_parts &&
-           now - this->peer_read_at <= read_lately &&
-           this->table.has_reader_nearby(now);
+           now - this->peer_read_at <= read_lately && has_reader;
 }
 
 // ---- Telling --------------------------------------------------------------
@@ -162,6 +190,8 @@
 void peer_link::tell_soon()
 {
     this->schedule.changed();
+    if (this->large)
+        this->answer_members(this->state.clock());
     this->tell_due();
     this->set_timer();
 }
@@ -183,20 +213,32 @@
     });
 }
 
-gossip::word peer_link::own_word(gossip::audience who)
+gossip::word peer_link::own_word(gossip::word_kind kind)
 {
     const base::instant now = this->state.clock();
     gossip::word out;
+    out.kind = kind;
+    out.delegating = this->state.delegating;
     out.life = this->life;
     out.sequence = ++this->sequence;
     out.instance = this->own.instance;
     out.data_centre = this->own.data_centre;
     out.address = relay::asio::ip::make_address_v4(this->own.ip).to_uint();
+    out.strength = strength_of(this->own);
     out.stopping = this->state.stopping;
     out.configuration_revision = this->state.known.configuration_revision();
     out.store_revision = this->state.known.as_of();
     out.change_revision = this->state.known.changed_at();
     out.store_age = now - this->own_read_at;
+    return out;
+}
+
+gossip::word peer_link::own_load(gossip::audience who)
+{
+    const base::instant now = this->state.clock();
+    gossip::word out =
+        this->own_word(this->large ? gossip::word_kind::dispatcher_load
+                                   : gossip::word_kind::load);
     out.uses = this->state.scheduler.own_uses(now);
     out.waiting = this->state.scheduler.own_waiting(now);
     out.workspace_uses = this->state.limiter.own_uses(now);
@@ -207,6 +249,8 @@
 void peer_link::tell_due()
 {
     const base::instant now = this->state.clock();
+    if (this->large)
+        return this->tell_among_many(now);
     for (const gossip::audience who :
          {gossip::audience::own_data_centre, gossip::audience::others}) {
         if (this->schedule.is_due(who, now))
@@ -222,14 +266,19 @@
         this->table.to_tell(who, now);
     if (to_tell.empty())
         return;
-    const std::string bytes = gossip::encode(this->own_word(who));
-    for (const gossip::ip_number address : to_tell) {
-        const relay::udp::endpoint to(relay::asio::ip::address_v4(address),
-                                      this->own.peer_port);
-        // One that can't be sent is lost like any other datagram.
-        relay::error_code ignored;
-        this->socket.send_to(relay::asio::buffer(bytes), to, 0, ignored);
-    }
+    const std::string bytes = gossip::encode(this->own_load(who));
+    for (const gossip::ip_number address : to_tell)
+        this->send(bytes, address);
+}
+
+// One that can't be sent is lost like any other datagram.
+void peer_link::send(std::string_view bytes, gossip::ip_number to)
+{
+    const relay::udp::endpoint receiver(relay::asio::ip::address_v4(to),
+                                        this->own.peer_port);
+    relay::error_code ignored;
+    this->socket.send_to(
+        relay::asio::buffer(bytes.data(), bytes.size()), receiver, 0, ignored);
 }
 
 // ---- Time -----------------------------------------------------------------
@@ -241,15 +290,14 @@
     if (now - this->looked_at < look_gap)
         return;
     this->looked_at = now;
-    this->schedule.set_peers(this->table.alive_near(now), this->alive());
+    this->update_role(now);
     for (const std::string& peer : this->table.fallen_silent(now)) {
         this->state.log.write(now, "peers", "peer_silent", {{"peer", peer}});
         this->state.scheduler.peer_lost(base::slot_id(peer));
+        this->members.erase(base::slot_id(peer));
+        this->events.member_lost(base::slot_id(peer));
     }
-    this->state.scheduler.set_entries(this->table.alive_lately(now) + 1);
-    this->state.scheduler.set_word_gap(
-        this->schedule.gap(gossip::audience::own_data_centre));
-    this->state.limiter.set_unheard_peers(this->table.unheard());
+    this->count_entries(now);
     this->state.limiter.assume_silent_peers(now);
     const auto newest = this->table.newest_source(now, this->turn);
     const bool changed =
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -8,6 +8,7 @@
 #include <greengagedrum/entry/front.hpp>
 #include <greengagedrum/entry/settings.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
+#include <greengagedrum/gossip/succession.hpp>
 #include <greengagedrum/gossip/word_schedule.hpp>
 #include <greengagedrum/relay/http_get.hpp>
 #include <greengagedrum/relay/small_server.hpp>
@@ -26,6 +27,17 @@
     std::function<void()> load_changed;
     // A peer passed items of the store.
     std::function<void(const gossip::item_transfer&)> items;
+    // Another entry places this one's requests, or none does any more.
+    std::function<void(bool)> delegate;
+    // What the entry that places is told, and what it replied.
+    std::function<dispatch::member_report()> report;
+    std::function<void(const dispatch::dispatcher_reply&)> replied;
+    // A member's report, with the loads that it sees, and a member's end.
+    std::function<void(base::slot_id, const gossip::word&)> member_reported;
+    std::function<void(base::slot_id)> member_lost;
+    // Members that are to be told something, and what.
+    std::function<std::vector<base::slot_id>()> members_unanswered;
+    std::function<dispatch::dispatcher_reply(base::slot_id)> reply;
 };
 
 class peer_link
@@ -60,7 +72,27 @@
     void tell_due();
     void tell(gossip::audience who);
     void set_timer();
-    gossip::word own_word(gossip::audience who);
+    gossip::word own_word(gossip::word_kind kind);
+    gossip::word own_load(gossip::audience who);
+    void send(std::string_view bytes, gossip::ip_number to);
+
+    // ---- Among many entries
+    void take_load(const gossip::word& told, base::instant now);
+    void take_report(const gossip::word& told, base::instant now);
+    void take_reply(const gossip::word& told, base::instant now);
+    void answer_greeting(const gossip::word& told, base::instant now);
+    void update_role(base::instant now);
+    void set_role(bool delegating, base::instant now);
+    void count_entries(base::instant now);
+    void count_among_many(base::instant now);
+    void forget_replaced(base::instant now);
+    void tell_among_many(base::instant now);
+    void tell_dispatcher(base::instant now);
+    void tell_members(base::instant now);
+    void answer_members(base::instant now);
+    void tell_far(base::instant now);
+    void greet_silent(base::instant now);
+    void look_for_silent(base::instant now);
     void ask_peer(base::instant now);
 
     relay::asio::io_context& context;
@@ -83,6 +115,32 @@
     base::instant peer_read_at; // the same of its peers, the newest
     std::uint64_t turn = 0;
     bool asking = false;
+
+    struct member {
+        gossip::ip_number address = 0;
+        base::instant heard_at;
+    };
+
+    gossip::succession order;
+    bool large = false;
+    std::optional<gossip::ip_number> dispatcher; // none: this entry
+    base::instant dispatcher_at;                 // when there was one last
+    base::instant placing_since;                 // this entry, by itself
+    base::instant beat_at;
+    base::instant greeted_at;
+    std::size_t next_greeted = 0;
+    std::uint32_t farewells = 0; // still to be told to other data centres
+    std::size_t unheard_alone = 0;
+    std::unordered_map<base::slot_id, member> members;
+    // Others that place, of which the limiter was told.
+    std::unordered_map<base::slot_id, gossip::ip_number> counting;
+    struct entry_counts {
+        std::size_t dispatchers = 0;
+        std::size_t unheard = 0;
+        bool operator==(const entry_counts&) const = default;
+    };
+    entry_counts counts;
+    std::unordered_map<gossip::ip_number, base::instant> greetings_answered;
 };
 
 // The target under which an entry asks a peer for items, and its reading.
--- /dev/null
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -0,0 +1,337 @@
+// Among many entries: which of them places requests, and who tells whom.
+#include <greengagedrum/entry/peer_link.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+// Without a dispatcher a member waits for the next one to answer, and then
+// places by itself: what each knows alone fills upstreams that others filled.
+constexpr base::duration wait_for_dispatcher = std::chrono::milliseconds(500);
+
+// To all that are told without having something to tell.
+constexpr base::duration beat = std::chrono::milliseconds(100);
+
+// Entries that may be back are greeted a few at a time: a restarted one may
+// know of seeds only that are down.
+constexpr base::duration greet_gap = std::chrono::milliseconds(500);
+constexpr std::size_t greeted_at_once = 4;
+
+// A greeting is answered once in this time; a start of all entries at once
+// brings hundreds to each seed.
+constexpr base::duration answer_gap = std::chrono::milliseconds(150);
+
+// A member that reported so lately is told of signs of life.
+constexpr base::duration member_for = std::chrono::milliseconds(1500);
+
+// Until members have found their new dispatcher.
+constexpr base::duration gather_time = std::chrono::milliseconds(300);
+
+// Of messages to other data centres one in a hundred may be lost.
+constexpr std::uint32_t farewells_told = 3;
+
+// A place that another data centre's dispatcher frees is left to it as long.
+constexpr base::duration word_gap_among_many = std::chrono::milliseconds(10);
+
+} // namespace
+
+// ---- Hearing --------------------------------------------------------------
+
+void peer_link::take_load(const gossip::word& told, base::instant now)
+{
+    const base::slot_id slot(told.instance);
+    if (this->large &&
+        (this->state.delegating || told.data_centre == this->own.data_centre))
+        this->answer_greeting(told, now);
+    if (told.delegating) {
+        this->state.scheduler.peer_lost(slot);
+        this->state.limiter.forget_peer(slot);
+        return;
+    }
+    if (this->state.delegating)
+        return;
+    if (this->large)
+        this->counting[slot] = told.address;
+    this->state.scheduler.peer_told(slot, told.uses, told.waiting, now);
+    this->state.limiter.peer_told(
+        slot, told.life, told.workspace_uses, told.stopping, now);
+    if (this->state.scheduler.waiting() > 0)
+        this->events.load_changed();
+}
+
+// Its limits are counted here from now on, and its load is what it shows.
+void peer_link::take_report(const gossip::word& told, base::instant now)
+{
+    if (!this->large)
+        return;
+    const base::slot_id slot(told.instance);
+    if (this->state.delegating) {
+        // It is to look for another one.
+        this->answer_greeting(told, now);
+        return;
+    }
+    this->members[slot] = {told.address, now};
+    this->state.limiter.forget_peer(slot);
+    this->events.member_reported(slot, told);
+    this->answer_members(now);
+}
+
+void peer_link::take_reply(const gossip::word& told, base::instant now)
+{
+    this->update_role(now);
+    if (this->dispatcher == told.address)
+        this->events.replied(told.reply);
+}
+
+void peer_link::answer_greeting(const gossip::word& told, base::instant now)
+{
+    base::instant& answered = this->greetings_answered[told.address];
+    if (now - answered < answer_gap)
+        return;
+    answered = now;
+    gossip::word out = this->own_word(gossip::word_kind::greeting_answer);
+    out.known =
+        this->order.to_name(base::data_centre_id(told.data_centre), now);
+    this->send(gossip::encode(out), told.address);
+}
+
+// ---- Roles ----------------------------------------------------------------
+
+void peer_link::update_role(base::instant now)
+{
+    const bool was_large =
+        std::exchange(this->large, this->order.is_large(now));
+    if (this->large && !was_large)
+        this->state.limiter.forget_peers();
+    if (!this->large) {
+        this->dispatcher.reset();
+        this->set_role(false, now);
+        this->schedule.set_peers(this->table.alive_near(now), this->alive());
+        return;
+    }
+    const auto next = this->order.dispatcher(now);
+    if (next != this->dispatcher) {
+        this->dispatcher = next;
+        this->state.log.write(
+            now,
+            "peers",
+            "dispatcher_changed",
+            {{"dispatcher",
+              next ? relay::asio::ip::address_v4(*next).to_string()
+                   : std::string("none")},
+             {"entries", this->order.size(now)}});
+        this->schedule.changed();
+    }
+    if (next)
+        this->dispatcher_at = now;
+    const bool may_come = !next &&
+                          now - this->dispatcher_at < wait_for_dispatcher &&
+                          !this->order.to_try(now).empty();
+    this->set_role(next.has_value() || may_come, now);
+    if (this->state.delegating)
+        this->schedule.set_member();
+    else
+        this->schedule.set_dispatcher();
+}
+
+void peer_link::set_role(bool delegating, base::instant now)
+{
+    if (delegating == this->state.delegating)
+        return;
+    if (delegating) {
+        this->farewells = farewells_told;
+        this->members.clear();
+    } else {
+        this->placing_since = now;
+        this->unheard_alone = 0;
+    }
+    this->events.delegate(delegating);
+}
+
+void peer_link::count_entries(base::instant now)
+{
+    if (this->large)
+        return this->count_among_many(now);
+    traffic::scheduler& scheduler = this->state.scheduler;
+    scheduler.set_entries(this->table.alive_lately(now) + 1);
+    scheduler.set_word_gap(
+        this->schedule.gap(gossip::audience::own_data_centre));
+    this->state.limiter.set_unheard_peers(this->table.unheard());
+}
+
+// Failure guarded against: an entry that is cut off from all others has no
+// members, places by itself, and would give each workspace its whole limit
+// beside the one that the others give.
+void peer_link::count_among_many(base::instant now)
+{
+    const bool alone =
+        this->members.empty() || now - this->placing_since < gather_time;
+    const std::size_t all = this->order.size(now);
+    const std::size_t placing = this->order.dispatchers(now) + 1;
+    traffic::scheduler& scheduler = this->state.scheduler;
+    scheduler.set_entries(this->members.empty() ? all : placing);
+    scheduler.set_retrying_entries(all);
+    scheduler.set_word_gap(word_gap_among_many);
+    this->unheard_alone =
+        std::max(this->unheard_alone, this->order.known_nearby(now));
+    const std::size_t unheard = this->order.unheard_data_centres(now) +
+                                (alone ? this->unheard_alone : 0);
+    this->state.limiter.set_unheard_peers(unheard);
+    this->forget_replaced(now);
+    const entry_counts counted{placing, unheard};
+    if (this->state.delegating || counted == this->counts)
+        return;
+    this->counts = counted;
+    this->state.log.write(now,
+                          "peers",
+                          "dispatchers_counted",
+                          {{"dispatchers", placing},
+                           {"unheard", unheard},
+                           {"members", this->members.size()},
+                           {"entries", all}});
+}
+
+// Failure guarded against: a dispatcher falls silent and another one of its
+// data centre takes over. With a part of each limit kept for the first as for
+// one behind a cut, work within the limits was refused for half a minute.
+void peer_link::forget_replaced(base::instant now)
+{
+    std::erase_if(this->counting, [&](const auto& one) {
+        if (!this->order.is_replaced(one.second, now))
+            return false;
+        this->state.limiter.forget_peer(one.first);
+        return true;
+    });
+}
+
+// ---- Telling --------------------------------------------------------------
+
+void peer_link::tell_among_many(base::instant now)
+{
+    using gossip::audience;
+    const bool beats = now - this->beat_at >= beat;
+    if (beats)
+        this->beat_at = now;
+    if (this->state.delegating) {
+        if (this->schedule.is_due(audience::own_data_centre, now)) {
+            this->schedule.told(audience::own_data_centre, now);
+            this->tell_dispatcher(now);
+        }
+    } else if (beats) {
+        this->schedule.told(audience::own_data_centre, now);
+        this->tell_members(now);
+    }
+    if (beats)
+        this->look_for_silent(now);
+    const bool to_far = !this->state.delegating || this->farewells > 0;
+    if (to_far && this->schedule.is_due(audience::others, now))
+        this->tell_far(now);
+    else if (this->state.delegating)
+        this->schedule.told(audience::others, now);
+}
+
+void peer_link::tell_dispatcher(base::instant now)
+{
+    if (!this->dispatcher)
+        return;
+    gossip::word out = this->own_word(gossip::word_kind::report);
+    out.uses = this->state.scheduler.own_uses(now);
+    out.report = this->events.report();
+    this->order.told(*this->dispatcher, now);
+    this->send(gossip::encode(out), *this->dispatcher);
+}
+
+// Those that would place in place of the present one are asked with a whole
+// report, so that the first of them to answer can begin.
+void peer_link::look_for_silent(base::instant now)
+{
+    const std::vector<gossip::ip_number> to_try = this->order.to_try(now);
+    if (!to_try.empty()) {
+        gossip::word out = this->own_word(gossip::word_kind::report);
+        if (this->state.delegating && !this->dispatcher) {
+            out.uses = this->state.scheduler.own_uses(now);
+            out.report = this->events.report();
+        }
+        const std::string bytes = gossip::encode(out);
+        for (const gossip::ip_number address : to_try) {
+            this->order.told(address, now);
+            this->send(bytes, address);
+        }
+    }
+    if (now - this->greeted_at >= greet_gap)
+        this->greet_silent(now);
+}
+
+void peer_link::greet_silent(base::instant now)
+{
+    this->greeted_at = now;
+    std::vector<gossip::ip_number> to_greet = this->table.silent_seeds(now);
+    if (!this->state.delegating) {
+        const std::vector<gossip::ip_number> silent =
+            this->order.silent_nearby(now);
+        for (std::size_t count = 0;
+             count < std::min(greeted_at_once, silent.size());
+             ++count)
+            to_greet.push_back(silent.at(this->next_greeted++ % silent.size()));
+    }
+    if (to_greet.empty())
+        return;
+    gossip::word out = this->own_word(gossip::word_kind::greeting);
+    out.known =
+        this->order.to_name(base::data_centre_id(this->own.data_centre), now);
+    const std::string bytes = gossip::encode(out);
+    for (const gossip::ip_number address : to_greet)
+        this->send(bytes, address);
+}
+
+void peer_link::tell_members(base::instant now)
+{
+    const std::vector<gossip::known_entry> known =
+        this->order.to_name(base::data_centre_id(this->own.data_centre), now);
+    for (const auto& [slot, one] : this->members) {
+        if (now - one.heard_at > member_for)
+            continue;
+        gossip::word out = this->own_word(gossip::word_kind::reply);
+        out.known = known;
+        out.reply = this->events.reply(slot);
+        this->send(gossip::encode(out), one.address);
+    }
+}
+
+void peer_link::answer_members(base::instant)
+{
+    if (this->state.delegating)
+        return;
+    for (const base::slot_id slot : this->events.members_unanswered()) {
+        const auto found = this->members.find(slot);
+        gossip::word out = this->own_word(gossip::word_kind::reply);
+        out.reply = this->events.reply(slot);
+        if (found != this->members.end())
+            this->send(gossip::encode(out), found->second.address);
+    }
+}
+
+void peer_link::tell_far(base::instant now)
+{
+    this->schedule.told(gossip::audience::others, now);
+    if (this->state.delegating)
+        this->farewells -= 1;
+    const std::vector<gossip::ip_number> far = this->order.far_dispatchers(now);
+    if (far.empty())
+        return;
+    gossip::word out = this->own_load(gossip::audience::others);
+    out.known =
+        this->order.to_name(base::data_centre_id(this->own.data_centre), now);
+    const std::string bytes = gossip::encode(out);
+    for (const gossip::ip_number address : far) {
+        this->order.told(address, now);
+        this->send(bytes, address);
+    }
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/settings.cpp
+++ b/src/greengagedrum/entry/settings.cpp
@@ -38,7 +38,8 @@
         << "control = " << base::to_string(given.control) << '\n'
         << "metrics = " << base::to_string(given.metrics) << '\n'
         << "peer_port = " << given.peer_port << '\n'
-        << "store = " << base::to_string(given.store) << '\n';
+        << "store = " << base::to_string(given.store) << '\n'
+        << "processors = " << given.processors << '\n';
     for (const base::ip_endpoint& seed : given.seeds)
         out << "seed = " << base::to_string(seed) << '\n';
     print(given.bounds, out);
--- a/src/greengagedrum/entry/settings.hpp
+++ b/src/greengagedrum/entry/settings.hpp
@@ -35,6 +35,7 @@
     std::uint16_t peer_port = 0;          // UDP, the same on all instances
     std::vector<base::ip_endpoint> seeds; // control addresses of a few others
     base::ip_endpoint store;
+    double processors = 1; // share of a core; the strongest entries place
     entry::bounds bounds;
 };
 
--- /dev/null
+++ b/src/greengagedrum/gossip/dispatch_codec.cpp
@@ -0,0 +1,209 @@
+#include <greengagedrum/gossip/dispatch_codec.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace greengagedrum::gossip
+{
+
+namespace
+{
+
+using dispatch::send_change;
+
+constexpr std::array send_changes = {send_change::first_event,
+                                     send_change::good,
+                                     send_change::failing,
+                                     send_change::not_sent,
+                                     send_change::full,
+                                     send_change::misdirected,
+                                     send_change::broken};
+
+// Reasons for which a place is declined; any other is told as the last.
+constexpr std::array decline_reasons = {base::reason::limit_reached,
+                                        base::reason::no_upstream,
+                                        base::reason::overloaded};
+
+template <class List, class Value>
+std::uint32_t index_in(const List& list, Value value)
+{
+    const auto found = std::find(list.begin(), list.end(), value);
+    const auto at = found == list.end()
+                        ? list.size() - 1
+                        : static_cast<std::size_t>(found - list.begin());
+    return static_cast<std::uint32_t>(at);
+}
+
+// What an entry of a later build tells may be beyond the list.
+template <class List>
+auto value_at(const List& list, std::uint32_t at)
+{
+    return list.at(std::min<std::size_t>(at, list.size() - 1));
+}
+
+std::uint32_t unsigned_count(std::int64_t value)
+{
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(value, 0, UINT32_MAX));
+}
+
+flatbuffers::Offset<wire::Wanted>
+write_wanted(flatbuffers::FlatBufferBuilder& builder,
+             const dispatch::wanted_place& one)
+{
+    std::vector<std::uint64_t> tried;
+    for (const base::upstream_id id : one.tried)
+        tried.push_back(id.value);
+    const traffic::request_facts& facts = one.facts;
+    const bool at_most_once = facts.rule == routing::repeat_rule::at_most_once;
+    return wire::CreateWanted(builder,
+                              one.name.request.value,
+                              one.name.send,
+                              facts.service.value,
+                              facts.workspace.value,
+                              facts.kind.value,
+                              facts.priority,
+                              facts.prompt_tokens,
+                              facts.output_tokens,
+                              facts.stream,
+                              at_most_once,
+                              facts.objective.count(),
+                              facts.gap_objective.count(),
+                              facts.time_left.count(),
+                              facts.patience.count(),
+                              facts.sends_before,
+                              one.cost,
+                              one.counted,
+                              builder.CreateVector(tried));
+}
+
+dispatch::wanted_place read_wanted(const wire::Wanted& from)
+{
+    dispatch::wanted_place out;
+    out.name = {base::request_id{from.request()}, from.send()};
+    traffic::request_facts& facts = out.facts;
+    facts.service.value = from.service();
+    facts.workspace.value = from.workspace();
+    facts.kind.value = from.kind();
+    facts.priority = from.priority();
+    facts.prompt_tokens = from.prompt_tokens();
+    facts.output_tokens = from.output_tokens();
+    facts.stream = from.stream();
+    facts.rule = from.at_most_once() ? routing::repeat_rule::at_most_once
+                                     : routing::repeat_rule::idempotent;
+    facts.objective = base::duration(from.objective_us());
+    facts.gap_objective = base::duration(from.gap_objective_us());
+    facts.time_left = base::duration(from.time_left_us());
+    facts.patience = base::duration(from.patience_us());
+    facts.sends_before = from.sends_before();
+    facts.delegated = true;
+    out.cost = from.cost();
+    out.counted = from.counted();
+    if (const auto* list = from.tried()) {
+        for (const std::uint64_t id : *list)
+            out.tried.emplace_back(id);
+    }
+    return out;
+}
+
+} // namespace
+
+flatbuffers::Offset<wire::Report>
+write_report(flatbuffers::FlatBufferBuilder& builder,
+             const dispatch::member_report& told)
+{
+    std::vector<flatbuffers::Offset<wire::Wanted>> wanted;
+    for (const dispatch::wanted_place& one : told.wanted)
+        wanted.push_back(write_wanted(builder, one));
+    std::vector<wire::Running> running;
+    for (const dispatch::running_send& one : told.running)
+        running.emplace_back(one.name.request.value,
+                             one.upstream.value,
+                             one.name.send,
+                             one.unread_tokens);
+    std::vector<wire::SendNews> news;
+    for (const dispatch::send_news& one : told.news)
+        news.emplace_back(one.number,
+                          one.name.request.value,
+                          one.name.send,
+                          index_in(send_changes, one.what));
+    return wire::CreateReport(builder,
+                              builder.CreateVector(wanted),
+                              builder.CreateVectorOfStructs(running),
+                              builder.CreateVectorOfStructs(news));
+}
+
+flatbuffers::Offset<wire::Reply>
+write_reply(flatbuffers::FlatBufferBuilder& builder,
+            const dispatch::dispatcher_reply& told)
+{
+    std::vector<wire::Granted> granted;
+    for (const dispatch::granted_place& one : told.granted)
+        granted.emplace_back(one.name.request.value,
+                             one.upstream.value,
+                             one.name.send,
+                             unsigned_count(one.expected.count()),
+                             one.taken,
+                             one.places);
+    std::vector<wire::Declined> declined;
+    for (const dispatch::declined_place& one : told.declined) {
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+            one.retry_after);
+        declined.emplace_back(one.name.request.value,
+                              one.name.send,
+                              index_in(decline_reasons, one.why),
+                              unsigned_count(wait.count()));
+    }
+    return wire::CreateReply(builder,
+                             told.news_taken,
+                             builder.CreateVectorOfStructs(granted),
+                             builder.CreateVectorOfStructs(declined));
+}
+
+dispatch::member_report read_report(const wire::Report& from)
+{
+    dispatch::member_report out;
+    if (const auto* list = from.wanted()) {
+        for (const wire::Wanted* one : *list)
+            out.wanted.push_back(read_wanted(*one));
+    }
+    if (const auto* list = from.running()) {
+        for (const wire::Running* one : *list)
+            out.running.push_back(
+                {{base::request_id{one->request()}, one->send()},
+                 base::upstream_id(one->upstream()),
+                 one->unread_tokens()});
+    }
+    if (const auto* list = from.news()) {
+        for (const wire::SendNews* one : *list)
+            out.news.push_back({one->number(),
+                                {base::request_id{one->request()}, one->send()},
+                                value_at(send_changes, one->what())});
+    }
+    return out;
+}
+
+dispatch::dispatcher_reply read_reply(const wire::Reply& from)
+{
+    dispatch::dispatcher_reply out;
+    out.news_taken = from.news_taken();
+    if (const auto* list = from.granted()) {
+        for (const wire::Granted* one : *list)
+            out.granted.push_back(
+                {{base::request_id{one->request()}, one->send()},
+                 base::upstream_id(one->upstream()),
+                 std::chrono::microseconds(one->expected_us()),
+                 one->taken(),
+                 one->places()});
+    }
+    if (const auto* list = from.declined()) {
+        for (const wire::Declined* one : *list)
+            out.declined.push_back(
+                {{base::request_id{one->request()}, one->send()},
+                 value_at(decline_reasons, one->why()),
+                 std::chrono::milliseconds(one->retry_after_ms())});
+    }
+    return out;
+}
+
+} // namespace greengagedrum::gossip
--- /dev/null
+++ b/src/greengagedrum/gossip/dispatch_codec.hpp
@@ -0,0 +1,21 @@
+// The bytes of what members and dispatchers tell each other, within a word.
+#pragma once
+
+#include <greengagedrum/dispatch/messages.hpp>
+#include <greengagedrum/gossip/gossip_generated.h>
+
+namespace greengagedrum::gossip
+{
+
+flatbuffers::Offset<wire::Report>
+write_report(flatbuffers::FlatBufferBuilder& builder,
+             const dispatch::member_report& told);
+
+flatbuffers::Offset<wire::Reply>
+write_reply(flatbuffers::FlatBufferBuilder& builder,
+            const dispatch::dispatcher_reply& told);
+
+dispatch::member_report read_report(const wire::Report& from);
+dispatch::dispatcher_reply read_reply(const wire::Reply& from);
+
+} // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -27,6 +27,25 @@
 
 struct Known;
 
+struct Wanted;
+struct WantedBuilder;
+
+struct Running;
+
+struct SendNews;
+
+struct Granted;
+
+struct Declined;
+
+struct Report;
+struct ReportBuilder;
+
+struct Reply;
+struct ReplyBuilder;
+
+struct Standing;
+
 struct Word;
 struct WordBuilder;
 
@@ -179,6 +198,603 @@
 };
 FLATBUFFERS_STRUCT_END(Known, 8);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Running FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t request_;
+  uint64_t upstream_;
+  uint32_t send_;
+  uint32_t unread_tokens_;
+
+ public:
+  Running()
+      : request_(0),
+        upstream_(0),
+        send_(0),
+        unread_tokens_(0) {
+  }
+  Running(uint64_t _request, uint64_t _upstream, uint32_t _send, uint32_t _unread_tokens)
+      : request_(flatbuffers::EndianScalar(_request)),
+        upstream_(flatbuffers::EndianScalar(_upstream)),
+        send_(flatbuffers::EndianScalar(_send)),
+        unread_tokens_(flatbuffers::EndianScalar(_unread_tokens)) {
+  }
+  uint64_t request() const {
+    return flatbuffers::EndianScalar(request_);
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t send() const {
+    return flatbuffers::EndianScalar(send_);
+  }
+  uint32_t unread_tokens() const {
+    return flatbuffers::EndianScalar(unread_tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Running, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) SendNews FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t number_;
+  uint64_t request_;
+  uint32_t send_;
+  uint32_t what_;
+
+ public:
+  SendNews()
+      : number_(0),
+        request_(0),
+        send_(0),
+        what_(0) {
+  }
+  SendNews(uint64_t _number, uint64_t _request, uint32_t _send, uint32_t _what)
+      : number_(flatbuffers::EndianScalar(_number)),
+        request_(flatbuffers::EndianScalar(_request)),
+        send_(flatbuffers::EndianScalar(_send)),
+        what_(flatbuffers::EndianScalar(_what)) {
+  }
+  uint64_t number() const {
+    return flatbuffers::EndianScalar(number_);
+  }
+  uint64_t request() const {
+    return flatbuffers::EndianScalar(request_);
+  }
+  uint32_t send() const {
+    return flatbuffers::EndianScalar(send_);
+  }
+  uint32_t what() const {
+    return flatbuffers::EndianScalar(what_);
+  }
+};
+FLATBUFFERS_STRUCT_END(SendNews, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Granted FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t request_;
+  uint64_t upstream_;
+  uint32_t send_;
+  uint32_t expected_us_;
+  uint32_t taken_;
+  uint32_t places_;
+
+ public:
+  Granted()
+      : request_(0),
+        upstream_(0),
+        send_(0),
+        expected_us_(0),
+        taken_(0),
+        places_(0) {
+  }
+  Granted(uint64_t _request, uint64_t _upstream, uint32_t _send, uint32_t _expected_us, uint32_t _taken, uint32_t _places)
+      : request_(flatbuffers::EndianScalar(_request)),
+        upstream_(flatbuffers::EndianScalar(_upstream)),
+        send_(flatbuffers::EndianScalar(_send)),
+        expected_us_(flatbuffers::EndianScalar(_expected_us)),
+        taken_(flatbuffers::EndianScalar(_taken)),
+        places_(flatbuffers::EndianScalar(_places)) {
+  }
+  uint64_t request() const {
+    return flatbuffers::EndianScalar(request_);
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t send() const {
+    return flatbuffers::EndianScalar(send_);
+  }
+  uint32_t expected_us() const {
+    return flatbuffers::EndianScalar(expected_us_);
+  }
+  uint32_t taken() const {
+    return flatbuffers::EndianScalar(taken_);
+  }
+  uint32_t places() const {
+    return flatbuffers::EndianScalar(places_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Granted, 32);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Declined FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t request_;
+  uint32_t send_;
+  uint32_t why_;
+  uint32_t retry_after_ms_;
+  int32_t padding0__;
+
+ public:
+  Declined()
+      : request_(0),
+        send_(0),
+        why_(0),
+        retry_after_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  Declined(uint64_t _request, uint32_t _send, uint32_t _why, uint32_t _retry_after_ms)
+      : request_(flatbuffers::EndianScalar(_request)),
+        send_(flatbuffers::EndianScalar(_send)),
+        why_(flatbuffers::EndianScalar(_why)),
+        retry_after_ms_(flatbuffers::EndianScalar(_retry_after_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t request() const {
+    return flatbuffers::EndianScalar(request_);
+  }
+  uint32_t send() const {
+    return flatbuffers::EndianScalar(send_);
+  }
+  uint32_t why() const {
+    return flatbuffers::EndianScalar(why_);
+  }
+  uint32_t retry_after_ms() const {
+    return flatbuffers::EndianScalar(retry_after_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Declined, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Standing FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t data_centre_;
+  uint32_t strength_;
+  int32_t padding0__;
+
+ public:
+  Standing()
+      : data_centre_(0),
+        strength_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  Standing(uint64_t _data_centre, uint32_t _strength)
+      : data_centre_(flatbuffers::EndianScalar(_data_centre)),
+        strength_(flatbuffers::EndianScalar(_strength)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t data_centre() const {
+    return flatbuffers::EndianScalar(data_centre_);
+  }
+  uint32_t strength() const {
+    return flatbuffers::EndianScalar(strength_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Standing, 16);
+
+struct Wanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WantedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_SEND = 6,
+    VT_SERVICE = 8,
+    VT_WORKSPACE = 10,
+    VT_KIND = 12,
+    VT_PRIORITY = 14,
+    VT_PROMPT_TOKENS = 16,
+    VT_OUTPUT_TOKENS = 18,
+    VT_STREAM = 20,
+    VT_AT_MOST_ONCE = 22,
+    VT_OBJECTIVE_US = 24,
+    VT_GAP_OBJECTIVE_US = 26,
+    VT_TIME_LEFT_US = 28,
+    VT_PATIENCE_US = 30,
+    VT_SENDS_BEFORE = 32,
+    VT_COST = 34,
+    VT_COUNTED = 36,
+    VT_TRIED = 38
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  uint32_t send() const {
+    return GetField<uint32_t>(VT_SEND, 0);
+  }
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  uint64_t workspace() const {
+    return GetField<uint64_t>(VT_WORKSPACE, 0);
+  }
+  uint64_t kind() const {
+    return GetField<uint64_t>(VT_KIND, 0);
+  }
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
+  uint32_t prompt_tokens() const {
+    return GetField<uint32_t>(VT_PROMPT_TOKENS, 0);
+  }
+  uint32_t output_tokens() const {
+    return GetField<uint32_t>(VT_OUTPUT_TOKENS, 0);
+  }
+  bool stream() const {
+    return GetField<uint8_t>(VT_STREAM, 0) != 0;
+  }
+  bool at_most_once() const {
+    return GetField<uint8_t>(VT_AT_MOST_ONCE, 0) != 0;
+  }
+  int64_t objective_us() const {
+    return GetField<int64_t>(VT_OBJECTIVE_US, 0);
+  }
+  int64_t gap_objective_us() const {
+    return GetField<int64_t>(VT_GAP_OBJECTIVE_US, 0);
+  }
+  int64_t time_left_us() const {
+    return GetField<int64_t>(VT_TIME_LEFT_US, 0);
+  }
+  int64_t patience_us() const {
+    return GetField<int64_t>(VT_PATIENCE_US, 0);
+  }
+  uint32_t sends_before() const {
+    return GetField<uint32_t>(VT_SENDS_BEFORE, 0);
+  }
+  double cost() const {
+    return GetField<double>(VT_COST, 0.0);
+  }
+  bool counted() const {
+    return GetField<uint8_t>(VT_COUNTED, 0) != 0;
+  }
+  const flatbuffers::Vector<uint64_t> *tried() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_TRIED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SEND, 4) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_WORKSPACE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_KIND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PROMPT_TOKENS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_OUTPUT_TOKENS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_STREAM, 1) &&
+           VerifyField<uint8_t>(verifier, VT_AT_MOST_ONCE, 1) &&
+           VerifyField<int64_t>(verifier, VT_OBJECTIVE_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_GAP_OBJECTIVE_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_TIME_LEFT_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_PATIENCE_US, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SENDS_BEFORE, 4) &&
+           VerifyField<double>(verifier, VT_COST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_COUNTED, 1) &&
+           VerifyOffset(verifier, VT_TRIED) &&
+           verifier.VerifyVector(tried()) &&
+           verifier.EndTable();
+  }
+};
+
+struct WantedBuilder {
+  typedef Wanted Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(Wanted::VT_REQUEST, request, 0);
+  }
+  void add_send(uint32_t send) {
+    fbb_.AddElement<uint32_t>(Wanted::VT_SEND, send, 0);
+  }
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(Wanted::VT_SERVICE, service, 0);
+  }
+  void add_workspace(uint64_t workspace) {
+    fbb_.AddElement<uint64_t>(Wanted::VT_WORKSPACE, workspace, 0);
+  }
+  void add_kind(uint64_t kind) {
+    fbb_.AddElement<uint64_t>(Wanted::VT_KIND, kind, 0);
+  }
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(Wanted::VT_PRIORITY, priority, 0);
+  }
+  void add_prompt_tokens(uint32_t prompt_tokens) {
+    fbb_.AddElement<uint32_t>(Wanted::VT_PROMPT_TOKENS, prompt_tokens, 0);
+  }
+  void add_output_tokens(uint32_t output_tokens) {
+    fbb_.AddElement<uint32_t>(Wanted::VT_OUTPUT_TOKENS, output_tokens, 0);
+  }
+  void add_stream(bool stream) {
+    fbb_.AddElement<uint8_t>(Wanted::VT_STREAM, static_cast<uint8_t>(stream), 0);
+  }
+  void add_at_most_once(bool at_most_once) {
+    fbb_.AddElement<uint8_t>(Wanted::VT_AT_MOST_ONCE, static_cast<uint8_t>(at_most_once), 0);
+  }
+  void add_objective_us(int64_t objective_us) {
+    fbb_.AddElement<int64_t>(Wanted::VT_OBJECTIVE_US, objective_us, 0);
+  }
+  void add_gap_objective_us(int64_t gap_objective_us) {
+    fbb_.AddElement<int64_t>(Wanted::VT_GAP_OBJECTIVE_US, gap_objective_us, 0);
+  }
+  void add_time_left_us(int64_t time_left_us) {
+    fbb_.AddElement<int64_t>(Wanted::VT_TIME_LEFT_US, time_left_us, 0);
+  }
+  void add_patience_us(int64_t patience_us) {
+    fbb_.AddElement<int64_t>(Wanted::VT_PATIENCE_US, patience_us, 0);
+  }
+  void add_sends_before(uint32_t sends_before) {
+    fbb_.AddElement<uint32_t>(Wanted::VT_SENDS_BEFORE, sends_before, 0);
+  }
+  void add_cost(double cost) {
+    fbb_.AddElement<double>(Wanted::VT_COST, cost, 0.0);
+  }
+  void add_counted(bool counted) {
+    fbb_.AddElement<uint8_t>(Wanted::VT_COUNTED, static_cast<uint8_t>(counted), 0);
+  }
+  void add_tried(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried) {
+    fbb_.AddOffset(Wanted::VT_TRIED, tried);
+  }
+  explicit WantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Wanted> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Wanted>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Wanted> CreateWanted(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    uint32_t send = 0,
+    uint64_t service = 0,
+    uint64_t workspace = 0,
+    uint64_t kind = 0,
+    uint32_t priority = 0,
+    uint32_t prompt_tokens = 0,
+    uint32_t output_tokens = 0,
+    bool stream = false,
+    bool at_most_once = false,
+    int64_t objective_us = 0,
+    int64_t gap_objective_us = 0,
+    int64_t time_left_us = 0,
+    int64_t patience_us = 0,
+    uint32_t sends_before = 0,
+    double cost = 0.0,
+    bool counted = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried = 0) {
+  WantedBuilder builder_(_fbb);
+  builder_.add_cost(cost);
+  builder_.add_patience_us(patience_us);
+  builder_.add_time_left_us(time_left_us);
+  builder_.add_gap_objective_us(gap_objective_us);
+  builder_.add_objective_us(objective_us);
+  builder_.add_kind(kind);
+  builder_.add_workspace(workspace);
+  builder_.add_service(service);
+  builder_.add_request(request);
+  builder_.add_tried(tried);
+  builder_.add_sends_before(sends_before);
+  builder_.add_output_tokens(output_tokens);
+  builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_priority(priority);
+  builder_.add_send(send);
+  builder_.add_counted(counted);
+  builder_.add_at_most_once(at_most_once);
+  builder_.add_stream(stream);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Wanted> CreateWantedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    uint32_t send = 0,
+    uint64_t service = 0,
+    uint64_t workspace = 0,
+    uint64_t kind = 0,
+    uint32_t priority = 0,
+    uint32_t prompt_tokens = 0,
+    uint32_t output_tokens = 0,
+    bool stream = false,
+    bool at_most_once = false,
+    int64_t objective_us = 0,
+    int64_t gap_objective_us = 0,
+    int64_t time_left_us = 0,
+    int64_t patience_us = 0,
+    uint32_t sends_before = 0,
+    double cost = 0.0,
+    bool counted = false,
+    const std::vector<uint64_t> *tried = nullptr) {
+  auto tried__ = tried ? _fbb.CreateVector<uint64_t>(*tried) : 0;
+  return greengagedrum::gossip::wire::CreateWanted(
+      _fbb,
+      request,
+      send,
+      service,
+      workspace,
+      kind,
+      priority,
+      prompt_tokens,
+      output_tokens,
+      stream,
+      at_most_once,
+      objective_us,
+      gap_objective_us,
+      time_left_us,
+      patience_us,
+      sends_before,
+      cost,
+      counted,
+      tried__);
+}
+
+struct Report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WANTED = 4,
+    VT_RUNNING = 6,
+    VT_NEWS = 8
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<greengagedrum::gossip::wire::Wanted>> *wanted() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<greengagedrum::gossip::wire::Wanted>> *>(VT_WANTED);
+  }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::Running *> *running() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::Running *> *>(VT_RUNNING);
+  }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::SendNews *> *news() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::SendNews *> *>(VT_NEWS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WANTED) &&
+           verifier.VerifyVector(wanted()) &&
+           verifier.VerifyVectorOfTables(wanted()) &&
+           VerifyOffset(verifier, VT_RUNNING) &&
+           verifier.VerifyVector(running()) &&
+           VerifyOffset(verifier, VT_NEWS) &&
+           verifier.VerifyVector(news()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ReportBuilder {
+  typedef Report Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_wanted(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagedrum::gossip::wire::Wanted>>> wanted) {
+    fbb_.AddOffset(Report::VT_WANTED, wanted);
+  }
+  void add_running(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Running *>> running) {
+    fbb_.AddOffset(Report::VT_RUNNING, running);
+  }
+  void add_news(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::SendNews *>> news) {
+    fbb_.AddOffset(Report::VT_NEWS, news);
+  }
+  explicit ReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Report> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Report>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Report> CreateReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagedrum::gossip::wire::Wanted>>> wanted = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Running *>> running = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::SendNews *>> news = 0) {
+  ReportBuilder builder_(_fbb);
+  builder_.add_news(news);
+  builder_.add_running(running);
+  builder_.add_wanted(wanted);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Report> CreateReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<greengagedrum::gossip::wire::Wanted>> *wanted = nullptr,
+    const std::vector<greengagedrum::gossip::wire::Running> *running = nullptr,
+    const std::vector<greengagedrum::gossip::wire::SendNews> *news = nullptr) {
+  auto wanted__ = wanted ? _fbb.CreateVector<flatbuffers::Offset<greengagedrum::gossip::wire::Wanted>>(*wanted) : 0;
+  auto running__ = running ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Running>(*running) : 0;
+  auto news__ = news ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::SendNews>(*news) : 0;
+  return greengagedrum::gossip::wire::CreateReport(
+      _fbb,
+      wanted__,
+      running__,
+      news__);
+}
+
+struct Reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReplyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NEWS_TAKEN = 4,
+    VT_GRANTED = 6,
+    VT_DECLINED = 8
+  };
+  uint64_t news_taken() const {
+    return GetField<uint64_t>(VT_NEWS_TAKEN, 0);
+  }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::Granted *> *granted() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::Granted *> *>(VT_GRANTED);
+  }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::Declined *> *declined() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::Declined *> *>(VT_DECLINED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NEWS_TAKEN, 8) &&
+           VerifyOffset(verifier, VT_GRANTED) &&
+           verifier.VerifyVector(granted()) &&
+           VerifyOffset(verifier, VT_DECLINED) &&
+           verifier.VerifyVector(declined()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ReplyBuilder {
+  typedef Reply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_news_taken(uint64_t news_taken) {
+    fbb_.AddElement<uint64_t>(Reply::VT_NEWS_TAKEN, news_taken, 0);
+  }
+  void add_granted(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Granted *>> granted) {
+    fbb_.AddOffset(Reply::VT_GRANTED, granted);
+  }
+  void add_declined(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Declined *>> declined) {
+    fbb_.AddOffset(Reply::VT_DECLINED, declined);
+  }
+  explicit ReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Reply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Reply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Reply> CreateReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t news_taken = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Granted *>> granted = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Declined *>> declined = 0) {
+  ReplyBuilder builder_(_fbb);
+  builder_.add_news_taken(news_taken);
+  builder_.add_declined(declined);
+  builder_.add_granted(granted);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Reply> CreateReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t news_taken = 0,
+    const std::vector<greengagedrum::gossip::wire::Granted> *granted = nullptr,
+    const std::vector<greengagedrum::gossip::wire::Declined> *declined = nullptr) {
+  auto granted__ = granted ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Granted>(*granted) : 0;
+  auto declined__ = declined ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Declined>(*declined) : 0;
+  return greengagedrum::gossip::wire::CreateReply(
+      _fbb,
+      news_taken,
+      granted__,
+      declined__);
+}
+
 struct Word FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef WordBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -199,7 +815,13 @@
     VT_STORE_AGE_MS = 34,
     VT_WORKSPACE_WAITING = 36,
     VT_WORKSPACE_LATELY = 38,
-    VT_WORKSPACE_ALL_LATELY = 40
+    VT_WORKSPACE_ALL_LATELY = 40,
+    VT_STRENGTH = 42,
+    VT_STANDINGS = 44,
+    VT_KIND = 46,
+    VT_DELEGATING = 48,
+    VT_REPORT = 50,
+    VT_REPLY = 52
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -255,6 +877,24 @@
   const flatbuffers::Vector<uint32_t> *workspace_all_lately() const {
     return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_WORKSPACE_ALL_LATELY);
   }
+  uint32_t strength() const {
+    return GetField<uint32_t>(VT_STRENGTH, 0);
+  }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::Standing *> *standings() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::Standing *> *>(VT_STANDINGS);
+  }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  bool delegating() const {
+    return GetField<uint8_t>(VT_DELEGATING, 0) != 0;
+  }
+  const greengagedrum::gossip::wire::Report *report() const {
+    return GetPointer<const greengagedrum::gossip::wire::Report *>(VT_REPORT);
+  }
+  const greengagedrum::gossip::wire::Reply *reply() const {
+    return GetPointer<const greengagedrum::gossip::wire::Reply *>(VT_REPLY);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -285,6 +925,15 @@
            verifier.VerifyVector(workspace_lately()) &&
            VerifyOffset(verifier, VT_WORKSPACE_ALL_LATELY) &&
            verifier.VerifyVector(workspace_all_lately()) &&
+           VerifyField<uint32_t>(verifier, VT_STRENGTH, 4) &&
+           VerifyOffset(verifier, VT_STANDINGS) &&
+           verifier.VerifyVector(standings()) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint8_t>(verifier, VT_DELEGATING, 1) &&
+           VerifyOffset(verifier, VT_REPORT) &&
+           verifier.VerifyTable(report()) &&
+           VerifyOffset(verifier, VT_REPLY) &&
+           verifier.VerifyTable(reply()) &&
            verifier.EndTable();
   }
 };
@@ -347,6 +996,24 @@
   void add_workspace_all_lately(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> workspace_all_lately) {
     fbb_.AddOffset(Word::VT_WORKSPACE_ALL_LATELY, workspace_all_lately);
   }
+  void add_strength(uint32_t strength) {
+    fbb_.AddElement<uint32_t>(Word::VT_STRENGTH, strength, 0);
+  }
+  void add_standings(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Standing *>> standings) {
+    fbb_.AddOffset(Word::VT_STANDINGS, standings);
+  }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(Word::VT_KIND, kind, 0);
+  }
+  void add_delegating(bool delegating) {
+    fbb_.AddElement<uint8_t>(Word::VT_DELEGATING, static_cast<uint8_t>(delegating), 0);
+  }
+  void add_report(flatbuffers::Offset<greengagedrum::gossip::wire::Report> report) {
+    fbb_.AddOffset(Word::VT_REPORT, report);
+  }
+  void add_reply(flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply) {
+    fbb_.AddOffset(Word::VT_REPLY, reply);
+  }
   explicit WordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -377,13 +1044,23 @@
     uint32_t store_age_ms = 3600000,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> workspace_waiting = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> workspace_lately = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> workspace_all_lately = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> workspace_all_lately = 0,
+    uint32_t strength = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Standing *>> standings = 0,
+    uint8_t kind = 0,
+    bool delegating = false,
+    flatbuffers::Offset<greengagedrum::gossip::wire::Report> report = 0,
+    flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply = 0) {
   WordBuilder builder_(_fbb);
   builder_.add_change_revision(change_revision);
   builder_.add_store_revision(store_revision);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_reply(reply);
+  builder_.add_report(report);
+  builder_.add_standings(standings);
+  builder_.add_strength(strength);
   builder_.add_workspace_all_lately(workspace_all_lately);
   builder_.add_workspace_lately(workspace_lately);
   builder_.add_workspace_waiting(workspace_waiting);
@@ -396,6 +1073,8 @@
   builder_.add_address(address);
   builder_.add_data_centre(data_centre);
   builder_.add_instance(instance);
+  builder_.add_delegating(delegating);
+  builder_.add_kind(kind);
   builder_.add_stopping(stopping);
   return builder_.Finish();
 }
@@ -419,7 +1098,13 @@
     uint32_t store_age_ms = 3600000,
     const std::vector<uint32_t> *workspace_waiting = nullptr,
     const std::vector<uint32_t> *workspace_lately = nullptr,
-    const std::vector<uint32_t> *workspace_all_lately = nullptr) {
+    const std::vector<uint32_t> *workspace_all_lately = nullptr,
+    uint32_t strength = 0,
+    const std::vector<greengagedrum::gossip::wire::Standing> *standings = nullptr,
+    uint8_t kind = 0,
+    bool delegating = false,
+    flatbuffers::Offset<greengagedrum::gossip::wire::Report> report = 0,
+    flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -430,6 +1115,7 @@
   auto workspace_waiting__ = workspace_waiting ? _fbb.CreateVector<uint32_t>(*workspace_waiting) : 0;
   auto workspace_lately__ = workspace_lately ? _fbb.CreateVector<uint32_t>(*workspace_lately) : 0;
   auto workspace_all_lately__ = workspace_all_lately ? _fbb.CreateVector<uint32_t>(*workspace_all_lately) : 0;
+  auto standings__ = standings ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Standing>(*standings) : 0;
   return greengagedrum::gossip::wire::CreateWord(
       _fbb,
       life,
@@ -449,7 +1135,13 @@
       store_age_ms,
       workspace_waiting__,
       workspace_lately__,
-      workspace_all_lately__);
+      workspace_all_lately__,
+      strength,
+      standings__,
+      kind,
+      delegating,
+      report,
+      reply);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/peer_table.cpp
+++ b/src/greengagedrum/gossip/peer_table.cpp
@@ -54,6 +54,8 @@
     const bool was_alive = one.alive_told;
     one.instance = told.instance;
     one.near = told.data_centre == this->data_centre;
+    one.data_centre = base::data_centre_id(told.data_centre);
+    one.strength = told.strength;
     one.life = told.life;
     one.sequence = told.sequence;
     one.heard_at = now;
@@ -94,6 +96,16 @@
     return out;
 }
 
+std::vector<ip_number> peer_table::silent_seeds(base::instant now) const
+{
+    std::vector<ip_number> out;
+    for (const auto& [address, one] : this->peers) {
+        if (one.seed && !is_alive(one, now))
+            out.push_back(address);
+    }
+    return out;
+}
+
 std::vector<known_entry> peer_table::some_known(audience who, base::instant now)
 {
     std::vector<known_entry> out;
@@ -108,7 +120,10 @@
         if (next == this->peers.end())
             next = this->peers.begin();
         if (next->second.heard_at)
-            out.push_back({next->first, now - *next->second.heard_at});
+            out.push_back({next->first,
+                           now - *next->second.heard_at,
+                           next->second.data_centre,
+                           next->second.strength});
         ++next;
         if (out.size() == named_at_once)
             break;
--- a/src/greengagedrum/gossip/peer_table.hpp
+++ b/src/greengagedrum/gossip/peer_table.hpp
@@ -45,6 +45,9 @@
     // or of the others, and with the others once in a while those that may be.
     std::vector<ip_number> to_tell(audience who, base::instant now);
 
+    // Seeds that are not alive.
+    std::vector<ip_number> silent_seeds(base::instant now) const;
+
     // For the own word: those heard lately, a few at a time in turn.
     std::vector<known_entry> some_known(audience who, base::instant now);
 
@@ -78,6 +81,8 @@
 private:
     struct peer {
         std::string instance;
+        base::data_centre_id data_centre;
+        std::uint32_t strength = 0;
         bool near = false; // of the own data centre
         base::incarnation life;
         std::uint64_t sequence = 0;
--- /dev/null
+++ b/src/greengagedrum/gossip/succession.cpp
@@ -0,0 +1,283 @@
+#include <greengagedrum/gossip/succession.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace greengagedrum::gossip
+{
+
+namespace
+{
+
+// From here on, and down to there, one entry of each data centre places. Up to
+// some thirty, what each tells all others is less than what it relays.
+constexpr std::size_t large_from = 33;
+constexpr std::size_t large_until = 25;
+
+// A dispatcher tells each member ten times a second; after three in a row that
+// were not heard another one places. A process whose share of the processor is
+// used up stands still for up to 100 ms.
+constexpr base::duration heard_for = std::chrono::milliseconds(350);
+
+// An entry that does not answer for so long is passed over for a while: it
+// died, or is cut off from this one only.
+constexpr base::duration answer_bound = std::chrono::milliseconds(400);
+constexpr base::duration passed_over = std::chrono::seconds(2);
+
+// Nobody has had a sign of life for so long: it is gone, or not yet back. As
+// long as limits keep a part for entries behind a cut.
+constexpr base::duration forgotten_after = std::chrono::seconds(30);
+
+// How many may be asked at once whether they are there.
+constexpr std::size_t tried_at_once = 3;
+constexpr std::size_t far_tried_at_once = 2;
+
+// In one word: enough to find the next dispatcher after the loss of several,
+// and to hear of all entries of a few hundred within some seconds.
+constexpr std::size_t strongest_named = 4;
+constexpr std::size_t named_in_turn = 6;
+
+} // namespace
+
+// The strongest goes first, and among equals the lowest address.
+bool succession::goes_before_own(ip_number address) const
+{
+    const std::uint32_t other = this->others.at(address).strength;
+    return other != this->strength ? other > this->strength
+                                   : address < this->own;
+}
+
+bool succession::is_heard(const candidate& one, base::instant now)
+{
+    return one.heard_at && now - *one.heard_at <= heard_for;
+}
+
+// It was heard, and places requests: its own, and those of whoever asks it.
+bool succession::places(const candidate& one, base::instant now)
+{
+    return is_heard(one, now) && !one.delegating && !one.stopping;
+}
+
+void succession::heard(const word& told, base::instant now)
+{
+    if (told.address == this->own)
+        return;
+    candidate& sender = this->others[told.address];
+    sender.place = base::data_centre_id(told.data_centre);
+    sender.strength = told.strength;
+    sender.seen_at = now;
+    sender.heard_at = now;
+    sender.asked_at.reset();
+    sender.passed_over_until = now;
+    sender.stopping = told.stopping;
+    sender.delegating = told.delegating;
+    for (const known_entry& named : told.known) {
+        if (named.address == this->own || named.data_centre.empty() ||
+            named.age > forgotten_after)
+            continue;
+        candidate& one = this->others[named.address];
+        one.seen_at = std::max(one.seen_at, now - named.age);
+        if (one.heard_at)
+            continue;
+        one.place = named.data_centre;
+        one.strength = named.strength;
+    }
+}
+
+void succession::told(ip_number address, base::instant now)
+{
+    const auto found = this->others.find(address);
+    if (found == this->others.end() || is_heard(found->second, now))
+        return;
+    candidate& one = found->second;
+    if (!one.asked_at)
+        one.asked_at = now;
+    if (now - *one.asked_at <= answer_bound)
+        return;
+    one.asked_at.reset();
+    one.passed_over_until = now + passed_over;
+}
+
+std::size_t succession::size(base::instant now) const
+{
+    return 1 + static_cast<std::size_t>(std::count_if(
+                   this->others.begin(),
+                   this->others.end(),
+                   [&](const auto& entry) {
+                       return now - entry.second.seen_at <= forgotten_after;
+                   }));
+}
+
+bool succession::is_large(base::instant now)
+{
+    const std::size_t count = this->size(now);
+    this->large = this->large ? count >= large_until : count >= large_from;
+    return this->large;
+}
+
+std::vector<ip_number> succession::ranked(base::data_centre_id of,
+                                          base::instant now) const
+{
+    std::vector<std::pair<std::uint32_t, ip_number>> known;
+    for (const auto& [address, one] : this->others) {
+        if (one.place == of && !one.stopping &&
+            now - one.seen_at <= forgotten_after)
+            known.emplace_back(one.strength, address);
+    }
+    std::sort(known.begin(), known.end(), [](const auto& a, const auto& b) {
+        return a.first != b.first ? a.first > b.first : a.second < b.second;
+    });
+    std::vector<ip_number> out;
+    for (const auto& [strength, address] : known)
+        out.push_back(address);
+    return out;
+}
+
+std::optional<ip_number> succession::dispatcher(base::instant now) const
+{
+    for (const ip_number address : this->ranked(this->place, now)) {
+        if (!this->goes_before_own(address))
+            return std::nullopt;
+        if (places(this->others.at(address), now))
+            return address;
+    }
+    return std::nullopt;
+}
+
+bool succession::is_replaced(ip_number address, base::instant now) const
+{
+    const auto found = this->others.find(address);
+    if (found == this->others.end() || places(found->second, now))
+        return false;
+    const base::data_centre_id of = found->second.place;
+    return std::any_of(
+        this->others.begin(), this->others.end(), [&](const auto& entry) {
+            return entry.second.place == of && places(entry.second, now);
+        });
+}
+
+std::size_t succession::dispatchers(base::instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->others.begin(), this->others.end(), [&](const auto& entry) {
+            return places(entry.second, now);
+        }));
+}
+
+// Those of one data centre that go before `before`, in order, unless they were
+// asked in vain.
+void succession::try_strongest(base::data_centre_id of,
+                               std::size_t most,
+                               std::optional<ip_number> before,
+                               base::instant now,
+                               std::vector<ip_number>& out)
+{
+    std::size_t count = 0;
+    for (const ip_number address : this->ranked(of, now)) {
+        if (address == before || count == most)
+            return;
+        const candidate& one = this->others.at(address);
+        if (now < one.passed_over_until || places(one, now))
+            continue;
+        out.push_back(address);
+        count += 1;
+    }
+}
+
+std::vector<ip_number> succession::to_try(base::instant now)
+{
+    std::vector<ip_number> out;
+    const auto placing = this->dispatcher(now);
+    this->try_strongest(this->place, tried_at_once, placing, now, out);
+    if (!placing)
+        std::erase_if(out, [&](ip_number address) {
+            return !this->goes_before_own(address);
+        });
+    return out;
+}
+
+std::vector<ip_number> succession::far_dispatchers(base::instant now)
+{
+    std::set<base::data_centre_id> data_centres;
+    std::vector<ip_number> out;
+    for (const auto& [address, one] : this->others) {
+        if (one.place == this->place || one.place.empty())
+            continue;
+        data_centres.insert(one.place);
+        if (places(one, now))
+            out.push_back(address);
+    }
+    for (const base::data_centre_id place : data_centres) {
+        std::optional<ip_number> strongest;
+        for (const ip_number address : this->ranked(place, now)) {
+            if (!strongest && places(this->others.at(address), now))
+                strongest = address;
+        }
+        this->try_strongest(place, far_tried_at_once, strongest, now, out);
+    }
+    return out;
+}
+
+std::vector<ip_number> succession::silent_nearby(base::instant now) const
+{
+    std::vector<ip_number> out;
+    for (const auto& [address, one] : this->others) {
+        if (one.place == this->place && !is_heard(one, now))
+            out.push_back(address);
+    }
+    return out;
+}
+
+std::size_t succession::unheard_data_centres(base::instant now) const
+{
+    std::set<base::data_centre_id> known;
+    std::set<base::data_centre_id> ever_heard;
+    for (const auto& [address, one] : this->others) {
+        if (one.place == this->place || one.place.empty())
+            continue;
+        if (now - one.seen_at <= forgotten_after)
+            known.insert(one.place);
+        if (one.heard_at)
+            ever_heard.insert(one.place);
+    }
+    std::size_t out = 0;
+    for (const base::data_centre_id place : known)
+        out += ever_heard.contains(place) ? 0 : 1;
+    return out;
+}
+
+std::size_t succession::known_nearby(base::instant now) const
+{
+    return this->ranked(this->place, now).size();
+}
+
+std::vector<known_entry> succession::to_name(base::data_centre_id to,
+                                             base::instant now)
+{
+    std::vector<known_entry> out;
+    const auto name = [&](ip_number address) {
+        const candidate& one = this->others.at(address);
+        out.push_back({address, now - one.seen_at, one.place, one.strength});
+    };
+    for (const ip_number address : this->ranked(to, now)) {
+        if (out.size() == strongest_named)
+            break;
+        if (now - this->others.at(address).seen_at <= answer_bound)
+            name(address);
+    }
+    const std::size_t most = out.size() + named_in_turn;
+    auto next = this->others.lower_bound(this->next_named);
+    for (std::size_t seen = 0; seen < this->others.size(); ++seen) {
+        if (next == this->others.end())
+            next = this->others.begin();
+        if (now - next->second.seen_at <= forgotten_after)
+            name(next->first);
+        ++next;
+        if (out.size() == most)
+            break;
+    }
+    this->next_named = next == this->others.end() ? 0 : next->first;
+    return out;
+}
+
+} // namespace greengagedrum::gossip
--- /dev/null
+++ b/src/greengagedrum/gossip/succession.hpp
@@ -0,0 +1,110 @@
+// Which entry of each data centre places the requests of all entries there.
+//
+// Among few entries each places its own requests and tells all others of them.
+// Among many that takes thousands of messages a second for each entry, and what
+// they say is older than most requests run. So one entry of each data centre,
+// its dispatcher, places for all of them, and only dispatchers tell each other.
+//
+// Each entry finds out for itself: the dispatcher is the strongest entry of the
+// data centre that was heard within half a second. Two entries may differ for
+// a moment, and then two dispatchers place; what they place beyond an
+// upstream's places waits there, nothing else follows. So no agreement is
+// needed.
+#pragma once
+
+#include <greengagedrum/base/ids.hpp>
+#include <greengagedrum/base/time.hpp>
+#include <greengagedrum/gossip/word.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace greengagedrum::gossip
+{
+
+class succession
+{
+public:
+    succession(ip_number own,
+               base::data_centre_id data_centre,
+               std::uint32_t strength)
+        : own(own), place(data_centre), strength(strength)
+    {
+    }
+
+    void heard(const word& told, base::instant now);
+    // A message was sent to it, which it is to answer.
+    void told(ip_number address, base::instant now);
+
+    // Entries with any sign of life lately, this one included.
+    std::size_t size(base::instant now) const;
+    // Many entries: one of each data centre places for all.
+    bool is_large(base::instant now);
+
+    // Who places this entry's requests; none: itself.
+    std::optional<ip_number> dispatcher(base::instant now) const;
+
+    // Those that would go before the dispatcher, or before this entry, and may
+    // be there: to be asked whether they are.
+    std::vector<ip_number> to_try(base::instant now);
+
+    // Entries that place for other data centres, as far as is known, and
+    // those that may.
+    std::vector<ip_number> far_dispatchers(base::instant now);
+
+    // Entries of the own data centre that were not heard for a while.
+    std::vector<ip_number> silent_nearby(base::instant now) const;
+
+    // It does not place any more, and another one of its data centre does.
+    bool is_replaced(ip_number address, base::instant now) const;
+
+    // Others that place, of any data centre, this one not counted.
+    std::size_t dispatchers(base::instant now) const;
+
+    // Other data centres of which nobody was heard lately, and entries of the
+    // own one that are known of.
+    std::size_t unheard_data_centres(base::instant now) const;
+    std::size_t known_nearby(base::instant now) const;
+
+    // For a word to an entry of that data centre: the strongest there, and
+    // others in turn.
+    std::vector<known_entry> to_name(base::data_centre_id to,
+                                     base::instant now);
+
+private:
+    struct candidate {
+        base::data_centre_id place;
+        std::uint32_t strength = 0;
+        base::instant seen_at; // by anyone
+        std::optional<base::instant> heard_at;
+        std::optional<base::instant> asked_at; // and not answered since
+        base::instant passed_over_until;
+        bool stopping = false;
+        bool delegating = false; // another one places for it
+    };
+
+    using candidates = std::map<ip_number, candidate>;
+
+    bool goes_before_own(ip_number address) const;
+    static bool is_heard(const candidate& one, base::instant now);
+    static bool places(const candidate& one, base::instant now);
+    std::vector<ip_number> ranked(base::data_centre_id of,
+                                  base::instant now) const;
+    void try_strongest(base::data_centre_id of,
+                       std::size_t most,
+                       std::optional<ip_number> before,
+                       base::instant now,
+                       std::vector<ip_number>& out);
+
+    ip_number own;
+    base::data_centre_id place;
+    std::uint32_t strength; // thousandths of a processor
+    candidates others;
+    ip_number next_named = 0;
+    bool large = false;
+};
+
+} // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/test/gossip_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -86,6 +86,85 @@
     CHECK(read->known.at(0).age == 250ms);
 }
 
+// What members and dispatchers tell each other, field by field.
+TEST_CASE("report_and_reply_encoded_and_decoded_are_the_same")
+{
+    word told = word_from(seed, 7, 9);
+    told.kind = word_kind::report;
+    told.strength = 500;
+    told.delegating = true;
+    told.known = {{other, 250ms, base::data_centre_id("yard"), 120}};
+    dispatch::wanted_place wanted;
+    wanted.name = {base::request_id{4}, 2};
+    wanted.facts.service = base::class_id("models");
+    wanted.facts.workspace = base::workspace_id("gate");
+    wanted.facts.kind = base::kind_id("dossier");
+    wanted.facts.rule = routing::repeat_rule::idempotent;
+    wanted.facts.stream = true;
+    wanted.facts.priority = 3;
+    wanted.facts.prompt_tokens = 1000;
+    wanted.facts.output_tokens = 80;
+    wanted.facts.objective = -20ms;
+    wanted.facts.gap_objective = 200ms;
+    wanted.facts.time_left = 9s;
+    wanted.facts.patience = 2s;
+    wanted.facts.sends_before = 1;
+    wanted.tried = {base::upstream_id("i-1")};
+    wanted.cost = 1080;
+    wanted.counted = true;
+    told.report.wanted = {wanted};
+    told.report.running = {
+        {{base::request_id{5}, 1}, base::upstream_id("i-2"), 77}};
+    told.report.news = {
+        {12, {base::request_id{6}, 3}, dispatch::send_change::broken}};
+    const auto read = decode_word(encode(told));
+    REQUIRE(read);
+    CHECK(read->kind == word_kind::report);
+    CHECK(read->strength == 500);
+    CHECK(read->delegating);
+    CHECK(read->known.at(0).data_centre == base::data_centre_id("yard"));
+    CHECK(read->known.at(0).strength == 120);
+    REQUIRE(read->report.wanted.size() == 1);
+    const dispatch::wanted_place& got = read->report.wanted[0];
+    CHECK(got.name == wanted.name);
+    CHECK(got.facts.service == wanted.facts.service);
+    CHECK(got.facts.workspace == wanted.facts.workspace);
+    CHECK(got.facts.kind == wanted.facts.kind);
+    CHECK(got.facts.rule == routing::repeat_rule::idempotent);
+    CHECK(got.facts.stream);
+    CHECK(got.facts.priority == 3);
+    CHECK(got.facts.prompt_tokens == 1000);
+    CHECK(got.facts.output_tokens == 80);
+    CHECK(got.facts.objective == -20ms);
+    CHECK(got.facts.gap_objective == 200ms);
+    CHECK(got.facts.time_left == 9s);
+    CHECK(got.facts.patience == 2s);
+    CHECK(got.facts.sends_before == 1);
+    CHECK(got.facts.delegated);
+    CHECK(got.tried == wanted.tried);
+    CHECK(got.cost == 1080);
+    CHECK(got.counted);
+    CHECK(read->report.running.at(0).upstream == base::upstream_id("i-2"));
+    CHECK(read->report.running.at(0).unread_tokens == 77);
+    CHECK(read->report.news.at(0).number == 12);
+    CHECK(read->report.news.at(0).what == dispatch::send_change::broken);
+
+    told.kind = word_kind::reply;
+    told.reply.news_taken = 12;
+    told.reply.granted = {{wanted.name, base::upstream_id("i-3"), 90ms, 2, 5}};
+    told.reply.declined = {
+        {{base::request_id{8}, 1}, base::reason::limit_reached, 1500ms}};
+    const auto reply = decode_word(encode(told));
+    REQUIRE(reply);
+    CHECK(reply->report.wanted.empty());
+    CHECK(reply->reply.news_taken == 12);
+    CHECK(reply->reply.granted.at(0).upstream == base::upstream_id("i-3"));
+    CHECK(reply->reply.granted.at(0).expected == 90ms);
+    CHECK(reply->reply.granted.at(0).places == 5);
+    CHECK(reply->reply.declined.at(0).why == base::reason::limit_reached);
+    CHECK(reply->reply.declined.at(0).retry_after == 1500ms);
+}
+
 TEST_CASE("items_encoded_and_decoded_are_the_same")
 {
     item_transfer passed;
--- /dev/null
+++ b/src/greengagedrum/gossip/test/succession_test.cpp
@@ -0,0 +1,187 @@
+// Which entry of each data centre places requests, as one entry sees it.
+#include <greengagedrum/gossip/succession.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace greengagedrum::gossip
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t weak = 120;
+constexpr std::uint32_t strong = 500;
+const base::data_centre_id hall("hall");
+const base::data_centre_id yard("yard");
+
+bool contains(const std::vector<ip_number>& list, ip_number address)
+{
+    return std::find(list.begin(), list.end(), address) != list.end();
+}
+
+struct succession_fixture {
+    base::instant now{std::chrono::hours(1)};
+    succession own{50, hall, weak};
+
+    word from(ip_number address, std::uint32_t strength, const char* place)
+    {
+        word out;
+        out.address = address;
+        out.strength = strength;
+        out.data_centre = place;
+        return out;
+    }
+
+    void hear(ip_number address, std::uint32_t strength = weak)
+    {
+        this->own.heard(this->from(address, strength, "hall"), this->now);
+    }
+
+    void name(const known_entry& one)
+    {
+        word told = this->from(49, weak, "hall");
+        told.known = {one};
+        this->own.heard(told, this->now);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(succession_fixture,
+                  "few_entries_have_no_need_of_a_dispatcher")
+{
+    for (ip_number one = 100; one < 124; ++one)
+        this->hear(one);
+    CHECK_FALSE(this->own.is_large(this->now));
+    for (ip_number one = 124; one < 140; ++one)
+        this->hear(one);
+    CHECK(this->own.is_large(this->now));
+}
+
+// An entry more or less must not turn the whole fleet's way of placing round.
+TEST_CASE_FIXTURE(succession_fixture, "fleet_at_the_bound_keeps_its_way")
+{
+    for (ip_number one = 100; one < 132; ++one)
+        this->hear(one);
+    CHECK(this->own.is_large(this->now));
+    this->now += 29s;
+    for (ip_number one = 100; one < 126; ++one)
+        this->hear(one);
+    this->now += 2s;
+    CHECK(this->own.is_large(this->now));
+}
+
+TEST_CASE_FIXTURE(succession_fixture, "strongest_entry_that_is_heard_places")
+{
+    this->hear(60);
+    CHECK_FALSE(this->own.dispatcher(this->now));
+    this->hear(40);
+    CHECK(this->own.dispatcher(this->now) == 40);
+    this->hear(70, strong);
+    CHECK(this->own.dispatcher(this->now) == 70);
+    this->own.heard(this->from(30, strong, "yard"), this->now);
+    CHECK(this->own.dispatcher(this->now) == 70);
+}
+
+// The dispatcher dies. Its members find the next one within half a second, and
+// ask those that may be it at once.
+TEST_CASE_FIXTURE(succession_fixture, "silent_dispatcher_is_replaced")
+{
+    this->hear(70, strong);
+    this->name({71, 100ms, hall, strong});
+    CHECK_FALSE(contains(this->own.to_try(this->now), 71));
+    this->now += 400ms;
+    CHECK_FALSE(this->own.dispatcher(this->now));
+    CHECK(contains(this->own.to_try(this->now), 71));
+    this->hear(71, strong);
+    CHECK(this->own.dispatcher(this->now) == 71);
+}
+
+TEST_CASE_FIXTURE(succession_fixture, "entry_that_delegates_does_not_place")
+{
+    word told = this->from(70, strong, "hall");
+    told.delegating = true;
+    this->own.heard(told, this->now);
+    CHECK_FALSE(this->own.dispatcher(this->now));
+    CHECK(contains(this->own.to_try(this->now), 70));
+}
+
+TEST_CASE_FIXTURE(succession_fixture, "dispatcher_that_stops_is_left_at_once")
+{
+    this->hear(70, strong);
+    word told = this->from(70, strong, "hall");
+    told.stopping = true;
+    this->own.heard(told, this->now);
+    CHECK_FALSE(this->own.dispatcher(this->now));
+}
+
+// A dead entry is named by others for a while. Whoever waited for its answer
+// for ever would never place by itself.
+TEST_CASE_FIXTURE(succession_fixture, "entry_that_never_answers_is_passed_over")
+{
+    this->name({70, 100ms, hall, strong});
+    for (int count = 0; count < 6; ++count) {
+        this->own.told(70, this->now);
+        this->now += 100ms;
+    }
+    CHECK_FALSE(contains(this->own.to_try(this->now), 70));
+    this->now += 2500ms;
+    CHECK(contains(this->own.to_try(this->now), 70));
+}
+
+TEST_CASE_FIXTURE(succession_fixture,
+                  "weaker_entries_are_not_asked_by_the_strongest")
+{
+    succession best(1, hall, strong);
+    best.heard(this->from(60, weak, "hall"), this->now);
+    this->now += 1s;
+    CHECK(best.to_try(this->now).empty());
+    CHECK(contains(best.silent_nearby(this->now), 60));
+}
+
+TEST_CASE_FIXTURE(succession_fixture, "other_data_centres_are_told_by_rank")
+{
+    this->name({10, 100ms, yard, weak});
+    this->name({11, 100ms, yard, strong});
+    this->name({12, 100ms, yard, weak});
+    const auto first = this->own.far_dispatchers(this->now);
+    CHECK(contains(first, 11));
+    CHECK(contains(first, 10));
+    CHECK(this->own.unheard_data_centres(this->now) == 1);
+    this->own.heard(this->from(11, strong, "yard"), this->now);
+    CHECK(this->own.far_dispatchers(this->now) == std::vector<ip_number>{11});
+    CHECK(this->own.unheard_data_centres(this->now) == 0);
+}
+
+// A dispatcher elsewhere falls silent and another one of its data centre
+// places: nothing is kept for the first any more.
+TEST_CASE_FIXTURE(succession_fixture,
+                  "silent_dispatcher_with_a_successor_is_replaced")
+{
+    this->own.heard(this->from(11, strong, "yard"), this->now);
+    CHECK_FALSE(this->own.is_replaced(11, this->now));
+    this->now += 1s;
+    CHECK_FALSE(this->own.is_replaced(11, this->now));
+    this->own.heard(this->from(12, weak, "yard"), this->now);
+    CHECK(this->own.is_replaced(11, this->now));
+}
+
+// An entry that has just started must hear who places where it is, whoever it
+// asks.
+TEST_CASE_FIXTURE(succession_fixture, "strongest_of_a_place_is_always_named")
+{
+    for (ip_number one = 100; one < 300; ++one)
+        this->hear(one);
+    this->name({11, 100ms, yard, strong});
+    for (int count = 0; count < 40; ++count) {
+        const auto named = this->own.to_name(yard, this->now);
+        CHECK(named.size() <= 10);
+        CHECK(named.at(0).address == 11);
+    }
+}
+
+} // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/word.cpp
+++ b/src/greengagedrum/gossip/word.cpp
@@ -1,3 +1,4 @@
+#include <greengagedrum/gossip/dispatch_codec.hpp>
 #include <greengagedrum/gossip/gossip_generated.h>
 #include <greengagedrum/gossip/word.hpp>
 
@@ -92,6 +93,34 @@
     return out;
 }
 
+// One of a later build's is no load, and asks for nothing.
+word_kind kind_of(std::uint8_t from)
+{
+    constexpr auto last = word_kind::dispatcher_load;
+    return from <= static_cast<std::uint8_t>(last)
+               ? static_cast<word_kind>(from)
+               : word_kind::greeting_answer;
+}
+
+// An entry of an earlier build tells no standings.
+std::vector<known_entry>
+known_of(const flatbuffers::Vector<const wire::Known*>& list,
+         const flatbuffers::Vector<const wire::Standing*>* standings)
+{
+    std::vector<known_entry> out;
+    for (const wire::Known* one : list) {
+        const auto at = static_cast<flatbuffers::uoffset_t>(out.size());
+        known_entry named{one->address(),
+                          std::chrono::milliseconds(one->age_ms())};
+        if (standings != nullptr && at < standings->size()) {
+            named.data_centre.value = standings->Get(at)->data_centre();
+            named.strength = standings->Get(at)->strength();
+        }
+        out.push_back(named);
+    }
+    return out;
+}
+
 wire::WaitingLevels levels_of(const traffic::service_waiting& told)
 {
     std::array<std::uint16_t, traffic::priority_levels> counts{};
@@ -140,8 +169,17 @@
             spent_by_all.end(), one.all_lately.begin(), one.all_lately.end());
     }
     std::vector<wire::Known> known;
-    for (const auto& one : told.known)
+    std::vector<wire::Standing> standings;
+    for (const auto& one : told.known) {
         known.emplace_back(one.address, milliseconds_of(one.age));
+        standings.emplace_back(one.data_centre.value, one.strength);
+    }
+    flatbuffers::Offset<wire::Report> report;
+    if (told.kind == word_kind::report)
+        report = write_report(builder, told.report);
+    flatbuffers::Offset<wire::Reply> reply;
+    if (told.kind == word_kind::reply)
+        reply = write_reply(builder, told.reply);
     const auto root = wire::CreateWord(builder,
                                        told.life.value,
                                        told.sequence,
@@ -160,7 +198,13 @@
                                        milliseconds_of(told.store_age),
                                        builder.CreateVector(spent_waiting),
                                        builder.CreateVector(spent_lately),
-                                       builder.CreateVector(spent_by_all));
+                                       builder.CreateVector(spent_by_all),
+                                       told.strength,
+                                       builder.CreateVectorOfStructs(standings),
+                                       static_cast<std::uint8_t>(told.kind),
+                                       told.delegating,
+                                       report,
+                                       reply);
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -190,11 +234,15 @@
     }
     if (const auto* list = root->workspace_uses())
         out.workspace_uses = workspace_uses_of(*list, *root);
-    if (const auto* list = root->known()) {
-        for (const wire::Known* one : *list)
-            out.known.push_back(
-                {one->address(), std::chrono::milliseconds(one->age_ms())});
-    }
+    if (const auto* list = root->known())
+        out.known = known_of(*list, root->standings());
+    out.strength = root->strength();
+    out.kind = kind_of(root->kind());
+    out.delegating = root->delegating();
+    if (const auto* report = root->report())
+        out.report = read_report(*report);
+    if (const auto* reply = root->reply())
+        out.reply = read_reply(*reply);
     return out;
 }
 
--- a/src/greengagedrum/gossip/word.hpp
+++ b/src/greengagedrum/gossip/word.hpp
@@ -3,6 +3,7 @@
 
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
+#include <greengagedrum/dispatch/messages.hpp>
 #include <greengagedrum/quota/usage_limiter.hpp>
 #include <greengagedrum/routing/published_item.hpp>
 #include <greengagedrum/traffic/scheduler.hpp>
@@ -22,9 +23,24 @@
 struct known_entry {
     ip_number address = 0;
     base::duration age{0}; // since it was last heard
+    base::data_centre_id data_centre{};
+    std::uint32_t strength = 0; // thousandths of a processor
+};
+
+enum class word_kind : std::uint8_t {
+    load,     // what the sender uses, where each entry places its own
+    report,   // to the entry that places the sender's requests
+    reply,    // and back
+    greeting, // asks who places requests where the sender is
+    greeting_answer,
+    // The same as a load, from one that places for all of its data centre.
+    dispatcher_load,
 };
 
 struct word {
+    word_kind kind = word_kind::load;
+    // Another entry places the sender's requests.
+    bool delegating = false;
     base::incarnation life;
     std::uint64_t sequence = 0; // grows with each word of a life
     std::string instance;
@@ -41,6 +57,9 @@
     std::vector<traffic::service_waiting> waiting;
     std::vector<quota::workspace_use> workspace_uses;
     std::vector<known_entry> known;
+    std::uint32_t strength = 0; // thousandths of a processor
+    dispatch::member_report report;
+    dispatch::dispatcher_reply reply;
 };
 
 // Items of the store that one entry passes to another.
--- a/src/greengagedrum/gossip/word_schedule.cpp
+++ b/src/greengagedrum/gossip/word_schedule.cpp
@@ -19,8 +19,14 @@
 // limits and the liveness of peers allow.
 constexpr base::duration far_gap_most = std::chrono::milliseconds(200);
 
-// Without a change, as a sign of life.
-constexpr base::duration quiet_gap = std::chrono::milliseconds(200);
+// Without a change, as a sign of life: among few entries, and where members
+// have to notice within half a second that their dispatcher is gone.
+constexpr base::duration usual_quiet_gap = std::chrono::milliseconds(200);
+constexpr base::duration dispatched_gap = std::chrono::milliseconds(100);
+
+// A member tells one receiver only. What happens within this time goes into one
+// word: a request that ends, and the next that is asked for.
+constexpr base::duration member_gap = std::chrono::milliseconds(2);
 
 } // namespace
 
@@ -32,6 +38,22 @@
     this->near.gap = gap_among_few * close / least;
     this->far.gap =
         std::min(gap_among_few * (all * all) / (least * least), far_gap_most);
+    this->quiet_gap = usual_quiet_gap;
+}
+
+void word_schedule::set_member()
+{
+    this->near.gap = member_gap;
+    this->far.gap = far_gap_most;
+    this->quiet_gap = dispatched_gap;
+}
+
+// Replies to members go out at once and by themselves.
+void word_schedule::set_dispatcher()
+{
+    this->near.gap = dispatched_gap;
+    this->far.gap = dispatched_gap;
+    this->quiet_gap = dispatched_gap;
 }
 
 const word_schedule::telling& word_schedule::of(audience who) const
@@ -61,7 +83,7 @@
 {
     const telling& state = this->of(who);
     const base::duration passed = now - state.told_at;
-    return passed >= quiet_gap || (state.has_news && passed >= state.gap);
+    return passed >= this->quiet_gap || (state.has_news && passed >= state.gap);
 }
 
 std::optional<base::instant> word_schedule::next() const
--- a/src/greengagedrum/gossip/word_schedule.hpp
+++ b/src/greengagedrum/gossip/word_schedule.hpp
@@ -19,6 +19,9 @@
 public:
     // Live peers of the own data centre, and of all.
     void set_peers(std::size_t near, std::size_t all);
+    // The same where one entry of each data centre places for all.
+    void set_member();
+    void set_dispatcher();
 
     // There is something to tell.
     void changed();
@@ -41,6 +44,7 @@
 
     telling near;
     telling far;
+    base::duration quiet_gap = std::chrono::milliseconds(200);
 };
 
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/platform/settings_file.cpp
+++ b/src/greengagedrum/platform/settings_file.cpp
@@ -143,6 +143,7 @@
     out.peer_port = from.first_port("internalPortRange");
     out.seeds = from.endpoints("seedNodes");
     out.store = from.endpoint("platform.address");
+    out.processors = from.number("limits.cpuQuota", out.processors);
     out.bounds = read_bounds(from);
     if (!faults.empty())
         return tl::unexpected(faults);
--- a/src/greengagedrum/quota/absent_peers.hpp
+++ b/src/greengagedrum/quota/absent_peers.hpp
@@ -44,6 +44,8 @@
     // Another process in its place has used nothing yet.
     void restarted(base::slot_id peer);
 
+    void forget(base::slot_id peer) { this->peers.erase(peer); }
+
     // Entries that are known of and were never heard.
     void set_unheard(std::size_t count) { this->unheard = count; }
 
--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -31,6 +31,20 @@
 
 // ---- The limit ------------------------------------------------------------
 
+void usage_limiter::restart(base::instant now)
+{
+    this->started = now;
+    this->peers.clear();
+    this->absent = absent_peers(now);
+    for (auto& [workspace, own] : this->buckets) {
+        bucket fresh;
+        fresh.limit = own.limit;
+        fresh.level = own.limit.burst;
+        fresh.filled_at = now;
+        own = fresh;
+    }
+}
+
 void usage_limiter::set_limits(const routing::configuration& config,
                                base::instant now)
 {
@@ -339,6 +353,25 @@
     }
 }
 
+void usage_limiter::forget_peer(base::slot_id peer)
+{
+    const auto found = this->peers.find(peer);
+    if (found == this->peers.end())
+        return;
+    this->forget_waiting(found->second);
+    this->peers.erase(found);
+    this->absent.forget(peer);
+}
+
+void usage_limiter::forget_peers()
+{
+    std::vector<base::slot_id> known;
+    for (const auto& [peer, state] : this->peers)
+        known.push_back(peer);
+    for (const base::slot_id peer : known)
+        this->forget_peer(peer);
+}
+
 void usage_limiter::set_unheard_peers(std::size_t count)
 {
     this->absent.set_unheard(count);
--- a/src/greengagedrum/quota/usage_limiter.hpp
+++ b/src/greengagedrum/quota/usage_limiter.hpp
@@ -57,6 +57,9 @@
     }
 
     void set_tolerance(const tolerance& given) { this->allowed = given; }
+    // Forgets all that was counted, as a process does that starts now: others
+    // counted for this entry meanwhile.
+    void restart(base::instant now);
     void set_limits(const routing::configuration& config, base::instant now);
 
     // Empty: the request is within the limit and waits to be sent. Else when
@@ -82,6 +85,11 @@
                    bool stopping,
                    base::instant now);
 
+    // It lets nothing through by itself any more: another entry counts for it.
+    void forget_peer(base::slot_id peer);
+    // The same of all: from now on few count for all others.
+    void forget_peers();
+
     // Time has passed: who has fallen silent is assumed to use its part.
     void assume_silent_peers(base::instant now);
     // Entries that are named somewhere and were never heard.
--- /dev/null
+++ b/src/greengagedrum/traffic/delegation.cpp
@@ -0,0 +1,88 @@
+// Requests that another entry places: what it is asked, and what it replies.
+#include <greengagedrum/placement/seconds.hpp>
+#include <greengagedrum/traffic/scheduler.hpp>
+
+#include <algorithm>
+
+namespace greengagedrum::traffic
+{
+
+std::vector<waiting_send> scheduler::waiting_sends(base::instant at) const
+{
+    std::vector<waiting_send> out;
+    for (const auto& [id, item] : this->requests) {
+        if (!item.in_line)
+            continue;
+        waiting_send one{id, item.connects + 1, item.facts, item.tried};
+        const base::duration first = this->first_event_expected(item);
+        one.facts.objective = item.arrived + item.facts.objective - at;
+        one.facts.time_left = item.end_at - at;
+        one.facts.patience =
+            std::max(base::duration(0), item.give_up_at + first - at);
+        one.facts.delegated = true;
+        one.facts.sends_max = 1;
+        one.facts.sends_before = item.connects;
+        out.push_back(std::move(one));
+    }
+    return out;
+}
+
+std::vector<sent_request> scheduler::sent_requests() const
+{
+    std::vector<sent_request> out;
+    for (const auto& [id, item] : this->requests) {
+        if (item.send == 0)
+            continue;
+        const std::uint32_t unread =
+            item.events == 0 ? item.facts.prompt_tokens : 0;
+        out.push_back({id, item.send, item.upstream, unread});
+    }
+    return out;
+}
+
+// Null unless the request still waits for just that send: a reply may come
+// twice, or after its request was given up on.
+scheduler::request* scheduler::awaiting(base::request_id id, std::uint32_t send)
+{
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end() || !found->second.in_line ||
+        found->second.connects + 1 != send)
+        return nullptr;
+    return &found->second;
+}
+
+void scheduler::on(const place_granted& what)
+{
+    request* item = this->awaiting(what.request, what.send);
+    if (item == nullptr || this->held || !this->delegating)
+        return;
+    if (!this->pool.listed(what.upstream)) {
+        // It has left, as this entry knows already, or is not known here yet:
+        // another one is asked for, under the next number.
+        item->tried.push_back(what.upstream);
+        item->connects += 1;
+        return;
+    }
+    this->lines[item->facts.service].remove(item->id);
+    placing where;
+    where.upstream = what.upstream;
+    where.expected = placement::seconds_of(what.expected);
+    where.why.others = what.taken;
+    where.why.places = what.places;
+    where.why.first_event = what.expected;
+    where.why.suits = "granted";
+    this->send(*item, where);
+}
+
+void scheduler::on(const place_declined& what)
+{
+    request* item = this->awaiting(what.request, what.send);
+    if (item == nullptr || !this->delegating)
+        return;
+    this->fresh.disturbed(this->now);
+    if (item->uncertain > 0)
+        return this->fail(*item, what.verdict.why);
+    this->end(*item, what.verdict);
+}
+
+} // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -33,6 +33,11 @@
     base::duration gap_objective{0}; // between events
     base::duration time_left{0};     // until the caller or the route gives up
     bool returning = false;          // the caller resumes a stream by itself
+    // Of another entry, which asks for a place only: it sends the request, sees
+    // what becomes of it and decides what may be sent again.
+    bool delegated = false;
+    std::uint32_t sends_before = 0; // of a delegated one
+    base::duration patience{0};     // the same: how long it may wait
 };
 
 // How long a caller waits for the first sign of an answer: of a stream, it
@@ -45,6 +50,7 @@
 struct request_arrived {
     base::request_id request;
     request_facts facts;
+    std::vector<base::upstream_id> tried{}; // not to be taken
 };
 
 // The caller's connection is gone.
@@ -97,13 +103,32 @@
     break_cause cause = break_cause::connection_lost;
 };
 
+// Another entry, which places this one's requests, has a place for the send
+// that was asked for, or will have none in time.
+struct place_granted {
+    base::request_id request;
+    std::uint32_t send = 0;
+    base::upstream_id upstream;
+    base::duration expected{0}; // to the first event
+    std::uint32_t taken = 0;    // places there, by others
+    std::uint32_t places = 0;
+};
+
+struct place_declined {
+    base::request_id request;
+    std::uint32_t send = 0;
+    base::verdict verdict;
+};
+
 using event = std::variant<request_arrived,
                            caller_left,
                            not_sent,
                            turned_away,
                            progressed,
                            answered,
-                           broken>;
+                           broken,
+                           place_granted,
+                           place_declined>;
 
 // ---- Actions ------------------------------------------------------------
 
--- a/src/greengagedrum/traffic/patience.cpp
+++ b/src/greengagedrum/traffic/patience.cpp
@@ -23,6 +23,10 @@
 // seconds without an event.
 constexpr base::duration gap_floor = std::chrono::milliseconds(700);
 
+// Whoever places this entry's requests knows when there is room again, so its
+// refusal goes before the own one; it takes two datagrams.
+constexpr base::duration declined_within = std::chrono::milliseconds(100);
+
 // How far a wake-up may be off without harm to a deadline.
 constexpr base::duration longest_sleep = std::chrono::milliseconds(250);
 
@@ -65,7 +69,10 @@
 
 void scheduler::check_time(request& item)
 {
-    if (item.in_line && item.uncertain == 0 && this->now >= item.give_up_at)
+    const base::duration reply_takes =
+        this->delegating ? declined_within : base::duration(0);
+    if (item.in_line && item.uncertain == 0 &&
+        this->now >= item.give_up_at + reply_takes)
         return this->refuse(item, base::reason::overloaded);
     if (this->now >= item.end_at) {
         if (item.send != 0) {
@@ -75,7 +82,7 @@
         }
         return this->fail(item, base::reason::deadline);
     }
-    if (!item.in_line)
+    if (!item.in_line && !item.facts.delegated)
         this->check_silence(item);
 }
 
--- a/src/greengagedrum/traffic/placing.cpp
+++ b/src/greengagedrum/traffic/placing.cpp
@@ -69,7 +69,7 @@
 
 void scheduler::place_waiting()
 {
-    if (this->held)
+    if (this->held || this->delegating)
         return;
     for (auto& [service, line] : this->lines) {
         if (!line.empty())
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -66,21 +66,34 @@
     item.facts = what.facts;
     item.arrived = this->now;
     item.end_at = this->now + what.facts.time_left;
-    item.came_back =
-        this->fresh.came_back(what.facts.kind, what.facts.time_left);
-    this->fresh.asked(what.facts.kind, what.facts.time_left, this->now);
-    this->retries.arrived(what.facts.service, this->now);
-    this->lines[what.facts.service].arrived(what.facts.priority, this->now);
+    item.tried = what.tried;
+    this->note_arrival(item);
     const base::duration first = this->first_event_expected(item);
-    item.give_up_at =
-        std::max(this->now, item.arrived + caller_patience(what.facts) - first);
+    const base::duration patience = what.facts.delegated
+                                        ? what.facts.patience
+                                        : caller_patience(what.facts);
+    item.give_up_at = std::max(this->now, item.arrived + patience - first);
     if (!this->pool.known(what.facts.service))
         return this->refuse(item, base::reason::no_upstream);
-    if (this->hopeless(item))
+    if (!this->delegating && this->hopeless(item))
         return this->refuse(item, base::reason::overloaded);
     this->join_line(item);
 }
 
+// What arrivals teach. A send after the first of another entry's request is no
+// further request, and its entry counts its own retries.
+void scheduler::note_arrival(request& item)
+{
+    const request_facts& facts = item.facts;
+    if (!facts.delegated)
+        this->retries.arrived(facts.service, this->now);
+    if (facts.sends_before > 0)
+        return;
+    item.came_back = this->fresh.came_back(facts.kind, facts.time_left);
+    this->fresh.asked(facts.kind, facts.time_left, this->now);
+    this->lines[facts.service].arrived(facts.priority, this->now);
+}
+
 scheduler::request* scheduler::under_way(base::request_id id,
                                          std::uint32_t send)
 {
@@ -123,6 +136,8 @@
     this->leave_upstream(*item);
     item->sends -= 1;
     item->uncertain -= 1;
+    if (item->facts.delegated)
+        return this->forget(*item);
     if (item->connects >= connects_max)
         return item->uncertain == 0
                    ? this->refuse(*item, base::reason::no_upstream)
@@ -162,6 +177,7 @@
         item->first_event_at = this->now;
     const base::duration gap =
         item->events == 0 ? base::duration{0} : this->now - item->progress_at;
+    // Of a delegated one its entry tells the first event only.
     this->pool.progressed(
         item->upstream, what.events - item->events, gap, this->now);
     item->events = what.events;
@@ -305,6 +321,7 @@
         return;
     this->peers_with_queues -= found->second.services.empty() ? 0 : 1;
     this->waiting_at_peers.erase(found);
+    this->pool.set_waiting_peers(this->peers_with_queues);
 }
 
 void scheduler::set_entries(std::size_t count)
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -12,6 +12,7 @@
 #include <greengagedrum/traffic/upstream_pool.hpp>
 #include <greengagedrum/traffic/waiting_line.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -28,6 +29,21 @@
     waiting_counts counts{};
 };
 
+// A request of this entry that waits for a place, as it is asked for elsewhere.
+struct waiting_send {
+    base::request_id request;
+    std::uint32_t send = 0; // the number that the send will have
+    request_facts facts;    // times from now on
+    std::vector<base::upstream_id> tried;
+};
+
+struct sent_request {
+    base::request_id request;
+    std::uint32_t send = 0;
+    base::upstream_id upstream;
+    std::uint32_t unread_tokens = 0;
+};
+
 struct scheduler_counters {
     std::uint64_t arrived = 0;
     std::uint64_t sent = 0;
@@ -64,8 +80,13 @@
                    std::span<const service_waiting> waiting,
                    base::instant now);
     void peer_lost(base::slot_id peer);
-    // Entries that take requests, this one included.
+    // Entries that place requests, this one included.
     void set_entries(std::size_t count);
+    // Entries that send again what failed; all of them, unless told.
+    void set_retrying_entries(std::size_t count)
+    {
+        this->retries.set_entries(std::max<std::size_t>(1, count));
+    }
     // Between two words of a peer close by, at the least.
     void set_word_gap(base::duration gap) { this->pool.set_word_gap(gap); }
     void set_retry_bounds(const retry_bounds& bounds)
@@ -76,6 +97,11 @@
     // While held, nothing is sent: what is known of the world is too old.
     void hold(bool held) { this->held = held; }
 
+    // Another entry places this one's requests: what waits is asked for there.
+    void delegate(bool to_another) { this->delegating = to_another; }
+    std::vector<waiting_send> waiting_sends(base::instant now) const;
+    std::vector<sent_request> sent_requests() const;
+
     std::vector<upstream_use> own_uses(base::instant now) const
     {
         return this->pool.own_uses(now);
@@ -117,8 +143,12 @@
     void on(const progressed& what);
     void on(const answered& what);
     void on(const broken& what);
+    void on(const place_granted& what);
+    void on(const place_declined& what);
 
     request* under_way(base::request_id id, std::uint32_t send);
+    request* awaiting(base::request_id id, std::uint32_t send);
+    void note_arrival(request& item);
     void join_line(request& item);
     bool hopeless(const request& item) const;
     void place_waiting();
@@ -159,6 +189,7 @@
     std::size_t peers_with_queues = 0;
     std::size_t entries = 1;
     bool held = false;
+    bool delegating = false;
     scheduler_counters count;
 
     // Valid within step() and tick().
--- /dev/null
+++ b/src/greengagedrum/traffic/test/delegation_test.cpp
@@ -0,0 +1,176 @@
+// A scheduler whose requests another entry places.
+#include <greengagedrum/traffic/test/scheduler_fixture.hpp>
+
+namespace greengagedrum::traffic
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const base::upstream_id engine("i-0");
+
+struct delegating_fixture : scheduler_fixture {
+    delegating_fixture()
+    {
+        this->upstreams(1, 1);
+        this->tested.delegate(true);
+    }
+
+    place_granted granted(base::request_id id, std::uint32_t send = 1)
+    {
+        place_granted out;
+        out.request = id;
+        out.send = send;
+        out.upstream = engine;
+        return out;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(delegating_fixture,
+                  "request_is_sent_once_its_place_is_granted")
+{
+    const auto id = this->arrive(stream_facts());
+    CHECK(this->order<send_request>() == nullptr);
+    const auto waiting = this->tested.waiting_sends(this->now);
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting[0].send == 1);
+    CHECK(waiting[0].facts.delegated);
+    this->step(this->granted(id));
+    REQUIRE(this->order<send_request>() != nullptr);
+    CHECK(this->tested.waiting_sends(this->now).empty());
+    CHECK(this->tested.sent_requests().size() == 1);
+}
+
+// The reply with the place comes twice, since a report crossed it. A request
+// that must not run twice is sent once.
+TEST_CASE_FIXTURE(delegating_fixture, "place_granted_twice_is_taken_once")
+{
+    request_facts once = stream_facts();
+    once.rule = routing::repeat_rule::at_most_once;
+    const auto id = this->arrive(once);
+    this->step(this->granted(id));
+    this->step(this->granted(id));
+    CHECK(this->order<send_request>() == nullptr);
+    this->step(broken{id, 1});
+    this->step(this->granted(id, 2));
+    CHECK(this->order<send_request>() == nullptr);
+}
+
+TEST_CASE_FIXTURE(delegating_fixture, "place_of_an_earlier_send_is_not_taken")
+{
+    const auto id = this->arrive(stream_facts());
+    this->step(this->granted(id));
+    this->step(not_sent{id, 1});
+    CHECK(this->tested.waiting_sends(this->now).at(0).send == 2);
+    this->step(this->granted(id, 1));
+    CHECK(this->order<send_request>() == nullptr);
+    this->step(this->granted(id, 2));
+    CHECK(this->order<send_request>() != nullptr);
+}
+
+// An upstream has left, as this entry knows already and whoever placed the
+// request does not. It gets no new work.
+TEST_CASE_FIXTURE(delegating_fixture,
+                  "place_on_a_departed_upstream_is_not_taken")
+{
+    const auto id = this->arrive(stream_facts());
+    this->tested.upstream_joined(upstream_named("i-1", 1), this->now);
+    this->tested.upstream_left(engine);
+    this->step(this->granted(id));
+    CHECK(this->order<send_request>() == nullptr);
+    const auto waiting = this->tested.waiting_sends(this->now);
+    REQUIRE(waiting.size() == 1);
+    CHECK(waiting[0].send == 2);
+    CHECK(waiting[0].tried == std::vector{engine});
+}
+
+TEST_CASE_FIXTURE(delegating_fixture,
+                  "declined_request_ends_with_the_time_told")
+{
+    const auto id = this->arrive(stream_facts());
+    this->step(
+        place_declined{id, 1, base::not_run(base::reason::limit_reached, 3s)});
+    const auto* end = this->order<end_request>();
+    REQUIRE(end != nullptr);
+    CHECK(end->verdict.run == base::run_state::not_run);
+    CHECK(end->verdict.retry_after == 3s);
+}
+
+// The first send may have run it: whatever is declined later, "not run" would
+// not be true.
+TEST_CASE_FIXTURE(delegating_fixture, "decline_after_a_send_is_no_promise")
+{
+    request_facts again = stream_facts();
+    again.rule = routing::repeat_rule::idempotent;
+    again.sends_max = 2;
+    const auto id = this->arrive(again);
+    this->step(this->granted(id));
+    this->step(broken{id, 1});
+    this->step(
+        place_declined{id, 2, base::not_run(base::reason::overloaded, 1s)});
+    const auto* end = this->order<end_request>();
+    REQUIRE(end != nullptr);
+    CHECK(end->verdict.run == base::run_state::may_have_run);
+}
+
+// Nobody replies: the request is given up on in time by itself.
+TEST_CASE_FIXTURE(delegating_fixture,
+                  "request_without_reply_is_refused_in_time")
+{
+    this->arrive(stream_facts());
+    this->pass(3500ms);
+    REQUIRE(this->order<end_request>() != nullptr);
+}
+
+TEST_CASE_FIXTURE(delegating_fixture,
+                  "entry_that_places_again_sends_what_waits")
+{
+    this->arrive(stream_facts());
+    this->tested.delegate(false);
+    this->pass(1ms);
+    CHECK(this->order<send_request>() != nullptr);
+}
+
+// ---- At the entry that places
+// ------------------------------------------------
+
+TEST_CASE_FIXTURE(scheduler_fixture, "delegated_request_is_sent_once_only")
+{
+    this->upstreams(2, 1);
+    request_facts facts = stream_facts();
+    facts.delegated = true;
+    facts.patience = 2s;
+    facts.rule = routing::repeat_rule::idempotent;
+    const auto id = this->arrive(facts);
+    REQUIRE(this->order<send_request>() != nullptr);
+    this->step(broken{id, 1});
+    CHECK(this->order<send_request>() == nullptr);
+    const auto second = this->arrive(facts);
+    this->step(not_sent{second, 1});
+    CHECK(this->order<send_request>() == nullptr);
+    CHECK(this->tested.in_flight() == 0);
+}
+
+// Of a member's stream only the first event is told. Its upstream is not taken
+// for silent because of that.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "delegated_stream_is_not_watched_for_silence")
+{
+    this->upstreams(1, 2);
+    request_facts facts = stream_facts();
+    facts.delegated = true;
+    facts.patience = 2s;
+    const auto id = this->arrive(facts);
+    this->step(progressed{id, 1, 1});
+    for (int count = 0; count < 20; ++count) {
+        this->pass(300ms);
+        CHECK(this->order<trust_changed>() == nullptr);
+        CHECK(this->order<stop_send>() == nullptr);
+    }
+}
+
+} // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -90,6 +90,12 @@
     return found != this->services.end() && !found->second.members.empty();
 }
 
+bool upstream_pool::listed(base::upstream_id id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found != this->upstreams.end() && found->second.listed;
+}
+
 // ---- What peers tell ------------------------------------------------------
 
 void upstream_pool::count_peer(const peer_word& word, base::instant now)
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -134,6 +134,8 @@
     // Taken by peers.
     std::uint32_t foreign_places(base::class_id service) const;
     bool known(base::class_id service) const;
+    // It is published, and takes requests.
+    bool listed(base::upstream_id upstream) const;
 
     // Seconds to the first event on a usual upstream with nothing before it.
     double usual_first_event(base::class_id service,
