Entry: members rest while their dispatcher reads the store

Cause: each entry read the store for itself every 1.8 s at the latest, since a store that lost its history tells of changes late, under revisions below those that peers go by; 295 entries made 6,500 calls in 48 s. A dispatcher now tells how often what it believes has changed, and a digest of it: a member asks for what changed after its last question, in the dispatcher's own order, and rests while the digests are alike. The next three in line read as soon as the dispatcher's reading may be old, all others before a change is due.

Tests: change_told_late_is_passed_on, same_beliefs_have_the_same_digest.

--- a/src/greengagedrum/entry/beliefs.cpp
+++ b/src/greengagedrum/entry/beliefs.cpp
@@ -1,4 +1,5 @@
 #include <greengagedrum/entry/beliefs.hpp>
+#include <greengagedrum/placement/mix.hpp>
 #include <greengagedrum/platform/documents.hpp>
 
 #include <algorithm>
@@ -26,6 +27,15 @@
 // heard of it, are dropped.
 constexpr std::size_t spent_most = 4096;
 
+std::uint64_t meaning_of(const routing::published_upstream& one)
+{
+    std::uint64_t out = placement::mix(
+        one.id.value, base::hash_name(base::to_string(one.address)));
+    out = placement::mix(out, one.service.value);
+    out = placement::mix(out, one.slots);
+    return placement::mix(out, one.leaving ? 1 : 2);
+}
+
 } // namespace
 
 belief_changes beliefs::learn(const routing::item_list& news,
@@ -93,8 +103,12 @@
              one->second.revision < oldest->second.revision))
             oldest = one;
     }
-    if (oldest != this->items.end())
-        this->items.erase(oldest);
+    if (oldest == this->items.end())
+        return;
+    this->changed_as.erase(oldest->first);
+    this->note_meaning(oldest->first, 0);
+    this->meanings.erase(oldest->first);
+    this->items.erase(oldest);
 }
 
 bool beliefs::take_configuration(const routing::published_item& item,
@@ -115,6 +129,8 @@
         std::make_shared<const routing::configuration>(*read));
     out.configuration = true;
     this->change = std::max(this->change, item.revision);
+    this->note_change(item.key);
+    this->note_meaning(item.key, item.revision);
     return true;
 }
 
@@ -128,22 +144,43 @@
     const auto before = this->directory.life_of(name);
     routing::upstream_change change = routing::upstream_change::none;
     bool readable = true;
+    std::uint64_t meaning = 0; // no upstream
     if (item.removed) {
         change = this->directory.removed(
             name, item.revision, this->lapse_bound(now));
     } else if (const auto read = this->read_life(item, out)) {
         change = this->directory.learn(*read);
+        meaning = meaning_of(*read);
     } else {
         readable = false;
         out.faults.push_back(item.key + ": " + read.error());
         change = this->directory.removed(name, item.revision, std::nullopt);
     }
-    if (item.removed || change != routing::upstream_change::none)
+    this->note_meaning(item.key, meaning);
+    if (item.removed || change != routing::upstream_change::none) {
         this->change = std::max(this->change, item.revision);
+        this->note_change(item.key);
+    }
     this->note_upstream(name, change, before, out);
     return readable;
 }
 
+// Exclusive or takes a meaning in and out again, in whatever order items come.
+void beliefs::note_meaning(const std::string& key, std::uint64_t meaning)
+{
+    std::uint64_t& known = this->meanings[key];
+    const std::uint64_t fresh =
+        meaning == 0 ? 0 : placement::mix(base::hash_name(key), meaning);
+    this->digest_of_all ^= known ^ fresh;
+    known = fresh;
+}
+
+void beliefs::note_change(const std::string& key)
+{
+    this->change_count += 1;
+    this->changed_as[key] = this->change_count;
+}
+
 // Where upstreams tell when they were born, one that doesn't is none.
 tl::expected<routing::published_upstream, std::string>
 beliefs::read_life(const routing::published_item& item, belief_changes& out)
@@ -260,4 +297,23 @@
     return out;
 }
 
+// A store that lost its history may tell of a change late, under a revision
+// below that of others: by their own order none is missed.
+gossip::item_transfer beliefs::items_after(std::uint64_t changes) const
+{
+    gossip::item_transfer out;
+    out.store_revision = this->revision;
+    out.change_revision = this->change;
+    out.changes = this->change_count;
+    out.whole = changes == 0;
+    for (const auto& [key, item] : this->items) {
+        const auto found = this->changed_as.find(key);
+        const bool changed =
+            found != this->changed_as.end() && found->second > changes;
+        if (out.whole ? !item.removed : changed)
+            out.items.push_back(item);
+    }
+    return out;
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/beliefs.hpp
+++ b/src/greengagedrum/entry/beliefs.hpp
@@ -71,8 +71,15 @@
     std::uint64_t configuration_revision() const;
     std::int64_t configuration_version() const;
 
+    // How often something of it has changed.
+    std::uint64_t changes() const { return this->change_count; }
+    // Of what the items say, without the load that upstreams report.
+    std::uint64_t digest() const { return this->digest_of_all; }
+
     // For a peer that knows all up to `since`.
     gossip::item_transfer items_since(std::uint64_t since) const;
+    // For one that was passed what was believed after so many changes.
+    gossip::item_transfer items_after(std::uint64_t changes) const;
 
 private:
     void take(const routing::published_item& item,
@@ -91,6 +98,8 @@
     tl::expected<routing::published_upstream, std::string>
     read_life(const routing::published_item& item, belief_changes& out);
     void drop_unborn(belief_changes& out);
+    void note_change(const std::string& key);
+    void note_meaning(const std::string& key, std::uint64_t meaning);
     void drop_oldest_spent();
     std::optional<base::instant> lapse_bound(base::instant now) const;
 
@@ -99,6 +108,11 @@
     routing::upstream_directory directory;
     std::uint64_t revision = 0;
     std::uint64_t change = 0;
+    std::uint64_t change_count = 0;
+    // Of each item that changed anything: the count at that time.
+    std::unordered_map<std::string, std::uint64_t> changed_as;
+    std::uint64_t digest_of_all = 0;
+    std::unordered_map<std::string, std::uint64_t> meanings; // by item
     bool lives_told = false; // an upstream told when it was born
     std::optional<base::instant> away_since;
     base::instant doubted_until;
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -190,12 +190,15 @@
 
 relay::small_answer entry::answer_control(std::string_view target) const
 {
-    const auto since = read_items_target(target);
-    if (!since)
+    const auto asked = read_items_target(target);
+    if (!asked)
         return {503, "text/plain", "no such question\n"};
-    return {200,
-            "application/octet-stream",
-            gossip::encode(this->state.known.items_since(*since))};
+    gossip::item_transfer out =
+        asked->life ? this->state.known.items_after(
+                          *asked->life == this->life ? asked->number : 0)
+                    : this->state.known.items_since(asked->number);
+    out.life = this->life;
+    return {200, "application/octet-stream", gossip::encode(out)};
 }
 
 std::string entry::metrics_text() const
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -26,7 +26,9 @@
 // sooner.
 constexpr base::duration look_gap = std::chrono::milliseconds(20);
 
-constexpr std::string_view items_path = "/items?since=";
+constexpr std::string_view since_path = "/items?since=";
+constexpr std::string_view after_path = "/items?after=";
+constexpr std::string_view life_part = "&life=";
 
 std::uint32_t strength_of(const settings& given)
 {
@@ -36,22 +38,37 @@
 
 } // namespace
 
-std::string items_target(std::uint64_t since)
+std::string items_target(const items_question& asked)
 {
-    return std::string(items_path) + std::to_string(since);
+    const std::string number = std::to_string(asked.number);
+    if (!asked.life)
+        return std::string(since_path) + number;
+    return std::string(after_path) + number + std::string(life_part) +
+           std::to_string(asked.life->value);
 }
 
-std::optional<std::uint64_t> read_items_target(std::string_view target)
+std::optional<items_question> read_items_target(std::string_view target)
 {
-    if (!target.starts_with(items_path))
+    const bool after = target.starts_with(after_path);
+    if (!after && !target.starts_with(since_path))
         return std::nullopt;
-    target.remove_prefix(items_path.size());
-    std::uint64_t since = 0;
-    const auto read =
-        std::from_chars(target.data(), target.data() + target.size(), since);
-    if (read.ec != std::errc())
+    target.remove_prefix(after ? after_path.size() : since_path.size());
+    items_question out;
+    const char* const end = target.data() + target.size();
+    const auto number = std::from_chars(target.data(), end, out.number);
+    if (number.ec != std::errc())
         return std::nullopt;
-    return since;
+    if (!after)
+        return out;
+    target.remove_prefix(static_cast<std::size_t>(number.ptr - target.data()));
+    if (!target.starts_with(life_part))
+        return std::nullopt;
+    target.remove_prefix(life_part.size());
+    base::incarnation life;
+    if (std::from_chars(target.data(), end, life.value).ec != std::errc())
+        return std::nullopt;
+    out.life = life;
+    return out;
 }
 
 peer_link::peer_link(relay::asio::io_context& context,
@@ -163,6 +180,8 @@
     }
     if (news != gossip::peer_news::none)
         this->update_role(now);
+    if (this->large && this->dispatcher == word->address)
+        return this->follow(*word, now);
     if (word->configuration_revision >
             this->state.known.configuration_revision() ||
         word->change_revision > this->state.known.changed_at())
@@ -178,11 +197,13 @@
 {
     const base::instant now = this->state.clock();
     const base::duration bound =
-        std::min(this->own.bounds.configuration, this->own.bounds.drain);
-    const bool has_reader = this->large ? this->dispatcher.has_value()
-                                        : this->table.has_reader_nearby(now);
-    return now - this->own_read_at < bound * rest_parts / all_parts &&
-           now - this->peer_read_at <= read_lately && has_reader;
+        std::min(this->own.bounds.configuration, this->own.bounds.drain) *
+        rest_parts / all_parts;
+    if (this->large)
+        return this->dispatcher_reads(bound, now);
+    return now - this->own_read_at < bound &&
+           now - this->peer_read_at <= read_lately &&
+           this->table.has_reader_nearby(now);
 }
 
 // ---- Telling --------------------------------------------------------------
@@ -229,6 +250,8 @@
     out.configuration_revision = this->state.known.configuration_revision();
     out.store_revision = this->state.known.as_of();
     out.change_revision = this->state.known.changed_at();
+    out.changes = this->state.known.changes();
+    out.digest = this->state.known.digest();
     out.store_age = now - this->own_read_at;
     return out;
 }
@@ -314,21 +337,32 @@
     if (!source || (source->store_revision <= this->state.known.as_of() &&
                     source->change_revision <= this->state.known.changed_at()))
         return;
+    this->ask_for_items(source->address,
+                        {std::min(this->state.known.changed_at(),
+                                  this->state.known.configuration_revision()),
+                         std::nullopt},
+                        now);
+}
+
+void peer_link::ask_for_items(gossip::ip_number of,
+                              const items_question& what,
+                              base::instant now)
+{
     this->asking = true;
     this->asked_at = now;
-    const base::ip_endpoint to{
-        relay::asio::ip::address_v4(source->address).to_string(),
-        this->own.control.port};
+    const base::ip_endpoint to{relay::asio::ip::address_v4(of).to_string(),
+                               this->own.control.port};
     this->client->ask(
         to,
-        items_target(std::min(this->state.known.changed_at(),
-                              this->state.known.configuration_revision())),
+        items_target(what),
         ask_bound,
         [this, to](tl::expected<relay::fetched, std::string> got) {
             this->asking = false;
             if (got && got->status == relay::status_ok) {
-                if (const auto items = gossip::decode_items(got->body))
+                if (const auto items = gossip::decode_items(got->body)) {
+                    this->passed = {items->life, items->changes};
                     return this->events.items(*items);
+                }
             }
             this->state.log.write(
                 this->state.clock(),
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -40,6 +40,17 @@
     std::function<dispatch::dispatcher_reply(base::slot_id)> reply;
 };
 
+// What an entry asks a peer for: items above a revision of the store, or, of a
+// life of that peer, what changed after so many changes.
+struct items_question {
+    std::uint64_t number = 0;
+    std::optional<base::incarnation> life;
+};
+
+// The target under which it is asked, and its reading.
+std::string items_target(const items_question& asked);
+std::optional<items_question> read_items_target(std::string_view target);
+
 class peer_link
 {
 public:
@@ -81,6 +92,9 @@
     void take_report(const gossip::word& told, base::instant now);
     void take_reply(const gossip::word& told, base::instant now);
     void answer_greeting(const gossip::word& told, base::instant now);
+    void follow(const gossip::word& told, base::instant now);
+    void ask_dispatcher(const gossip::word& told, base::instant now);
+    bool dispatcher_reads(base::duration bound, base::instant now) const;
     void update_role(base::instant now);
     void set_role(bool delegating, base::instant now);
     void count_entries(base::instant now);
@@ -94,6 +108,9 @@
     void greet_silent(base::instant now);
     void look_for_silent(base::instant now);
     void ask_peer(base::instant now);
+    void ask_for_items(gossip::ip_number of,
+                       const items_question& what,
+                       base::instant now);
 
     relay::asio::io_context& context;
     relay::udp::socket socket;
@@ -116,6 +133,12 @@
     std::uint64_t turn = 0;
     bool asking = false;
 
+    // What an entry believed, and after which of its changes.
+    struct belief_point {
+        base::incarnation life;
+        std::uint64_t changes = 0;
+    };
+
     struct member {
         gossip::ip_number address = 0;
         base::instant heard_at;
@@ -126,6 +149,8 @@
     std::optional<gossip::ip_number> dispatcher; // none: this entry
     base::instant dispatcher_at;                 // when there was one last
     base::instant placing_since;                 // this entry, by itself
+    belief_point passed; // to this entry, by whoever was asked last
+    std::uint64_t dispatcher_digest = 0;
     base::instant beat_at;
     base::instant greeted_at;
     std::size_t next_greeted = 0;
@@ -143,8 +168,4 @@
     std::unordered_map<gossip::ip_number, base::instant> greetings_answered;
 };
 
-// The target under which an entry asks a peer for items, and its reading.
-std::string items_target(std::uint64_t since);
-std::optional<std::uint64_t> read_items_target(std::string_view target);
-
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -29,6 +29,16 @@
 // A member that reported so lately is told of signs of life.
 constexpr base::duration member_for = std::chrono::milliseconds(1500);
 
+// Between two questions of a member for what changed.
+constexpr base::duration follow_gap = std::chrono::milliseconds(100);
+
+// A reader's watch and the pause after it take up to 900 ms, its word up to
+// 200 ms more.
+constexpr base::duration read_lately = std::chrono::milliseconds(1200);
+
+// Entries that read the store as soon as their dispatcher may not.
+constexpr std::size_t readers_in_line = 3;
+
 // Until members have found their new dispatcher.
 constexpr base::duration gather_time = std::chrono::milliseconds(300);
 
@@ -100,6 +110,39 @@
     this->send(gossip::encode(out), told.address);
 }
 
+// ---- The store --------------------------------------------------------------
+
+// Its dispatcher reads the store for a member, which is passed all that
+// changes.
+void peer_link::follow(const gossip::word& told, base::instant now)
+{
+    this->dispatcher_digest = told.digest;
+    if (told.digest == this->state.known.digest())
+        this->passed = {told.life, told.changes};
+    else if (!this->asking && now - this->asked_at >= follow_gap)
+        this->ask_dispatcher(told, now);
+}
+
+void peer_link::ask_dispatcher(const gossip::word& told, base::instant now)
+{
+    const std::uint64_t known =
+        this->passed.life == told.life ? this->passed.changes : 0;
+    this->ask_for_items(told.address, {known, told.life}, now);
+}
+
+// Failure guarded against: the store turns the dispatcher away, or it hangs. A
+// few of those next in line read then, and all others once a change may be due.
+// With all of them reading now and then, 295 entries made 6,500 calls in 48 s.
+bool peer_link::dispatcher_reads(base::duration bound, base::instant now) const
+{
+    if (!this->dispatcher ||
+        this->dispatcher_digest != this->state.known.digest())
+        return false;
+    const base::duration age = now - this->peer_read_at;
+    const bool next_in_line = this->order.place_in_line(now) < readers_in_line;
+    return age <= (next_in_line ? read_lately : std::max(bound, read_lately));
+}
+
 // ---- Roles ----------------------------------------------------------------
 
 void peer_link::update_role(base::instant now)
--- a/src/greengagedrum/entry/test/beliefs_test.cpp
+++ b/src/greengagedrum/entry/test/beliefs_test.cpp
@@ -210,4 +210,37 @@
     CHECK(follower.configuration_version() == 4);
 }
 
+// A store that had lost its history tells of a change late, under a revision
+// below that of others. Whoever asked for what is above the newest revision
+// that it knows would never hear of it.
+TEST_CASE_FIXTURE(beliefs_fixture, "change_told_late_is_passed_on")
+{
+    this->news({upstream_item("i-1", 20)}, 20);
+    const std::uint64_t passed = this->known.changes();
+    this->news({upstream_item("i-2", 9)}, 20);
+    CHECK(this->known.items_since(this->known.changed_at()).items.empty());
+    const auto after = this->known.items_after(passed);
+    REQUIRE(after.items.size() == 1);
+    CHECK(after.items[0].key == "servers/i-2");
+    CHECK(this->known.items_after(this->known.changes()).items.empty());
+    CHECK(this->known.items_after(0).whole);
+}
+
+// Entries hear the same in another order, and of reports at other times. They
+// have to see that they believe the same, or each would go on asking.
+TEST_CASE_FIXTURE(beliefs_fixture, "same_beliefs_have_the_same_digest")
+{
+    beliefs other;
+    other.learn({upstream_item("i-2", 9)}, 9, false, this->now);
+    other.learn({upstream_item("i-3", 10)}, 10, false, this->now);
+    this->news({upstream_item("i-1", 5)}, 5);
+    this->news({upstream_item("i-2", 3)}, 5);
+    this->news({upstream_item("i-3", 6)}, 6);
+    CHECK(this->known.digest() != other.digest());
+    this->news({{"servers/i-1", "", 8, true}}, 8);
+    CHECK(this->known.digest() == other.digest());
+    this->news({upstream_item("i-3", 12)}, 12);
+    CHECK(this->known.digest() == other.digest());
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -820,8 +820,10 @@
     VT_STANDINGS = 44,
     VT_KIND = 46,
     VT_DELEGATING = 48,
-    VT_REPORT = 50,
-    VT_REPLY = 52
+    VT_CHANGES = 50,
+    VT_DIGEST = 52,
+    VT_REPORT = 54,
+    VT_REPLY = 56
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -889,6 +891,12 @@
   bool delegating() const {
     return GetField<uint8_t>(VT_DELEGATING, 0) != 0;
   }
+  uint64_t changes() const {
+    return GetField<uint64_t>(VT_CHANGES, 0);
+  }
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
   const greengagedrum::gossip::wire::Report *report() const {
     return GetPointer<const greengagedrum::gossip::wire::Report *>(VT_REPORT);
   }
@@ -930,6 +938,8 @@
            verifier.VerifyVector(standings()) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<uint8_t>(verifier, VT_DELEGATING, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CHANGES, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            VerifyOffset(verifier, VT_REPORT) &&
            verifier.VerifyTable(report()) &&
            VerifyOffset(verifier, VT_REPLY) &&
@@ -1008,6 +1018,12 @@
   void add_delegating(bool delegating) {
     fbb_.AddElement<uint8_t>(Word::VT_DELEGATING, static_cast<uint8_t>(delegating), 0);
   }
+  void add_changes(uint64_t changes) {
+    fbb_.AddElement<uint64_t>(Word::VT_CHANGES, changes, 0);
+  }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(Word::VT_DIGEST, digest, 0);
+  }
   void add_report(flatbuffers::Offset<greengagedrum::gossip::wire::Report> report) {
     fbb_.AddOffset(Word::VT_REPORT, report);
   }
@@ -1049,9 +1065,13 @@
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Standing *>> standings = 0,
     uint8_t kind = 0,
     bool delegating = false,
+    uint64_t changes = 0,
+    uint64_t digest = 0,
     flatbuffers::Offset<greengagedrum::gossip::wire::Report> report = 0,
     flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply = 0) {
   WordBuilder builder_(_fbb);
+  builder_.add_digest(digest);
+  builder_.add_changes(changes);
   builder_.add_change_revision(change_revision);
   builder_.add_store_revision(store_revision);
   builder_.add_configuration_revision(configuration_revision);
@@ -1103,6 +1123,8 @@
     const std::vector<greengagedrum::gossip::wire::Standing> *standings = nullptr,
     uint8_t kind = 0,
     bool delegating = false,
+    uint64_t changes = 0,
+    uint64_t digest = 0,
     flatbuffers::Offset<greengagedrum::gossip::wire::Report> report = 0,
     flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
@@ -1140,6 +1162,8 @@
       standings__,
       kind,
       delegating,
+      changes,
+      digest,
       report,
       reply);
 }
@@ -1239,7 +1263,9 @@
     VT_STORE_REVISION = 4,
     VT_WHOLE = 6,
     VT_ITEMS = 8,
-    VT_CHANGE_REVISION = 10
+    VT_CHANGE_REVISION = 10,
+    VT_LIFE = 12,
+    VT_CHANGES = 14
   };
   uint64_t store_revision() const {
     return GetField<uint64_t>(VT_STORE_REVISION, 0);
@@ -1253,6 +1279,12 @@
   uint64_t change_revision() const {
     return GetField<uint64_t>(VT_CHANGE_REVISION, 0);
   }
+  uint64_t life() const {
+    return GetField<uint64_t>(VT_LIFE, 0);
+  }
+  uint64_t changes() const {
+    return GetField<uint64_t>(VT_CHANGES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_STORE_REVISION, 8) &&
@@ -1261,6 +1293,8 @@
            verifier.VerifyVector(items()) &&
            verifier.VerifyVectorOfTables(items()) &&
            VerifyField<uint64_t>(verifier, VT_CHANGE_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CHANGES, 8) &&
            verifier.EndTable();
   }
 };
@@ -1281,6 +1315,12 @@
   void add_change_revision(uint64_t change_revision) {
     fbb_.AddElement<uint64_t>(Items::VT_CHANGE_REVISION, change_revision, 0);
   }
+  void add_life(uint64_t life) {
+    fbb_.AddElement<uint64_t>(Items::VT_LIFE, life, 0);
+  }
+  void add_changes(uint64_t changes) {
+    fbb_.AddElement<uint64_t>(Items::VT_CHANGES, changes, 0);
+  }
   explicit ItemsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1297,8 +1337,12 @@
     uint64_t store_revision = 0,
     bool whole = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagedrum::gossip::wire::Item>>> items = 0,
-    uint64_t change_revision = 0) {
+    uint64_t change_revision = 0,
+    uint64_t life = 0,
+    uint64_t changes = 0) {
   ItemsBuilder builder_(_fbb);
+  builder_.add_changes(changes);
+  builder_.add_life(life);
   builder_.add_change_revision(change_revision);
   builder_.add_store_revision(store_revision);
   builder_.add_items(items);
@@ -1311,14 +1355,18 @@
     uint64_t store_revision = 0,
     bool whole = false,
     const std::vector<flatbuffers::Offset<greengagedrum::gossip::wire::Item>> *items = nullptr,
-    uint64_t change_revision = 0) {
+    uint64_t change_revision = 0,
+    uint64_t life = 0,
+    uint64_t changes = 0) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<greengagedrum::gossip::wire::Item>>(*items) : 0;
   return greengagedrum::gossip::wire::CreateItems(
       _fbb,
       store_revision,
       whole,
       items__,
-      change_revision);
+      change_revision,
+      life,
+      changes);
 }
 
 inline const greengagedrum::gossip::wire::Word *GetWord(const void *buf) {
--- a/src/greengagedrum/gossip/succession.cpp
+++ b/src/greengagedrum/gossip/succession.cpp
@@ -156,6 +156,15 @@
         });
 }
 
+std::size_t succession::place_in_line(base::instant now) const
+{
+    const std::vector<ip_number> all = this->ranked(this->place, now);
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [&](ip_number address) {
+            return this->goes_before_own(address);
+        }));
+}
+
 std::size_t succession::dispatchers(base::instant now) const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/greengagedrum/gossip/succession.hpp
+++ b/src/greengagedrum/gossip/succession.hpp
@@ -61,6 +61,9 @@
     // It does not place any more, and another one of its data centre does.
     bool is_replaced(ip_number address, base::instant now) const;
 
+    // Entries of the own data centre that would place before this one.
+    std::size_t place_in_line(base::instant now) const;
+
     // Others that place, of any data centre, this one not counted.
     std::size_t dispatchers(base::instant now) const;
 
--- a/src/greengagedrum/gossip/word.cpp
+++ b/src/greengagedrum/gossip/word.cpp
@@ -203,6 +203,8 @@
                                        builder.CreateVectorOfStructs(standings),
                                        static_cast<std::uint8_t>(told.kind),
                                        told.delegating,
+                                       told.changes,
+                                       told.digest,
                                        report,
                                        reply);
     builder.Finish(root);
@@ -239,6 +241,8 @@
     out.strength = root->strength();
     out.kind = kind_of(root->kind());
     out.delegating = root->delegating();
+    out.changes = root->changes();
+    out.digest = root->digest();
     if (const auto* report = root->report())
         out.report = read_report(*report);
     if (const auto* reply = root->reply())
@@ -260,7 +264,9 @@
                                         passed.store_revision,
                                         passed.whole,
                                         builder.CreateVector(items),
-                                        passed.change_revision);
+                                        passed.change_revision,
+                                        passed.life.value,
+                                        passed.changes);
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -275,6 +281,8 @@
     out.store_revision = root->store_revision();
     out.whole = root->whole();
     out.change_revision = root->change_revision();
+    out.life.value = root->life();
+    out.changes = root->changes();
     if (root->items() == nullptr)
         return out;
     for (const wire::Item* one : *root->items())
--- a/src/greengagedrum/gossip/word.hpp
+++ b/src/greengagedrum/gossip/word.hpp
@@ -49,6 +49,10 @@
     bool stopping = false;
     std::uint64_t configuration_revision = 0;
     std::uint64_t store_revision = 0; // as of which the upstreams are known
+    // How often what the sender believes has changed since its start: whoever
+    // has passed on all of them knows what it knows.
+    std::uint64_t changes = 0;
+    std::uint64_t digest = 0; // alike at entries that believe the same
     // Of the newest change known of configuration or upstreams; reports that
     // change nothing move the store's revision on all the time.
     std::uint64_t change_revision = 0;
@@ -66,6 +70,8 @@
 struct item_transfer {
     std::uint64_t store_revision = 0;
     std::uint64_t change_revision = 0; // as in a word
+    base::incarnation life;            // of the sender
+    std::uint64_t changes = 0;         // of it
     bool whole = false; // all that there is; what is missing was removed
     routing::item_list items;
 };
