--- a/src/greengagedrum/gossip/succession.cpp
+++ b/src/greengagedrum/gossip/succession.cpp
@@ -127,9 +127,11 @@
     std::sort(known.begin(), known.end(), [](const auto& a, const auto& b) {
         return a.first != b.first ? a.first > b.first : a.second < b.second;
     });
-    std::vector<ip_number> out;
-    for (const auto& [strength, address] : known)
-        out.push_back(address);
+    std::vector<ip_number> out(known.size());
+    std::transform(known.begin(),
+                   known.end(),
+                   out.begin(),
+                   [](const auto& one) { return one.second; });
     return out;
 }
 
