Entry: tests of a member and its dispatcher over loopback, and names

The dispatcher is played by datagrams: a place is granted, a limit is declined, the dispatcher dies. Names: a candidate's data centre, a member's report.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -87,7 +87,8 @@
     };
     peer_told.member_reported = [this](base::slot_id member,
                                        const gossip::word& told) {
-        this->callers->reported(member, told.life, told.report, told.uses);
+        this->callers->member_reported(
+            member, told.life, told.report, told.uses);
     };
     peer_told.member_lost = [this](base::slot_id member) {
         this->callers->member_lost(member);
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -73,10 +73,10 @@
     void replied(const dispatch::dispatcher_reply& what);
 
     // What a member reported, and that it is gone.
-    void reported(base::slot_id member,
-                  base::incarnation life,
-                  const dispatch::member_report& told,
-                  std::span<const traffic::upstream_use> uses);
+    void member_reported(base::slot_id member,
+                         base::incarnation life,
+                         const dispatch::member_report& told,
+                         std::span<const traffic::upstream_use> uses);
     void member_lost(base::slot_id member);
     dispatch::member_desk& desk() { return this->members; }
 
--- a/src/greengagedrum/entry/member_requests.cpp
+++ b/src/greengagedrum/entry/member_requests.cpp
@@ -93,10 +93,10 @@
 
 // ---- Members' requests ----------------------------------------------------
 
-void front::reported(base::slot_id member,
-                     base::incarnation life,
-                     const dispatch::member_report& told,
-                     std::span<const traffic::upstream_use> uses)
+void front::member_reported(base::slot_id member,
+                            base::incarnation life,
+                            const dispatch::member_report& told,
+                            std::span<const traffic::upstream_use> uses)
 {
     const dispatch::desk_news news =
         this->members.report(member, life, told, uses);
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -212,7 +212,7 @@
 {
     this->schedule.changed();
     if (this->large)
-        this->answer_members(this->state.clock());
+        this->answer_members();
     this->tell_due();
     this->set_timer();
 }
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -2,7 +2,9 @@
 // request.
 //
 // Each word is whole, so a lost datagram is made good by the next, and a
-// connection that has gone silent can't be mistaken for a peer that has.
+// connection that has gone silent can't be mistaken for a peer that has. Among
+// few entries each tells all others; among many, peer_roles.cpp says who tells
+// whom.
 #pragma once
 
 #include <greengagedrum/entry/front.hpp>
@@ -104,7 +106,7 @@
     bool is_report_overdue(base::instant now) const;
     void tell_dispatcher(base::instant now);
     void tell_members(base::instant now);
-    void answer_members(base::instant now);
+    void answer_members();
     void tell_far(base::instant now);
     void greet_silent(base::instant now);
     void look_for_silent(base::instant now);
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -88,7 +88,7 @@
     this->members[slot] = {told.address, now};
     this->state.limiter.forget_peer(slot);
     this->events.member_reported(slot, told);
-    this->answer_members(now);
+    this->answer_members();
 }
 
 void peer_link::take_reply(const gossip::word& told, base::instant now)
@@ -274,7 +274,7 @@
         this->tell_members(now);
     }
     if (!this->state.delegating)
-        this->answer_members(now);
+        this->answer_members();
     if (beats)
         this->look_for_silent(now);
     const bool to_far = !this->state.delegating || this->farewells > 0;
@@ -362,7 +362,7 @@
     }
 }
 
-void peer_link::answer_members(base::instant)
+void peer_link::answer_members()
 {
     if (this->state.delegating)
         return;
--- /dev/null
+++ b/src/greengagedrum/entry/test/dispatch_test.cpp
@@ -0,0 +1,186 @@
+// An entry among many, whose requests a dispatcher places: the test plays the
+// dispatcher by datagrams.
+#include <greengagedrum/entry/test/entry_fixture.hpp>
+#include <greengagedrum/gossip/word.hpp>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr gossip::ip_number dispatcher_ip = 0x7f000002; // 127.0.0.2
+constexpr gossip::ip_number first_other = 0x0a000001;
+constexpr gossip::ip_number others = 40;
+
+using decision = std::function<void(const dispatch::wanted_place&,
+                                    dispatch::dispatcher_reply&)>;
+
+// The strongest entry of the data centre, at another address of loopback.
+class played_dispatcher
+{
+public:
+    played_dispatcher() : socket(this->context)
+    {
+        this->socket.open(relay::udp::v4());
+        this->socket.bind({relay::asio::ip::make_address("127.0.0.2"), 0});
+        this->socket.non_blocking(true);
+    }
+
+    std::uint16_t port() const { return this->socket.local_endpoint().port(); }
+
+    void begin(decision what)
+    {
+        this->decide = std::move(what);
+        this->thread = std::thread([this] { this->play(); });
+    }
+
+    void fall_silent()
+    {
+        this->ended = true;
+        if (this->thread.joinable())
+            this->thread.join();
+    }
+
+    std::atomic<int> reports{0};
+
+private:
+    void play()
+    {
+        while (!this->ended) {
+            gossip::word out = this->own_word();
+            this->take_reports(out.reply);
+            const std::string bytes = gossip::encode(out);
+            relay::error_code ignored; // the entry may not listen yet
+            this->socket.send_to(
+                relay::asio::buffer(bytes),
+                {relay::asio::ip::make_address("127.0.0.1"), this->port()},
+                0,
+                ignored);
+            std::this_thread::sleep_for(20ms);
+        }
+    }
+
+    gossip::word own_word()
+    {
+        gossip::word out;
+        out.kind = gossip::word_kind::reply;
+        out.life = {1};
+        out.sequence = ++this->sequence;
+        out.instance = "strong";
+        out.data_centre = "hall";
+        out.address = dispatcher_ip;
+        out.strength = 5000;
+        out.store_age = 1h;
+        for (gossip::ip_number one = 0; one < others; ++one)
+            out.known.push_back(
+                {first_other + one, 10ms, base::data_centre_id("hall"), 1});
+        return out;
+    }
+
+    void take_reports(dispatch::dispatcher_reply& into)
+    {
+        relay::error_code fault;
+        for (;;) {
+            const std::size_t count =
+                this->socket.receive(relay::asio::buffer(this->room), 0, fault);
+            if (fault)
+                return;
+            const auto told = gossip::decode_word({this->room.data(), count});
+            if (!told || told->kind != gossip::word_kind::report)
+                continue;
+            this->reports += 1;
+            into = {};
+            into.report_taken = told->report.number;
+            for (const dispatch::wanted_place& one : told->report.wanted)
+                this->decide(one, into);
+        }
+    }
+
+    relay::asio::io_context context;
+    relay::udp::socket socket;
+    std::array<char, 65'536> room{};
+    std::uint64_t sequence = 0;
+    decision decide;
+    std::atomic<bool> ended{false};
+    std::thread thread;
+};
+
+struct member_fixture : played_dispatcher, entry_fixture {
+    member_fixture() : entry_fixture({1'000'000, this->port(), {}}) {}
+    ~member_fixture() { this->fall_silent(); }
+
+    void begin_and_wait(decision what)
+    {
+        this->begin(std::move(what));
+        for (int tries = 0; tries < 300 && this->reports == 0; ++tries)
+            std::this_thread::sleep_for(10ms);
+        REQUIRE(this->reports > 0);
+    }
+};
+
+void grant(const dispatch::wanted_place& wanted,
+           dispatch::dispatcher_reply& into)
+{
+    into.granted.push_back(
+        {wanted.name, routing::life_id("i-1", std::nullopt), 50ms, 0, 5});
+}
+
+} // namespace
+
+// A caller gets its answer though its entry decides nothing: the place comes
+// from the dispatcher, and the limit is counted there.
+TEST_CASE_FIXTURE(member_fixture, "member_sends_where_its_dispatcher_says")
+{
+    std::atomic<int> uncounted{0};
+    this->begin_and_wait([&uncounted](const dispatch::wanted_place& wanted,
+                                      dispatch::dispatcher_reply& into) {
+        uncounted += wanted.counted ? 0 : 1;
+        grant(wanted, into);
+    });
+    auto asked = this->client();
+    const auto got = asked.Get("/again/", headers());
+    REQUIRE(got);
+    CHECK(got->status == 200);
+    CHECK(uncounted > 0);
+    this->fall_silent();
+}
+
+// A workspace is beyond its limit over all entries, which only the dispatcher
+// knows. The caller is told when to come back.
+TEST_CASE_FIXTURE(member_fixture, "limit_counted_by_the_dispatcher_refuses")
+{
+    this->begin_and_wait([](const dispatch::wanted_place& wanted,
+                            dispatch::dispatcher_reply& into) {
+        into.declined.push_back({wanted.name, base::reason::limit_reached, 3s});
+    });
+    auto asked = this->client();
+    const auto got = asked.Get("/again/", headers());
+    REQUIRE(got);
+    CHECK(got->status == 429);
+    CHECK(std::stod(got->get_header_value("Retry-After")) == 3);
+    CHECK(this->received().empty());
+    this->fall_silent();
+}
+
+// The dispatcher dies with a caller's request in its book. The entry places it
+// by itself within a second, since no other one answers.
+TEST_CASE_FIXTURE(member_fixture, "request_outlives_its_dispatcher")
+{
+    this->begin_and_wait(
+        [](const dispatch::wanted_place&, dispatch::dispatcher_reply&) {});
+    std::thread killer([this] {
+        std::this_thread::sleep_for(100ms);
+        this->fall_silent();
+    });
+    auto asked = this->client();
+    const auto got = asked.Get("/again/", headers());
+    killer.join();
+    REQUIRE(got);
+    CHECK(got->status == 200);
+    CHECK(this->received().size() == 1);
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/gossip/succession.cpp
+++ b/src/greengagedrum/gossip/succession.cpp
@@ -63,7 +63,7 @@
     if (told.address == this->own)
         return;
     candidate& sender = this->others[told.address];
-    sender.place = base::data_centre_id(told.data_centre);
+    sender.data_centre = base::data_centre_id(told.data_centre);
     sender.strength = told.strength;
     sender.seen_at = now;
     sender.heard_at = now;
@@ -79,7 +79,7 @@
         one.seen_at = std::max(one.seen_at, now - named.age);
         if (one.heard_at)
             continue;
-        one.place = named.data_centre;
+        one.data_centre = named.data_centre;
         one.strength = named.strength;
     }
 }
@@ -120,7 +120,7 @@
 {
     std::vector<std::pair<std::uint32_t, ip_number>> known;
     for (const auto& [address, one] : this->others) {
-        if (one.place == of && !one.stopping &&
+        if (one.data_centre == of && !one.stopping &&
             now - one.seen_at <= forgotten_after)
             known.emplace_back(one.strength, address);
     }
@@ -137,7 +137,7 @@
 
 std::optional<ip_number> succession::dispatcher(base::instant now) const
 {
-    for (const ip_number address : this->ranked(this->place, now)) {
+    for (const ip_number address : this->ranked(this->data_centre, now)) {
         if (!this->goes_before_own(address))
             return std::nullopt;
         if (places(this->others.at(address), now))
@@ -151,16 +151,16 @@
     const auto found = this->others.find(address);
     if (found == this->others.end() || places(found->second, now))
         return false;
-    const base::data_centre_id of = found->second.place;
+    const base::data_centre_id of = found->second.data_centre;
     return std::any_of(
         this->others.begin(), this->others.end(), [&](const auto& entry) {
-            return entry.second.place == of && places(entry.second, now);
+            return entry.second.data_centre == of && places(entry.second, now);
         });
 }
 
 std::size_t succession::place_in_line(base::instant now) const
 {
-    const std::vector<ip_number> all = this->ranked(this->place, now);
+    const std::vector<ip_number> all = this->ranked(this->data_centre, now);
     return static_cast<std::size_t>(
         std::count_if(all.begin(), all.end(), [&](ip_number address) {
             return this->goes_before_own(address);
@@ -199,7 +199,7 @@
 {
     std::vector<ip_number> out;
     const auto placing = this->dispatcher(now);
-    this->try_strongest(this->place, tried_at_once, placing, now, out);
+    this->try_strongest(this->data_centre, tried_at_once, placing, now, out);
     if (!placing)
         std::erase_if(out, [&](ip_number address) {
             return !this->goes_before_own(address);
@@ -212,9 +212,9 @@
     std::set<base::data_centre_id> data_centres;
     std::vector<ip_number> out;
     for (const auto& [address, one] : this->others) {
-        if (one.place == this->place || one.place.empty())
+        if (one.data_centre == this->data_centre || one.data_centre.empty())
             continue;
-        data_centres.insert(one.place);
+        data_centres.insert(one.data_centre);
         if (places(one, now))
             out.push_back(address);
     }
@@ -233,7 +233,7 @@
 {
     std::vector<ip_number> out;
     for (const auto& [address, one] : this->others) {
-        if (one.place == this->place && !is_heard(one, now))
+        if (one.data_centre == this->data_centre && !is_heard(one, now))
             out.push_back(address);
     }
     return out;
@@ -244,12 +244,12 @@
     std::set<base::data_centre_id> known;
     std::set<base::data_centre_id> ever_heard;
     for (const auto& [address, one] : this->others) {
-        if (one.place == this->place || one.place.empty())
+        if (one.data_centre == this->data_centre || one.data_centre.empty())
             continue;
         if (now - one.seen_at <= forgotten_after)
-            known.insert(one.place);
+            known.insert(one.data_centre);
         if (one.heard_at)
-            ever_heard.insert(one.place);
+            ever_heard.insert(one.data_centre);
     }
     std::size_t out = 0;
     for (const base::data_centre_id place : known)
@@ -259,7 +259,7 @@
 
 std::size_t succession::known_nearby(base::instant now) const
 {
-    return this->ranked(this->place, now).size();
+    return this->ranked(this->data_centre, now).size();
 }
 
 std::vector<known_entry> succession::to_name(base::data_centre_id to,
@@ -268,7 +268,8 @@
     std::vector<known_entry> out;
     const auto name = [&](ip_number address) {
         const candidate& one = this->others.at(address);
-        out.push_back({address, now - one.seen_at, one.place, one.strength});
+        out.push_back(
+            {address, now - one.seen_at, one.data_centre, one.strength});
     };
     for (const ip_number address : this->ranked(to, now)) {
         if (out.size() == strongest_named)
--- a/src/greengagedrum/gossip/succession.hpp
+++ b/src/greengagedrum/gossip/succession.hpp
@@ -31,7 +31,7 @@
     succession(ip_number own,
                base::data_centre_id data_centre,
                std::uint32_t strength)
-        : own(own), place(data_centre), strength(strength)
+        : own(own), data_centre(data_centre), strength(strength)
     {
     }
 
@@ -79,7 +79,7 @@
 
 private:
     struct candidate {
-        base::data_centre_id place;
+        base::data_centre_id data_centre;
         std::uint32_t strength = 0;
         base::instant seen_at; // by anyone
         std::optional<base::instant> heard_at;
@@ -103,7 +103,7 @@
                        std::vector<ip_number>& out);
 
     ip_number own;
-    base::data_centre_id place;
+    base::data_centre_id data_centre;
     std::uint32_t strength; // thousandths of a processor
     candidates others;
     ip_number next_named = 0;
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -37,7 +37,7 @@
     // what becomes of it and decides what may be sent again.
     bool delegated = false;
     std::uint32_t sends_before = 0; // of a delegated one
-    base::duration patience{0};     // the same: how long it may wait
+    base::duration patience{0};     // of it: how long its caller waits
 };
 
 // How long a caller waits for the first sign of an answer: of a stream, it
