--- a/src/greengagedrum/dispatch/test/dispatch_run.cpp
+++ b/src/greengagedrum/dispatch/test/dispatch_run.cpp
@@ -44,6 +44,8 @@
 dispatch_run::dispatch_run(const run_settings& given)
     : given(given), dice(given.seed), members(given.members)
 {
+    for (std::size_t one = 0; one < given.members; ++one)
+        this->numbers[slot_of(one)] = one;
     std::uint64_t salt = 1;
     for (member& one : this->members) {
         one.decisions = make_scheduler(given, salt++, this->now);
@@ -296,13 +298,9 @@
 
 void dispatch_run::answer_members()
 {
-    for (std::size_t one = 0; one < this->members.size(); ++one) {
-        const auto waiting = this->desk->unanswered(this->now);
-        if (std::find(waiting.begin(), waiting.end(), slot_of(one)) ==
-            waiting.end())
-            continue;
-        const dispatcher_reply reply =
-            this->desk->reply(slot_of(one), this->now);
+    for (const base::slot_id slot : this->desk->unanswered(this->now)) {
+        const std::size_t one = this->numbers.at(slot);
+        const dispatcher_reply reply = this->desk->reply(slot, this->now);
         if (!this->is_lost())
             this->at(this->now + this->given.way,
                      [this, one, reply] { this->replied(one, reply); });
@@ -312,10 +310,11 @@
 void dispatch_run::tick()
 {
     for (std::size_t one = 0; one < this->members.size(); ++one) {
+        const member& own = this->members.at(one);
         traffic::actions orders;
-        this->members.at(one).decisions->tick(this->now, orders);
+        if (own.decisions->in_flight() > 0)
+            own.decisions->tick(this->now, orders);
         this->member_orders(one, orders);
-        const member& own = this->members.at(one);
         const base::duration silent = this->now - own.told_at;
         if (silent >= (own.unanswered > 0 ? repeat_gap : beat))
             this->report(one);
--- a/src/greengagedrum/dispatch/test/dispatch_run.hpp
+++ b/src/greengagedrum/dispatch/test/dispatch_run.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <unordered_map>
 #include <vector>
 
 namespace greengagedrum::dispatch
@@ -89,6 +90,7 @@
     base::instant began{std::chrono::hours(1)};
     std::multimap<base::instant, std::function<void()>> events;
     std::vector<member> members;
+    std::unordered_map<base::slot_id, std::size_t> numbers; // of members
     std::unique_ptr<traffic::scheduler> dispatcher; // none: it was killed
     std::unique_ptr<member_desk> desk;
     std::uint64_t term = 0; // grows with each dispatcher
