--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -71,36 +71,8 @@
         if (this->peers)
             this->peers->tell_soon();
     };
-    peer_events peer_told;
-    peer_told.load_changed = [this] { this->callers->place(); };
-    peer_told.items = [this](const gossip::item_transfer& got) {
-        this->apply(this->state.known.learn(got, this->state.clock()), "peer");
-        this->end_pause("peer");
-        this->store->known_up_to(this->state.known.as_of());
-    };
-    peer_told.delegate = [this](bool to_another) {
-        this->callers->delegate(to_another);
-    };
-    peer_told.report = [this] { return this->callers->report_to_dispatcher(); };
-    peer_told.replied = [this](const dispatch::dispatcher_reply& what) {
-        this->callers->replied(what);
-    };
-    peer_told.member_reported = [this](base::slot_id member,
-                                       const gossip::word& told) {
-        this->callers->member_reported(
-            member, told.life, told.report, told.uses);
-    };
-    peer_told.member_lost = [this](base::slot_id member) {
-        this->callers->member_lost(member);
-    };
-    peer_told.members_unanswered = [this] {
-        return this->callers->desk().unanswered(this->state.clock());
-    };
-    peer_told.reply = [this](base::slot_id member) {
-        return this->callers->desk().reply(member, this->state.clock());
-    };
     this->peers = std::make_unique<peer_link>(
-        this->context, given, this->life, this->state, std::move(peer_told));
+        this->context, given, this->life, this->state, this->told_by_peers());
     store_events store_told;
     store_told.news = [this](const routing::item_list& items,
                              std::uint64_t as_of,
@@ -143,6 +115,39 @@
         });
 }
 
+peer_events entry::told_by_peers()
+{
+    peer_events out;
+    out.load_changed = [this] { this->callers->place(); };
+    out.items = [this](const gossip::item_transfer& got) {
+        this->apply(this->state.known.learn(got, this->state.clock()), "peer");
+        this->end_pause("peer");
+        this->store->known_up_to(this->state.known.as_of());
+    };
+    out.delegate = [this](bool to_another) {
+        this->callers->delegate(to_another);
+    };
+    out.report = [this] { return this->callers->report_to_dispatcher(); };
+    out.replied = [this](const dispatch::dispatcher_reply& what) {
+        this->callers->replied(what);
+    };
+    out.member_reported = [this](base::slot_id member,
+                                 const gossip::word& told) {
+        this->callers->member_reported(
+            member, told.life, told.report, told.uses);
+    };
+    out.member_lost = [this](base::slot_id member) {
+        this->callers->member_lost(member);
+    };
+    out.members_unanswered = [this] {
+        return this->callers->desk().unanswered(this->state.clock());
+    };
+    out.reply = [this](base::slot_id member) {
+        return this->callers->desk().reply(member, this->state.clock());
+    };
+    return out;
+}
+
 void entry::run()
 {
     logs::write(logs::level::info,
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -41,6 +41,7 @@
     }
 
 private:
+    peer_events told_by_peers();
     void on_signal(int number);
     void begin_stop(int number);
     void check_stop();
