--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -118,7 +118,8 @@
     relay::asio::io_context& context;
     relay::udp::socket socket;
     relay::udp::endpoint sender;
-    std::array<char, 65'536> arrived{};
+    // FlatBuffers read numbers where they lie.
+    alignas(std::uint64_t) std::array<char, 65'536> arrived{};
     relay::asio::steady_timer timer;
     std::shared_ptr<relay::http_get> client;
     settings own;
--- a/src/greengagedrum/entry/test/dispatch_test.cpp
+++ b/src/greengagedrum/entry/test/dispatch_test.cpp
@@ -101,7 +101,7 @@
 
     relay::asio::io_context context;
     relay::udp::socket socket;
-    std::array<char, 65'536> room{};
+    alignas(std::uint64_t) std::array<char, 65'536> room{};
     std::uint64_t sequence = 0;
     decision decide;
     std::atomic<bool> ended{false};
--- a/src/greengagedrum/entry/test/limit_test.cpp
+++ b/src/greengagedrum/entry/test/limit_test.cpp
@@ -49,7 +49,7 @@
 private:
     relay::asio::io_context context;
     relay::udp::socket socket;
-    std::array<char, 65'536> room{};
+    alignas(std::uint64_t) std::array<char, 65'536> room{};
 };
 
 struct limit_fixture : peer_place, entry_fixture {
