Entry: limits of an entry that places alone hold from its first request

Cause, found by reading with the question what a dead dispatcher's members let through: the share of the others was noticed at the next tick, after the waiting requests had been counted with the whole burst, and a refusal let the scheduler place requests that were not counted yet. Test first: requests_left_over_are_counted_first (three of 200 tokens went out on a part of 285; now one does, and two are told when to come back). The race that the thread sanitizer reported was in watch_too_large_is_read_in_pages: the text that the store's thread served died with the test's frame, before the store was stopped. The handler owns it now; what is played and checked is unchanged.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -124,8 +124,9 @@
         this->end_pause("peer");
         this->store->known_up_to(this->state.known.as_of());
     };
-    out.delegate = [this](bool to_another) {
-        this->callers->delegate(to_another);
+    out.delegate = [this] { this->callers->delegate(); };
+    out.place_alone = [this](std::size_t unheard) {
+        this->callers->place_alone(unheard);
     };
     out.report = [this] { return this->callers->report_to_dispatcher(); };
     out.replied = [this](const dispatch::dispatcher_reply& what) {
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -66,8 +66,10 @@
 
     // ---- Where one entry of a data centre places for all --------------------
 
-    // Another entry places from now on, or this one does again.
-    void delegate(bool to_another);
+    // Another entry places from now on, or this one does again; of so many
+    // others it can't hear what they let through.
+    void delegate();
+    void place_alone(std::size_t unheard);
     // To whoever places, and what it replied.
     dispatch::member_report report_to_dispatcher() const;
     void replied(const dispatch::dispatcher_reply& what);
@@ -141,7 +143,8 @@
     void take(const dispatch::desk_news& news);
     void arrived_at_member(base::request_id id,
                            const dispatch::wanted_place& wanted);
-    void count_again(base::request_id id);
+    void count_waiting();
+    void refuse_waiting(base::request_id id, base::duration retry_after);
     // The request did not run: its workspace may use the cost for others.
     void return_cost(const accepted& request);
     void finish(base::request_id id, const base::verdict* failed);
--- a/src/greengagedrum/entry/member_requests.cpp
+++ b/src/greengagedrum/entry/member_requests.cpp
@@ -54,41 +54,52 @@
                                     base::not_run(one.why, one.retry_after)});
 }
 
-void front::delegate(bool to_another)
+void front::delegate()
 {
-    if (this->state.delegating == to_another)
-        return;
-    this->state.delegating = to_another;
-    this->state.scheduler.delegate(to_another);
-    if (to_another)
-        return this->take(this->members.lost_all());
-    // Whoever counted for this entry may be gone, and what it knew with it.
-    this->state.limiter.restart(this->state.clock());
-    std::vector<base::request_id> known;
-    for (const auto& [id, request] : this->requests)
-        known.push_back(id);
-    for (const base::request_id id : known)
-        this->count_again(id);
+    this->state.delegating = true;
+    this->state.scheduler.delegate(true);
+    this->take(this->members.lost_all());
 }
 
-// A request that waits was to be counted by the entry that placed it.
-void front::count_again(base::request_id id)
+// Whoever counted for this entry may be gone, and what it knew with it.
+//
+// Failure guarded against: a dispatcher dies, and each of its members has the
+// whole of every limit until it has counted the others: of three requests of
+// 200 tokens that waited, all three went out on a part of 285.
+void front::place_alone(std::size_t unheard)
+{
+    const base::instant now = this->state.clock();
+    this->state.limiter.restart(now);
+    this->state.limiter.set_unheard_peers(unheard);
+    this->state.limiter.assume_silent_peers(now);
+    this->state.delegating = false;
+    this->state.scheduler.delegate(false);
+    this->count_waiting();
+}
+
+// Requests that wait were to be counted by the entry that placed them. All are
+// counted before the first is ended, for then others may be sent.
+void front::count_waiting()
+{
+    std::vector<std::pair<base::request_id, base::duration>> beyond;
+    for (auto& [id, request] : this->requests) {
+        if (request.sent_at)
+            continue;
+        const auto over = this->state.limiter.take(
+            request.workspace, request.cost, this->state.clock());
+        request.counted = !over;
+        if (over)
+            beyond.emplace_back(id, *over);
+    }
+    for (const auto& [id, retry_after] : beyond)
+        this->refuse_waiting(id, retry_after);
+}
+
+void front::refuse_waiting(base::request_id id, base::duration retry_after)
 {
-    const auto found = this->requests.find(id);
-    if (found == this->requests.end())
-        return;
-    accepted& request = found->second;
-    if (request.sent_at)
-        return;
-    const auto over = this->state.limiter.take(
-        request.workspace, request.cost, this->state.clock());
-    request.counted = !over;
-    if (!over)
-        return;
-    traffic::end_request order{
-        id, base::not_run(base::reason::limit_reached, over)};
     this->told(traffic::caller_left{id});
-    this->carry_out_one(order);
+    this->carry_out_one(traffic::end_request{
+        id, base::not_run(base::reason::limit_reached, retry_after)});
 }
 
 // ---- Members' requests ----------------------------------------------------
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -29,8 +29,10 @@
     std::function<void()> load_changed;
     // A peer passed items of the store.
     std::function<void(const gossip::item_transfer&)> items;
-    // Another entry places this one's requests, or none does any more.
-    std::function<void(bool)> delegate;
+    // Another entry places this one's requests from now on.
+    std::function<void()> delegate;
+    // None does any more; so many entries may let requests through unheard.
+    std::function<void(std::size_t unheard)> place_alone;
     // What the entry that places is told, and what it replied.
     std::function<dispatch::member_report()> report;
     std::function<void(const dispatch::dispatcher_reply&)> replied;
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -192,11 +192,12 @@
     if (delegating) {
         this->farewells = farewells_told;
         this->members.clear();
-    } else {
-        this->placing_since = now;
-        this->unheard_alone = 0;
+        return this->events.delegate();
     }
-    this->events.delegate(delegating);
+    this->placing_since = now;
+    this->unheard_alone = this->order.known_nearby(now);
+    this->events.place_alone(this->order.unheard_data_centres(now) +
+                             this->unheard_alone);
 }
 
 void peer_link::count_entries(base::instant now)
--- a/src/greengagedrum/entry/test/dispatch_test.cpp
+++ b/src/greengagedrum/entry/test/dispatch_test.cpp
@@ -109,7 +109,10 @@
 };
 
 struct member_fixture : played_dispatcher, entry_fixture {
-    member_fixture() : entry_fixture({1'000'000, this->port(), {}}) {}
+    explicit member_fixture(double limit_per_second = 1'000'000)
+        : entry_fixture({limit_per_second, this->port(), {}})
+    {
+    }
     ~member_fixture() { this->fall_silent(); }
 
     void begin_and_wait(decision what)
@@ -121,6 +124,12 @@
     }
 };
 
+// One of 42 parts, for the entry, the dispatcher and the others, is 285 tokens:
+// a request costs 200.
+struct scarce_member_fixture : member_fixture {
+    scarce_member_fixture() : member_fixture(12'000) {}
+};
+
 void grant(const dispatch::wanted_place& wanted,
            dispatch::dispatcher_reply& into)
 {
@@ -183,4 +192,36 @@
     CHECK(this->received().size() == 1);
 }
 
+// Three requests wait for a dispatcher that dies, and of the workspace's limit
+// the entry has a part that holds one. All three are counted before any of them
+// is sent: a place that falls free to one that is not counted yet would be
+// beyond the limit.
+TEST_CASE_FIXTURE(scarce_member_fixture, "requests_left_over_are_counted_first")
+{
+    constexpr int callers = 3;
+    std::atomic<int> seen{0};
+    this->begin_and_wait([&seen](const dispatch::wanted_place& wanted,
+                                 dispatch::dispatcher_reply&) {
+        seen = std::max<int>(seen, static_cast<int>(wanted.name.request.value));
+    });
+    std::atomic<int> answered{0};
+    std::atomic<int> limited{0};
+    std::vector<std::thread> asking;
+    for (int count = 0; count < callers; ++count)
+        asking.emplace_back([&] {
+            auto asked = this->client();
+            const auto got = asked.Get("/again/", headers());
+            answered += got && got->status == 200 ? 1 : 0;
+            limited += got && got->status == 429 ? 1 : 0;
+        });
+    for (int tries = 0; tries < 300 && seen < callers; ++tries)
+        std::this_thread::sleep_for(10ms);
+    this->fall_silent();
+    for (std::thread& one : asking)
+        one.join();
+    CHECK(answered == 1);
+    CHECK(limited == 2);
+    CHECK(this->received().size() == 1);
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/test/store_reader_test.cpp
+++ b/src/greengagedrum/entry/test/store_reader_test.cpp
@@ -115,10 +115,11 @@
             this->lists += 1;
             given.set_content(last_page, json_type);
         });
-    const std::string large(relay::fetched_bytes_most + (1U << 20U), ' ');
+    // The handler's own: the store goes on answering until the fixture ends.
     this->store.server.Get(
         "/kv-watch",
-        [&large](const httplib::Request&, httplib::Response& given) {
+        [large = std::string(relay::fetched_bytes_most + (1U << 20U), ' ')](
+            const httplib::Request&, httplib::Response& given) {
             given.set_content(large, json_type);
         });
     this->start();
