Quota: the log says what a limit went by when it refused

A refusal as over a limit named the verdict only. Where requests count against limits is a file of its own (entry/limit_counting.cpp).

--- a/src/greengagedrum/entry/decisions.cpp
+++ b/src/greengagedrum/entry/decisions.cpp
@@ -164,18 +164,6 @@
     wire->end(order.verdict);
 }
 
-void front::return_cost(const accepted& request)
-{
-    if (!request.counted)
-        return;
-    const base::instant now = this->state.clock();
-    quota::usage_limiter& limiter = this->state.limiter;
-    if (request.sent_at)
-        limiter.not_run(request.workspace, request.cost, now);
-    else
-        limiter.withdrawn(request.workspace, request.cost, now);
-}
-
 void front::carry_out_one(const traffic::trust_changed& change)
 {
     const routing::published_upstream* of =
--- a/src/greengagedrum/entry/front.cpp
+++ b/src/greengagedrum/entry/front.cpp
@@ -208,9 +208,11 @@
          {"config_version", this->state.known.configuration_version()},
          {"cost", request.cost},
          {"limit_level", this->state.limiter.level(request.workspace)}});
-    if (over)
+    if (over) {
+        this->note_over_limit(request.workspace, request.cost, *over);
         return this->refuse(
             from, attempt, relay::own_answer{429, "limit_reached", over});
+    }
     const base::request_id id{this->next_request++};
     request.origin.id = id;
     accepted& fresh = this->requests[id];
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -145,6 +145,9 @@
                            const dispatch::wanted_place& wanted);
     void count_waiting();
     void refuse_waiting(base::request_id id, base::duration retry_after);
+    void note_over_limit(base::workspace_id workspace,
+                         double cost,
+                         base::duration retry_after);
     // The request did not run: its workspace may use the cost for others.
     void return_cost(const accepted& request);
     void finish(base::request_id id, const base::verdict* failed);
--- /dev/null
+++ b/src/greengagedrum/entry/limit_counting.cpp
@@ -0,0 +1,72 @@
+// How requests count against the limits of their workspaces.
+#include <greengagedrum/entry/front.hpp>
+#include <greengagedrum/entry/milliseconds.hpp>
+
+namespace greengagedrum::entry
+{
+
+// Requests that wait were to be counted by the entry that placed them. All are
+// counted before the first is ended, for then others may be sent.
+void front::count_waiting()
+{
+    std::vector<std::pair<base::request_id, base::duration>> beyond;
+    for (auto& [id, request] : this->requests) {
+        if (request.sent_at)
+            continue;
+        const auto over = this->state.limiter.take(
+            request.workspace, request.cost, this->state.clock());
+        request.counted = !over;
+        if (!over)
+            continue;
+        this->note_over_limit(request.workspace, request.cost, *over);
+        beyond.emplace_back(id, *over);
+    }
+    for (const auto& [id, retry_after] : beyond)
+        this->refuse_waiting(id, retry_after);
+}
+
+void front::refuse_waiting(base::request_id id, base::duration retry_after)
+{
+    this->told(traffic::caller_left{id});
+    this->carry_out_one(traffic::end_request{
+        id, base::not_run(base::reason::limit_reached, retry_after)});
+}
+
+void front::return_cost(const accepted& request)
+{
+    if (!request.counted)
+        return;
+    const base::instant now = this->state.clock();
+    quota::usage_limiter& limiter = this->state.limiter;
+    if (request.sent_at)
+        limiter.not_run(request.workspace, request.cost, now);
+    else
+        limiter.withdrawn(request.workspace, request.cost, now);
+}
+
+// The entry that counts says what it went by; where it placed for another one,
+// that one's log bears the request's own id and only the verdict.
+void front::note_over_limit(base::workspace_id workspace,
+                            double cost,
+                            base::duration retry_after)
+{
+    const base::instant now = this->state.clock();
+    const quota::limit_view seen = this->state.limiter.view(workspace, now);
+    const routing::workspace* of =
+        this->state.known.routes()->find_workspace(workspace);
+    this->state.log.write(now,
+                          "limits",
+                          "limit_reached",
+                          {{"workspace", of ? of->name : std::string()},
+                           {"cost", cost},
+                           {"level", seen.level},
+                           {"sent_here", seen.sent_here},
+                           {"sent", seen.sent},
+                           {"waiting", seen.waiting},
+                           {"bound", seen.bound},
+                           {"absent_share", seen.absent_share},
+                           {"window_known", seen.window_known},
+                           {"retry_after_ms", milliseconds(retry_after)}});
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/member_requests.cpp
+++ b/src/greengagedrum/entry/member_requests.cpp
@@ -77,31 +77,6 @@
     this->count_waiting();
 }
 
-// Requests that wait were to be counted by the entry that placed them. All are
-// counted before the first is ended, for then others may be sent.
-void front::count_waiting()
-{
-    std::vector<std::pair<base::request_id, base::duration>> beyond;
-    for (auto& [id, request] : this->requests) {
-        if (request.sent_at)
-            continue;
-        const auto over = this->state.limiter.take(
-            request.workspace, request.cost, this->state.clock());
-        request.counted = !over;
-        if (over)
-            beyond.emplace_back(id, *over);
-    }
-    for (const auto& [id, retry_after] : beyond)
-        this->refuse_waiting(id, retry_after);
-}
-
-void front::refuse_waiting(base::request_id id, base::duration retry_after)
-{
-    this->told(traffic::caller_left{id});
-    this->carry_out_one(traffic::end_request{
-        id, base::not_run(base::reason::limit_reached, retry_after)});
-}
-
 // ---- Members' requests ----------------------------------------------------
 
 void front::member_reported(base::slot_id member,
@@ -141,6 +116,7 @@
                                                      wanted.cost,
                                                      this->state.clock());
     if (over) {
+        this->note_over_limit(wanted.facts.workspace, wanted.cost, *over);
         // The limit has nothing of it to give back.
         this->members.declined(
             id, base::not_run(base::reason::limit_reached, over));
--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -396,4 +396,22 @@
     return found == this->buckets.end() ? 0 : found->second.level;
 }
 
+limit_view usage_limiter::view(base::workspace_id workspace,
+                               base::instant now) const
+{
+    limit_view out;
+    out.window_known = this->window_known(now);
+    const auto found = this->buckets.find(workspace);
+    if (found == this->buckets.end())
+        return out;
+    const bucket& own = found->second;
+    out.level = own.level;
+    out.sent_here = own.own_recent.sum();
+    out.sent = own.recent.sum();
+    out.waiting = own.own_waiting + own.peers_waiting;
+    out.bound = this->window_bound(own, now);
+    out.absent_share = own.absent.share;
+    return out;
+}
+
 } // namespace greengagedrum::quota
--- a/src/greengagedrum/quota/usage_limiter.hpp
+++ b/src/greengagedrum/quota/usage_limiter.hpp
@@ -48,6 +48,17 @@
     double slack = 0;     // in the limit's unit, over all entries
 };
 
+// What one workspace's limit rests on at this entry, in its unit. For the log.
+struct limit_view {
+    double level = 0;        // of the bucket; below zero: overdrawn
+    double sent_here = 0;    // within the window, by this entry
+    double sent = 0;         // within the window, by all entries
+    double waiting = 0;      // let through and not sent yet, by all entries
+    double bound = 0;        // what a window may hold
+    double absent_share = 0; // of the limit, kept for entries not heard
+    bool window_known = false;
+};
+
 class usage_limiter
 {
 public:
@@ -98,6 +109,7 @@
     std::vector<workspace_use> own_uses(base::instant now);
     // Below zero: overdrawn. For the log.
     double level(base::workspace_id workspace) const;
+    limit_view view(base::workspace_id workspace, base::instant now) const;
 
 private:
     struct bucket {
--- a/src/greengagedrum/routing/route_table.cpp
+++ b/src/greengagedrum/routing/route_table.cpp
@@ -101,6 +101,16 @@
     return found == this->by_key.end() ? nullptr : found->second;
 }
 
+const workspace* route_table::find_workspace(base::workspace_id id) const
+{
+    const std::vector<workspace>& all = this->config->workspaces;
+    const auto found = std::find_if(
+        all.begin(), all.end(), [id](const workspace& one) {
+            return one.id == id;
+        });
+    return found == all.end() ? nullptr : &*found;
+}
+
 const service* route_table::find_service(base::class_id id) const
 {
     const auto found = this->by_service.find(id);
--- a/src/greengagedrum/routing/route_table.hpp
+++ b/src/greengagedrum/routing/route_table.hpp
@@ -26,6 +26,8 @@
 
     // Null: no workspace has this key.
     const workspace* find_workspace(std::string_view key) const;
+    // Null: this version has none of that id.
+    const workspace* find_workspace(base::workspace_id id) const;
 
     const service* find_service(base::class_id id) const;
 
