Tests: a dispatcher that stops and is heard on is counted again and again

Over loopback: a workspace that has used a third of its window through a dispatcher that stops gets 429.

--- /dev/null
+++ b/src/greengagedrum/entry/test/replaced_dispatcher_test.cpp
@@ -0,0 +1,94 @@
+// An entry that places among many, and what it counts against limits while the
+// dispatcher of another data centre is replaced: the test plays both of those.
+#include <greengagedrum/entry/test/entry_fixture.hpp>
+#include <greengagedrum/gossip/word.hpp>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr gossip::ip_number stopping_ip = 0x7f000002; // 127.0.0.2
+constexpr gossip::ip_number next_ip = 0x7f000003;
+constexpr gossip::ip_number first_other = 0x0a000001;
+constexpr gossip::ip_number others = 40;
+constexpr double limit_per_second = 12'000;
+
+// Any address of loopback but the entry's; its port is the fleet's.
+class played_peers
+{
+public:
+    played_peers() : socket(this->context)
+    {
+        this->socket.open(relay::udp::v4());
+        this->socket.bind({relay::asio::ip::make_address("127.0.0.2"), 0});
+    }
+
+    std::uint16_t port() const { return this->socket.local_endpoint().port(); }
+
+    gossip::word load_of(std::string instance, gossip::ip_number address)
+    {
+        gossip::word out;
+        out.kind = gossip::word_kind::dispatcher_load;
+        out.life = {1};
+        out.sequence = ++this->sequence;
+        out.instance = std::move(instance);
+        out.data_centre = "yard";
+        out.address = address;
+        out.strength = 5000;
+        out.store_age = 1h;
+        for (gossip::ip_number one = 0; one < others; ++one)
+            out.known.push_back(
+                {first_other + one, 10ms, base::data_centre_id("yard"), 1});
+        return out;
+    }
+
+    void send(const gossip::word& told)
+    {
+        this->socket.send_to(
+            relay::asio::buffer(gossip::encode(told)),
+            {relay::asio::ip::make_address("127.0.0.1"), this->port()});
+    }
+
+private:
+    relay::asio::io_context context;
+    relay::udp::socket socket;
+    std::uint64_t sequence = 0;
+};
+
+struct replaced_dispatcher_fixture : played_peers, entry_fixture {
+    replaced_dispatcher_fixture()
+        : entry_fixture({limit_per_second, this->port(), {}})
+    {
+    }
+};
+
+} // namespace
+
+// A dispatcher stops as planned, after a third of a workspace's window went
+// through it. Another one of its data centre takes over at once, and it is heard
+// for another second, until its own requests have ended. What it let through
+// counts once: the workspace's next request is within its limit and is answered.
+TEST_CASE_FIXTURE(replaced_dispatcher_fixture,
+                  "dispatcher_that_stops_is_counted_once_by_others")
+{
+    const auto third = static_cast<std::uint32_t>(3 * limit_per_second);
+    for (int message = 0; message < 50; ++message) {
+        gossip::word stopping = this->load_of("strong", stopping_ip);
+        stopping.stopping = message > 5;
+        stopping.workspace_uses = {
+            {base::workspace_id("gate"), third, 0, third, {}}};
+        this->send(stopping);
+        this->send(this->load_of("next", next_ip));
+        std::this_thread::sleep_for(20ms);
+    }
+    auto asked = this->client();
+    const auto got = asked.Get("/again/", headers());
+    REQUIRE(got);
+    CHECK(got->status == 200);
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -350,4 +350,35 @@
     CHECK(this->take(this->own, 300));
 }
 
+// The entry that places for a data centre is stopped. Another one takes over, so
+// its peers forget it; but it has requests under way and is heard until they
+// have ended. With what it let through lately counted anew at each message, work
+// within the limits was refused in all data centres (13,617 requests of one day).
+TEST_CASE_FIXTURE(limiter_fixture, "peer_forgotten_and_heard_again_counts_once")
+{
+    CHECK(this->take(this->peer, 400));
+    for (int message = 0; message < 30; ++message) {
+        this->now += 100ms;
+        this->hear_peer(this->peer.own_uses(this->now), true);
+        this->own.forget_peer(base::slot_id("peer"));
+    }
+    CHECK(this->take(this->own, 490));
+    CHECK_FALSE(this->take(this->own, 20));
+}
+
+// The same entry places again a moment later, for the one that followed it died
+// too. What it has let through since counts in full.
+TEST_CASE_FIXTURE(limiter_fixture, "peer_that_places_again_counts_what_is_new")
+{
+    CHECK(this->take(this->peer, 400));
+    this->hear_peer(this->peer.own_uses(this->now), false);
+    this->own.forget_peer(base::slot_id("peer"));
+    this->now += 100ms;
+    this->peer.restart(this->now);
+    CHECK(this->take(this->peer, 90));
+    this->hear_peer(this->peer.own_uses(this->now), false);
+    CHECK_FALSE(this->take(this->own, 420));
+    CHECK(this->take(this->own, 400));
+}
+
 } // namespace greengagedrum::quota
