Gossip: a dispatcher that stops counts until it is silent

It was taken as replaced while it was heard, so what its requests that wait hold of a limit was dropped at each look and counted again at each message.

--- a/src/greengagedrum/gossip/succession.cpp
+++ b/src/greengagedrum/gossip/succession.cpp
@@ -149,7 +149,10 @@
 bool succession::is_replaced(ip_number address, base::instant now) const
 {
     const auto found = this->others.find(address);
-    if (found == this->others.end() || places(found->second, now))
+    if (found == this->others.end())
+        return false;
+    // One that stops places its own requests to the end, and tells of them.
+    if (is_heard(found->second, now) && !found->second.delegating)
         return false;
     const base::data_centre_id of = found->second.data_centre;
     return std::any_of(
--- a/src/greengagedrum/gossip/test/succession_test.cpp
+++ b/src/greengagedrum/gossip/test/succession_test.cpp
@@ -170,6 +170,20 @@
     CHECK(this->own.is_replaced(11, this->now));
 }
 
+// A dispatcher elsewhere stops as planned. It places what it has to the end and
+// goes on telling of it, so it counts beside the one that takes over.
+TEST_CASE_FIXTURE(succession_fixture, "stopping_dispatcher_counts_until_silent")
+{
+    word stopping = this->from(11, strong, "yard");
+    stopping.stopping = true;
+    this->own.heard(stopping, this->now);
+    this->own.heard(this->from(12, weak, "yard"), this->now);
+    CHECK_FALSE(this->own.is_replaced(11, this->now));
+    this->now += 1s;
+    this->own.heard(this->from(12, weak, "yard"), this->now);
+    CHECK(this->own.is_replaced(11, this->now));
+}
+
 // An entry that has just started must hear who places where it is, whoever it
 // asks.
 TEST_CASE_FIXTURE(succession_fixture, "strongest_of_a_place_is_always_named")
