Entry: decisions among peers know nothing of sockets

peer_link held its UDP socket, timer and client, so what entries make of each other's messages could only be tried over loopback with one real entry. They are in peer_socket now, behind peer_transport; whole fleets can be played in virtual time.

--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -7,6 +7,7 @@
 
 #include <greengagedrum/entry/front.hpp>
 #include <greengagedrum/entry/peer_link.hpp>
+#include <greengagedrum/entry/peer_socket.hpp>
 #include <greengagedrum/entry/settings.hpp>
 #include <greengagedrum/entry/store_reader.hpp>
 #include <greengagedrum/relay/small_server.hpp>
@@ -72,6 +73,7 @@
     relay::asio::steady_timer timer;
     boost::asio::signal_set signals;
     std::unique_ptr<front> callers;
+    std::unique_ptr<peer_socket> peer_datagrams;
     std::unique_ptr<peer_link> peers;
     std::unique_ptr<store_reader> store;
     std::unique_ptr<relay::small_server> readiness;
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -71,14 +71,13 @@
     return out;
 }
 
-peer_link::peer_link(relay::asio::io_context& context,
-                     const settings& given,
+peer_link::peer_link(const settings& given,
                      base::incarnation life,
                      shared_state& state,
-                     peer_events events)
-    : context(context), socket(context), timer(context),
-      client(std::make_shared<relay::http_get>(context)), own(given),
-      life(life), state(state), events(std::move(events)),
+                     peer_events events,
+                     peer_transport transport)
+    : own(given), life(life), state(state), events(std::move(events)),
+      transport(std::move(transport)),
       table(relay::asio::ip::make_address_v4(given.ip).to_uint(),
             given.data_centre,
             life),
@@ -87,13 +86,7 @@
             strength_of(given)),
       dispatcher_at(state.clock()), placing_since(state.clock())
 {
-    const relay::udp::endpoint address(relay::asio::ip::make_address(given.ip),
-                                       given.peer_port);
-    this->socket.open(address.protocol());
-    this->socket.bind(address);
-    this->socket.non_blocking(true);
     this->reseed(given);
-    this->receive();
 }
 
 void peer_link::reseed(const settings& given)
@@ -116,22 +109,7 @@
 
 // ---- Hearing --------------------------------------------------------------
 
-void peer_link::receive()
-{
-    this->socket.async_receive_from(
-        relay::asio::buffer(this->arrived),
-        this->sender,
-        [this](relay::error_code fault, std::size_t count) {
-            if (fault == relay::asio::error::operation_aborted)
-                return;
-            // A datagram that was refused somewhere shows here as a fault.
-            if (!fault)
-                this->on_word({this->arrived.data(), count});
-            this->receive();
-        });
-}
-
-void peer_link::on_word(std::string_view bytes)
+void peer_link::on_word(std::string_view bytes, const std::string& from)
 {
     const base::instant now = this->state.clock();
     const auto word = gossip::decode_word(bytes);
@@ -139,8 +117,7 @@
         this->state.log.write(now,
                               "peers",
                               "word_unreadable",
-                              {{"from", this->sender.address().to_string()},
-                               {"bytes", bytes.size()}});
+                              {{"from", from}, {"bytes", bytes.size()}});
         return;
     }
     const gossip::peer_news news = this->table.heard(*word, now);
@@ -224,14 +201,14 @@
     if (!next || (this->wakes_at && *this->wakes_at <= *next))
         return;
     this->wakes_at = next;
-    this->timer.expires_after(*next - this->state.clock());
-    this->timer.async_wait([this](relay::error_code fault) {
-        if (fault)
-            return;
-        this->wakes_at.reset();
-        this->tell_due();
-        this->set_timer();
-    });
+    this->transport.wake_after(*next - this->state.clock());
+}
+
+void peer_link::wake()
+{
+    this->wakes_at.reset();
+    this->tell_due();
+    this->set_timer();
 }
 
 gossip::word peer_link::own_word(gossip::word_kind kind)
@@ -291,17 +268,7 @@
         return;
     const std::string bytes = gossip::encode(this->own_load(who));
     for (const gossip::ip_number address : to_tell)
-        this->send(bytes, address);
-}
-
-// One that can't be sent is lost like any other datagram.
-void peer_link::send(std::string_view bytes, gossip::ip_number to)
-{
-    const relay::udp::endpoint receiver(relay::asio::ip::address_v4(to),
-                                        this->own.peer_port);
-    relay::error_code ignored;
-    this->socket.send_to(
-        relay::asio::buffer(bytes.data(), bytes.size()), receiver, 0, ignored);
+        this->transport.send(bytes, address);
 }
 
 // ---- Time -----------------------------------------------------------------
@@ -352,7 +319,7 @@
     this->asked_at = now;
     const base::ip_endpoint to{relay::asio::ip::address_v4(of).to_string(),
                                this->own.control.port};
-    this->client->ask(
+    this->transport.ask(
         to,
         items_target(what),
         ask_bound,
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -8,17 +8,15 @@
 #pragma once
 
 #include <greengagedrum/entry/front.hpp>
+#include <greengagedrum/entry/peer_transport.hpp>
 #include <greengagedrum/entry/settings.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
 #include <greengagedrum/gossip/succession.hpp>
 #include <greengagedrum/gossip/word_schedule.hpp>
-#include <greengagedrum/relay/http_get.hpp>
-#include <greengagedrum/relay/small_server.hpp>
 
-#include <array>
 #include <functional>
-#include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace greengagedrum::entry
@@ -58,11 +56,17 @@
 class peer_link
 {
 public:
-    peer_link(relay::asio::io_context& context,
-              const settings& given,
+    peer_link(const settings& given,
               base::incarnation life,
               shared_state& state,
-              peer_events events);
+              peer_events events,
+              peer_transport transport);
+
+    // A datagram arrived; `from` is for the log.
+    void on_word(std::string_view bytes, const std::string& from);
+
+    // The time that the transport was told has passed.
+    void wake();
 
     // Tells soon, but not sooner than the least gap after the last word.
     void tell_soon();
@@ -82,14 +86,11 @@
     std::size_t alive_lately() const;
 
 private:
-    void receive();
-    void on_word(std::string_view bytes);
     void tell_due();
     void tell(gossip::audience who);
     void set_timer();
     gossip::word own_word(gossip::word_kind kind);
     gossip::word own_load(gossip::audience who);
-    void send(std::string_view bytes, gossip::ip_number to);
 
     // ---- Among many entries
     void take_load(const gossip::word& told, base::instant now);
@@ -117,21 +118,15 @@
                        const items_question& what,
                        base::instant now);
 
-    relay::asio::io_context& context;
-    relay::udp::socket socket;
-    relay::udp::endpoint sender;
-    // FlatBuffers read numbers where they lie.
-    alignas(std::uint64_t) std::array<char, 65'536> arrived{};
-    relay::asio::steady_timer timer;
-    std::shared_ptr<relay::http_get> client;
     settings own;
     base::incarnation life;
     shared_state& state;
     peer_events events;
+    peer_transport transport;
     gossip::peer_table table;
     std::uint64_t sequence = 0;
     gossip::word_schedule schedule;
-    std::optional<base::instant> wakes_at; // by the timer
+    std::optional<base::instant> wakes_at; // by the transport
     base::instant looked_at;
     base::instant asked_at;
     base::instant own_read_at;  // the store's last answer, to this entry
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -110,7 +110,7 @@
     gossip::word out = this->own_word(gossip::word_kind::greeting_answer);
     out.known =
         this->order.to_name(base::data_centre_id(told.data_centre), now);
-    this->send(gossip::encode(out), told.address);
+    this->transport.send(gossip::encode(out), told.address);
 }
 
 // ---- The store --------------------------------------------------------------
@@ -303,7 +303,7 @@
     this->reported_at = now;
     this->unanswered_report = out.sequence;
     this->order.told(*this->dispatcher, now);
-    this->send(gossip::encode(out), *this->dispatcher);
+    this->transport.send(gossip::encode(out), *this->dispatcher);
 }
 
 // Those that would place in place of the present one are asked with a whole
@@ -320,7 +320,7 @@
         const std::string bytes = gossip::encode(out);
         for (const gossip::ip_number address : to_try) {
             this->order.told(address, now);
-            this->send(bytes, address);
+            this->transport.send(bytes, address);
         }
     }
     if (now - this->greeted_at >= greet_gap)
@@ -346,7 +346,7 @@
         this->order.to_name(base::data_centre_id(this->own.data_centre), now);
     const std::string bytes = gossip::encode(out);
     for (const gossip::ip_number address : to_greet)
-        this->send(bytes, address);
+        this->transport.send(bytes, address);
 }
 
 void peer_link::tell_members(base::instant now)
@@ -359,7 +359,7 @@
         gossip::word out = this->own_word(gossip::word_kind::reply);
         out.known = known;
         out.reply = this->events.reply(slot);
-        this->send(gossip::encode(out), one.address);
+        this->transport.send(gossip::encode(out), one.address);
     }
 }
 
@@ -372,7 +372,7 @@
         gossip::word out = this->own_word(gossip::word_kind::reply);
         out.reply = this->events.reply(slot);
         if (found != this->members.end())
-            this->send(gossip::encode(out), found->second.address);
+            this->transport.send(gossip::encode(out), found->second.address);
     }
 }
 
@@ -390,7 +390,7 @@
     const std::string bytes = gossip::encode(out);
     for (const gossip::ip_number address : far) {
         this->order.told(address, now);
-        this->send(bytes, address);
+        this->transport.send(bytes, address);
     }
 }
 
--- /dev/null
+++ b/src/greengagedrum/entry/peer_socket.cpp
@@ -0,0 +1,77 @@
+#include <greengagedrum/entry/peer_socket.hpp>
+
+#include <utility>
+
+namespace greengagedrum::entry
+{
+
+peer_socket::peer_socket(relay::asio::io_context& context,
+                         const std::string& ip,
+                         std::uint16_t port)
+    : socket(context), timer(context),
+      client(std::make_shared<relay::http_get>(context)), port(port)
+{
+    const relay::udp::endpoint address(relay::asio::ip::make_address(ip), port);
+    this->socket.open(address.protocol());
+    this->socket.bind(address);
+    this->socket.non_blocking(true);
+}
+
+peer_transport peer_socket::transport()
+{
+    peer_transport out;
+    out.send = [this](std::string_view told, gossip::ip_number to) {
+        this->send(told, to);
+    };
+    out.wake_after = [this](base::duration after) { this->wake_after(after); };
+    out.ask = [this](const base::ip_endpoint& of,
+                     const std::string& target,
+                     base::duration bound,
+                     relay::http_get::answer tell) {
+        this->client->ask(of, target, bound, std::move(tell));
+    };
+    return out;
+}
+
+void peer_socket::begin(on_datagram told, std::function<void()> due)
+{
+    this->arrived = std::move(told);
+    this->wake = std::move(due);
+    this->receive();
+}
+
+void peer_socket::receive()
+{
+    this->socket.async_receive_from(
+        relay::asio::buffer(this->bytes),
+        this->sender,
+        [this](relay::error_code fault, std::size_t count) {
+            if (fault == relay::asio::error::operation_aborted)
+                return;
+            // A datagram that was refused somewhere shows here as a fault.
+            if (!fault)
+                this->arrived({this->bytes.data(), count},
+                              this->sender.address().to_string());
+            this->receive();
+        });
+}
+
+void peer_socket::send(std::string_view told, gossip::ip_number to)
+{
+    const relay::udp::endpoint receiver(relay::asio::ip::address_v4(to),
+                                        this->port);
+    relay::error_code ignored;
+    this->socket.send_to(
+        relay::asio::buffer(told.data(), told.size()), receiver, 0, ignored);
+}
+
+void peer_socket::wake_after(base::duration after)
+{
+    this->timer.expires_after(after);
+    this->timer.async_wait([this](relay::error_code fault) {
+        if (!fault)
+            this->wake();
+    });
+}
+
+} // namespace greengagedrum::entry
