--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -71,13 +71,14 @@
         if (this->peers)
             this->peers->tell_soon();
     };
-    this->peer_datagrams = std::make_unique<peer_socket>(
-        this->context, given.ip, given.peer_port);
-    this->peers = std::make_unique<peer_link>(given,
-                                              this->life,
-                                              this->state,
-                                              this->told_by_peers(),
-                                              this->peer_datagrams->transport());
+    this->peer_datagrams =
+        std::make_unique<peer_socket>(this->context, given.ip, given.peer_port);
+    this->peers =
+        std::make_unique<peer_link>(given,
+                                    this->life,
+                                    this->state,
+                                    this->told_by_peers(),
+                                    this->peer_datagrams->transport());
     this->peer_datagrams->begin(
         [this](std::string_view bytes, const std::string& from) {
             this->peers->on_word(bytes, from);
--- /dev/null
+++ b/src/greengagedrum/entry/test/limited_fleet_test.cpp
@@ -0,0 +1,124 @@
+// What a fleet refuses as over a limit while its entries come and go.
+#include <greengagedrum/entry/test/limited_fleet.hpp>
+
+#include <doctest/doctest.h>
+
+namespace greengagedrum::entry::test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+fleet_result played(const fleet_plan& plan)
+{
+    const fleet_result got = limited_fleet(plan).play();
+    MESSAGE(plan.entries,
+            " entries: refused ",
+            got.refused,
+            " of ",
+            got.asked,
+            ", unanswered ",
+            got.unanswered,
+            ", let through ",
+            got.let,
+            " of the limit, window ",
+            got.worst_share,
+            " at ",
+            got.worst_at,
+            " s, changes ",
+            got.dispatcher_changes,
+            ", bytes a second ",
+            got.busiest_bytes);
+    return got;
+}
+
+} // namespace
+
+// All entries are restarted, one every two seconds, at the usual load.
+TEST_CASE("rolling_restart_refuses_nothing_within_the_limit")
+{
+    for (const std::size_t entries : {9U, 86U}) {
+        fleet_plan plan;
+        plan.entries = entries;
+        plan.restart_gap = 2s;
+        plan.seconds = 50;
+        const fleet_result got = played(plan);
+        CHECK(got.refused < got.asked / 1000);
+        CHECK(got.worst_share <= 1);
+    }
+}
+
+// The same while a workspace asks for twice its limit: what is let through
+// stays within it, and the limit is used.
+TEST_CASE("rolling_restart_at_twice_the_limit_keeps_and_uses_it")
+{
+    fleet_plan plan;
+    plan.demand = 2;
+    plan.restart_gap = 2s;
+    plan.seconds = 50;
+    const fleet_result got = played(plan);
+    CHECK(got.worst_share <= 1);
+    CHECK(got.let >= 0.95);
+}
+
+// All dispatchers are killed, and those that follow them four seconds later.
+TEST_CASE("two_dispatchers_killed_within_a_window_cost_little")
+{
+    fleet_plan plan;
+    plan.killed_at = {15, 19};
+    const fleet_result got = played(plan);
+    CHECK(got.refused < got.asked / 100);
+    CHECK(got.worst_share <= 1);
+
+    plan.demand = 2;
+    const fleet_result busy = played(plan);
+    CHECK(busy.worst_share <= 1);
+    CHECK(busy.let >= 0.95);
+}
+
+// All dispatchers stand still for five seconds, and go on as if nothing had
+// happened.
+TEST_CASE("dispatchers_frozen_and_back_cost_little")
+{
+    fleet_plan plan;
+    plan.frozen_at = {15};
+    const fleet_result got = played(plan);
+    CHECK(got.refused < got.asked / 100);
+    CHECK(got.worst_share <= 1);
+
+    plan.demand = 2;
+    const fleet_result busy = played(plan);
+    CHECK(busy.worst_share <= 1);
+    CHECK(busy.let >= 0.95);
+}
+
+// One dispatcher is cut off with half of its members.
+TEST_CASE("dispatcher_cut_off_with_half_of_its_members_keeps_the_limit")
+{
+    fleet_plan plan;
+    plan.cut_from = 15;
+    const fleet_result got = played(plan);
+    CHECK(got.refused < got.asked / 100);
+    CHECK(got.worst_share <= 1);
+
+    plan.demand = 2;
+    const fleet_result busy = played(plan);
+    CHECK(busy.worst_share <= 1);
+}
+
+// All entries are killed at once, and are back half a second later.
+TEST_CASE("fleet_killed_at_once_serves_again_within_two_seconds")
+{
+    for (const std::size_t entries : {34U, 86U}) {
+        fleet_plan plan;
+        plan.entries = entries;
+        plan.all_killed_at = 15;
+        const fleet_result got = played(plan);
+        CHECK(got.refused < got.asked / 20);
+        CHECK(got.worst_share <= 1);
+    }
+}
+
+} // namespace greengagedrum::entry::test
