Quota: a dispatcher's successor knows what its limits knew

Cause: the one that takes over started without the window, and took all entries near it for unheard for 300 ms; a bucket cut down to that part filled at the rate only.

A dispatcher now tells the two entries next in line what its limits know, ten times a second and at once when it stops, in 32 parts of the window. The one that takes over goes on with it: the window decides, not the bucket. After a stop that was announced no part is kept for entries near; else for those that have not reported yet, 300 ms at most.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -136,8 +136,8 @@
         this->store->known_up_to(this->state.known.as_of());
     };
     out.delegate = [this] { this->callers->delegate(); };
-    out.place_alone = [this](std::size_t unheard) {
-        this->callers->place_alone(unheard);
+    out.place_alone = [this](std::size_t unheard, const handed_limits* known) {
+        this->callers->place_alone(unheard, known);
     };
     out.report = [this] { return this->callers->report_to_dispatcher(); };
     out.replied = [this](const dispatch::dispatcher_reply& what) {
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -35,6 +35,15 @@
     bool delegating = false;
 };
 
+// What a dispatcher knows of limits, as it tells the entries next in line.
+struct handed_limits {
+    base::slot_id from;
+    base::incarnation life;
+    std::vector<quota::workspace_use> uses;
+    bool stopping = false; // it has none but its own requests from then on
+    base::instant told_at;
+};
+
 class front
 {
 public:
@@ -67,9 +76,10 @@
     // ---- Where one entry of a data centre places for all --------------------
 
     // Another entry places from now on, or this one does again; of so many
-    // others it can't hear what they let through.
+    // others it can't hear what they let through. `known`, if there is any, is
+    // what the one that placed knew of limits.
     void delegate();
-    void place_alone(std::size_t unheard);
+    void place_alone(std::size_t unheard, const handed_limits* known);
     // To whoever places, and what it replied.
     dispatch::member_report report_to_dispatcher() const;
     void replied(const dispatch::dispatcher_reply& what);
--- a/src/greengagedrum/entry/member_requests.cpp
+++ b/src/greengagedrum/entry/member_requests.cpp
@@ -61,15 +61,20 @@
     this->take(this->members.lost_all());
 }
 
-// Whoever counted for this entry may be gone, and what it knew with it.
+// Whoever counted for this entry may be gone, and what it told last of limits
+// is all that is left of what it knew.
 //
 // Failure guarded against: a dispatcher dies, and each of its members has the
 // whole of every limit until it has counted the others: of three requests of
 // 200 tokens that waited, all three went out on a part of 285.
-void front::place_alone(std::size_t unheard)
+void front::place_alone(std::size_t unheard, const handed_limits* known)
 {
     const base::instant now = this->state.clock();
-    this->state.limiter.restart(now);
+    if (known != nullptr)
+        this->state.limiter.take_over(
+            known->from, known->life, known->uses, now);
+    else
+        this->state.limiter.restart(now);
     this->state.limiter.set_unheard_peers(unheard);
     this->state.limiter.assume_silent_peers(now);
     this->state.delegating = false;
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -30,7 +30,9 @@
     // Another entry places this one's requests from now on.
     std::function<void()> delegate;
     // None does any more; so many entries may let requests through unheard.
-    std::function<void(std::size_t unheard)> place_alone;
+    // `known`: what the one that did knew of limits, if it told lately.
+    std::function<void(std::size_t unheard, const handed_limits* known)>
+        place_alone;
     // What the entry that places is told, and what it replied.
     std::function<dispatch::member_report()> report;
     std::function<void(const dispatch::dispatcher_reply&)> replied;
@@ -71,6 +73,9 @@
     // Tells soon, but not sooner than the least gap after the last word.
     void tell_soon();
 
+    // This entry stops: others are to place for it and in its place.
+    void begin_stop();
+
     // Time has passed: tells, notices who fell silent, asks a peer for what
     // the store does not give.
     void tick(bool store_fails);
@@ -99,6 +104,8 @@
     void answer_greeting(const gossip::word& told, base::instant now);
     void follow(const gossip::word& told, base::instant now);
     void ask_dispatcher(const gossip::word& told, base::instant now);
+    void take_limits(const gossip::word& told, base::instant now);
+    std::size_t unheard_near(base::instant now) const;
     bool dispatcher_reads(base::duration bound, base::instant now) const;
     void update_role(base::instant now);
     void set_role(bool delegating, base::instant now);
@@ -159,6 +166,8 @@
     std::size_t next_greeted = 0;
     std::uint32_t farewells = 0; // still to be told to other data centres
     std::size_t unheard_alone = 0;
+    // As the dispatcher told them last, to one that is next in line.
+    std::optional<handed_limits> limits;
     std::unordered_map<base::slot_id, member> members;
     // Others that place, of which the limiter was told.
     std::unordered_map<base::slot_id, gossip::ip_number> counting;
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -42,6 +42,10 @@
 // Until members have found their new dispatcher.
 constexpr base::duration gather_time = std::chrono::milliseconds(300);
 
+// What a dispatcher told of limits holds until its successor has noticed that
+// it is silent, and has asked those before it in line.
+constexpr base::duration limits_hold = std::chrono::milliseconds(1000);
+
 // Of messages to other data centres one in a hundred may be lost.
 constexpr std::uint32_t farewells_told = 3;
 
@@ -93,6 +97,7 @@
 
 void peer_link::take_reply(const gossip::word& told, base::instant now)
 {
+    this->take_limits(told, now);
     this->update_role(now);
     if (this->dispatcher != told.address)
         return;
@@ -101,6 +106,21 @@
     this->events.replied(told.reply);
 }
 
+// Of a dispatcher, to an entry next in line; and of one that stops, after this
+// one has taken over from it.
+void peer_link::take_limits(const gossip::word& told, base::instant now)
+{
+    const base::slot_id slot(told.instance);
+    if (this->limits && this->limits->from == slot)
+        this->limits->stopping = told.stopping;
+    if (told.workspace_uses.empty())
+        return;
+    if (!this->state.delegating)
+        return this->state.limiter.peer_told(
+            slot, told.life, told.workspace_uses, told.stopping, now);
+    this->limits = {slot, told.life, told.workspace_uses, told.stopping, now};
+}
+
 void peer_link::answer_greeting(const gossip::word& told, base::instant now)
 {
     base::instant& answered = this->greetings_answered[told.address];
@@ -195,9 +215,14 @@
         return this->events.delegate();
     }
     this->placing_since = now;
-    this->unheard_alone = this->order.known_nearby(now);
+    const bool handed =
+        this->limits && now - this->limits->told_at <= limits_hold;
+    const bool planned = handed && this->limits->stopping;
+    this->unheard_alone = planned ? 0 : this->order.known_nearby(now);
     this->events.place_alone(this->order.unheard_data_centres(now) +
-                             this->unheard_alone);
+                                 this->unheard_alone,
+                             handed ? &*this->limits : nullptr);
+    this->limits.reset();
 }
 
 void peer_link::count_entries(base::instant now)
@@ -216,18 +241,14 @@
 // beside the one that the others give.
 void peer_link::count_among_many(base::instant now)
 {
-    const bool alone =
-        this->members.empty() || now - this->placing_since < gather_time;
     const std::size_t all = this->order.size(now);
     const std::size_t placing = this->order.dispatchers(now) + 1;
     traffic::scheduler& scheduler = this->state.scheduler;
     scheduler.set_entries(this->members.empty() ? all : placing);
     scheduler.set_retrying_entries(all);
     scheduler.set_word_gap(word_gap_among_many);
-    this->unheard_alone =
-        std::max(this->unheard_alone, this->order.known_nearby(now));
-    const std::size_t unheard = this->order.unheard_data_centres(now) +
-                                (alone ? this->unheard_alone : 0);
+    const std::size_t unheard =
+        this->order.unheard_data_centres(now) + this->unheard_near(now);
     this->state.limiter.set_unheard_peers(unheard);
     this->forget_replaced(now);
     const entry_counts counted{placing, unheard};
@@ -243,6 +264,21 @@
                            {"entries", all}});
 }
 
+// Entries of this data centre that may let requests through where they can't be
+// heard. Members come one by one after a change of dispatchers; an entry with
+// none for longer is cut off.
+std::size_t peer_link::unheard_near(base::instant now) const
+{
+    const bool gathered = now - this->placing_since >= gather_time;
+    if (this->members.empty())
+        return gathered ? std::max(this->unheard_alone,
+                                   this->order.known_nearby(now))
+                        : this->unheard_alone;
+    if (gathered || this->members.size() >= this->unheard_alone)
+        return 0;
+    return this->unheard_alone - this->members.size();
+}
+
 // Failure guarded against: a dispatcher falls silent and another one of its
 // data centre takes over. With a part of each limit kept for the first as for
 // one behind a cut, work within the limits was refused for half a minute.
@@ -256,6 +292,15 @@
     });
 }
 
+// Its members leave at the first sign of it, so those next in line are told of
+// limits by that very message.
+void peer_link::begin_stop()
+{
+    if (this->large && !this->state.delegating)
+        this->tell_members(this->state.clock());
+    this->tell_soon();
+}
+
 // ---- Telling --------------------------------------------------------------
 
 void peer_link::tell_among_many(base::instant now)
@@ -353,12 +398,15 @@
 {
     const std::vector<gossip::known_entry> known =
         this->order.to_name(base::data_centre_id(this->own.data_centre), now);
+    const std::vector<gossip::ip_number> next = this->order.next_in_line(now);
     for (const auto& [slot, one] : this->members) {
         if (now - one.heard_at > member_for)
             continue;
         gossip::word out = this->own_word(gossip::word_kind::reply);
         out.known = known;
         out.reply = this->events.reply(slot);
+        if (std::find(next.begin(), next.end(), one.address) != next.end())
+            out.workspace_uses = this->state.limiter.window_uses(now);
         this->transport.send(gossip::encode(out), one.address);
     }
 }
--- a/src/greengagedrum/entry/test/limited_fleet.cpp
+++ b/src/greengagedrum/entry/test/limited_fleet.cpp
@@ -153,8 +153,9 @@
         for (const dispatch::counted_cost& cost : news.withdrawn)
             of.state.limiter.withdrawn(cost.workspace, cost.amount, this->now);
     };
-    out.place_alone = [this, &of](std::size_t unheard) {
-        this->place_alone(of, unheard);
+    out.place_alone = [this, &of](std::size_t unheard,
+                                  const handed_limits* known) {
+        this->place_alone(of, unheard, known);
     };
     out.report = [this, &of] { return this->report_of(of); };
     out.replied = [this, &of](const dispatch::dispatcher_reply& what) {
@@ -202,9 +203,15 @@
     this->let_through(cost);
 }
 
-void limited_fleet::place_alone(node& one, std::size_t unheard)
+void limited_fleet::place_alone(node& one,
+                                std::size_t unheard,
+                                const handed_limits* known)
 {
-    one.state.limiter.restart(this->now);
+    if (known != nullptr)
+        one.state.limiter.take_over(
+            known->from, known->life, known->uses, this->now);
+    else
+        one.state.limiter.restart(this->now);
     one.state.limiter.set_unheard_peers(unheard);
     one.state.limiter.assume_silent_peers(this->now);
     one.state.delegating = false;
@@ -371,7 +378,7 @@
         return;
     stopped->state.stopping = true;
     stopped->stopped_at = this->now;
-    stopped->link->tell_soon();
+    stopped->link->begin_stop();
 }
 
 void limited_fleet::trouble_due()
--- a/src/greengagedrum/entry/test/limited_fleet.hpp
+++ b/src/greengagedrum/entry/test/limited_fleet.hpp
@@ -105,7 +105,8 @@
     void
     reported(node& dispatcher, base::slot_id member, const gossip::word& told);
     void replied(node& member, const dispatch::dispatcher_reply& what);
-    void place_alone(node& one, std::size_t unheard);
+    void
+    place_alone(node& one, std::size_t unheard, const handed_limits* known);
     dispatch::member_report report_of(const node& member) const;
     void let_through(double cost);
     void step(node& one);
--- a/src/greengagedrum/entry/test/replaced_dispatcher_test.cpp
+++ b/src/greengagedrum/entry/test/replaced_dispatcher_test.cpp
@@ -69,9 +69,10 @@
 } // namespace
 
 // A dispatcher stops as planned, after a third of a workspace's window went
-// through it. Another one of its data centre takes over at once, and it is heard
-// for another second, until its own requests have ended. What it let through
-// counts once: the workspace's next request is within its limit and is answered.
+// through it. Another one of its data centre takes over at once, and it is
+// heard for another second, until its own requests have ended. What it let
+// through counts once: the workspace's next request is within its limit and is
+// answered.
 TEST_CASE_FIXTURE(replaced_dispatcher_fixture,
                   "dispatcher_that_stops_is_counted_once_by_others")
 {
--- a/src/greengagedrum/entry/upkeep.cpp
+++ b/src/greengagedrum/entry/upkeep.cpp
@@ -231,7 +231,7 @@
     this->stop_begun_at = this->state.clock();
     this->state.stopping = true;
     this->callers->begin_stop();
-    this->peers->tell_soon();
+    this->peers->begin_stop();
     logs::write(
         logs::level::info,
         "entry",
--- a/src/greengagedrum/gossip/succession.cpp
+++ b/src/greengagedrum/gossip/succession.cpp
@@ -32,6 +32,9 @@
 constexpr std::size_t tried_at_once = 3;
 constexpr std::size_t far_tried_at_once = 2;
 
+// Those that are kept ready to take over: one, and one more for its death.
+constexpr std::size_t successors = 2;
+
 // In one word: enough to find the next dispatcher after the loss of several,
 // and to hear of all entries of a few hundred within some seconds.
 constexpr std::size_t strongest_named = 4;
@@ -161,6 +164,18 @@
         });
 }
 
+std::vector<ip_number> succession::next_in_line(base::instant now) const
+{
+    std::vector<ip_number> out;
+    for (const ip_number address : this->ranked(this->data_centre, now)) {
+        if (out.size() == successors)
+            break;
+        if (is_heard(this->others.at(address), now))
+            out.push_back(address);
+    }
+    return out;
+}
+
 std::size_t succession::place_in_line(base::instant now) const
 {
     const std::vector<ip_number> all = this->ranked(this->data_centre, now);
--- a/src/greengagedrum/gossip/succession.hpp
+++ b/src/greengagedrum/gossip/succession.hpp
@@ -61,6 +61,9 @@
     // It does not place any more, and another one of its data centre does.
     bool is_replaced(ip_number address, base::instant now) const;
 
+    // Entries that are first in line after this one, as long as it places.
+    std::vector<ip_number> next_in_line(base::instant now) const;
+
     // Entries of the own data centre that would place before this one.
     std::size_t place_in_line(base::instant now) const;
 
--- a/src/greengagedrum/gossip/test/succession_test.cpp
+++ b/src/greengagedrum/gossip/test/succession_test.cpp
@@ -184,6 +184,21 @@
     CHECK(this->own.is_replaced(11, this->now));
 }
 
+// A dispatcher keeps two entries ready to take over: those that would be
+// chosen.
+TEST_CASE_FIXTURE(succession_fixture,
+                  "strongest_heard_entries_are_next_in_line")
+{
+    this->hear(60);
+    this->hear(61);
+    this->name({62, 100ms, hall, strong});
+    this->hear(63, strong);
+    word stopping = this->from(64, strong, "hall");
+    stopping.stopping = true;
+    this->own.heard(stopping, this->now);
+    CHECK(this->own.next_in_line(this->now) == std::vector<ip_number>{63, 49});
+}
+
 // An entry that has just started must hear who places where it is, whoever it
 // asks.
 TEST_CASE_FIXTURE(succession_fixture, "strongest_of_a_place_is_always_named")
--- a/src/greengagedrum/gossip/word.cpp
+++ b/src/greengagedrum/gossip/word.cpp
@@ -68,12 +68,14 @@
     return out;
 }
 
-std::array<std::uint32_t, 4> quarters_at(const number_list* list,
-                                         std::size_t at)
+// Of a list that has equally many numbers for each of `count`, those of one.
+std::vector<std::uint32_t>
+numbers_of(const number_list* list, std::size_t at, std::size_t count)
 {
-    std::array<std::uint32_t, 4> out{};
-    for (std::size_t quarter = 0; quarter < out.size(); ++quarter)
-        out.at(quarter) = number_at(list, at * out.size() + quarter);
+    const std::size_t each = list == nullptr ? 0 : list->size() / count;
+    std::vector<std::uint32_t> out(each);
+    for (std::size_t part = 0; part < each; ++part)
+        out[part] = number_at(list, at * each + part);
     return out;
 }
 
@@ -84,11 +86,12 @@
     std::vector<quota::workspace_use> out;
     for (const wire::WorkspaceUse* one : list) {
         const std::size_t at = out.size();
-        out.push_back({base::workspace_id(one->workspace()),
-                       one->used(),
-                       number_at(from.workspace_waiting(), at),
-                       number_at(from.workspace_lately(), at),
-                       quarters_at(from.workspace_all_lately(), at)});
+        out.push_back(
+            {base::workspace_id(one->workspace()),
+             one->used(),
+             number_at(from.workspace_waiting(), at),
+             number_at(from.workspace_lately(), at),
+             numbers_of(from.workspace_all_lately(), at, list.size())});
     }
     return out;
 }
--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -350,10 +350,11 @@
     CHECK(this->take(this->own, 300));
 }
 
-// The entry that places for a data centre is stopped. Another one takes over, so
-// its peers forget it; but it has requests under way and is heard until they
-// have ended. With what it let through lately counted anew at each message, work
-// within the limits was refused in all data centres (13,617 requests of one day).
+// The entry that places for a data centre is stopped. Another one takes over,
+// so its peers forget it; but it has requests under way and is heard until they
+// have ended. With what it let through lately counted anew at each message,
+// work within the limits was refused in all data centres (13,617 requests of
+// one day).
 TEST_CASE_FIXTURE(limiter_fixture, "peer_forgotten_and_heard_again_counts_once")
 {
     CHECK(this->take(this->peer, 400));
@@ -381,4 +382,57 @@
     CHECK(this->take(this->own, 400));
 }
 
+// The entry that places for a data centre dies, and the next one takes over
+// with what it was told last. Work within the window goes on; with the bucket
+// alone one burst was let through, and the rate from then on.
+TEST_CASE_FIXTURE(limiter_fixture, "process_that_takes_over_knows_the_window")
+{
+    CHECK(this->take(this->peer, 500));
+    this->now += 2s;
+    usage_limiter next = this->fresh_limiter({8s, 0, 0});
+    next.take_over(base::slot_id("peer"),
+                   base::incarnation{2},
+                   this->peer.window_uses(this->now),
+                   this->now);
+    CHECK(this->take(next, 390));
+    CHECK_FALSE(this->take(next, 20));
+    // The former's use leaves the window when it would have left it there.
+    this->now += 6250ms;
+    CHECK(this->take(next, 490));
+}
+
+// Of another entry it hears for the first time what it knows already.
+TEST_CASE_FIXTURE(limiter_fixture, "uses_handed_over_count_once")
+{
+    CHECK(this->take(this->own, 300));
+    this->talk();
+    CHECK(this->take(this->peer, 200));
+    usage_limiter next = this->fresh_limiter({8s, 0, 0});
+    next.take_over(base::slot_id("peer"),
+                   base::incarnation{2},
+                   this->peer.window_uses(this->now),
+                   this->now);
+    next.peer_told(base::slot_id("own"),
+                   base::incarnation{1},
+                   this->own.own_uses(this->now),
+                   false,
+                   this->now);
+    CHECK(this->take(next, 390));
+    CHECK_FALSE(this->take(next, 20));
+}
+
+// Of a workspace that was refused the log tells what the limit went by.
+TEST_CASE_FIXTURE(limiter_fixture, "view_of_a_limit_shows_what_it_goes_by")
+{
+    CHECK(this->take(this->own, 300));
+    this->hear_peer({{planning, 200, 50, 200}}, false);
+    const limit_view seen = this->own.view(planning, this->now);
+    CHECK(seen.sent_here == 300);
+    CHECK(seen.sent == 500);
+    CHECK(seen.waiting == 50);
+    CHECK(seen.bound == rate * window_seconds + burst);
+    CHECK(seen.absent_share == 0);
+    CHECK(seen.window_known);
+}
+
 } // namespace greengagedrum::quota
--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -22,6 +22,12 @@
 constexpr double slack_part = 0.25;
 constexpr double overshoot_part = 0.4;
 
+// In which others are told of the window: quarters suffice for one that starts
+// anew, which counts each as of its end. A process that takes over again and
+// again, as entries are restarted in turn, would add a quarter each time.
+constexpr std::size_t parts_told = 4;
+constexpr std::size_t parts_handed_over = 32;
+
 std::uint32_t whole_part(double value)
 {
     constexpr double most = std::numeric_limits<std::uint32_t>::max();
@@ -35,6 +41,7 @@
 void usage_limiter::restart(base::instant now)
 {
     this->started = now;
+    this->took_over = false;
     this->peers.clear();
     this->absent = absent_peers(now);
     for (auto& [workspace, own] : this->buckets) {
@@ -48,6 +55,24 @@
     }
 }
 
+// Failure guarded against: the dispatcher of a data centre stops, and the one
+// that takes over knows nothing of the window. Until it has lived for one, it
+// held every workspace to its rate by the bucket alone.
+void usage_limiter::take_over(base::slot_id former,
+                              base::incarnation life,
+                              std::span<const workspace_use> uses,
+                              base::instant now)
+{
+    this->restart(now);
+    this->peer_told(former, life, uses, true, now);
+    // Requests that wait there are asked for here.
+    this->forget_peer(former);
+    this->took_over =
+        std::any_of(uses.begin(), uses.end(), [](const workspace_use& one) {
+            return !one.all_lately.empty();
+        });
+}
+
 void usage_limiter::set_limits(const routing::configuration& config,
                                base::instant now)
 {
@@ -98,10 +123,15 @@
     own.own_recent.drop_old(this->allowed.window, now);
 }
 
+bool usage_limiter::started_lately(base::instant now) const
+{
+    return now - this->started < this->allowed.window;
+}
+
 // A process knows nothing of its own of what was let through before its start.
 bool usage_limiter::window_known(base::instant now) const
 {
-    return now - this->started >= this->allowed.window;
+    return this->took_over || !this->started_lately(now);
 }
 
 // A process that knows nothing of the window before its start has no margin:
@@ -226,32 +256,51 @@
         restore(*own, cost, now);
 }
 
-std::array<std::uint32_t, 4> usage_limiter::all_lately(const bucket& own,
-                                                       base::instant now) const
+std::vector<std::uint32_t> usage_limiter::all_lately(const bucket& own,
+                                                     std::size_t parts,
+                                                     base::instant now) const
 {
-    std::array<std::uint32_t, 4> out{};
     // What was learnt of peers in the first moments has left by then as well:
     // passed on, it would count twice with the next process that starts.
-    if (now - this->started < this->allowed.window * 5 / 4)
-        return out;
-    const window_sum::quarters sums =
-        own.recent.by_quarter(this->allowed.window, now);
+    if (!this->took_over && now - this->started < this->allowed.window * 5 / 4)
+        return {};
+    const std::vector<double> sums =
+        own.recent.by_part(parts, this->allowed.window, now);
+    std::vector<std::uint32_t> out(sums.size());
     std::transform(sums.begin(), sums.end(), out.begin(), whole_part);
     return out;
 }
 
+workspace_use usage_limiter::use_of(base::workspace_id workspace,
+                                    const bucket& own,
+                                    std::size_t parts,
+                                    base::instant now) const
+{
+    return {workspace,
+            static_cast<std::uint64_t>(own.own_sent),
+            whole_part(own.own_waiting),
+            whole_part(own.own_recent.sum()),
+            this->all_lately(own, parts, now)};
+}
+
 std::vector<workspace_use> usage_limiter::own_uses(base::instant now)
 {
     std::vector<workspace_use> out;
     for (auto& [workspace, own] : this->buckets) {
         this->drop_old(own, now);
-        if (own.own_sent <= 0 && own.own_waiting <= 0)
-            continue;
-        out.push_back({workspace,
-                       static_cast<std::uint64_t>(own.own_sent),
-                       whole_part(own.own_waiting),
-                       whole_part(own.own_recent.sum()),
-                       this->all_lately(own, now)});
+        if (own.own_sent > 0 || own.own_waiting > 0)
+            out.push_back(this->use_of(workspace, own, parts_told, now));
+    }
+    return out;
+}
+
+std::vector<workspace_use> usage_limiter::window_uses(base::instant now)
+{
+    std::vector<workspace_use> out;
+    for (auto& [workspace, own] : this->buckets) {
+        this->drop_old(own, now);
+        if (own.recent.sum() > 0 || own.own_waiting > 0)
+            out.push_back(this->use_of(workspace, own, parts_handed_over, now));
     }
     return out;
 }
@@ -279,7 +328,7 @@
         std::exchange(known.forgotten, false) || silent_until_now;
     // Of what was before this process a peer tells once, when it is first
     // heard.
-    const bool history = fresh && !this->window_known(now);
+    const bool history = fresh && this->started_lately(now);
     for (const workspace_use& one : uses) {
         peer_use& use = known.uses[one.workspace];
         if (history) {
@@ -335,13 +384,13 @@
     const double all =
         std::accumulate(told.all_lately.begin(), told.all_lately.end(), 0.0);
     const double unknown = all > 0 ? std::max(0.0, 1 - own.history / all) : 0;
-    const base::duration quarter =
-        this->allowed.window / static_cast<int>(told.all_lately.size());
-    // Each quarter as of its end: counted for two seconds too long, never too
+    const auto parts = static_cast<int>(told.all_lately.size());
+    // Each part as of its end: counted for its length too long, never too
     // short.
-    for (std::size_t at = 0; at < told.all_lately.size(); ++at)
-        own.recent.add_earlier(unknown * told.all_lately.at(at),
-                               now - static_cast<int>(at) * quarter);
+    for (int at = 0; at < parts; ++at)
+        own.recent.add_earlier(
+            unknown * told.all_lately[static_cast<std::size_t>(at)],
+            now - at * this->allowed.window / parts);
     own.history = std::max(own.history, all);
     own.told_of_peers += told.lately;
     own.recent.add(std::max(0.0, own.told_of_peers - own.history), now);
@@ -361,10 +410,10 @@
 
 // Failure guarded against: a dispatcher stops and another one takes over, but
 // the first is heard until its own requests have ended. With nothing known of
-// it, each of its messages counted all that it let through lately once more, and
-// work within the limits was refused in all data centres until that had left
-// the window. What was counted of it is therefore kept as long as the window
-// holds it, and only what is new counts.
+// it, each of its messages counted all that it let through lately once more,
+// and work within the limits was refused in all data centres until that had
+// left the window. What was counted of it is therefore kept as long as the
+// window holds it, and only what is new counts.
 void usage_limiter::forget_peer(base::slot_id peer)
 {
     const auto found = this->peers.find(peer);
--- a/src/greengagedrum/quota/usage_limiter.hpp
+++ b/src/greengagedrum/quota/usage_limiter.hpp
@@ -21,7 +21,7 @@
 #include <greengagedrum/quota/window_sum.hpp>
 #include <greengagedrum/routing/configuration.hpp>
 
-#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -37,9 +37,9 @@
     std::uint64_t used = 0;    // sent to upstreams since its start
     std::uint32_t waiting = 0; // let through and not sent yet
     std::uint32_t lately = 0;  // of `used`, within the operator's window
-    // The same of all entries, by quarters of the window, the newest first;
-    // none of one that has not lived for a window: it knows by hearsay.
-    std::array<std::uint32_t, 4> all_lately{};
+    // The same of all entries, by equal parts of the window, the newest first;
+    // empty where the sender does not know the window.
+    std::vector<std::uint32_t> all_lately{};
 };
 
 struct tolerance {
@@ -71,6 +71,14 @@
     // Forgets all that was counted, as a process does that starts now: others
     // counted for this entry meanwhile.
     void restart(base::instant now);
+
+    // The same, and goes on with what another process knew of all entries when
+    // it told so last: this one counts in its place.
+    void take_over(base::slot_id former,
+                   base::incarnation life,
+                   std::span<const workspace_use> uses,
+                   base::instant now);
+
     void set_limits(const routing::configuration& config, base::instant now);
 
     // Empty: the request is within the limit and waits to be sent. Else when
@@ -109,6 +117,8 @@
     void set_unheard_peers(std::size_t count);
 
     std::vector<workspace_use> own_uses(base::instant now);
+    // For whoever may take over: also what only others used, in finer parts.
+    std::vector<workspace_use> window_uses(base::instant now);
     // Below zero: overdrawn. For the log.
     double level(base::workspace_id workspace) const;
     limit_view view(base::workspace_id workspace, base::instant now) const;
@@ -154,9 +164,14 @@
     static double room(const bucket& own, double bound);
     base::duration
     until_allowed(const bucket& own, double cost, base::instant now) const;
+    bool started_lately(base::instant now) const;
     bool window_known(base::instant now) const;
-    std::array<std::uint32_t, 4> all_lately(const bucket& own,
-                                            base::instant now) const;
+    workspace_use use_of(base::workspace_id workspace,
+                         const bucket& own,
+                         std::size_t parts,
+                         base::instant now) const;
+    std::vector<std::uint32_t>
+    all_lately(const bucket& own, std::size_t parts, base::instant now) const;
     void count_peer(base::slot_id peer,
                     peer_use& known,
                     const workspace_use& told,
@@ -167,6 +182,7 @@
     void drop_forgotten(base::instant now);
 
     base::instant started;
+    bool took_over = false; // what it knows of the window is another's
     tolerance allowed;
     std::unordered_map<base::workspace_id, bucket> buckets;
     std::unordered_map<base::slot_id, peer_state> peers;
--- a/src/greengagedrum/quota/window_sum.cpp
+++ b/src/greengagedrum/quota/window_sum.cpp
@@ -36,14 +36,15 @@
     this->parts.insert(next, {at, at, amount});
 }
 
-window_sum::quarters window_sum::by_quarter(base::duration window,
-                                            base::instant now) const
+std::vector<double> window_sum::by_part(std::size_t count,
+                                        base::duration window,
+                                        base::instant now) const
 {
-    quarters out{};
+    std::vector<double> out(count);
+    const base::duration length = window / static_cast<int>(count);
     for (const part& one : this->parts) {
-        const auto quarter = static_cast<std::size_t>(
-            (now - one.last) / (window / static_cast<int>(out.size())));
-        out.at(std::min(quarter, out.size() - 1)) += one.amount;
+        const auto at = static_cast<std::size_t>((now - one.last) / length);
+        out.at(std::min(at, count - 1)) += one.amount;
     }
     return out;
 }
--- a/src/greengagedrum/quota/window_sum.hpp
+++ b/src/greengagedrum/quota/window_sum.hpp
@@ -3,8 +3,9 @@
 
 #include <greengagedrum/base/time.hpp>
 
-#include <array>
+#include <cstddef>
 #include <deque>
+#include <vector>
 
 namespace greengagedrum::quota
 {
@@ -20,9 +21,9 @@
     double sum() const { return this->total; }
     double sum_before(base::instant at) const;
 
-    // By quarters of the window, the newest first.
-    using quarters = std::array<double, 4>;
-    quarters by_quarter(base::duration window, base::instant now) const;
+    // By equal parts of the window, the newest first.
+    std::vector<double>
+    by_part(std::size_t count, base::duration window, base::instant now) const;
 
     // How long until `amount` has left the window; the whole window when less
     // than that is in it.
