Gossip: an entry that is back after its stop may place again

What callers saw: half a second of waiting, and refusals as over their limits, for up to a dozen entries of a data centre at a change of dispatchers in a rolling restart. Cause: whoever had heard an entry say that it stops went on taking it for that until it heard the new process itself, which members of another dispatcher have no reason to ask; when that one was next in line they looked for a dispatcher in vain and placed by themselves. Entries that stop are no longer named to others, so one that is named as seen after its own last word is back.

--- a/src/greengagedrum/gossip/succession.cpp
+++ b/src/greengagedrum/gossip/succession.cpp
@@ -32,6 +32,9 @@
 constexpr std::size_t tried_at_once = 3;
 constexpr std::size_t far_tried_at_once = 2;
 
+// The age that an entry is named with lacks the message's own way.
+constexpr base::duration naming_lag = std::chrono::milliseconds(100);
+
 // Those that are kept ready to take over: one, and one more for its death.
 constexpr std::size_t successors = 2;
 
@@ -80,6 +83,11 @@
             continue;
         candidate& one = this->others[named.address];
         one.seen_at = std::max(one.seen_at, now - named.age);
+        // Failure guarded against: a strong entry is restarted, and whoever
+        // heard it stop goes on taking it for that. When it is next in line,
+        // they look for a dispatcher in vain and place by themselves.
+        if (one.heard_at && one.seen_at > *one.heard_at + naming_lag)
+            one.stopping = false;
         if (one.heard_at)
             continue;
         one.data_centre = named.data_centre;
@@ -300,7 +308,9 @@
     for (std::size_t seen = 0; seen < this->others.size(); ++seen) {
         if (next == this->others.end())
             next = this->others.begin();
-        if (now - next->second.seen_at <= forgotten_after)
+        // Whoever is named has not said that it stops.
+        const bool there = now - next->second.seen_at <= forgotten_after;
+        if (there && !next->second.stopping)
             name(next->first);
         ++next;
         if (out.size() == most)
--- a/src/greengagedrum/gossip/test/succession_test.cpp
+++ b/src/greengagedrum/gossip/test/succession_test.cpp
@@ -184,6 +184,28 @@
     CHECK(this->own.is_replaced(11, this->now));
 }
 
+// A strong entry said that it stops, and is back: others have heard it since.
+TEST_CASE_FIXTURE(succession_fixture, "entry_named_after_its_stop_may_place")
+{
+    word told = this->from(70, strong, "hall");
+    told.stopping = true;
+    this->own.heard(told, this->now);
+    this->now += 3s;
+    this->name({70, 3s, hall, strong});
+    CHECK_FALSE(contains(this->own.to_try(this->now), 70));
+    this->name({70, 200ms, hall, strong});
+    CHECK(contains(this->own.to_try(this->now), 70));
+}
+
+TEST_CASE_FIXTURE(succession_fixture, "entry_that_stops_is_not_named")
+{
+    word told = this->from(70, strong, "hall");
+    told.stopping = true;
+    this->own.heard(told, this->now);
+    for (const known_entry& one : this->own.to_name(hall, this->now))
+        CHECK(one.address != 70);
+}
+
 // A dispatcher keeps two entries ready to take over: those that would be
 // chosen.
 TEST_CASE_FIXTURE(succession_fixture,
