Gossip: a young entry leaves the dispatcher in place

Entries tell how long they have lived and whether they place for others. One that has lived for less than ten seconds follows a dispatcher that has lived for longer, and neither that one nor its members heed it; one that is not half as strong again follows it for good. Nothing is agreed on: after a start of all entries nobody is settled and the strongest places, as before. Whoever said that another one places for it is asked again after two seconds, not ten times a second by each member.

Two settled dispatchers (after a cut) still end as one: the stronger stays.

--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -83,8 +83,10 @@
             life),
       order(relay::asio::ip::make_address_v4(given.ip).to_uint(),
             base::data_centre_id(given.data_centre),
-            strength_of(given)),
-      dispatcher_at(state.clock()), placing_since(state.clock())
+            strength_of(given),
+            state.clock()),
+      began(state.clock()), dispatcher_at(state.clock()),
+      placing_since(state.clock())
 {
     this->reseed(given);
 }
@@ -217,12 +219,14 @@
     gossip::word out;
     out.kind = kind;
     out.delegating = this->state.delegating;
+    out.serving = this->is_serving();
     out.life = this->life;
     out.sequence = ++this->sequence;
     out.instance = this->own.instance;
     out.data_centre = this->own.data_centre;
     out.address = relay::asio::ip::make_address_v4(this->own.ip).to_uint();
     out.strength = strength_of(this->own);
+    out.lived_for = now - this->began;
     out.stopping = this->state.stopping;
     out.configuration_revision = this->state.known.configuration_revision();
     out.store_revision = this->state.known.as_of();
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -107,6 +107,7 @@
     void take_limits(const gossip::word& told, base::instant now);
     std::size_t unheard_near(base::instant now) const;
     bool dispatcher_reads(base::duration bound, base::instant now) const;
+    bool is_serving() const;
     void update_role(base::instant now);
     void set_role(bool delegating, base::instant now);
     void count_entries(base::instant now);
@@ -119,6 +120,8 @@
     void answer_members();
     void tell_far(base::instant now);
     void greet_silent(base::instant now);
+    void greet(const std::vector<gossip::ip_number>& to_greet,
+               base::instant now);
     void look_for_silent(base::instant now);
     void ask_peer(base::instant now);
     void ask_for_items(gossip::ip_number of,
@@ -153,6 +156,7 @@
     };
 
     gossip::succession order;
+    base::instant began; // this process
     bool large = false;
     std::optional<gossip::ip_number> dispatcher; // none: this entry
     base::instant dispatcher_at;                 // when there was one last
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -168,6 +168,11 @@
 
 // ---- Roles ----------------------------------------------------------------
 
+bool peer_link::is_serving() const
+{
+    return this->large && !this->state.delegating && !this->members.empty();
+}
+
 void peer_link::update_role(base::instant now)
 {
     const bool was_large =
@@ -180,9 +185,10 @@
         this->schedule.set_peers(this->table.alive_near(now), this->alive());
         return;
     }
+    this->order.set_serving(this->is_serving());
     const auto next = this->order.dispatcher(now);
-    if (next != this->dispatcher) {
-        this->dispatcher = next;
+    const auto former = std::exchange(this->dispatcher, next);
+    if (next != former) {
         this->state.log.write(
             now,
             "peers",
@@ -200,9 +206,11 @@
                           !this->order.to_try(now).empty();
     this->set_role(next.has_value() || may_come, now);
     if (this->state.delegating)
-        this->schedule.set_member();
-    else
-        this->schedule.set_dispatcher();
+        return this->schedule.set_member();
+    this->schedule.set_dispatcher();
+    // It would ask this entry again in two seconds only, and place meanwhile.
+    if (former)
+        this->greet({*former}, now);
 }
 
 void peer_link::set_role(bool delegating, base::instant now)
@@ -384,8 +392,13 @@
              ++count)
             to_greet.push_back(silent.at(this->next_greeted++ % silent.size()));
     }
-    if (to_greet.empty())
-        return;
+    if (!to_greet.empty())
+        this->greet(to_greet, now);
+}
+
+void peer_link::greet(const std::vector<gossip::ip_number>& to_greet,
+                      base::instant now)
+{
     gossip::word out = this->own_word(gossip::word_kind::greeting);
     out.known =
         this->order.to_name(base::data_centre_id(this->own.data_centre), now);
--- a/src/greengagedrum/entry/test/limited_fleet_test.cpp
+++ b/src/greengagedrum/entry/test/limited_fleet_test.cpp
@@ -47,6 +47,9 @@
         const fleet_result got = played(plan);
         CHECK(got.refused < got.asked / 1000);
         CHECK(got.worst_share <= 1);
+        // Those of the four data centres, and those that follow them, are
+        // stopped; strong ones that are back change nothing.
+        CHECK(got.dispatcher_changes <= (entries > 9 ? 8 : 0));
     }
 }
 
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -835,7 +835,9 @@
     VT_CHANGES = 50,
     VT_DIGEST = 52,
     VT_REPORT = 54,
-    VT_REPLY = 56
+    VT_REPLY = 56,
+    VT_LIVED_FOR_MS = 58,
+    VT_SERVING = 60
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -915,6 +917,12 @@
   const greengagedrum::gossip::wire::Reply *reply() const {
     return GetPointer<const greengagedrum::gossip::wire::Reply *>(VT_REPLY);
   }
+  uint32_t lived_for_ms() const {
+    return GetField<uint32_t>(VT_LIVED_FOR_MS, 0);
+  }
+  bool serving() const {
+    return GetField<uint8_t>(VT_SERVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -956,6 +964,8 @@
            verifier.VerifyTable(report()) &&
            VerifyOffset(verifier, VT_REPLY) &&
            verifier.VerifyTable(reply()) &&
+           VerifyField<uint32_t>(verifier, VT_LIVED_FOR_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_SERVING, 1) &&
            verifier.EndTable();
   }
 };
@@ -1042,6 +1052,12 @@
   void add_reply(flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply) {
     fbb_.AddOffset(Word::VT_REPLY, reply);
   }
+  void add_lived_for_ms(uint32_t lived_for_ms) {
+    fbb_.AddElement<uint32_t>(Word::VT_LIVED_FOR_MS, lived_for_ms, 0);
+  }
+  void add_serving(bool serving) {
+    fbb_.AddElement<uint8_t>(Word::VT_SERVING, static_cast<uint8_t>(serving), 0);
+  }
   explicit WordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1080,7 +1096,9 @@
     uint64_t changes = 0,
     uint64_t digest = 0,
     flatbuffers::Offset<greengagedrum::gossip::wire::Report> report = 0,
-    flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply = 0) {
+    flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply = 0,
+    uint32_t lived_for_ms = 0,
+    bool serving = false) {
   WordBuilder builder_(_fbb);
   builder_.add_digest(digest);
   builder_.add_changes(changes);
@@ -1089,6 +1107,7 @@
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_lived_for_ms(lived_for_ms);
   builder_.add_reply(reply);
   builder_.add_report(report);
   builder_.add_standings(standings);
@@ -1105,6 +1124,7 @@
   builder_.add_address(address);
   builder_.add_data_centre(data_centre);
   builder_.add_instance(instance);
+  builder_.add_serving(serving);
   builder_.add_delegating(delegating);
   builder_.add_kind(kind);
   builder_.add_stopping(stopping);
@@ -1138,7 +1158,9 @@
     uint64_t changes = 0,
     uint64_t digest = 0,
     flatbuffers::Offset<greengagedrum::gossip::wire::Report> report = 0,
-    flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply = 0) {
+    flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply = 0,
+    uint32_t lived_for_ms = 0,
+    bool serving = false) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1177,7 +1199,9 @@
       changes,
       digest,
       report,
-      reply);
+      reply,
+      lived_for_ms,
+      serving);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/succession.cpp
+++ b/src/greengagedrum/gossip/succession.cpp
@@ -19,6 +19,16 @@
 // used up stands still for up to 100 ms.
 constexpr base::duration heard_for = std::chrono::milliseconds(350);
 
+// An entry that has lived for less has not seen a whole window of the limits,
+// nor how fast upstreams are.
+constexpr base::duration young_for = std::chrono::seconds(10);
+
+// Much stronger, of a dispatcher: a change is worth the pause it costs.
+constexpr std::uint32_t stronger_halves = 3;
+
+// Whoever said that another one places for it is not asked again for so long.
+constexpr base::duration delegates_for = std::chrono::seconds(2);
+
 // An entry that does not answer for so long is passed over for a while: it
 // died, or is cut off from this one only.
 constexpr base::duration answer_bound = std::chrono::milliseconds(400);
@@ -72,11 +82,13 @@
     sender.data_centre = base::data_centre_id(told.data_centre);
     sender.strength = told.strength;
     sender.seen_at = now;
+    sender.started_at = now - told.lived_for;
     sender.heard_at = now;
     sender.asked_at.reset();
     sender.passed_over_until = now;
     sender.stopping = told.stopping;
     sender.delegating = told.delegating;
+    sender.serving = told.serving;
     for (const known_entry& named : told.known) {
         if (named.address == this->own || named.data_centre.empty() ||
             named.age > forgotten_after)
@@ -146,17 +158,72 @@
     return out;
 }
 
-std::optional<ip_number> succession::dispatcher(base::instant now) const
+std::optional<ip_number> succession::dispatcher(base::instant now)
 {
+    const auto first = this->first_before_own(now);
+    this->chosen = first ? first : this->left_in_place(now);
+    return this->chosen;
+}
+
+// Failure guarded against: entries are restarted one after the other, and each
+// strong one that is back takes the place of the one that had followed it: two
+// changes for each stop, the second to a process that knows nothing of
+// upstreams.
+std::optional<ip_number> succession::first_before_own(base::instant now) const
+{
+    const bool served = this->is_well_served(now);
     for (const ip_number address : this->ranked(this->data_centre, now)) {
         if (!this->goes_before_own(address))
             return std::nullopt;
-        if (places(this->others.at(address), now))
+        const candidate& one = this->others.at(address);
+        if (places(one, now) && !(served && is_young(one.started_at, now)))
             return address;
     }
     return std::nullopt;
 }
 
+// One that goes after this entry and is to go on.
+std::optional<ip_number> succession::left_in_place(base::instant now) const
+{
+    const bool young = is_young(this->started, now);
+    if (this->chosen && this->is_settled(*this->chosen, now)) {
+        const std::uint32_t other = this->others.at(*this->chosen).strength;
+        const bool much_stronger =
+            2 * this->strength >= stronger_halves * other;
+        if (young || !much_stronger)
+            return this->chosen;
+    }
+    if (!young)
+        return std::nullopt;
+    for (const ip_number address : this->ranked(this->data_centre, now)) {
+        if (this->is_settled(address, now))
+            return address;
+    }
+    return std::nullopt;
+}
+
+bool succession::is_young(base::instant started, base::instant now)
+{
+    return now - started < young_for;
+}
+
+// It places for others, and its process has seen enough to do it well.
+bool succession::is_settled(ip_number address, base::instant now) const
+{
+    const auto found = this->others.find(address);
+    if (found == this->others.end())
+        return false;
+    const candidate& one = found->second;
+    return one.serving && places(one, now) && !is_young(one.started_at, now);
+}
+
+bool succession::is_well_served(base::instant now) const
+{
+    if (this->chosen)
+        return this->is_settled(*this->chosen, now);
+    return this->serving && !is_young(this->started, now);
+}
+
 bool succession::is_replaced(ip_number address, base::instant now) const
 {
     const auto found = this->others.find(address);
@@ -214,7 +281,9 @@
         if (address == before || count == most)
             return;
         const candidate& one = this->others.at(address);
-        if (now < one.passed_over_until || places(one, now))
+        const bool declined = before && one.delegating && one.heard_at &&
+                              now - *one.heard_at <= delegates_for;
+        if (declined || now < one.passed_over_until || places(one, now))
             continue;
         out.push_back(address);
         count += 1;
--- a/src/greengagedrum/gossip/succession.hpp
+++ b/src/greengagedrum/gossip/succession.hpp
@@ -6,10 +6,12 @@
 // its dispatcher, places for all of them, and only dispatchers tell each other.
 //
 // Each entry finds out for itself: the dispatcher is the strongest entry of the
-// data centre that was heard within half a second. Two entries may differ for
-// a moment, and then two dispatchers place; what they place beyond an
-// upstream's places waits there, nothing else follows. So no agreement is
-// needed.
+// data centre that was heard within half a second. One that has just started
+// leaves another in place for a while, however strong it is, and for good
+// unless it is much stronger: a change costs callers a pause, and the new one
+// knows little yet. Two entries may differ for a moment, and then two
+// dispatchers place; what they place beyond an upstream's places waits there,
+// nothing else follows. So no agreement is needed.
 #pragma once
 
 #include <greengagedrum/base/ids.hpp>
@@ -30,8 +32,10 @@
 public:
     succession(ip_number own,
                base::data_centre_id data_centre,
-               std::uint32_t strength)
-        : own(own), data_centre(data_centre), strength(strength)
+               std::uint32_t strength,
+               base::instant started)
+        : own(own), data_centre(data_centre), strength(strength),
+          started(started)
     {
     }
 
@@ -44,8 +48,11 @@
     // Many entries: one of each data centre places for all.
     bool is_large(base::instant now);
 
+    // This entry places for others too.
+    void set_serving(bool serving) { this->serving = serving; }
+
     // Who places this entry's requests; none: itself.
-    std::optional<ip_number> dispatcher(base::instant now) const;
+    std::optional<ip_number> dispatcher(base::instant now);
 
     // Those that would go before the dispatcher, or before this entry, and may
     // be there: to be asked whether they are.
@@ -84,17 +91,24 @@
     struct candidate {
         base::data_centre_id data_centre;
         std::uint32_t strength = 0;
-        base::instant seen_at; // by anyone
+        base::instant seen_at;    // by anyone
+        base::instant started_at; // its process
         std::optional<base::instant> heard_at;
         std::optional<base::instant> asked_at; // and not answered since
         base::instant passed_over_until;
         bool stopping = false;
         bool delegating = false; // another one places for it
+        bool serving = false;    // it places for others
     };
 
     using candidates = std::map<ip_number, candidate>;
 
     bool goes_before_own(ip_number address) const;
+    std::optional<ip_number> first_before_own(base::instant now) const;
+    std::optional<ip_number> left_in_place(base::instant now) const;
+    bool is_settled(ip_number address, base::instant now) const;
+    bool is_well_served(base::instant now) const;
+    static bool is_young(base::instant started, base::instant now);
     static bool is_heard(const candidate& one, base::instant now);
     static bool places(const candidate& one, base::instant now);
     std::vector<ip_number> ranked(base::data_centre_id of,
@@ -108,6 +122,9 @@
     ip_number own;
     base::data_centre_id data_centre;
     std::uint32_t strength; // thousandths of a processor
+    base::instant started;
+    bool serving = false;
+    std::optional<ip_number> chosen; // the dispatcher, when last asked
     candidates others;
     ip_number next_named = 0;
     bool large = false;
--- a/src/greengagedrum/gossip/word.cpp
+++ b/src/greengagedrum/gossip/word.cpp
@@ -209,7 +209,9 @@
                                        told.changes,
                                        told.digest,
                                        report,
-                                       reply);
+                                       reply,
+                                       milliseconds_of(told.lived_for),
+                                       told.serving);
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -242,8 +244,10 @@
     if (const auto* list = root->known())
         out.known = known_of(*list, root->standings());
     out.strength = root->strength();
+    out.lived_for = std::chrono::milliseconds(root->lived_for_ms());
     out.kind = kind_of(root->kind());
     out.delegating = root->delegating();
+    out.serving = root->serving();
     out.changes = root->changes();
     out.digest = root->digest();
     if (const auto* report = root->report())
--- a/src/greengagedrum/gossip/word.hpp
+++ b/src/greengagedrum/gossip/word.hpp
@@ -41,6 +41,8 @@
     word_kind kind = word_kind::load;
     // Another entry places the sender's requests.
     bool delegating = false;
+    // The sender places requests of others.
+    bool serving = false;
     base::incarnation life;
     std::uint64_t sequence = 0; // grows with each word of a life
     std::string instance;
@@ -61,7 +63,8 @@
     std::vector<traffic::service_waiting> waiting;
     std::vector<quota::workspace_use> workspace_uses;
     std::vector<known_entry> known;
-    std::uint32_t strength = 0; // thousandths of a processor
+    std::uint32_t strength = 0;  // thousandths of a processor
+    base::duration lived_for{0}; // the sender's process, at least
     dispatch::member_report report;
     dispatch::dispatcher_reply reply;
 };
