Quota: a workspace's limit is a class of its own

usage_limiter had grown to 487 lines over two jobs: what one limit allows, and what is counted of whom. The first is workspace_limit now.

--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -1,4 +1,3 @@
-#include <greengagedrum/placement/seconds.hpp>
 #include <greengagedrum/quota/usage_limiter.hpp>
 
 #include <algorithm>
@@ -9,19 +8,9 @@
 namespace greengagedrum::quota
 {
 
-using placement::duration_of;
-using placement::seconds_of;
-
 namespace
 {
 
-// Parts of the tolerated slack and overshoot that a bucket may be overdrawn by.
-// The rest covers messages under way and processes that start with a full
-// bucket: with a half of the slack, a fleet that was killed in a busy window
-// let through 957,000 tokens where 926,000 were tolerated.
-constexpr double slack_part = 0.25;
-constexpr double overshoot_part = 0.4;
-
 // In which others are told of the window: quarters suffice for one that starts
 // anew, which counts each as of its end. A process that takes over again and
 // again, as entries are restarted in turn, would add a quarter each time.
@@ -44,11 +33,8 @@
     this->took_over = false;
     this->peers.clear();
     this->absent = absent_peers(now);
-    for (auto& [workspace, own] : this->buckets) {
-        bucket fresh;
-        fresh.limit = own.limit;
-        fresh.level = own.limit.burst;
-        fresh.filled_at = now;
+    for (auto& [workspace, own] : this->limits) {
+        workspace_limit fresh(own.limit, now);
         // Peers go by how much it has grown since they heard of it last.
         fresh.own_sent = own.own_sent;
         own = fresh;
@@ -76,53 +62,15 @@
 void usage_limiter::set_limits(const routing::configuration& config,
                                base::instant now)
 {
+    const limit_rules now_valid = this->rules(now);
     for (const routing::workspace& one : config.workspaces) {
-        const auto [found, fresh] = this->buckets.try_emplace(one.id);
-        bucket& own = found->second;
-        if (fresh) {
-            own.limit = one.limit;
-            own.filled_at = now;
-            own.level = one.limit.burst;
-        }
-        fill(own, now);
-        const bool lowered = one.limit.per_second < own.limit.per_second ||
-                             one.limit.burst < own.limit.burst;
-        if (lowered) {
-            const double before = this->window_bound(own, now);
-            own.earlier_bound = now < own.earlier_until
-                                    ? std::max(own.earlier_bound, before)
-                                    : before;
-            own.earlier_until = now + this->allowed.window;
-            // What was let through under the limit before is no debt.
-            own.level = std::max(own.level, 0.0);
-        }
-        own.limit = one.limit;
-        own.level = std::min(own.level, own.limit.burst);
+        const auto [found, fresh] =
+            this->limits.try_emplace(one.id, one.limit, now);
+        if (!fresh)
+            found->second.change(one.limit, now_valid, now);
     }
 }
 
-// What absent peers are assumed to use is not given out here.
-void usage_limiter::fill(bucket& own, base::instant now)
-{
-    const double part = 1 - own.absent.share;
-    const double filled = own.level + part * own.limit.per_second *
-                                          seconds_of(now - own.filled_at);
-    own.level = std::min(part * own.limit.burst, filled);
-    own.filled_at = now;
-}
-
-void usage_limiter::restore(bucket& own, double amount, base::instant now)
-{
-    fill(own, now);
-    own.level = std::min(own.limit.burst, own.level + amount);
-}
-
-void usage_limiter::drop_old(bucket& own, base::instant now) const
-{
-    own.recent.drop_old(this->allowed.window, now);
-    own.own_recent.drop_old(this->allowed.window, now);
-}
-
 bool usage_limiter::started_lately(base::instant now) const
 {
     return now - this->started < this->allowed.window;
@@ -134,71 +82,15 @@
     return this->took_over || !this->started_lately(now);
 }
 
-// A process that knows nothing of the window before its start has no margin:
-// whoever was there before may have used it.
-double usage_limiter::margin(const bucket& own, base::instant now) const
-{
-    if (!this->window_known(now))
-        return 0;
-    return slack_part * this->allowed.slack +
-           overshoot_part * this->allowed.overshoot * own.limit.burst;
-}
-
-double usage_limiter::window_bound(const bucket& own, base::instant now) const
-{
-    return own.limit.per_second * seconds_of(this->allowed.window) +
-           own.limit.burst + this->margin(own, now);
-}
-
-// What a window of that bound still holds for this entry and those it hears. Of
-// what was left when the others fell silent only its part, since they may use
-// theirs at any moment.
-double usage_limiter::room(const bucket& own, double bound)
-{
-    const double part = 1 - own.absent.share;
-    const double before =
-        part < 1 ? own.recent.sum_before(own.absent.since) : 0;
-    const double since =
-        own.recent.sum() - before + own.own_waiting + own.peers_waiting;
-    return part * (bound - before) - since;
-}
-
-// The sooner of: the bucket has its cost, enough has left the window.
-base::duration usage_limiter::until_allowed(const bucket& own,
-                                            double cost,
-                                            base::instant now) const
+limit_rules usage_limiter::rules(base::instant now) const
 {
-    const double part = 1 - own.absent.share;
-    const double missing = cost - own.level - part * this->margin(own, now);
-    const double bound = this->window_bound(own, now);
-    const double lacking = cost - room(own, bound);
-    // Failure guarded against: a limit is lowered and raised again and again,
-    // or a process starts anew; the bucket then lets its burst through each
-    // time. Whatever it says, the window under the highest limit lately holds.
-    const bool raised_lately =
-        now < own.earlier_until && own.earlier_bound > bound;
-    const bool fits =
-        lacking <= 0 || (raised_lately && cost <= room(own, own.earlier_bound));
-    if (missing <= 0 && fits)
-        return base::duration{0};
-    // A process knows nothing of what was let through before its start.
-    if (this->window_known(now) && lacking <= 0)
-        return base::duration{0};
-    const base::duration left =
-        own.recent.until_left(lacking, this->allowed.window, now);
-    const base::duration filled =
-        duration_of(std::max(0.0, missing) / own.limit.per_second);
-    if (missing <= 0)
-        return left;
-    if (!this->window_known(now))
-        return fits ? filled : std::max(filled, left);
-    return std::min(filled, left);
+    return {this->allowed, this->window_known(now)};
 }
 
-usage_limiter::bucket* usage_limiter::find_limited(base::workspace_id workspace)
+workspace_limit* usage_limiter::find_limited(base::workspace_id workspace)
 {
-    const auto found = this->buckets.find(workspace);
-    if (found == this->buckets.end() || found->second.limit.per_second <= 0)
+    const auto found = this->limits.find(workspace);
+    if (found == this->limits.end() || found->second.limit.per_second <= 0)
         return nullptr;
     return &found->second;
 }
@@ -209,12 +101,12 @@
                                                   double cost,
                                                   base::instant now)
 {
-    bucket* own = this->find_limited(workspace);
+    workspace_limit* own = this->find_limited(workspace);
     if (own == nullptr)
         return std::nullopt;
-    fill(*own, now);
-    this->drop_old(*own, now);
-    const base::duration wait = this->until_allowed(*own, cost, now);
+    own->fill(now);
+    own->drop_old(this->allowed.window, now);
+    const base::duration wait = own->until_allowed(cost, this->rules(now), now);
     if (wait.count() > 0)
         return wait;
     own->level -= cost;
@@ -226,10 +118,10 @@
                          double cost,
                          base::instant now)
 {
-    bucket* own = this->find_limited(workspace);
+    workspace_limit* own = this->find_limited(workspace);
     if (own == nullptr)
         return;
-    this->drop_old(*own, now);
+    own->drop_old(this->allowed.window, now);
     own->own_waiting = std::max(0.0, own->own_waiting - cost);
     own->own_sent += cost;
     own->own_recent.add(cost, now);
@@ -241,22 +133,22 @@
                               double cost,
                               base::instant now)
 {
-    bucket* own = this->find_limited(workspace);
+    workspace_limit* own = this->find_limited(workspace);
     if (own == nullptr)
         return;
     own->own_waiting = std::max(0.0, own->own_waiting - cost);
-    restore(*own, cost, now);
+    own->restore(cost, now);
 }
 
 void usage_limiter::not_run(base::workspace_id workspace,
                             double cost,
                             base::instant now)
 {
-    if (bucket* own = this->find_limited(workspace))
-        restore(*own, cost, now);
+    if (workspace_limit* own = this->find_limited(workspace))
+        own->restore(cost, now);
 }
 
-std::vector<std::uint32_t> usage_limiter::all_lately(const bucket& own,
+std::vector<std::uint32_t> usage_limiter::all_lately(const workspace_limit& own,
                                                      std::size_t parts,
                                                      base::instant now) const
 {
@@ -272,7 +164,7 @@
 }
 
 workspace_use usage_limiter::use_of(base::workspace_id workspace,
-                                    const bucket& own,
+                                    const workspace_limit& own,
                                     std::size_t parts,
                                     base::instant now) const
 {
@@ -286,8 +178,8 @@
 std::vector<workspace_use> usage_limiter::own_uses(base::instant now)
 {
     std::vector<workspace_use> out;
-    for (auto& [workspace, own] : this->buckets) {
-        this->drop_old(own, now);
+    for (auto& [workspace, own] : this->limits) {
+        own.drop_old(this->allowed.window, now);
         if (own.own_sent > 0 || own.own_waiting > 0)
             out.push_back(this->use_of(workspace, own, parts_told, now));
     }
@@ -297,8 +189,8 @@
 std::vector<workspace_use> usage_limiter::window_uses(base::instant now)
 {
     std::vector<workspace_use> out;
-    for (auto& [workspace, own] : this->buckets) {
-        this->drop_old(own, now);
+    for (auto& [workspace, own] : this->limits) {
+        own.drop_old(this->allowed.window, now);
         if (own.recent.sum() > 0 || own.own_waiting > 0)
             out.push_back(this->use_of(workspace, own, parts_handed_over, now));
     }
@@ -356,18 +248,18 @@
     const double counted = anew ? std::min<double>(more, told.lately) : more;
     const double waiting_more = told.waiting - known.waiting;
     known = {used, static_cast<double>(told.waiting)};
-    const auto found = this->buckets.find(told.workspace);
-    if (found == this->buckets.end())
+    const auto found = this->limits.find(told.workspace);
+    if (found == this->limits.end())
         return;
-    bucket& own = found->second;
-    fill(own, now);
-    this->drop_old(own, now);
+    workspace_limit& own = found->second;
+    own.fill(now);
+    own.drop_old(this->allowed.window, now);
     own.peers_waiting = std::max(0.0, own.peers_waiting + waiting_more);
     own.recent.add(counted, now);
     this->absent.used(peer, told.workspace, counted, now);
     // What it let through before it was heard is no debt of the bucket.
     if (!anew)
-        restore(own, -(counted + waiting_more), now);
+        own.restore(-(counted + waiting_more), now);
 }
 
 // Failures guarded against: an entry restarts in a busy workspace's window;
@@ -377,10 +269,10 @@
 // limit was refused (160 requests of a calm day, for none).
 void usage_limiter::learn_history(const workspace_use& told, base::instant now)
 {
-    const auto found = this->buckets.find(told.workspace);
-    if (found == this->buckets.end())
+    const auto found = this->limits.find(told.workspace);
+    if (found == this->limits.end())
         return;
-    bucket& own = found->second;
+    workspace_limit& own = found->second;
     const double all =
         std::accumulate(told.all_lately.begin(), told.all_lately.end(), 0.0);
     const double unknown = all > 0 ? std::max(0.0, 1 - own.history / all) : 0;
@@ -400,8 +292,8 @@
 void usage_limiter::forget_waiting(peer_state& peer)
 {
     for (auto& [workspace, use] : peer.uses) {
-        const auto found = this->buckets.find(workspace);
-        if (found != this->buckets.end())
+        const auto found = this->limits.find(workspace);
+        if (found != this->limits.end())
             found->second.peers_waiting =
                 std::max(0.0, found->second.peers_waiting - use.waiting);
         use.waiting = 0;
@@ -449,21 +341,21 @@
 void usage_limiter::assume_silent_peers(base::instant now)
 {
     this->drop_forgotten(now);
-    std::vector<absent_peers::limited> limits;
-    for (const auto& [workspace, own] : this->buckets)
-        limits.push_back({workspace, own.limit.per_second});
-    for (const base::slot_id peer : this->absent.notice(limits, now))
+    std::vector<absent_peers::limited> rates;
+    for (const auto& [workspace, own] : this->limits)
+        rates.push_back({workspace, own.limit.per_second});
+    for (const base::slot_id peer : this->absent.notice(rates, now))
         this->forget_waiting(this->peers[peer]);
-    for (auto& [workspace, own] : this->buckets) {
-        fill(own, now);
+    for (auto& [workspace, own] : this->limits) {
+        own.fill(now);
         own.absent = this->absent.of(workspace, now);
     }
 }
 
 double usage_limiter::level(base::workspace_id workspace) const
 {
-    const auto found = this->buckets.find(workspace);
-    return found == this->buckets.end() ? 0 : found->second.level;
+    const auto found = this->limits.find(workspace);
+    return found == this->limits.end() ? 0 : found->second.level;
 }
 
 limit_view usage_limiter::view(base::workspace_id workspace,
@@ -471,15 +363,15 @@
 {
     limit_view out;
     out.window_known = this->window_known(now);
-    const auto found = this->buckets.find(workspace);
-    if (found == this->buckets.end())
+    const auto found = this->limits.find(workspace);
+    if (found == this->limits.end())
         return out;
-    const bucket& own = found->second;
+    const workspace_limit& own = found->second;
     out.level = own.level;
     out.sent_here = own.own_recent.sum();
     out.sent = own.recent.sum();
     out.waiting = own.own_waiting + own.peers_waiting;
-    out.bound = this->window_bound(own, now);
+    out.bound = own.window_bound(this->rules(now));
     out.absent_share = own.absent.share;
     return out;
 }
--- a/src/greengagedrum/quota/usage_limiter.hpp
+++ b/src/greengagedrum/quota/usage_limiter.hpp
@@ -18,7 +18,7 @@
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
 #include <greengagedrum/quota/absent_peers.hpp>
-#include <greengagedrum/quota/window_sum.hpp>
+#include <greengagedrum/quota/workspace_limit.hpp>
 #include <greengagedrum/routing/configuration.hpp>
 
 #include <cstddef>
@@ -42,12 +42,6 @@
     std::vector<std::uint32_t> all_lately{};
 };
 
-struct tolerance {
-    base::duration window = std::chrono::seconds(8);
-    double overshoot = 0; // share of the limit
-    double slack = 0;     // in the limit's unit, over all entries
-};
-
 // What one workspace's limit rests on at this entry, in its unit. For the log.
 struct limit_view {
     double level = 0;        // of the bucket; below zero: overdrawn
@@ -124,25 +118,6 @@
     limit_view view(base::workspace_id workspace, base::instant now) const;
 
 private:
-    struct bucket {
-        routing::usage_limit limit;
-        double level = 0;
-        base::instant filled_at;
-        // The highest that was allowed in a window until then.
-        double earlier_bound = 0;
-        base::instant earlier_until;
-        double own_sent = 0;    // since the process started
-        double own_waiting = 0; // let through, not sent
-        double peers_waiting = 0;
-        window_sum own_recent;
-        window_sum recent; // all entries'
-        // From before this process: what peers told of themselves, and what
-        // was counted.
-        double told_of_peers = 0;
-        double history = 0;
-        assumed_use absent;
-    };
-
     struct peer_use {
         double sent = 0;
         double waiting = 0;
@@ -155,23 +130,17 @@
         std::unordered_map<base::workspace_id, peer_use> uses;
     };
 
-    static void fill(bucket& own, base::instant now);
-    void drop_old(bucket& own, base::instant now) const;
-    static void restore(bucket& own, double amount, base::instant now);
-    bucket* find_limited(base::workspace_id workspace);
-    double margin(const bucket& own, base::instant now) const;
-    double window_bound(const bucket& own, base::instant now) const;
-    static double room(const bucket& own, double bound);
-    base::duration
-    until_allowed(const bucket& own, double cost, base::instant now) const;
+    workspace_limit* find_limited(base::workspace_id workspace);
+    limit_rules rules(base::instant now) const;
     bool started_lately(base::instant now) const;
     bool window_known(base::instant now) const;
     workspace_use use_of(base::workspace_id workspace,
-                         const bucket& own,
+                         const workspace_limit& own,
                          std::size_t parts,
                          base::instant now) const;
-    std::vector<std::uint32_t>
-    all_lately(const bucket& own, std::size_t parts, base::instant now) const;
+    std::vector<std::uint32_t> all_lately(const workspace_limit& own,
+                                          std::size_t parts,
+                                          base::instant now) const;
     void count_peer(base::slot_id peer,
                     peer_use& known,
                     const workspace_use& told,
@@ -184,7 +153,7 @@
     base::instant started;
     bool took_over = false; // what it knows of the window is another's
     tolerance allowed;
-    std::unordered_map<base::workspace_id, bucket> buckets;
+    std::unordered_map<base::workspace_id, workspace_limit> limits;
     std::unordered_map<base::slot_id, peer_state> peers;
     absent_peers absent;
 };
--- /dev/null
+++ b/src/greengagedrum/quota/workspace_limit.cpp
@@ -0,0 +1,132 @@
+#include <greengagedrum/placement/seconds.hpp>
+#include <greengagedrum/quota/workspace_limit.hpp>
+
+#include <algorithm>
+
+namespace greengagedrum::quota
+{
+
+using placement::duration_of;
+using placement::seconds_of;
+
+namespace
+{
+
+// Parts of the tolerated slack and overshoot that a bucket may be overdrawn by.
+// The rest covers messages under way and processes that start with a full
+// bucket: with a half of the slack, a fleet that was killed in a busy window
+// let through 957,000 tokens where 926,000 were tolerated.
+constexpr double slack_part = 0.25;
+constexpr double overshoot_part = 0.4;
+
+} // namespace
+
+workspace_limit::workspace_limit(const routing::usage_limit& limit,
+                                 base::instant now)
+    : limit(limit), level(limit.burst), filled_at(now)
+{
+}
+
+// What absent peers are assumed to use is not given out here.
+void workspace_limit::fill(base::instant now)
+{
+    const double part = 1 - this->absent.share;
+    const double filled = this->level + part * this->limit.per_second *
+                                            seconds_of(now - this->filled_at);
+    this->level = std::min(part * this->limit.burst, filled);
+    this->filled_at = now;
+}
+
+void workspace_limit::restore(double amount, base::instant now)
+{
+    this->fill(now);
+    this->level = std::min(this->limit.burst, this->level + amount);
+}
+
+void workspace_limit::drop_old(base::duration window, base::instant now)
+{
+    this->recent.drop_old(window, now);
+    this->own_recent.drop_old(window, now);
+}
+
+void workspace_limit::change(const routing::usage_limit& published,
+                             const limit_rules& rules,
+                             base::instant now)
+{
+    this->fill(now);
+    const bool lowered = published.per_second < this->limit.per_second ||
+                         published.burst < this->limit.burst;
+    if (lowered) {
+        const double before = this->window_bound(rules);
+        this->earlier_bound = now < this->earlier_until
+                                  ? std::max(this->earlier_bound, before)
+                                  : before;
+        this->earlier_until = now + rules.allowed.window;
+        // What was let through under the limit before is no debt.
+        this->level = std::max(this->level, 0.0);
+    }
+    this->limit = published;
+    this->level = std::min(this->level, this->limit.burst);
+}
+
+// A process that knows nothing of the window before its start has no margin:
+// whoever was there before may have used it.
+double workspace_limit::margin(const limit_rules& rules) const
+{
+    if (!rules.window_known)
+        return 0;
+    return slack_part * rules.allowed.slack +
+           overshoot_part * rules.allowed.overshoot * this->limit.burst;
+}
+
+double workspace_limit::window_bound(const limit_rules& rules) const
+{
+    return this->limit.per_second * seconds_of(rules.allowed.window) +
+           this->limit.burst + this->margin(rules);
+}
+
+// What a window of that bound still holds for this entry and those it hears. Of
+// what was left when the others fell silent only its part, since they may use
+// theirs at any moment.
+double workspace_limit::room(double bound) const
+{
+    const double part = 1 - this->absent.share;
+    const double before =
+        part < 1 ? this->recent.sum_before(this->absent.since) : 0;
+    const double since =
+        this->recent.sum() - before + this->own_waiting + this->peers_waiting;
+    return part * (bound - before) - since;
+}
+
+base::duration workspace_limit::until_allowed(double cost,
+                                              const limit_rules& rules,
+                                              base::instant now) const
+{
+    const double part = 1 - this->absent.share;
+    const double missing = cost - this->level - part * this->margin(rules);
+    const double bound = this->window_bound(rules);
+    const double lacking = cost - this->room(bound);
+    // Failure guarded against: a limit is lowered and raised again and again,
+    // or a process starts anew; the bucket then lets its burst through each
+    // time. Whatever it says, the window under the highest limit lately holds.
+    const bool raised_lately =
+        now<this->earlier_until&& this->earlier_bound> bound;
+    const bool fits = lacking <= 0 || (raised_lately &&
+                                       cost <= this->room(this->earlier_bound));
+    if (missing <= 0 && fits)
+        return base::duration{0};
+    // A process knows nothing of what was let through before its start.
+    if (rules.window_known && lacking <= 0)
+        return base::duration{0};
+    const base::duration left =
+        this->recent.until_left(lacking, rules.allowed.window, now);
+    const base::duration filled =
+        duration_of(std::max(0.0, missing) / this->limit.per_second);
+    if (missing <= 0)
+        return left;
+    if (!rules.window_known)
+        return fits ? filled : std::max(filled, left);
+    return std::min(filled, left);
+}
+
+} // namespace greengagedrum::quota
--- /dev/null
+++ b/src/greengagedrum/quota/workspace_limit.hpp
@@ -0,0 +1,70 @@
+// One workspace's limit at one entry: a bucket of the published rate and burst,
+// and what all entries sent within the operator's window.
+#pragma once
+
+#include <greengagedrum/base/time.hpp>
+#include <greengagedrum/quota/absent_peers.hpp>
+#include <greengagedrum/quota/window_sum.hpp>
+#include <greengagedrum/routing/configuration.hpp>
+
+namespace greengagedrum::quota
+{
+
+struct tolerance {
+    base::duration window = std::chrono::seconds(8);
+    double overshoot = 0; // share of the limit
+    double slack = 0;     // in the limit's unit, over all entries
+};
+
+// What holds for all limits of an entry at a moment.
+struct limit_rules {
+    tolerance allowed;
+    // The entry knows what was let through in the window, also before it began
+    // to count.
+    bool window_known = false;
+};
+
+struct workspace_limit {
+    // As of a process that starts now.
+    workspace_limit(const routing::usage_limit& limit, base::instant now);
+
+    void fill(base::instant now);
+    void restore(double amount, base::instant now);
+    void drop_old(base::duration window, base::instant now);
+
+    // The operator publishes another one.
+    void change(const routing::usage_limit& published,
+                const limit_rules& rules,
+                base::instant now);
+
+    // What a window may hold.
+    double window_bound(const limit_rules& rules) const;
+
+    // How long until a request of that cost is within the limit.
+    base::duration until_allowed(double cost,
+                                 const limit_rules& rules,
+                                 base::instant now) const;
+
+    routing::usage_limit limit;
+    double level = 0; // of the bucket; below zero: overdrawn
+    base::instant filled_at;
+    // The highest that was allowed in a window until then.
+    double earlier_bound = 0;
+    base::instant earlier_until;
+    double own_sent = 0;    // since the process started
+    double own_waiting = 0; // let through, not sent
+    double peers_waiting = 0;
+    window_sum own_recent;
+    window_sum recent; // all entries'
+    // From before this process: what peers told of themselves, and what was
+    // counted.
+    double told_of_peers = 0;
+    double history = 0;
+    assumed_use absent;
+
+private:
+    double margin(const limit_rules& rules) const;
+    double room(double bound) const;
+};
+
+} // namespace greengagedrum::quota
