Quota: a refused caller is told when the window has room for it

What callers saw: 21 ms as the time to come back, and a second refusal. Cause: the sooner of two times was told, when the bucket has the cost and when the window has, though with the window full a full bucket lets nothing through; and all who were refused were told the time at which there is room for one.

With the window known it now decides alone, and each refused caller is told the time after those refused before it, by the part of the rate that goes through this entry, and never more than a window. Of ten callers refused at once nine were refused again, now none (test).

--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <map>
 
 namespace greengagedrum::quota
 {
@@ -435,4 +436,55 @@
     CHECK(seen.window_known);
 }
 
+// A workspace's window is full, and ten of its callers are refused at once.
+// Each comes back when it was told to, and is let through: told when there is
+// room for one of them, all but one would be refused again.
+TEST_CASE_FIXTURE(limiter_fixture,
+                  "refused_callers_come_back_when_there_is_room")
+{
+    for (int step = 0; step < 900; ++step) {
+        this->now += 10ms;
+        this->take(this->own, 2);
+    }
+    std::multimap<base::instant, double> returns;
+    for (int caller = 0; caller < 10; ++caller) {
+        this->now += 10ms;
+        const auto wait = this->own.take(planning, 30, this->now);
+        REQUIRE(wait);
+        returns.emplace(this->now + *wait, 30);
+    }
+    int refused_again = 0;
+    for (const auto& [at, cost] : returns) {
+        this->now = at + 1ms;
+        refused_again += this->take(this->own, cost) ? 0 : 1;
+    }
+    CHECK(refused_again == 0);
+}
+
+// The bucket has a caller's cost sooner than the window has room for it. Told
+// the first of these times, it came back after 21 ms and was refused again.
+TEST_CASE_FIXTURE(limiter_fixture,
+                  "return_is_not_sooner_than_the_window_allows")
+{
+    this->hear_peer({{planning, 5'000'000, 0, 850}}, false);
+    const auto wait = this->own.take(planning, 102, this->now);
+    REQUIRE(wait);
+    CHECK(*wait >= 7900ms);
+    this->now += *wait + 1ms;
+    this->hear_peer({{planning, 5'000'000, 0, 0}}, false);
+    CHECK(this->take(this->own, 102));
+}
+
+// Whatever was refused before, after a window all that is counted has left.
+TEST_CASE_FIXTURE(limiter_fixture,
+                  "nobody_is_told_to_wait_longer_than_a_window")
+{
+    CHECK(this->take(this->own, 900));
+    for (int caller = 0; caller < 500; ++caller) {
+        const auto wait = this->own.take(planning, 50, this->now);
+        REQUIRE(wait);
+        CHECK(*wait <= 8s);
+    }
+}
+
 } // namespace greengagedrum::quota
--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -108,7 +108,7 @@
     own->drop_old(this->allowed.window, now);
     const base::duration wait = own->until_allowed(cost, this->rules(now), now);
     if (wait.count() > 0)
-        return wait;
+        return own->promise_return(cost, wait, this->allowed.window, now);
     own->level -= cost;
     own->own_waiting += cost;
     return std::nullopt;
--- a/src/greengagedrum/quota/workspace_limit.cpp
+++ b/src/greengagedrum/quota/workspace_limit.cpp
@@ -19,6 +19,9 @@
 constexpr double slack_part = 0.25;
 constexpr double overshoot_part = 0.4;
 
+// Of the rate, for callers that an entry refused though it let through nothing.
+constexpr double least_share = 0.02;
+
 } // namespace
 
 workspace_limit::workspace_limit(const routing::usage_limit& limit,
@@ -122,11 +125,30 @@
         this->recent.until_left(lacking, rules.allowed.window, now);
     const base::duration filled =
         duration_of(std::max(0.0, missing) / this->limit.per_second);
-    if (missing <= 0)
-        return left;
     if (!rules.window_known)
         return fits ? filled : std::max(filled, left);
-    return std::min(filled, left);
+    return fits ? std::min(filled, left) : left;
+}
+
+// Failure guarded against: a hundred callers are refused within a second, are
+// all told when there is room for one, and all but one are refused again. Each
+// is told the time after those before it, by the part of the rate that goes
+// through this entry. None waits for longer than a window: by then all that is
+// counted has left it.
+base::duration workspace_limit::promise_return(double cost,
+                                               base::duration wait,
+                                               base::duration window,
+                                               base::instant now)
+{
+    const double all = this->recent.sum();
+    const double share =
+        all > 0 ? std::clamp(this->own_recent.sum() / all, least_share, 1.0)
+                : 1.0;
+    const base::instant at = std::clamp(
+        this->promised_until, now + std::min(wait, window), now + window);
+    this->promised_until =
+        at + duration_of(cost / (share * this->limit.per_second));
+    return at - now;
 }
 
 } // namespace greengagedrum::quota
--- a/src/greengagedrum/quota/workspace_limit.hpp
+++ b/src/greengagedrum/quota/workspace_limit.hpp
@@ -45,6 +45,14 @@
                                  const limit_rules& rules,
                                  base::instant now) const;
 
+    // When a caller that is refused now is to come back: there is room then
+    // for it and for all that were refused before it. `wait`: until there is
+    // room for it alone.
+    base::duration promise_return(double cost,
+                                  base::duration wait,
+                                  base::duration window,
+                                  base::instant now);
+
     routing::usage_limit limit;
     double level = 0; // of the bucket; below zero: overdrawn
     base::instant filled_at;
@@ -61,6 +69,8 @@
     double told_of_peers = 0;
     double history = 0;
     assumed_use absent;
+    // Room until then is promised to callers that were refused.
+    base::instant promised_until;
 
 private:
     double margin(const limit_rules& rules) const;
