Entry: who tells whom among many is a file of its own

And a random run of fleets in virtual time: 34 to 83 entries in 1 to 6 data centres, dispatchers killed and frozen, entries cut off and restarted in turn.

--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -3,8 +3,8 @@
 //
 // Each word is whole, so a lost datagram is made good by the next, and a
 // connection that has gone silent can't be mistaken for a peer that has. Among
-// few entries each tells all others; among many, peer_roles.cpp says who tells
-// whom.
+// few entries each tells all others; among many, peer_telling.cpp says who
+// tells whom, and peer_roles.cpp what each of them is.
 #pragma once
 
 #include <greengagedrum/entry/front.hpp>
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -1,4 +1,5 @@
-// Among many entries: which of them places requests, and who tells whom.
+// Among many entries: which of them places requests, and what is made of what
+// the others tell.
 #include <greengagedrum/entry/peer_link.hpp>
 
 #include <algorithm>
@@ -14,21 +15,10 @@
 // places by itself: what each knows alone fills upstreams that others filled.
 constexpr base::duration wait_for_dispatcher = std::chrono::milliseconds(500);
 
-// To all that are told without having something to tell.
-constexpr base::duration beat = std::chrono::milliseconds(100);
-
-// Entries that may be back are greeted a few at a time: a restarted one may
-// know of seeds only that are down.
-constexpr base::duration greet_gap = std::chrono::milliseconds(500);
-constexpr std::size_t greeted_at_once = 4;
-
 // A greeting is answered once in this time; a start of all entries at once
 // brings hundreds to each seed.
 constexpr base::duration answer_gap = std::chrono::milliseconds(150);
 
-// A member that reported so lately is told of signs of life.
-constexpr base::duration member_for = std::chrono::milliseconds(1500);
-
 // Between two questions of a member for what changed.
 constexpr base::duration follow_gap = std::chrono::milliseconds(100);
 
@@ -300,159 +290,4 @@
     });
 }
 
-// Its members leave at the first sign of it, so those next in line are told of
-// limits by that very message.
-void peer_link::begin_stop()
-{
-    if (this->large && !this->state.delegating)
-        this->tell_members(this->state.clock());
-    this->tell_soon();
-}
-
-// ---- Telling --------------------------------------------------------------
-
-void peer_link::tell_among_many(base::instant now)
-{
-    using gossip::audience;
-    const bool beats = now - this->beat_at >= beat;
-    if (beats)
-        this->beat_at = now;
-    if (this->state.delegating) {
-        const bool news = this->schedule.is_due(audience::own_data_centre, now);
-        if (news || this->is_report_overdue(now)) {
-            this->schedule.told(audience::own_data_centre, now);
-            this->tell_dispatcher(now);
-        }
-    } else if (beats) {
-        this->schedule.told(audience::own_data_centre, now);
-        this->tell_members(now);
-    }
-    if (!this->state.delegating)
-        this->answer_members();
-    if (beats)
-        this->look_for_silent(now);
-    const bool to_far = !this->state.delegating || this->farewells > 0;
-    if (to_far && this->schedule.is_due(audience::others, now))
-        this->tell_far(now);
-    else if (this->state.delegating)
-        this->schedule.told(audience::others, now);
-}
-
-// Failure guarded against: a report is lost, and with it a request that asks,
-// or the end of one, whose place then stands idle until the next beat.
-bool peer_link::is_report_overdue(base::instant now) const
-{
-    return this->unanswered_report > 0 &&
-           now - this->reported_at >= dispatch::repeat_gap;
-}
-
-void peer_link::tell_dispatcher(base::instant now)
-{
-    if (!this->dispatcher)
-        return;
-    gossip::word out = this->own_word(gossip::word_kind::report);
-    out.uses = this->state.scheduler.own_uses(now);
-    out.report = this->events.report();
-    this->reported_at = now;
-    this->unanswered_report = out.sequence;
-    this->order.told(*this->dispatcher, now);
-    this->transport.send(gossip::encode(out), *this->dispatcher);
-}
-
-// Those that would place in place of the present one are asked with a whole
-// report, so that the first of them to answer can begin.
-void peer_link::look_for_silent(base::instant now)
-{
-    const std::vector<gossip::ip_number> to_try = this->order.to_try(now);
-    if (!to_try.empty()) {
-        gossip::word out = this->own_word(gossip::word_kind::report);
-        if (this->state.delegating && !this->dispatcher) {
-            out.uses = this->state.scheduler.own_uses(now);
-            out.report = this->events.report();
-        }
-        const std::string bytes = gossip::encode(out);
-        for (const gossip::ip_number address : to_try) {
-            this->order.told(address, now);
-            this->transport.send(bytes, address);
-        }
-    }
-    if (now - this->greeted_at >= greet_gap)
-        this->greet_silent(now);
-}
-
-void peer_link::greet_silent(base::instant now)
-{
-    this->greeted_at = now;
-    std::vector<gossip::ip_number> to_greet = this->table.silent_seeds(now);
-    if (!this->state.delegating) {
-        const std::vector<gossip::ip_number> silent =
-            this->order.silent_nearby(now);
-        for (std::size_t count = 0;
-             count < std::min(greeted_at_once, silent.size());
-             ++count)
-            to_greet.push_back(silent.at(this->next_greeted++ % silent.size()));
-    }
-    if (!to_greet.empty())
-        this->greet(to_greet, now);
-}
-
-void peer_link::greet(const std::vector<gossip::ip_number>& to_greet,
-                      base::instant now)
-{
-    gossip::word out = this->own_word(gossip::word_kind::greeting);
-    out.known =
-        this->order.to_name(base::data_centre_id(this->own.data_centre), now);
-    const std::string bytes = gossip::encode(out);
-    for (const gossip::ip_number address : to_greet)
-        this->transport.send(bytes, address);
-}
-
-void peer_link::tell_members(base::instant now)
-{
-    const std::vector<gossip::known_entry> known =
-        this->order.to_name(base::data_centre_id(this->own.data_centre), now);
-    const std::vector<gossip::ip_number> next = this->order.next_in_line(now);
-    for (const auto& [slot, one] : this->members) {
-        if (now - one.heard_at > member_for)
-            continue;
-        gossip::word out = this->own_word(gossip::word_kind::reply);
-        out.known = known;
-        out.reply = this->events.reply(slot);
-        if (std::find(next.begin(), next.end(), one.address) != next.end())
-            out.workspace_uses = this->state.limiter.window_uses(now);
-        this->transport.send(gossip::encode(out), one.address);
-    }
-}
-
-void peer_link::answer_members()
-{
-    if (this->state.delegating)
-        return;
-    for (const base::slot_id slot : this->events.members_unanswered()) {
-        const auto found = this->members.find(slot);
-        gossip::word out = this->own_word(gossip::word_kind::reply);
-        out.reply = this->events.reply(slot);
-        if (found != this->members.end())
-            this->transport.send(gossip::encode(out), found->second.address);
-    }
-}
-
-void peer_link::tell_far(base::instant now)
-{
-    this->schedule.told(gossip::audience::others, now);
-    if (this->state.delegating)
-        this->farewells -= 1;
-    const std::vector<gossip::ip_number> far = this->order.far_dispatchers(now);
-    if (far.empty())
-        return;
-    gossip::word out = this->own_load(gossip::audience::others);
-    out.known =
-        this->order.to_name(base::data_centre_id(this->own.data_centre), now);
-    const std::string bytes = gossip::encode(out);
-    for (const gossip::ip_number address : far) {
-        this->order.told(address, now);
-        this->transport.send(bytes, address);
-    }
-}
-
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/test/limited_fleet.cpp
+++ b/src/greengagedrum/entry/test/limited_fleet.cpp
@@ -39,6 +39,38 @@
 
 } // namespace
 
+fleet_plan random_fleet_plan(std::uint64_t seed)
+{
+    std::mt19937_64 dice(seed);
+    const auto draw = [&](double low, double high) {
+        return std::uniform_real_distribution<double>(low, high)(dice);
+    };
+    fleet_plan out;
+    out.seed = seed;
+    out.entries = 34 + dice() % 50;
+    out.data_centres = 1 + dice() % 6;
+    out.demand = draw(0.3, 3);
+    out.requests = 60;
+    out.seconds = 28;
+    if (draw(0, 1) < 0.4) {
+        out.restart_gap =
+            base::duration(static_cast<std::int64_t>(draw(0.5, 2.5) * 1e6));
+        out.restarts_from = draw(3, 15);
+    }
+    while (out.killed_at.size() < 4 && draw(0, 1) < 0.5)
+        out.killed_at.push_back(draw(9, 26));
+    while (out.frozen_at.size() < 2 && draw(0, 1) < 0.3)
+        out.frozen_at.push_back(draw(9, 26));
+    std::sort(out.killed_at.begin(), out.killed_at.end());
+    std::sort(out.frozen_at.begin(), out.frozen_at.end());
+    out.frozen_for = draw(0.2, 8);
+    if (draw(0, 1) < 0.4) {
+        out.cut_from = draw(9, 20);
+        out.cut_for = draw(0.3, 12);
+    }
+    return out;
+}
+
 limited_fleet::node::node(base::instant now)
     : state{{},
             beliefs(),
--- a/src/greengagedrum/entry/test/limited_fleet.hpp
+++ b/src/greengagedrum/entry/test/limited_fleet.hpp
@@ -36,6 +36,10 @@
     std::uint64_t seed = 1;
 };
 
+// Draws a plan with anything that may happen, but for a loss of all entries:
+// what they knew is lost with them.
+fleet_plan random_fleet_plan(std::uint64_t seed);
+
 struct fleet_result {
     std::uint32_t asked = 0;
     std::uint32_t refused = 0; // over the limit
--- a/src/greengagedrum/entry/test/limited_fleet_test.cpp
+++ b/src/greengagedrum/entry/test/limited_fleet_test.cpp
@@ -124,4 +124,17 @@
     }
 }
 
+// Dispatchers and others come and go in any way, with one workspace at 0.3 to 3
+// times its limit: no window of the operator's holds more than is tolerated.
+TEST_CASE("random_changes_of_dispatchers_keep_every_window")
+{
+    constexpr std::uint64_t seeds = 8;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const fleet_result got = limited_fleet(random_fleet_plan(seed)).play();
+        CAPTURE(seed);
+        CAPTURE(got.worst_at);
+        CHECK(got.worst_share <= 1);
+    }
+}
+
 } // namespace greengagedrum::entry::test
