--- a/src/greengagedrum/entry/test/limited_fleet_test.cpp
+++ b/src/greengagedrum/entry/test/limited_fleet_test.cpp
@@ -34,6 +34,20 @@
     return got;
 }
 
+// At the usual load next to nothing is refused; at twice the limit, it holds
+// and is used.
+void check_both_loads(fleet_plan plan)
+{
+    const fleet_result usual = played(plan);
+    CHECK(usual.refused < usual.asked / 100);
+    CHECK(usual.worst_share <= 1);
+
+    plan.demand = 2;
+    const fleet_result busy = played(plan);
+    CHECK(busy.worst_share <= 1);
+    CHECK(busy.let >= 0.95);
+}
+
 } // namespace
 
 // All entries are restarted, one every two seconds, at the usual load.
@@ -71,14 +85,7 @@
 {
     fleet_plan plan;
     plan.killed_at = {15, 19};
-    const fleet_result got = played(plan);
-    CHECK(got.refused < got.asked / 100);
-    CHECK(got.worst_share <= 1);
-
-    plan.demand = 2;
-    const fleet_result busy = played(plan);
-    CHECK(busy.worst_share <= 1);
-    CHECK(busy.let >= 0.95);
+    check_both_loads(plan);
 }
 
 // All dispatchers stand still for five seconds, and go on as if nothing had
@@ -87,14 +94,7 @@
 {
     fleet_plan plan;
     plan.frozen_at = {15};
-    const fleet_result got = played(plan);
-    CHECK(got.refused < got.asked / 100);
-    CHECK(got.worst_share <= 1);
-
-    plan.demand = 2;
-    const fleet_result busy = played(plan);
-    CHECK(busy.worst_share <= 1);
-    CHECK(busy.let >= 0.95);
+    check_both_loads(plan);
 }
 
 // One dispatcher is cut off with half of its members.
@@ -102,13 +102,7 @@
 {
     fleet_plan plan;
     plan.cut_from = 15;
-    const fleet_result got = played(plan);
-    CHECK(got.refused < got.asked / 100);
-    CHECK(got.worst_share <= 1);
-
-    plan.demand = 2;
-    const fleet_result busy = played(plan);
-    CHECK(busy.worst_share <= 1);
+    check_both_loads(plan);
 }
 
 // All entries are killed at once, and are back half a second later.
--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -402,6 +402,19 @@
     CHECK(this->take(next, 490));
 }
 
+// Requests that wait at a dispatcher as it dies are asked for at the next one,
+// where they are counted anew.
+TEST_CASE_FIXTURE(limiter_fixture, "requests_waiting_at_the_former_are_no_use")
+{
+    CHECK_FALSE(this->peer.take(planning, 400, this->now));
+    usage_limiter next = this->fresh_limiter({8s, 0, 0});
+    next.take_over(base::slot_id("peer"),
+                   base::incarnation{2},
+                   this->peer.window_uses(this->now),
+                   this->now);
+    CHECK(this->take(next, 850));
+}
+
 // Of another entry it hears for the first time what it knows already.
 TEST_CASE_FIXTURE(limiter_fixture, "uses_handed_over_count_once")
 {
