Quota: what is handed over of limits fits into a datagram

With 2,100 workspaces in use, the users' target, the message to an entry next in line would have been 300 KB and never sent, and with it the sign of life that it bears: the entry would have taken over from a dispatcher that lives. The 300 workspaces nearest to their limits are told, 45 KB; of the others there is room enough. Found by reading; the test fails without the bound.

--- a/src/greengagedrum/entry/front.cpp
+++ b/src/greengagedrum/entry/front.cpp
@@ -207,7 +207,8 @@
          {"time_left_ms", milliseconds(request.facts.time_left)},
          {"config_version", this->state.known.configuration_version()},
          {"cost", request.cost},
-         {"limit_level", this->state.limiter.level(request.workspace)}});
+         {"limit_level",
+          this->state.limiter.view(request.workspace, now).level}});
     if (over) {
         this->note_over_limit(request.workspace, request.cost, *over);
         return this->refuse(
--- a/src/greengagedrum/quota/test/handover_test.cpp
+++ b/src/greengagedrum/quota/test/handover_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace greengagedrum::quota
 {
 
@@ -93,4 +95,33 @@
     CHECK_FALSE(this->take(next, 20));
 }
 
+// Two thousand workspaces are in use, and one of them is near its limit. What
+// is handed over fits into a datagram, and that one is among it.
+TEST_CASE("workspaces_nearest_to_their_limits_are_handed_over")
+{
+    constexpr std::uint64_t workspaces = 2000;
+    const base::workspace_id busy(std::uint64_t{1234});
+    base::instant now{1h};
+    usage_limiter former(base::instant(1h - 1min));
+    former.set_tolerance({8s, 0, 0});
+    routing::configuration config;
+    for (std::uint64_t id = 1; id <= workspaces; ++id) {
+        routing::workspace one;
+        one.id = base::workspace_id(id);
+        one.limit = {rate, burst, true, 0};
+        config.workspaces.push_back(one);
+    }
+    former.set_limits(config, now);
+    for (const routing::workspace& one : config.workspaces) {
+        const double cost = one.id == busy ? 800 : 10;
+        REQUIRE_FALSE(former.take(one.id, cost, now));
+        former.sent(one.id, cost, now);
+    }
+    const std::vector<workspace_use> told = former.window_uses(now);
+    CHECK(told.size() == 300);
+    CHECK(std::any_of(told.begin(), told.end(), [&](const workspace_use& one) {
+        return one.workspace == busy && one.lately == 800;
+    }));
+}
+
 } // namespace greengagedrum::quota
--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -1,6 +1,7 @@
 #include <greengagedrum/quota/usage_limiter.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <numeric>
 #include <utility>
@@ -17,6 +18,9 @@
 constexpr std::size_t parts_told = 4;
 constexpr std::size_t parts_handed_over = 32;
 
+// Workspaces that one datagram holds, at 150 bytes each.
+constexpr std::size_t most_handed_over = 300;
+
 std::uint32_t whole_part(double value)
 {
     constexpr double most = std::numeric_limits<std::uint32_t>::max();
@@ -186,14 +190,32 @@
     return out;
 }
 
+// Failure guarded against: with thousands of workspaces the message is larger
+// than a datagram, and with it the sign of life that it bears is lost. Those
+// nearest to their limits are told; of the others there is room enough.
 std::vector<workspace_use> usage_limiter::window_uses(base::instant now)
 {
-    std::vector<workspace_use> out;
+    const limit_rules valid = this->rules(now);
+    std::vector<std::pair<double, base::workspace_id>> used;
     for (auto& [workspace, own] : this->limits) {
         own.drop_old(this->allowed.window, now);
-        if (own.recent.sum() > 0 || own.own_waiting > 0)
-            out.push_back(this->use_of(workspace, own, parts_handed_over, now));
+        const double held = own.recent.sum() + own.own_waiting;
+        if (held > 0)
+            used.emplace_back(held / own.window_bound(valid), workspace);
     }
+    if (used.size() > most_handed_over) {
+        std::nth_element(used.begin(),
+                         used.begin() +
+                             static_cast<std::ptrdiff_t>(most_handed_over),
+                         used.end(),
+                         std::greater<>());
+        used.resize(most_handed_over);
+    }
+    std::vector<workspace_use> out;
+    out.reserve(used.size());
+    for (const auto& [share, workspace] : used)
+        out.push_back(this->use_of(
+            workspace, this->limits.at(workspace), parts_handed_over, now));
     return out;
 }
 
@@ -352,12 +374,6 @@
     }
 }
 
-double usage_limiter::level(base::workspace_id workspace) const
-{
-    const auto found = this->limits.find(workspace);
-    return found == this->limits.end() ? 0 : found->second.level;
-}
-
 limit_view usage_limiter::view(base::workspace_id workspace,
                                base::instant now) const
 {
--- a/src/greengagedrum/quota/usage_limiter.hpp
+++ b/src/greengagedrum/quota/usage_limiter.hpp
@@ -113,8 +113,6 @@
     std::vector<workspace_use> own_uses(base::instant now);
     // For whoever may take over: also what only others used, in finer parts.
     std::vector<workspace_use> window_uses(base::instant now);
-    // Below zero: overdrawn. For the log.
-    double level(base::workspace_id workspace) const;
     limit_view view(base::workspace_id workspace, base::instant now) const;
 
 private:
