--- a/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
@@ -18,7 +18,7 @@
 constexpr base::duration far_way = 1400us;
 constexpr base::duration window = 8s;
 constexpr double mean_cost = 1000;
-constexpr std::uint32_t seeds = 3;
+constexpr std::size_t seeds = 3;
 constexpr double roles_found = 1; // seconds from the start of all entries
 // Of the limit, and in tokens, that lag may exceed it by.
 constexpr double overshoot = 0.25;
@@ -77,7 +77,7 @@
     };
     out.ip = address_of(number);
     out.peer_port = 1;
-    for (std::uint32_t seed = 0; seed < seeds; ++seed)
+    for (std::size_t seed = 0; seed < seeds; ++seed)
         out.seeds.push_back({address_of(seed * 7 % this->plan.entries), 1});
     // The first of each data centre is the strongest.
     out.processors = number < this->plan.data_centres ? 0.5 : 0.12;
--- a/src/greengagedrum/routing/route_table.cpp
+++ b/src/greengagedrum/routing/route_table.cpp
@@ -104,8 +104,8 @@
 const workspace* route_table::find_workspace(base::workspace_id id) const
 {
     const std::vector<workspace>& all = this->config->workspaces;
-    const auto found = std::find_if(
-        all.begin(), all.end(), [id](const workspace& one) {
+    const auto found =
+        std::find_if(all.begin(), all.end(), [id](const workspace& one) {
             return one.id == id;
         });
     return found == all.end() ? nullptr : &*found;
