--- a/src/greengagedrum/entry/decisions.cpp
+++ b/src/greengagedrum/entry/decisions.cpp
@@ -107,6 +107,8 @@
         return this->told(traffic::not_sent{order.request, order.send});
     }
     this->sent_to[order.request] = order.upstream;
+    request.last_sent_at = now;
+    request.upstream = to->name;
     if (!request.sent_at) {
         request.sent_at = now;
         if (request.counted)
@@ -231,12 +233,17 @@
     const auto found = this->requests.find(id);
     if (found == this->requests.end())
         return;
+    const accepted& request = found->second;
+    const base::instant now = this->state.clock();
     this->state.log.write(
-        this->state.clock(),
+        now,
         "exchange",
         what.why.empty() ? "send_answered" : "send_failed",
-        {{"request", found->second.wire->source().marks.attempt},
+        {{"request", request.wire->source().marks.attempt},
+         {"digest", base::to_hex(request.digest)},
          {"send", what.send},
+         {"upstream", request.upstream},
+         {"ran_ms", milliseconds(now - request.last_sent_at)},
          {"status", what.status},
          {"events", what.events},
          {"why", what.why}});
--- a/src/greengagedrum/entry/front.cpp
+++ b/src/greengagedrum/entry/front.cpp
@@ -191,6 +191,9 @@
     const std::string attempt = request.origin.marks.attempt;
     if (refusal)
         return this->refuse(from, attempt, *refusal);
+    const relay::request_head& head = from->head();
+    request.facts.digest = base::digest_of_request(
+        request.origin.workspace, head.method, head.target, from->body());
     const bool counted = !this->state.delegating;
     const auto over =
         counted ? this->state.limiter.take(request.workspace, request.cost, now)
@@ -200,6 +203,7 @@
         "front",
         "request_arrived",
         {{"request", attempt},
+         {"digest", base::to_hex(request.facts.digest)},
          {"route", request.origin.route},
          {"workspace", request.origin.workspace},
          {"priority", request.facts.priority},
@@ -222,6 +226,7 @@
     fresh.cost = request.cost;
     fresh.counted = counted;
     fresh.series = request.series;
+    fresh.digest = request.facts.digest;
     fresh.objective = request.facts.objective;
     fresh.gap_objective = request.facts.gap_objective;
     fresh.wire = this->make_exchange(from, std::move(request.origin));
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -98,12 +98,15 @@
         base::instant arrived;
         base::instant end_at;
         base::workspace_id workspace;
+        base::request_digest digest;
         double cost = 0;     // counted against its workspace's limit
         bool counted = true; // here, and not where it is placed
         telemetry::series_key series;
         base::duration objective{0};
         base::duration gap_objective{0}; // between events; 0: none
         std::optional<base::instant> sent_at;
+        base::instant last_sent_at;
+        std::string upstream; // of the last send
         std::optional<base::instant> first_event_at;
         base::instant last_event_at;
         base::duration longest_gap{0}; // between events
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <greengagedrum/base/ids.hpp>
+#include <greengagedrum/base/request_digest.hpp>
 #include <greengagedrum/base/time.hpp>
 #include <greengagedrum/base/verdict.hpp>
 #include <greengagedrum/routing/configuration.hpp>
@@ -23,6 +24,7 @@
     base::class_id service;
     base::workspace_id workspace;
     base::kind_id kind; // its route
+    base::request_digest digest; // empty: not known here
     routing::repeat_rule rule = routing::repeat_rule::at_most_once;
     bool stream = false;
     std::uint32_t priority = 0; // 0 is the most urgent
