--- a/src/greengagedrum/entry/fleet_test/fleet_trouble.cpp
+++ b/src/greengagedrum/entry/fleet_test/fleet_trouble.cpp
@@ -1,5 +1,5 @@
 // What befalls the entries of a played fleet.
-#include <greengagedrum/entry/fleet_test/limited_fleet.hpp>
+#include <greengagedrum/entry/fleet_test/virtual_fleet.hpp>
 
 #include <algorithm>
 
@@ -16,39 +16,7 @@
 
 } // namespace
 
-fleet_plan random_fleet_plan(std::uint64_t seed)
-{
-    std::mt19937_64 dice(seed);
-    const auto draw = [&](double low, double high) {
-        return std::uniform_real_distribution<double>(low, high)(dice);
-    };
-    fleet_plan out;
-    out.seed = seed;
-    out.entries = 34 + dice() % 50;
-    out.data_centres = 1 + dice() % 6;
-    out.demand = draw(0.3, 3);
-    out.requests = 60;
-    out.seconds = 28;
-    if (draw(0, 1) < 0.4) {
-        out.restart_gap =
-            base::duration(static_cast<std::int64_t>(draw(0.5, 2.5) * 1e6));
-        out.restarts_from = draw(3, 15);
-    }
-    while (out.killed_at.size() < 4 && draw(0, 1) < 0.5)
-        out.killed_at.push_back(draw(9, 26));
-    while (out.frozen_at.size() < 2 && draw(0, 1) < 0.3)
-        out.frozen_at.push_back(draw(9, 26));
-    std::sort(out.killed_at.begin(), out.killed_at.end());
-    std::sort(out.frozen_at.begin(), out.frozen_at.end());
-    out.frozen_for = draw(0.2, 8);
-    if (draw(0, 1) < 0.4) {
-        out.cut_from = draw(9, 20);
-        out.cut_for = draw(0.3, 12);
-    }
-    return out;
-}
-
-bool limited_fleet::is_cut(gossip::ip_number from, gossip::ip_number to) const
+bool virtual_fleet::is_cut(gossip::ip_number from, gossip::ip_number to) const
 {
     const double at = this->seconds();
     if (at < this->plan.cut_from ||
@@ -62,7 +30,16 @@
     return behind(from) != behind(to);
 }
 
-void limited_fleet::restart_due()
+void virtual_fleet::end(std::size_t number)
+{
+    if (!this->nodes[number])
+        return;
+    this->owner.ends(*this->nodes[number]);
+    this->nodes[number].reset();
+    this->back_at[number] = this->now + start_takes;
+}
+
+void virtual_fleet::restart_due()
 {
     for (std::size_t number = 0; number < this->nodes.size(); ++number) {
         std::unique_ptr<node>& one = this->nodes[number];
@@ -70,10 +47,7 @@
             this->start(number);
         if (one && one->state.stopping &&
             this->now - one->stopped_at >= stop_takes) {
-            this->result.unanswered +=
-                static_cast<std::uint32_t>(one->requests.size());
-            one.reset();
-            this->back_at[number] = this->now + start_takes;
+            this->end(number);
         }
     }
     if (this->plan.restart_gap.count() == 0 ||
@@ -93,7 +67,7 @@
     stopped->link->begin_stop();
 }
 
-void limited_fleet::trouble_due()
+void virtual_fleet::trouble_due()
 {
     const auto each_dispatcher = [this](const auto& what) {
         for (std::size_t number = 0; number < this->nodes.size(); ++number) {
@@ -101,14 +75,10 @@
                 what(number);
         }
     };
-    const auto kill = [this](std::size_t number) {
-        this->nodes[number].reset();
-        this->back_at[number] = this->now + start_takes;
-    };
     if (this->next_killed < this->plan.killed_at.size() &&
         this->seconds() >= this->plan.killed_at[this->next_killed]) {
         this->next_killed += 1;
-        each_dispatcher(kill);
+        each_dispatcher([this](std::size_t number) { this->end(number); });
     }
     if (this->next_frozen < this->plan.frozen_at.size() &&
         this->seconds() >= this->plan.frozen_at[this->next_frozen]) {
@@ -122,7 +92,7 @@
     if (!this->all_killed && this->seconds() >= this->plan.all_killed_at) {
         this->all_killed = true;
         for (std::size_t number = 0; number < this->nodes.size(); ++number)
-            kill(number);
+            this->end(number);
     }
 }
 
--- a/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
@@ -1,7 +1,6 @@
 #include <greengagedrum/entry/fleet_test/limited_fleet.hpp>
 
 #include <algorithm>
-#include <string>
 
 namespace greengagedrum::entry::fleet_test
 {
@@ -12,49 +11,66 @@
 using namespace std::chrono_literals;
 
 const base::workspace_id busy("busy");
-constexpr base::duration step_length = 5ms;
-constexpr base::duration tick_gap = 20ms;
-constexpr base::duration near_way = 500us;
-constexpr base::duration far_way = 1400us;
 constexpr base::duration window = 8s;
 constexpr double mean_cost = 1000;
-constexpr std::size_t seeds = 3;
 constexpr double roles_found = 1; // seconds from the start of all entries
 // Of the limit, and in tokens, that lag may exceed it by.
 constexpr double overshoot = 0.25;
 constexpr double slack_seconds = 0.6; // of the limit's rate
 
-double since(base::instant from, base::instant to)
-{
-    return std::chrono::duration<double>(to - from).count();
-}
-
 } // namespace
 
-limited_fleet::node::node(base::instant now)
-    : state{{},
-            beliefs(),
-            quota::usage_limiter(now),
-            traffic::scheduler({}, {}),
-            decision_log(),
-            telemetry::registry(1),
-            false}
+limited_fleet::limited_fleet(const fleet_plan& plan)
+    : plan(plan), dice(plan.seed), works(plan.entries),
+      fleet(plan, this->hooks())
 {
+    this->fleet.start();
 }
 
-limited_fleet::limited_fleet(const fleet_plan& plan)
-    : plan(plan), dice(plan.seed), begun(1h), now(1h), nodes(plan.entries),
-      back_at(plan.entries), sent_bytes(plan.entries)
+virtual_fleet::hooks limited_fleet::hooks()
 {
-    for (std::size_t number = 0; number < plan.entries; ++number)
-        this->start(number);
+    virtual_fleet::hooks out;
+    out.configure = [this](node& one) { this->configure(one); };
+    out.events = [this](node& one) { return this->events_of(one); };
+    out.stepped = [this](node& one) { this->count_changes(one); };
+    out.ends = [this](node& one) {
+        if (one.state.stopping)
+            this->result.unanswered +=
+                static_cast<std::uint32_t>(this->of(one).requests.size());
+    };
+    return out;
 }
 
-limited_fleet::~limited_fleet() = default;
-
-double limited_fleet::seconds() const
+fleet_plan random_fleet_plan(std::uint64_t seed)
 {
-    return since(this->begun, this->now);
+    std::mt19937_64 dice(seed);
+    const auto draw = [&](double low, double high) {
+        return std::uniform_real_distribution<double>(low, high)(dice);
+    };
+    fleet_plan out;
+    out.seed = seed;
+    out.entries = 34 + dice() % 50;
+    out.data_centres = 1 + dice() % 6;
+    out.demand = draw(0.3, 3);
+    out.requests = 60;
+    out.seconds = 28;
+    if (draw(0, 1) < 0.4) {
+        out.restart_gap =
+            base::duration(static_cast<std::int64_t>(draw(0.5, 2.5) * 1e6));
+        out.restarts_from = draw(3, 15);
+    }
+    while (out.killed_at.size() < 4 && draw(0, 1) < 0.5)
+        out.killed_at.push_back(draw(9, 26));
+    while (out.frozen_at.size() < 2 && draw(0, 1) < 0.3)
+        out.frozen_at.push_back(draw(9, 26));
+    std::sort(out.killed_at.begin(), out.killed_at.end());
+    std::sort(out.frozen_at.begin(), out.frozen_at.end());
+    out.frozen_for = draw(0.2, 8);
+    if (draw(0, 1) < 0.4) {
+        out.cut_from = draw(9, 20);
+        out.cut_for = draw(0.3, 12);
+    }
+    return out;
 }
 
 double limited_fleet::draw()
@@ -62,35 +78,14 @@
     return std::uniform_real_distribution<double>(0, 1)(this->dice);
 }
 
-// ---- Entries ----------------------------------------------------------------
-
-settings limited_fleet::settings_of(std::size_t number) const
-{
-    settings out;
-    out.instance = "entry-" + std::to_string(number);
-    out.data_centre =
-        "centre-" + std::to_string(number % this->plan.data_centres);
-    const auto address_of = [](std::size_t of) {
-        return relay::asio::ip::address_v4(first_address +
-                                           static_cast<gossip::ip_number>(of))
-            .to_string();
-    };
-    out.ip = address_of(number);
-    out.peer_port = 1;
-    for (std::size_t seed = 0; seed < seeds; ++seed)
-        out.seeds.push_back({address_of(seed * 7 % this->plan.entries), 1});
-    // The first of each data centre is the strongest.
-    out.processors = number < this->plan.data_centres ? 0.5 : 0.12;
-    return out;
-}
-
 double limited_fleet::limit() const
 {
     return this->plan.requests * mean_cost / this->plan.demand;
 }
 
-void limited_fleet::configure(node& one) const
+void limited_fleet::configure(node& one)
 {
+    this->of(one) = work();
     const double limit = this->limit();
     one.state.limiter.set_tolerance({window, overshoot, slack_seconds * limit});
     routing::configuration config;
@@ -98,40 +93,7 @@
     known.id = busy;
     known.limit = {limit, limit, true, 0};
     config.workspaces.push_back(known);
-    one.state.limiter.set_limits(config, this->now);
-}
-
-void limited_fleet::start(std::size_t number)
-{
-    this->nodes[number] = std::make_unique<node>(this->now);
-    node& fresh = *this->nodes[number];
-    fresh.number = number;
-    fresh.address = first_address + static_cast<gossip::ip_number>(number);
-    fresh.state.clock = [this] { return this->now; };
-    this->configure(fresh);
-    peer_transport transport;
-    transport.send = [this, &fresh](std::string_view bytes,
-                                    gossip::ip_number to) {
-        this->sent_bytes[fresh.number] += bytes.size();
-        this->send(fresh.address, to, bytes);
-    };
-    transport.wake_after = [this, &fresh](base::duration after) {
-        fresh.wakes_at = this->now + after;
-    };
-    transport.ask = [](const base::ip_endpoint&,
-                       const std::string&,
-                       base::duration,
-                       const relay::http_get::answer& tell) {
-        tell(tl::unexpected(std::string("not played")));
-    };
-    fresh.link =
-        std::make_unique<peer_link>(this->settings_of(number),
-                                    base::incarnation{this->next_life++},
-                                    fresh.state,
-                                    this->events_of(fresh),
-                                    std::move(transport));
-    fresh.link->store_answered();
-    fresh.link->tell_soon();
+    one.state.limiter.set_limits(config, this->fleet.time());
 }
 
 peer_events limited_fleet::events_of(node& of)
@@ -141,9 +103,10 @@
     out.items = [](const gossip::item_transfer&) {};
     out.delegate = [this, &of] {
         of.state.delegating = true;
-        const dispatch::desk_news news = of.desk.lost_all();
+        const dispatch::desk_news news = this->of(of).desk.lost_all();
         for (const dispatch::counted_cost& cost : news.withdrawn)
-            of.state.limiter.withdrawn(cost.workspace, cost.amount, this->now);
+            of.state.limiter.withdrawn(
+                cost.workspace, cost.amount, this->fleet.time());
     };
     out.place_alone = [this, &of](std::size_t unheard,
                                   const handed_limits* known) {
@@ -159,14 +122,15 @@
     };
     out.member_lost = [this, &of](base::slot_id member) {
         for (const dispatch::counted_cost& cost :
-             of.desk.lost(member).withdrawn)
-            of.state.limiter.withdrawn(cost.workspace, cost.amount, this->now);
+             this->of(of).desk.lost(member).withdrawn)
+            of.state.limiter.withdrawn(
+                cost.workspace, cost.amount, this->fleet.time());
     };
     out.members_unanswered = [this, &of] {
-        return of.desk.unanswered(this->now);
+        return this->of(of).desk.unanswered(this->fleet.time());
     };
     out.reply = [this, &of](base::slot_id member) {
-        return of.desk.reply(member, this->now);
+        return this->of(of).desk.reply(member, this->fleet.time());
     };
     return out;
 }
@@ -175,7 +139,7 @@
 
 void limited_fleet::let_through(double cost)
 {
-    this->let.emplace_back(this->now, cost);
+    this->let.emplace_back(this->fleet.time(), cost);
     this->result.let += cost;
 }
 
@@ -183,15 +147,16 @@
 {
     this->result.asked += 1;
     if (at.state.delegating) {
-        at.requests[this->next_request++] = {this->now, cost, false};
+        this->of(at).requests[this->next_request++] = {
+            this->fleet.time(), cost, false};
         at.link->tell_soon();
         return;
     }
-    if (at.state.limiter.take(busy, cost, this->now)) {
+    if (at.state.limiter.take(busy, cost, this->fleet.time())) {
         this->result.refused += 1;
         return;
     }
-    at.state.limiter.sent(busy, cost, this->now);
+    at.state.limiter.sent(busy, cost, this->fleet.time());
     this->let_through(cost);
 }
 
@@ -201,27 +166,27 @@
 {
     if (known != nullptr)
         one.state.limiter.take_over(
-            known->from, known->life, known->uses, this->now);
+            known->from, known->life, known->uses, this->fleet.time());
     else
-        one.state.limiter.restart(this->now);
+        one.state.limiter.restart(this->fleet.time());
     one.state.limiter.set_unheard_peers(unheard);
-    one.state.limiter.assume_silent_peers(this->now);
+    one.state.limiter.assume_silent_peers(this->fleet.time());
     one.state.delegating = false;
-    for (const auto& [id, request] : one.requests) {
-        if (one.state.limiter.take(busy, request.cost, this->now)) {
+    for (const auto& [id, request] : this->of(one).requests) {
+        if (one.state.limiter.take(busy, request.cost, this->fleet.time())) {
             this->result.refused += 1;
             continue;
         }
-        one.state.limiter.sent(busy, request.cost, this->now);
+        one.state.limiter.sent(busy, request.cost, this->fleet.time());
         this->let_through(request.cost);
     }
-    one.requests.clear();
+    this->of(one).requests.clear();
 }
 
-dispatch::member_report limited_fleet::report_of(const node& member) const
+dispatch::member_report limited_fleet::report_of(const node& member)
 {
     dispatch::member_report out;
-    for (const auto& [id, request] : member.requests) {
+    for (const auto& [id, request] : this->of(member).requests) {
         dispatch::wanted_place wanted;
         wanted.name = {base::request_id{id}, 1};
         wanted.facts.workspace = busy;
@@ -238,23 +203,24 @@
                              const gossip::word& told)
 {
     quota::usage_limiter& limiter = dispatcher.state.limiter;
+    dispatch::member_desk& desk = this->of(dispatcher).desk;
     const dispatch::desk_news news =
-        dispatcher.desk.report(member, told.life, told.report, told.uses);
+        desk.report(member, told.life, told.report, told.uses);
     for (const dispatch::counted_cost& cost : news.withdrawn)
-        limiter.withdrawn(cost.workspace, cost.amount, this->now);
+        limiter.withdrawn(cost.workspace, cost.amount, this->fleet.time());
     for (const auto& [id, wanted] : news.arrived) {
-        const auto over = limiter.take(busy, wanted.cost, this->now);
+        const auto over = limiter.take(busy, wanted.cost, this->fleet.time());
         if (over) {
-            dispatcher.desk.declined(
-                id, base::not_run(base::reason::limit_reached, *over));
+            desk.declined(id,
+                          base::not_run(base::reason::limit_reached, *over));
             continue;
         }
         traffic::send_request order;
         order.request = id;
         order.send = 1;
         order.upstream = base::upstream_id("any");
-        dispatcher.desk.granted(order);
-        limiter.sent(busy, wanted.cost, this->now);
+        desk.granted(order);
+        limiter.sent(busy, wanted.cost, this->fleet.time());
     }
 }
 
@@ -262,89 +228,43 @@
                             const dispatch::dispatcher_reply& what)
 {
     for (const dispatch::granted_place& one : what.granted) {
-        const auto found = member.requests.find(one.name.request.value);
-        if (found == member.requests.end())
+        const auto found =
+            this->of(member).requests.find(one.name.request.value);
+        if (found == this->of(member).requests.end())
             continue;
         this->let_through(found->second.cost);
-        member.requests.erase(found);
+        this->of(member).requests.erase(found);
     }
     for (const dispatch::declined_place& one : what.declined) {
-        if (member.requests.erase(one.name.request.value) > 0)
+        if (this->of(member).requests.erase(one.name.request.value) > 0)
             this->result.refused += 1;
     }
 }
 
 void limited_fleet::ask()
 {
-    double due =
-        this->plan.requests * since(this->now - step_length, this->now);
+    constexpr double step_seconds = 0.005;
+    double due = this->plan.requests * step_seconds;
     while (due > 0) {
         if (due < 1 && this->draw() >= due)
             return;
         due -= 1;
-        const std::size_t at = this->dice() % this->nodes.size();
-        node* to = this->nodes[at].get();
-        // The balancer leaves out those that are down or stop.
-        if (to == nullptr || to->state.stopping || to->frozen_until > this->now)
-            continue;
-        this->arrive(*to, mean_cost * 2 * this->draw());
+        node* to = this->fleet.serving(this->dice() % this->fleet.size());
+        if (to != nullptr)
+            this->arrive(*to, mean_cost * 2 * this->draw());
     }
 }
 
-// ---- Messages
-// -----------------------------------------------------------------
+// ---- The run ----------------------------------------------------------------
 
-void limited_fleet::send(gossip::ip_number from,
-                         gossip::ip_number to,
-                         std::string_view bytes)
+void limited_fleet::count_changes(const node& one)
 {
-    if (this->is_cut(from, to))
+    work& own = this->of(one);
+    if (own.was_delegating == one.state.delegating)
         return;
-    const bool is_near = (from - first_address) % this->plan.data_centres ==
-                         (to - first_address) % this->plan.data_centres;
-    std::deque<datagram>& way = is_near ? this->near : this->far;
-    way.push_back({this->now + (is_near ? near_way : far_way),
-                   from,
-                   to,
-                   std::string(bytes)});
-}
-
-void limited_fleet::deliver()
-{
-    for (std::deque<datagram>* way : {&this->near, &this->far}) {
-        while (!way->empty() && way->front().arrives <= this->now) {
-            const datagram one = std::move(way->front());
-            way->pop_front();
-            const std::size_t number = one.to - first_address;
-            if (number >= this->nodes.size() || !this->nodes[number])
-                continue;
-            node& to = *this->nodes[number];
-            if (to.frozen_until <= this->now)
-                to.link->on_word(one.bytes, "");
-        }
-    }
-}
-
-// ---- The run
-// ----------------------------------------------------------------------
-
-void limited_fleet::step(node& one)
-{
-    if (one.frozen_until > this->now)
-        return;
-    if (one.wakes_at && *one.wakes_at <= this->now) {
-        one.wakes_at.reset();
-        one.link->wake();
-    }
-    const auto turn = (this->now - this->begun) / step_length;
-    constexpr auto turns = tick_gap / step_length;
-    if ((turn + static_cast<std::int64_t>(one.number)) % turns == 0)
-        one.link->tick(false);
-    if (one.was_delegating != one.state.delegating) {
-        one.was_delegating = one.state.delegating;
-        const bool counts = !one.state.delegating && this->seconds() > 2;
-        this->result.dispatcher_changes += counts ? 1 : 0;
-    }
+    own.was_delegating = one.state.delegating;
+    const bool counts = !one.state.delegating && this->fleet.seconds() > 2;
+    this->result.dispatcher_changes += counts ? 1 : 0;
 }
 
 void limited_fleet::judge()
@@ -355,41 +275,35 @@
     const double bound = this->limit() * (9 * (1 + overshoot) + slack_seconds);
     if (held / bound > this->result.worst_share) {
         this->result.worst_share = held / bound;
-        this->result.worst_at = this->seconds();
+        this->result.worst_at = this->fleet.seconds();
     }
 }
 
 fleet_result limited_fleet::play()
 {
-    while (this->seconds() < this->plan.seconds) {
-        this->now += step_length;
-        this->restart_due();
-        this->trouble_due();
-        this->deliver();
-        for (const std::unique_ptr<node>& one : this->nodes) {
-            if (one)
-                this->step(*one);
-        }
-        if (this->seconds() >= roles_found)
+    std::uint64_t steps = 0;
+    constexpr std::uint64_t judged_every = 20;
+    while (this->fleet.seconds() < this->plan.seconds) {
+        this->fleet.step();
+        if (this->fleet.seconds() >= roles_found)
             this->ask();
         while (!this->let.empty() &&
-               this->now - this->let.front().first > window)
+               this->fleet.time() - this->let.front().first > window)
             this->let.pop_front();
-        if ((this->now - this->begun) % 100ms == base::duration(0))
+        if (++steps % judged_every == 0)
             this->judge();
     }
-    for (const std::unique_ptr<node>& one : this->nodes) {
-        for (const auto& [id, request] :
-             one ? one->requests : std::map<std::uint64_t, waiting_request>()) {
-            const bool late = this->now - request.arrived > 1s;
+    for (std::size_t number = 0; number < this->fleet.size(); ++number) {
+        if (this->fleet.at(number) == nullptr)
+            continue;
+        for (const auto& [id, request] : this->works[number].requests) {
+            const bool late = this->fleet.time() - request.arrived > 1s;
             this->result.unanswered += late ? 1 : 0;
         }
     }
     this->result.let /= this->limit() * (this->plan.seconds - roles_found);
     this->result.busiest_bytes = static_cast<std::uint64_t>(
-        static_cast<double>(*std::max_element(this->sent_bytes.begin(),
-                                              this->sent_bytes.end())) /
-        this->plan.seconds);
+        static_cast<double>(this->fleet.busiest_bytes()) / this->plan.seconds);
     return this->result;
 }
 
--- /dev/null
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
@@ -0,0 +1,188 @@
+#include <greengagedrum/entry/fleet_test/virtual_fleet.hpp>
+#include <greengagedrum/placement/mix.hpp>
+
+#include <algorithm>
+#include <string>
+
+namespace greengagedrum::entry::fleet_test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr base::duration step_length = 5ms;
+constexpr base::duration tick_gap = 20ms;
+constexpr base::duration near_way = 500us;
+constexpr base::duration far_way = 1400us;
+constexpr std::size_t seeds = 3;
+
+} // namespace
+
+virtual_fleet::node::node(base::instant now)
+    : state{{},
+            beliefs(),
+            quota::usage_limiter(now),
+            traffic::scheduler({}, {}),
+            decision_log(),
+            telemetry::registry(1),
+            false}
+{
+}
+
+virtual_fleet::virtual_fleet(const trouble_plan& plan, hooks owner)
+    : plan(plan), owner(std::move(owner)), begun(1h), now(1h),
+      nodes(plan.entries), back_at(plan.entries), sent_bytes(plan.entries)
+{
+}
+
+virtual_fleet::~virtual_fleet() = default;
+
+void virtual_fleet::start()
+{
+    for (std::size_t number = 0; number < this->plan.entries; ++number)
+        this->start(number);
+}
+
+double virtual_fleet::seconds() const
+{
+    return std::chrono::duration<double>(this->now - this->begun).count();
+}
+
+std::uint64_t virtual_fleet::busiest_bytes() const
+{
+    return *std::max_element(this->sent_bytes.begin(), this->sent_bytes.end());
+}
+
+virtual_fleet::node* virtual_fleet::serving(std::size_t number)
+{
+    node* one = this->nodes[number].get();
+    const bool out =
+        one == nullptr || one->state.stopping || one->frozen_until > this->now;
+    return out ? nullptr : one;
+}
+
+// ---- Entries ----------------------------------------------------------------
+
+settings virtual_fleet::settings_of(std::size_t number) const
+{
+    settings out;
+    out.instance = "entry-" + std::to_string(number);
+    out.data_centre =
+        "centre-" + std::to_string(number % this->plan.data_centres);
+    const auto address_of = [](std::size_t of) {
+        return relay::asio::ip::address_v4(first_address +
+                                           static_cast<gossip::ip_number>(of))
+            .to_string();
+    };
+    out.ip = address_of(number);
+    out.peer_port = 1;
+    for (std::size_t seed = 0; seed < seeds; ++seed)
+        out.seeds.push_back({address_of(seed * 7 % this->plan.entries), 1});
+    // The first of each data centre is the strongest.
+    out.processors = number < this->plan.data_centres ? 0.5 : 0.12;
+    return out;
+}
+
+void virtual_fleet::start(std::size_t number)
+{
+    this->nodes[number] = std::make_unique<node>(this->now);
+    node& fresh = *this->nodes[number];
+    fresh.number = number;
+    fresh.address = first_address + static_cast<gossip::ip_number>(number);
+    fresh.state.clock = [this] { return this->now; };
+    this->owner.configure(fresh);
+    peer_transport transport;
+    transport.send = [this, &fresh](std::string_view bytes,
+                                    gossip::ip_number to) {
+        this->sent_bytes[fresh.number] += bytes.size();
+        this->send(fresh.address, to, bytes);
+    };
+    transport.wake_after = [this, &fresh](base::duration after) {
+        fresh.wakes_at = this->now + after;
+    };
+    transport.ask = [](const base::ip_endpoint&,
+                       const std::string&,
+                       base::duration,
+                       const relay::http_get::answer& tell) {
+        tell(tl::unexpected(std::string("not played")));
+    };
+    fresh.link =
+        std::make_unique<peer_link>(this->settings_of(number),
+                                    base::incarnation{this->next_life++},
+                                    fresh.state,
+                                    this->owner.events(fresh),
+                                    std::move(transport));
+    fresh.link->store_answered();
+    fresh.link->tell_soon();
+}
+
+// ---- Messages ---------------------------------------------------------------
+
+void virtual_fleet::send(gossip::ip_number from,
+                         gossip::ip_number to,
+                         std::string_view bytes)
+{
+    if (this->is_cut(from, to))
+        return;
+    constexpr std::uint64_t parts = 10'000;
+    const std::uint64_t lot =
+        placement::mix(this->plan.seed, this->next_datagram++) % parts;
+    if (static_cast<double>(lot) < this->plan.lost_share * parts)
+        return;
+    const bool is_near = (from - first_address) % this->plan.data_centres ==
+                         (to - first_address) % this->plan.data_centres;
+    std::deque<datagram>& way = is_near ? this->near : this->far;
+    way.push_back({this->now + (is_near ? near_way : far_way),
+                   from,
+                   to,
+                   std::string(bytes)});
+}
+
+void virtual_fleet::deliver()
+{
+    for (std::deque<datagram>* way : {&this->near, &this->far}) {
+        while (!way->empty() && way->front().arrives <= this->now) {
+            const datagram one = std::move(way->front());
+            way->pop_front();
+            const std::size_t number = one.to - first_address;
+            if (number >= this->nodes.size() || !this->nodes[number])
+                continue;
+            node& to = *this->nodes[number];
+            if (to.frozen_until <= this->now)
+                to.link->on_word(one.bytes, "");
+        }
+    }
+}
+
+// ---- The run ----------------------------------------------------------------
+
+void virtual_fleet::step(node& one)
+{
+    if (one.frozen_until > this->now)
+        return;
+    if (one.wakes_at && *one.wakes_at <= this->now) {
+        one.wakes_at.reset();
+        one.link->wake();
+    }
+    const auto turn = (this->now - this->begun) / step_length;
+    constexpr auto turns = tick_gap / step_length;
+    if ((turn + static_cast<std::int64_t>(one.number)) % turns == 0)
+        one.link->tick(false);
+    this->owner.stepped(one);
+}
+
+void virtual_fleet::step()
+{
+    this->now += step_length;
+    this->restart_due();
+    this->trouble_due();
+    this->deliver();
+    for (const std::unique_ptr<node>& one : this->nodes) {
+        if (one)
+            this->step(*one);
+    }
+}
+
+} // namespace greengagedrum::entry::fleet_test
--- /dev/null
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
@@ -0,0 +1,119 @@
+// Entries in several data centres in virtual time: the real messages between
+// them over a network that delays and cuts, and processes that are stopped,
+// killed, frozen and started again. What the entries serve is the owner's.
+#pragma once
+
+#include <greengagedrum/dispatch/member_desk.hpp>
+#include <greengagedrum/entry/peer_link.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace greengagedrum::entry::fleet_test
+{
+
+// The address of the entry of number 0; the others follow.
+inline constexpr gossip::ip_number first_address = 0x0a000001; // 10.0.0.1
+
+struct trouble_plan {
+    std::size_t entries = 86;
+    std::size_t data_centres = 4;
+    double seconds = 30;
+    base::duration restart_gap{0}; // all entries restarted, one after the other
+    double restarts_from = 12;     // seconds
+    // The dispatchers of the data centres, killed or frozen for so long.
+    std::vector<double> killed_at;
+    std::vector<double> frozen_at;
+    double frozen_for = 5;
+    // All are killed at once, and are back half a second later.
+    double all_killed_at = 1e9;
+    // Half of the entries of the first data centre, its dispatcher with them.
+    double cut_from = 1e9;
+    double cut_for = 10;
+    double lost_share = 0; // of all datagrams
+    std::uint64_t seed = 1;
+};
+
+class virtual_fleet
+{
+public:
+    // One process.
+    struct node {
+        explicit node(base::instant now);
+
+        std::size_t number = 0;
+        gossip::ip_number address = 0;
+        shared_state state;
+        std::unique_ptr<peer_link> link;
+        std::optional<base::instant> wakes_at;
+        base::instant stopped_at;
+        base::instant frozen_until;
+    };
+
+    struct hooks {
+        // A process starts: what it is to know, and what it does for its link.
+        std::function<void(node&)> configure;
+        std::function<peer_events(node&)> events;
+        std::function<void(node&)> stepped = [](node&) {};
+        // It is about to be gone.
+        std::function<void(node&)> ends = [](node&) {};
+    };
+
+    virtual_fleet(const trouble_plan& plan, hooks owner);
+    ~virtual_fleet();
+    virtual_fleet(const virtual_fleet&) = delete;
+    virtual_fleet& operator=(const virtual_fleet&) = delete;
+
+    // Starts all entries.
+    void start();
+    // Lets five milliseconds pass.
+    void step();
+
+    std::size_t size() const { return this->nodes.size(); }
+    // Null while it is down.
+    node* at(std::size_t number) { return this->nodes[number].get(); }
+    // Null also while the balancer leaves it out.
+    node* serving(std::size_t number);
+    base::instant time() const { return this->now; }
+    double seconds() const;
+    std::uint64_t busiest_bytes() const; // of one entry, in all
+
+private:
+    struct datagram {
+        base::instant arrives;
+        gossip::ip_number from = 0;
+        gossip::ip_number to = 0;
+        std::string bytes;
+    };
+
+    void start(std::size_t number);
+    settings settings_of(std::size_t number) const;
+    void
+    send(gossip::ip_number from, gossip::ip_number to, std::string_view bytes);
+    bool is_cut(gossip::ip_number from, gossip::ip_number to) const;
+    void deliver();
+    void end(std::size_t number);
+    void restart_due();
+    void trouble_due();
+    void step(node& one);
+
+    trouble_plan plan;
+    hooks owner;
+    base::instant begun;
+    base::instant now;
+    std::vector<std::unique_ptr<node>> nodes; // null: it is down
+    std::vector<base::instant> back_at;       // of those that are down
+    std::deque<datagram> near;
+    std::deque<datagram> far;
+    std::vector<std::uint64_t> sent_bytes; // by entry
+    std::size_t next_restart = 0;
+    std::size_t next_killed = 0;
+    std::size_t next_frozen = 0;
+    bool all_killed = false;
+    std::uint64_t next_life = 1;
+    std::uint64_t next_datagram = 0;
+};
+
+} // namespace greengagedrum::entry::fleet_test
