--- /dev/null
+++ b/src/greengagedrum/entry/fleet_test/crashing_fleet.hpp
@@ -0,0 +1,119 @@
+// A fleet of entries before upstreams of one service, in virtual time, with a
+// caller whose request ends each upstream that runs it and who sends it again
+// and again. Each entry sends its own requests; where one entry of a data
+// centre places for all, the messages between them are played, the placing is
+// not.
+#pragma once
+
+#include <greengagedrum/entry/fleet_test/virtual_fleet.hpp>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace greengagedrum::entry::fleet_test
+{
+
+struct crash_plan : trouble_plan {
+    std::size_t upstreams = 9;
+    base::duration crash_gap = std::chrono::milliseconds(700); // between copies
+    std::size_t copies = 1; // of the request, at once at different entries
+    std::size_t bodies = 1; // different ones that crash upstreams, by turns
+    double requests = 40;   // a second, of other callers, in all
+    double hot_share = 0;   // of these, with one and the same body
+    bool crashes = true;    // else the request is answered like any other
+    // The connections of one entry are reset, so often.
+    base::duration reset_gap{0};
+    // An upstream ends by itself, so often.
+    base::duration death_gap{0};
+};
+
+struct crash_result {
+    std::uint32_t reached = 0;  // upstreams that began to run such a request
+    std::uint32_t crashed = 0;  // upstreams that ended by it
+    std::uint32_t late = 0;     // runs of one body beyond its third crash, most
+    std::uint32_t innocent = 0; // requests of other callers
+    std::uint32_t answered = 0; // of these
+    std::uint32_t barred = 0;   // of these, refused for crashes
+    std::uint64_t bytes = 0;    // a second, of the busiest entry
+    std::size_t records = 0;    // kept by one entry, most
+};
+
+class crashing_fleet
+{
+public:
+    explicit crashing_fleet(const crash_plan& plan);
+
+    crash_result play();
+
+private:
+    using node = virtual_fleet::node;
+
+    struct run {
+        std::size_t entry = 0;
+        std::uint64_t process = 0;
+        base::request_id request;
+        std::uint32_t send = 0;
+        std::optional<std::size_t> body; // of those that crash upstreams
+        base::instant ends_at;
+    };
+
+    struct upstream {
+        std::uint64_t life = 0;
+        bool alive = true;
+        base::instant back_at;
+        std::vector<run> runs;
+    };
+
+    // What one process has to do.
+    struct work {
+        std::uint64_t process = 0;
+        base::instant began;
+        dispatch::member_desk desk;
+        // Requests under way that crash upstreams, and all others.
+        std::map<base::request_id, std::size_t> deadly;
+        std::set<base::request_id> innocent;
+    };
+
+    struct body_record {
+        std::uint32_t crashes = 0;
+        base::instant third_at;
+        std::uint32_t late = 0;
+    };
+
+    virtual_fleet::hooks hooks();
+    peer_events events_of(node& of);
+    void configure(node& one);
+    void carry_out(node& at, const traffic::actions& orders);
+    void tell(node& at, const traffic::event& what);
+    void send(node& at, const traffic::send_request& order);
+    void end(node& at, const traffic::end_request& order);
+    void ask_deadly();
+    void ask_innocent();
+    void arrive(std::size_t at, std::optional<std::size_t> body);
+    void run_upstreams();
+    void end_upstream(upstream& one);
+    void break_run(const run& one);
+    void reset_connections();
+    routing::published_upstream published(std::size_t number) const;
+    base::request_digest digest_of_body(std::uint64_t number) const;
+
+    crash_plan plan;
+    std::mt19937_64 dice;
+    std::vector<work> works; // by entry
+    std::vector<upstream> upstreams;
+    std::vector<body_record> bodies;
+    virtual_fleet fleet;
+    base::instant next_copies;
+    base::instant next_reset;
+    base::instant next_death;
+    std::uint64_t next_body = 0;
+    std::uint64_t next_request = 1;
+    std::uint64_t next_process = 1;
+    std::uint64_t next_innocent = 1'000'000;
+    crash_result result;
+};
+
+} // namespace greengagedrum::entry::fleet_test
