--- a/src/greengagedrum/base/verdict.cpp
+++ b/src/greengagedrum/base/verdict.cpp
@@ -29,6 +29,8 @@
         return "upstream_failed";
     case reason::upstream_silent:
         return "upstream_silent";
+    case reason::quarantined:
+        return "quarantined";
     case reason::stopping:
         return "stopping";
     case reason::ticket_home_gone:
--- a/src/greengagedrum/base/verdict.hpp
+++ b/src/greengagedrum/base/verdict.hpp
@@ -27,6 +27,7 @@
     no_upstream,      // no upstream of the class takes work
     upstream_failed,  // the upstream died, refused or broke its stream
     upstream_silent,  // no progress within the progress deadline
+    quarantined,      // upstreams crashed under the same request
     stopping,         // this instance is shutting down
     ticket_home_gone, // the ticket's home process no longer exists
     ticket_home_away, // the ticket's home can't be reached
--- a/src/greengagedrum/entry/decisions.cpp
+++ b/src/greengagedrum/entry/decisions.cpp
@@ -1,6 +1,7 @@
 // How facts about requests reach the scheduler, and its orders the sockets.
 #include <greengagedrum/entry/front.hpp>
 #include <greengagedrum/entry/milliseconds.hpp>
+#include <greengagedrum/entry/standing_log.hpp>
 
 #include <algorithm>
 
@@ -179,6 +180,11 @@
          {"bad_share", change.bad_share}});
 }
 
+void front::carry_out_one(const quarantine::standing_change& change)
+{
+    log_standing(this->state, change, "own");
+}
+
 void front::finish(base::request_id id, const base::verdict* failed)
 {
     const auto found = this->requests.find(id);
@@ -235,18 +241,17 @@
         return;
     const accepted& request = found->second;
     const base::instant now = this->state.clock();
-    this->state.log.write(
-        now,
-        "exchange",
-        what.why.empty() ? "send_answered" : "send_failed",
-        {{"request", request.wire->source().marks.attempt},
-         {"digest", base::to_hex(request.digest)},
-         {"send", what.send},
-         {"upstream", request.upstream},
-         {"ran_ms", milliseconds(now - request.last_sent_at)},
-         {"status", what.status},
-         {"events", what.events},
-         {"why", what.why}});
+    this->state.log.write(now,
+                          "exchange",
+                          what.why.empty() ? "send_answered" : "send_failed",
+                          {{"request", request.wire->source().marks.attempt},
+                           {"digest", base::to_hex(request.digest)},
+                           {"send", what.send},
+                           {"upstream", request.upstream},
+                           {"ran_ms", milliseconds(now - request.last_sent_at)},
+                           {"status", what.status},
+                           {"events", what.events},
+                           {"why", what.why}});
 }
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -23,6 +23,13 @@
            type->starts_with("text/event-stream");
 }
 
+traffic::break_cause cause_of(relay::call_fault what)
+{
+    return what == relay::call_fault::malformed
+               ? traffic::break_cause::malformed
+               : traffic::break_cause::connection_lost;
+}
+
 unsigned status_of(const base::verdict& verdict)
 {
     if (verdict.run == base::run_state::not_run)
@@ -83,7 +90,9 @@
     out.head = [self] { self->on_head(); };
     out.body = [self](std::string_view bytes) { self->on_body(bytes); };
     out.done = [self] { self->on_done(); };
-    out.broken = [self](const std::string& why) { self->on_broken(why); };
+    out.broken = [self](relay::call_fault what, const std::string& why) {
+        self->on_broken(cause_of(what), why);
+    };
     return out;
 }
 
@@ -138,7 +147,7 @@
     const std::string fault = this->head_fault();
     if (!fault.empty()) {
         this->stop_send();
-        return this->on_broken(fault);
+        return this->on_broken(traffic::break_cause::malformed, fault);
     }
     this->streaming = true;
 }
@@ -224,7 +233,7 @@
     }
     const std::string fault = this->head_fault();
     if (!fault.empty())
-        return this->on_broken(fault);
+        return this->on_broken(traffic::break_cause::malformed, fault);
     this->report({});
     this->events.told(
         traffic::answered{this->origin.id,
@@ -232,11 +241,11 @@
                           this->answer.status < first_server_error});
 }
 
-void exchange::on_broken(const std::string& why)
+void exchange::on_broken(traffic::break_cause cause, const std::string& why)
 {
     this->call.reset();
     this->report(why);
-    this->events.told(traffic::broken{this->origin.id, this->number});
+    this->events.told(traffic::broken{this->origin.id, this->number, cause});
 }
 
 void exchange::report(std::string why) const
--- a/src/greengagedrum/entry/fleet_test/crashing_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/crashing_fleet.cpp
@@ -194,8 +194,11 @@
 
 void crashing_fleet::end(node& at, const traffic::end_request& order)
 {
-    this->works[at.number].deadly.erase(order.request);
-    this->works[at.number].innocent.erase(order.request);
+    work& own = this->works[at.number];
+    own.deadly.erase(order.request);
+    if (own.innocent.erase(order.request) > 0 &&
+        order.verdict.why == base::reason::quarantined)
+        this->result.barred += 1;
 }
 
 void crashing_fleet::send(node& at, const traffic::send_request& order)
@@ -330,6 +333,12 @@
         this->ask_innocent();
         this->ask_deadly();
     }
+    for (std::size_t at = 0; at < this->fleet.size(); ++at) {
+        if (const node* one = this->fleet.at(at))
+            this->result.records =
+                std::max(this->result.records,
+                         one->state.scheduler.crash_suspects().size());
+    }
     for (const body_record& one : this->bodies)
         this->result.late = std::max(this->result.late, one.late);
     this->result.bytes = static_cast<std::uint64_t>(
--- a/src/greengagedrum/entry/fleet_test/crashing_fleet_test.cpp
+++ b/src/greengagedrum/entry/fleet_test/crashing_fleet_test.cpp
@@ -32,7 +32,9 @@
             ", barred ",
             got.barred,
             "; bytes a second ",
-            got.bytes);
+            got.bytes,
+            ", records ",
+            got.records);
     return got;
 }
 
@@ -51,4 +53,98 @@
     }
 }
 
+// Five copies come at the same moment, each at another entry.
+TEST_CASE("copies_at_once_over_all_entries_are_contained")
+{
+    for (const std::size_t entries : {9U, 86U}) {
+        crash_plan plan;
+        plan.entries = entries;
+        plan.upstreams = std::max<std::size_t>(9, entries / 4);
+        plan.copies = 5;
+        const crash_result got = played(plan);
+        CHECK(got.late <= late_most);
+        CHECK(got.crashed <= 5);
+    }
+}
+
+// All entries are killed at once: what they knew of the request is lost.
+TEST_CASE("contained_request_after_all_entries_were_killed_contained_again")
+{
+    for (const std::size_t entries : {9U, 86U}) {
+        crash_plan plan;
+        plan.entries = entries;
+        plan.upstreams = std::max<std::size_t>(9, entries / 4);
+        plan.all_killed_at = 15;
+        const crash_result got = played(plan);
+        CHECK(got.late <= late_most);
+    }
+}
+
+// Entries are restarted one after the other, those that place killed and
+// frozen; a fresh process learns from its peers what not to send.
+TEST_CASE("entries_replaced_one_by_one_do_not_send_a_contained_request")
+{
+    for (const std::size_t entries : {9U, 86U}) {
+        crash_plan plan;
+        plan.entries = entries;
+        plan.upstreams = std::max<std::size_t>(9, entries / 4);
+        plan.restart_gap = 500ms;
+        // Among few all place, and all would be killed.
+        if (entries > 9) {
+            plan.killed_at = {14, 20};
+            plan.frozen_at = {17};
+        }
+        plan.seconds = 40;
+        const crash_result got = played(plan);
+        CHECK(got.late <= late_most);
+        CHECK(got.crashed <= 3);
+    }
+}
+
+// Half of the entries of a data centre are cut off, and one datagram in twenty
+// is lost.
+TEST_CASE("request_contained_on_both_sides_of_a_cut")
+{
+    for (const std::size_t entries : {9U, 86U}) {
+        crash_plan plan;
+        plan.entries = entries;
+        plan.upstreams = std::max<std::size_t>(9, entries / 4);
+        plan.cut_from = 5;
+        plan.lost_share = 0.05;
+        const crash_result got = played(plan);
+        CHECK(got.late <= late_most);
+    }
+}
+
+// One caller sends three hundred bodies, each of which crashes upstreams.
+TEST_CASE("many_bodies_that_crash_upstreams_are_each_contained")
+{
+    crash_plan plan;
+    plan.entries = 9;
+    plan.upstreams = 60;
+    plan.bodies = 300;
+    plan.crash_gap = 110ms;
+    plan.seconds = 90;
+    const crash_result got = played(plan);
+    CHECK(got.late <= late_most);
+    CHECK(got.crashed <= 2 * plan.bodies + 10);
+}
+
+// Upstreams end and connections are reset by themselves, and a third of all
+// callers send one and the same body: nobody is refused for it.
+TEST_CASE("requests_that_crash_nothing_are_not_barred")
+{
+    for (const std::size_t entries : {9U, 86U}) {
+        crash_plan plan;
+        plan.entries = entries;
+        plan.upstreams = std::max<std::size_t>(9, entries / 4);
+        plan.crashes = false;
+        plan.hot_share = 0.3;
+        plan.death_gap = 1s;
+        plan.reset_gap = 300ms;
+        const crash_result got = played(plan);
+        CHECK(got.barred == 0);
+    }
+}
+
 } // namespace greengagedrum::entry::fleet_test
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -134,6 +134,7 @@
             {{"peer", word->instance},
              {"config_revision", word->configuration_revision},
              {"store_revision", word->store_revision}});
+    this->take_suspects(*word, now);
     this->peer_read_at = std::max(this->peer_read_at, now - word->store_age);
     switch (word->kind) {
     case gossip::word_kind::load:
@@ -247,6 +248,10 @@
     out.waiting = this->state.scheduler.own_waiting(now);
     out.workspace_uses = this->state.limiter.own_uses(now);
     out.known = this->table.some_known(who, now);
+    out.suspects = this->suspects_for(who == gossip::audience::own_data_centre
+                                          ? this->suspects_to_near
+                                          : this->suspects_to_far,
+                                      now);
     return out;
 }
 
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -98,6 +98,9 @@
     gossip::word own_load(gossip::audience who);
 
     // ---- Among many entries
+    void take_suspects(const gossip::word& told, base::instant now);
+    std::vector<quarantine::suspect_report>
+    suspects_for(base::instant& told_all_at, base::instant now);
     void take_load(const gossip::word& told, base::instant now);
     void take_report(const gossip::word& told, base::instant now);
     void take_reply(const gossip::word& told, base::instant now);
@@ -144,6 +147,10 @@
     base::instant peer_read_at; // the same of its peers, the newest
     std::uint64_t turn = 0;
     bool asking = false;
+    // When all that is known of suspects was last told by turns.
+    base::instant suspects_to_near;
+    base::instant suspects_to_far;
+    base::instant suspects_to_members;
 
     // What an entry believed, and after which of its changes.
     struct belief_point {
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -1,6 +1,7 @@
 // Among many entries: which of them places requests, and what is made of what
 // the others tell.
 #include <greengagedrum/entry/peer_link.hpp>
+#include <greengagedrum/entry/standing_log.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -46,6 +47,16 @@
 
 // ---- Hearing --------------------------------------------------------------
 
+void peer_link::take_suspects(const gossip::word& told, base::instant now)
+{
+    if (told.suspects.empty())
+        return;
+    const auto changes =
+        this->state.scheduler.crash_suspects().merge(told.suspects, now);
+    for (const quarantine::standing_change& one : changes)
+        log_standing(this->state, one, told.instance);
+}
+
 void peer_link::take_load(const gossip::word& told, base::instant now)
 {
     const base::slot_id slot(told.instance);
--- a/src/greengagedrum/entry/peer_telling.cpp
+++ b/src/greengagedrum/entry/peer_telling.cpp
@@ -17,11 +17,29 @@
 constexpr base::duration greet_gap = std::chrono::milliseconds(500);
 constexpr std::size_t greeted_at_once = 4;
 
+// Between two messages that also tell of suspects what is not new.
+constexpr base::duration suspects_gap = std::chrono::milliseconds(250);
+
 // A member that reported so lately is told of signs of life.
 constexpr base::duration member_for = std::chrono::milliseconds(1500);
 
 } // namespace
 
+// What is not new is told by turns, so that an entry that has just started, or
+// was cut off, learns of it within a second.
+std::vector<quarantine::suspect_report>
+peer_link::suspects_for(base::instant& told_all_at, base::instant now)
+{
+    quarantine::suspect_table& suspects =
+        this->state.scheduler.crash_suspects();
+    if (suspects.empty())
+        return {};
+    const bool all = now - told_all_at >= suspects_gap;
+    if (all)
+        told_all_at = now;
+    return suspects.reports(now, all);
+}
+
 // Its members leave at the first sign of it, so those next in line are told of
 // limits by that very message.
 void peer_link::begin_stop()
@@ -86,6 +104,7 @@
     gossip::word out = this->own_word(gossip::word_kind::report);
     out.uses = this->state.scheduler.own_uses(now);
     out.report = this->events.report();
+    out.suspects = this->suspects_for(this->suspects_to_near, now);
     this->reported_at = now;
     this->unanswered_report = out.sequence;
     this->order.told(*this->dispatcher, now);
@@ -145,11 +164,13 @@
     const std::vector<gossip::known_entry> known =
         this->order.to_name(base::data_centre_id(this->own.data_centre), now);
     const std::vector<gossip::ip_number> next = this->order.next_in_line(now);
+    const auto suspects = this->suspects_for(this->suspects_to_members, now);
     for (const auto& [slot, one] : this->members) {
         if (now - one.heard_at > member_for)
             continue;
         gossip::word out = this->own_word(gossip::word_kind::reply);
         out.known = known;
+        out.suspects = suspects;
         out.reply = this->events.reply(slot);
         if (std::find(next.begin(), next.end(), one.address) != next.end())
             out.workspace_uses = this->state.limiter.window_uses(now);
--- /dev/null
+++ b/src/greengagedrum/entry/standing_log.hpp
@@ -0,0 +1,16 @@
+// The log lines of requests that crash upstreams.
+#pragma once
+
+#include <greengagedrum/entry/front.hpp>
+
+#include <string_view>
+
+namespace greengagedrum::entry
+{
+
+// `source`: who saw it, this entry ("own") or a peer.
+void log_standing(shared_state& state,
+                  const quarantine::standing_change& change,
+                  std::string_view source);
+
+} // namespace greengagedrum::entry
--- /dev/null
+++ b/src/greengagedrum/entry/test/containment_test.cpp
@@ -0,0 +1,91 @@
+// A request that ends each upstream that runs it, over loopback.
+#include <greengagedrum/entry/test/entry_fixture.hpp>
+
+#include <array>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+// Upstreams that stop listening once they have begun a certain request.
+class mortal_upstreams
+{
+public:
+    mortal_upstreams()
+    {
+        for (stand_in& one : this->all) {
+            one.server.Post(
+                ".*",
+                [&](const httplib::Request& asked, httplib::Response& given) {
+                    if (asked.body != "deadly")
+                        return entry_fixture::signed_answer(
+                            asked, given, "answer");
+                    this->ended += 1;
+                    one.server.stop();
+                    given.set_chunked_content_provider(
+                        "text/plain",
+                        [](std::size_t, httplib::DataSink&) { return false; });
+                });
+            one.start();
+        }
+    }
+
+    int ended_by_request() const { return this->ended; }
+
+protected:
+    entry_options published() const
+    {
+        entry_options out;
+        for (const stand_in& one : this->all)
+            out.upstream_ports.push_back(one.port);
+        return out;
+    }
+
+private:
+    std::array<stand_in, 5> all;
+    std::atomic<int> ended = 0;
+};
+
+struct containment_fixture : mortal_upstreams, entry_fixture {
+    containment_fixture() : entry_fixture(this->published()) {}
+
+    httplib::Result post(const std::string& path, const std::string& body) const
+    {
+        auto asked = this->client();
+        return asked.Post(path, headers(), body, "text/plain");
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(containment_fixture,
+                  "request_that_ended_two_upstreams_gets_503")
+{
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const auto got = this->post("/once/x", "deadly");
+        REQUIRE(got);
+        CHECK(got->status == 502);
+    }
+    const auto got = this->post("/once/x", "deadly");
+    REQUIRE(got);
+    CHECK(got->status == 503);
+    REQUIRE(got->has_header("Retry-After"));
+    CHECK(std::stod(got->get_header_value("Retry-After")) >= 60);
+    CHECK(this->ended_by_request() == 2);
+    const auto other = this->post("/once/x", "sound");
+    REQUIRE(other);
+    CHECK(other->status == 200);
+}
+
+// One attempt may try two upstreams, and its caller may come back.
+TEST_CASE_FIXTURE(containment_fixture,
+                  "repeatable_request_ends_two_upstreams_in_all")
+{
+    for (int attempt = 0; attempt < 3; ++attempt)
+        REQUIRE(this->post("/again/x", "deadly"));
+    CHECK(this->ended_by_request() == 2);
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -123,7 +123,7 @@
     this->engine.server.Post(".*", take);
     this->engine.server.Get(".*", take);
     this->engine.start();
-    this->publish(wanted.limit_per_second);
+    this->publish(wanted);
     this->store.start();
     this->tested = std::make_unique<entry>(
         settings_for(this->store.port, wanted), [] { return std::nullopt; });
@@ -147,23 +147,27 @@
     this->upstream = std::move(what);
 }
 
-void entry_fixture::publish(double limit_per_second)
-{
-    const std::string page = json{
-        {"entries",
-         {item("op/config", configuration(limit_per_second), 1),
-          item("servers/i-1",
-               {{"service", "models"},
-                {"address", "127.0.0.1:" + std::to_string(this->engine.port)},
-                {"zone", "hall"},
-                {"version", "v1"},
-                {"slots", 5},
-                {"state", "ready"},
-                {"warmupRemainingMs", 0},
-                {"sequence", 1}},
-               2)}},
-        {"hasMore", false},
-        {"at", 2}}.dump();
+void entry_fixture::publish(const entry_options& wanted)
+{
+    json entries = {
+        item("op/config", configuration(wanted.limit_per_second), 1)};
+    std::vector<int> ports = wanted.upstream_ports;
+    if (ports.empty())
+        ports = {this->engine.port};
+    for (std::size_t at = 0; at < ports.size(); ++at)
+        entries.push_back(
+            item("servers/i-" + std::to_string(at + 1),
+                 {{"service", "models"},
+                  {"address", "127.0.0.1:" + std::to_string(ports[at])},
+                  {"zone", "hall"},
+                  {"version", "v1"},
+                  {"slots", 5},
+                  {"state", "ready"},
+                  {"warmupRemainingMs", 0},
+                  {"sequence", 1}},
+                 2));
+    const std::string page =
+        json{{"entries", entries}, {"hasMore", false}, {"at", 2}}.dump();
     this->store.server.Get(
         "/kv-range", [page](const httplib::Request&, httplib::Response& given) {
             given.set_content(page, "application/json");
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -42,6 +42,7 @@
     double limit_per_second = 0; // of the workspace, in tokens; 0: none
     std::uint16_t peer_port = 0; // 0: any
     std::vector<base::ip_endpoint> seeds{};
+    std::vector<int> upstream_ports{}; // of the test's own, in place of ours
 };
 
 class entry_fixture
@@ -74,7 +75,7 @@
     std::unique_ptr<entry> tested;
 
 private:
-    void publish(double limit_per_second);
+    void publish(const entry_options& wanted);
     void wait_until_configured() const;
 
     // Before the stand-ins, whose threads use them. Handlers take the mutex
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -46,6 +46,10 @@
 
 struct Standing;
 
+struct Suspect;
+
+struct Crash;
+
 struct Word;
 struct WordBuilder;
 
@@ -383,6 +387,86 @@
 };
 FLATBUFFERS_STRUCT_END(Standing, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Suspect FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t request_high_;
+  uint64_t request_low_;
+  uint64_t workspace_;
+  uint32_t cleared_age_ms_;
+  uint32_t trial_age_ms_;
+  uint32_t crashes_;
+  int32_t padding0__;
+
+ public:
+  Suspect()
+      : request_high_(0),
+        request_low_(0),
+        workspace_(0),
+        cleared_age_ms_(0),
+        trial_age_ms_(0),
+        crashes_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  Suspect(uint64_t _request_high, uint64_t _request_low, uint64_t _workspace, uint32_t _cleared_age_ms, uint32_t _trial_age_ms, uint32_t _crashes)
+      : request_high_(flatbuffers::EndianScalar(_request_high)),
+        request_low_(flatbuffers::EndianScalar(_request_low)),
+        workspace_(flatbuffers::EndianScalar(_workspace)),
+        cleared_age_ms_(flatbuffers::EndianScalar(_cleared_age_ms)),
+        trial_age_ms_(flatbuffers::EndianScalar(_trial_age_ms)),
+        crashes_(flatbuffers::EndianScalar(_crashes)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t request_high() const {
+    return flatbuffers::EndianScalar(request_high_);
+  }
+  uint64_t request_low() const {
+    return flatbuffers::EndianScalar(request_low_);
+  }
+  uint64_t workspace() const {
+    return flatbuffers::EndianScalar(workspace_);
+  }
+  uint32_t cleared_age_ms() const {
+    return flatbuffers::EndianScalar(cleared_age_ms_);
+  }
+  uint32_t trial_age_ms() const {
+    return flatbuffers::EndianScalar(trial_age_ms_);
+  }
+  uint32_t crashes() const {
+    return flatbuffers::EndianScalar(crashes_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Suspect, 40);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Crash FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  Crash()
+      : upstream_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  Crash(uint64_t _upstream, uint32_t _age_ms)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Crash, 16);
+
 struct Wanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef WantedBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -837,7 +921,9 @@
     VT_REPORT = 54,
     VT_REPLY = 56,
     VT_LIVED_FOR_MS = 58,
-    VT_SERVING = 60
+    VT_SERVING = 60,
+    VT_SUSPECTS = 62,
+    VT_CRASHES = 64
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -923,6 +1009,12 @@
   bool serving() const {
     return GetField<uint8_t>(VT_SERVING, 0) != 0;
   }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *> *suspects() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *> *>(VT_SUSPECTS);
+  }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *> *>(VT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -966,6 +1058,10 @@
            verifier.VerifyTable(reply()) &&
            VerifyField<uint32_t>(verifier, VT_LIVED_FOR_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_SERVING, 1) &&
+           VerifyOffset(verifier, VT_SUSPECTS) &&
+           verifier.VerifyVector(suspects()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
            verifier.EndTable();
   }
 };
@@ -1058,6 +1154,12 @@
   void add_serving(bool serving) {
     fbb_.AddElement<uint8_t>(Word::VT_SERVING, static_cast<uint8_t>(serving), 0);
   }
+  void add_suspects(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *>> suspects) {
+    fbb_.AddOffset(Word::VT_SUSPECTS, suspects);
+  }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes) {
+    fbb_.AddOffset(Word::VT_CRASHES, crashes);
+  }
   explicit WordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1098,7 +1200,9 @@
     flatbuffers::Offset<greengagedrum::gossip::wire::Report> report = 0,
     flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply = 0,
     uint32_t lived_for_ms = 0,
-    bool serving = false) {
+    bool serving = false,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *>> suspects = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes = 0) {
   WordBuilder builder_(_fbb);
   builder_.add_digest(digest);
   builder_.add_changes(changes);
@@ -1107,6 +1211,8 @@
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_crashes(crashes);
+  builder_.add_suspects(suspects);
   builder_.add_lived_for_ms(lived_for_ms);
   builder_.add_reply(reply);
   builder_.add_report(report);
@@ -1160,7 +1266,9 @@
     flatbuffers::Offset<greengagedrum::gossip::wire::Report> report = 0,
     flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply = 0,
     uint32_t lived_for_ms = 0,
-    bool serving = false) {
+    bool serving = false,
+    const std::vector<greengagedrum::gossip::wire::Suspect> *suspects = nullptr,
+    const std::vector<greengagedrum::gossip::wire::Crash> *crashes = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1172,6 +1280,8 @@
   auto workspace_lately__ = workspace_lately ? _fbb.CreateVector<uint32_t>(*workspace_lately) : 0;
   auto workspace_all_lately__ = workspace_all_lately ? _fbb.CreateVector<uint32_t>(*workspace_all_lately) : 0;
   auto standings__ = standings ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Standing>(*standings) : 0;
+  auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Suspect>(*suspects) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Crash>(*crashes) : 0;
   return greengagedrum::gossip::wire::CreateWord(
       _fbb,
       life,
@@ -1201,7 +1311,9 @@
       report,
       reply,
       lived_for_ms,
-      serving);
+      serving,
+      suspects__,
+      crashes__);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- /dev/null
+++ b/src/greengagedrum/gossip/suspect_codec.cpp
@@ -0,0 +1,84 @@
+#include <greengagedrum/gossip/suspect_codec.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace greengagedrum::gossip
+{
+
+namespace
+{
+
+constexpr std::uint32_t never = std::numeric_limits<std::uint32_t>::max();
+
+// Up to 49 days.
+std::uint32_t age_ms(base::duration age)
+{
+    const auto count =
+        std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(count, 0, never - 1));
+}
+
+std::uint32_t age_ms(const std::optional<base::duration>& age)
+{
+    return age ? age_ms(*age) : never;
+}
+
+std::optional<base::duration> age_of(std::uint32_t count)
+{
+    if (count == never)
+        return std::nullopt;
+    return std::chrono::milliseconds(count);
+}
+
+} // namespace
+
+suspect_offsets write_suspects(flatbuffers::FlatBufferBuilder& builder,
+                               std::span<const quarantine::suspect_report> told)
+{
+    if (told.empty())
+        return {};
+    std::vector<wire::Suspect> requests;
+    std::vector<wire::Crash> crashes;
+    for (const quarantine::suspect_report& one : told) {
+        requests.emplace_back(one.request.high,
+                              one.request.low,
+                              one.workspace.value,
+                              age_ms(one.cleared_age),
+                              age_ms(one.trial_age),
+                              static_cast<std::uint32_t>(one.crashes.size()));
+        for (const quarantine::crash_sighting& crash : one.crashes)
+            crashes.emplace_back(crash.upstream.value, age_ms(crash.age));
+    }
+    return {builder.CreateVectorOfStructs(requests),
+            builder.CreateVectorOfStructs(crashes)};
+}
+
+std::vector<quarantine::suspect_report> read_suspects(const wire::Word& from)
+{
+    std::vector<quarantine::suspect_report> out;
+    if (from.suspects() == nullptr || from.crashes() == nullptr)
+        return out;
+    flatbuffers::uoffset_t next = 0;
+    for (const wire::Suspect* one : *from.suspects()) {
+        quarantine::suspect_report told;
+        told.request = {one->request_high(), one->request_low()};
+        told.workspace.value = one->workspace();
+        told.cleared_age = age_of(one->cleared_age_ms());
+        told.trial_age = age_of(one->trial_age_ms());
+        for (std::uint32_t count = 0;
+             count < one->crashes() && next < from.crashes()->size();
+             ++count, ++next) {
+            const wire::Crash* crash = from.crashes()->Get(next);
+            told.crashes.push_back(
+                {base::upstream_id(crash->upstream()),
+                 std::chrono::milliseconds(crash->age_ms())});
+        }
+        out.push_back(std::move(told));
+    }
+    return out;
+}
+
+} // namespace greengagedrum::gossip
--- /dev/null
+++ b/src/greengagedrum/gossip/test/suspect_codec_test.cpp
@@ -0,0 +1,43 @@
+// What entries tell of requests that crash upstreams, as bytes and back.
+#include <greengagedrum/gossip/word.hpp>
+
+#include <doctest/doctest.h>
+
+namespace greengagedrum::gossip
+{
+
+using namespace std::chrono_literals;
+
+TEST_CASE("suspects_encoded_and_decoded_are_the_same")
+{
+    word told;
+    told.suspects = {
+        {{1, 2},
+         base::workspace_id("shop"),
+         {{base::upstream_id("i-1"), 50ms}, {base::upstream_id("i-2"), 3s}},
+         std::nullopt,
+         7s},
+        {{3, 4}, base::workspace_id("gate"), {}, 1ms, {}}};
+    const auto read = decode_word(encode(told));
+    REQUIRE(read);
+    REQUIRE(read->suspects.size() == 2);
+    const quarantine::suspect_report& first = read->suspects.front();
+    CHECK(first.request == base::request_digest{1, 2});
+    CHECK(first.workspace == base::workspace_id("shop"));
+    REQUIRE(first.crashes.size() == 2);
+    CHECK(first.crashes.back().upstream == base::upstream_id("i-2"));
+    CHECK(first.crashes.back().age == 3s);
+    CHECK_FALSE(first.cleared_age);
+    CHECK(first.trial_age == 7s);
+    CHECK(read->suspects.back().crashes.empty());
+    CHECK(read->suspects.back().cleared_age == 1ms);
+}
+
+TEST_CASE("word_without_suspects_read_as_none")
+{
+    const auto read = decode_word(encode(word()));
+    REQUIRE(read);
+    CHECK(read->suspects.empty());
+}
+
+} // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/word.cpp
+++ b/src/greengagedrum/gossip/word.cpp
@@ -1,5 +1,6 @@
 #include <greengagedrum/gossip/dispatch_codec.hpp>
 #include <greengagedrum/gossip/gossip_generated.h>
+#include <greengagedrum/gossip/suspect_codec.hpp>
 #include <greengagedrum/gossip/word.hpp>
 
 #include <algorithm>
@@ -183,6 +184,7 @@
     flatbuffers::Offset<wire::Reply> reply;
     if (told.kind == word_kind::reply)
         reply = write_reply(builder, told.reply);
+    const suspect_offsets suspects = write_suspects(builder, told.suspects);
     const auto root = wire::CreateWord(builder,
                                        told.life.value,
                                        told.sequence,
@@ -211,7 +213,9 @@
                                        report,
                                        reply,
                                        milliseconds_of(told.lived_for),
-                                       told.serving);
+                                       told.serving,
+                                       suspects.requests,
+                                       suspects.crashes);
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -252,6 +256,7 @@
     out.digest = root->digest();
     if (const auto* report = root->report())
         out.report = read_report(*report);
+    out.suspects = read_suspects(*root);
     out.report.number = out.sequence;
     if (const auto* reply = root->reply())
         out.reply = read_reply(*reply);
--- a/src/greengagedrum/gossip/word.hpp
+++ b/src/greengagedrum/gossip/word.hpp
@@ -4,6 +4,7 @@
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
 #include <greengagedrum/dispatch/messages.hpp>
+#include <greengagedrum/quarantine/messages.hpp>
 #include <greengagedrum/quota/usage_limiter.hpp>
 #include <greengagedrum/routing/published_item.hpp>
 #include <greengagedrum/traffic/scheduler.hpp>
@@ -67,6 +68,7 @@
     base::duration lived_for{0}; // the sender's process, at least
     dispatch::member_report report;
     dispatch::dispatcher_reply reply;
+    std::vector<quarantine::suspect_report> suspects;
 };
 
 // Items of the store that one entry passes to another.
--- /dev/null
+++ b/src/greengagedrum/quarantine/messages.hpp
@@ -0,0 +1,49 @@
+// What entries tell each other of requests under which upstreams ended.
+#pragma once
+
+#include <greengagedrum/base/ids.hpp>
+#include <greengagedrum/base/request_digest.hpp>
+#include <greengagedrum/base/time.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace greengagedrum::quarantine
+{
+
+// An upstream's life whose connection was lost while it ran the request.
+struct crash_sighting {
+    base::upstream_id upstream;
+    base::duration age{0};
+};
+
+// All that the sender knows of one request. Receivers merge it: crashes by
+// upstream, times by the latest, so that nothing is counted twice.
+struct suspect_report {
+    base::request_digest request;
+    base::workspace_id workspace;
+    std::vector<crash_sighting> crashes;
+    std::optional<base::duration> cleared_age; // since it was shown innocent
+    std::optional<base::duration> trial_age;   // since its last trial was sent
+};
+
+enum class standing : std::uint8_t {
+    clear,
+    suspected,   // one upstream ended under it: one copy at a time
+    trial_due,   // one copy may be sent, to see whether it is sound by now
+    quarantined, // not sent
+};
+
+std::string_view to_string(standing what);
+
+// The standing of a request has changed; for the log.
+struct standing_change {
+    base::request_digest request;
+    base::workspace_id workspace;
+    standing now = standing::clear;
+    std::size_t crashes = 0;
+};
+
+} // namespace greengagedrum::quarantine
--- /dev/null
+++ b/src/greengagedrum/quarantine/test/suspect_table_test.cpp
@@ -0,0 +1,269 @@
+#include <greengagedrum/quarantine/suspect_table.hpp>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace greengagedrum::quarantine
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+struct table_fixture {
+    base::instant now{1h};
+    suspect_table tested{1};
+    suspect_table peer{2};
+    base::workspace_id shop{"shop"};
+    base::request_digest request = body(0);
+
+    static base::request_digest body(std::uint64_t number)
+    {
+        return base::digest_of_request(
+            "shop", "POST", "/", std::to_string(number));
+    }
+
+    std::optional<standing_change> crash(const base::request_digest& what,
+                                         int upstream)
+    {
+        return this->tested.crashed(
+            what, this->shop, this->upstream(upstream), this->now);
+    }
+
+    static base::upstream_id upstream(int number)
+    {
+        return base::upstream_id("i-" + std::to_string(number));
+    }
+
+    standing is() const
+    {
+        return this->tested.standing_of(this->request, this->now);
+    }
+
+    void quarantine()
+    {
+        this->crash(this->request, 1);
+        this->crash(this->request, 2);
+        REQUIRE(this->is() == standing::quarantined);
+    }
+
+    void tell(suspect_table& from, suspect_table& to, bool rest = false)
+    {
+        to.merge(from.reports(this->now, rest), this->now);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(table_fixture, "request_one_crash_suspected_only")
+{
+    const auto change = this->crash(this->request, 1);
+    REQUIRE(change);
+    CHECK(change->now == standing::suspected);
+    CHECK(this->is() == standing::suspected);
+    CHECK(this->tested.pause_left(this->request, this->now) == 0s);
+}
+
+TEST_CASE_FIXTURE(table_fixture, "request_crashes_two_upstreams_quarantined")
+{
+    this->crash(this->request, 1);
+    const auto change = this->crash(this->request, 2);
+    REQUIRE(change);
+    CHECK(change->now == standing::quarantined);
+    CHECK(change->crashes == 2);
+    CHECK(this->tested.pause_left(this->request, this->now) >= 60s);
+    CHECK(this->tested.quarantined(this->now).size() == 1);
+}
+
+// Two requests that broke with one upstream are two sights of one crash.
+TEST_CASE_FIXTURE(table_fixture,
+                  "request_broken_twice_on_one_life_counted_once")
+{
+    this->crash(this->request, 1);
+    CHECK_FALSE(this->crash(this->request, 1));
+    CHECK(this->is() == standing::suspected);
+}
+
+TEST_CASE_FIXTURE(table_fixture, "request_answered_cleared")
+{
+    this->quarantine();
+    const auto change = this->tested.cleared(this->request, this->now);
+    REQUIRE(change);
+    CHECK(change->now == standing::clear);
+    CHECK(this->is() == standing::clear);
+}
+
+// A body that many callers send runs on each upstream that ever crashes.
+TEST_CASE_FIXTURE(table_fixture, "request_answered_lately_not_suspected")
+{
+    this->tested.cleared(this->request, this->now);
+    this->now += 9s;
+    CHECK_FALSE(this->crash(this->request, 1));
+    CHECK_FALSE(this->crash(this->request, 2));
+    CHECK(this->is() == standing::clear);
+    this->now += 2s;
+    CHECK(this->crash(this->request, 3));
+}
+
+// Connections that are reset look like a crash until their upstream answers.
+TEST_CASE_FIXTURE(table_fixture, "upstream_lives_its_crash_taken_back")
+{
+    this->quarantine();
+    const std::vector<suspect_report> told =
+        this->tested.reports(this->now, false);
+    this->tested.upstream_lives(this->upstream(1), this->now + 50ms);
+    CHECK(this->is() == standing::quarantined); // written before its end
+    this->tested.upstream_lives(this->upstream(1), this->now + 150ms);
+    CHECK(this->is() == standing::suspected);
+    this->now += 200ms;
+    this->tested.merge(told, this->now);
+    CHECK(this->is() == standing::suspected);
+}
+
+TEST_CASE_FIXTURE(table_fixture, "trial_due_after_pause_one_copy_sent")
+{
+    this->quarantine();
+    this->now += 59s;
+    CHECK(this->is() == standing::quarantined);
+    this->now += 62s;
+    CHECK(this->is() == standing::trial_due);
+    this->tested.sent(this->request, this->now);
+    CHECK(this->is() == standing::quarantined);
+    CHECK(this->tested.pause_left(this->request, this->now) > 0s);
+}
+
+TEST_CASE_FIXTURE(table_fixture, "trial_crashes_next_pause_ten_times_as_long")
+{
+    this->quarantine();
+    this->now += 121s;
+    this->tested.sent(this->request, this->now);
+    this->now += 1s;
+    this->crash(this->request, 3);
+    this->now += 590s;
+    CHECK(this->is() == standing::quarantined);
+    this->now += 620s;
+    CHECK(this->is() == standing::trial_due);
+}
+
+TEST_CASE_FIXTURE(table_fixture, "trial_never_ends_another_may_be_made")
+{
+    this->quarantine();
+    this->now += 121s;
+    this->tested.sent(this->request, this->now);
+    this->now += 31s;
+    CHECK(this->is() == standing::trial_due);
+}
+
+TEST_CASE_FIXTURE(table_fixture, "trial_of_a_peer_told_no_second_one_here")
+{
+    this->quarantine();
+    this->tell(this->tested, this->peer);
+    this->now += 125s;
+    this->peer.sent(this->request, this->now);
+    REQUIRE(this->is() == standing::trial_due);
+    this->tell(this->peer, this->tested);
+    CHECK(this->is() == standing::quarantined);
+}
+
+TEST_CASE_FIXTURE(table_fixture,
+                  "crashes_seen_by_two_entries_add_up_by_upstream")
+{
+    this->crash(this->request, 1);
+    this->peer.crashed(this->request, this->shop, this->upstream(1), this->now);
+    this->tell(this->peer, this->tested);
+    CHECK(this->is() == standing::suspected);
+    this->peer.crashed(this->request, this->shop, this->upstream(2), this->now);
+    this->tell(this->peer, this->tested);
+    CHECK(this->is() == standing::quarantined);
+    this->tell(this->peer, this->tested);
+    CHECK(this->tested.quarantined(this->now).front().crashes == 2);
+}
+
+// Two entries repeat to each other what they know: it is no news to either.
+TEST_CASE_FIXTURE(table_fixture, "report_of_known_crashes_not_passed_on_again")
+{
+    this->quarantine();
+    this->tell(this->tested, this->peer);
+    CHECK(this->peer.reports(this->now, false).size() == 1);
+    this->now += 500ms;
+    this->tell(this->tested, this->peer, true);
+    CHECK(this->peer.reports(this->now, false).empty());
+}
+
+TEST_CASE_FIXTURE(table_fixture, "answer_at_a_peer_told_cleared_here")
+{
+    this->quarantine();
+    this->tell(this->tested, this->peer);
+    this->now += 1s;
+    this->peer.cleared(this->request, this->now);
+    this->tell(this->peer, this->tested);
+    CHECK(this->is() == standing::clear);
+}
+
+// A peer has answered the same request, and hears that it is suspected.
+TEST_CASE_FIXTURE(table_fixture, "suspicion_told_to_one_that_answered_cleared")
+{
+    this->peer.cleared(this->request, this->now);
+    this->now += 1s;
+    this->quarantine();
+    this->tell(this->tested, this->peer);
+    this->tell(this->peer, this->tested);
+    CHECK(this->is() == standing::clear);
+}
+
+// A process that starts anew learns what is no longer news to the others.
+TEST_CASE_FIXTURE(table_fixture,
+                  "old_quarantine_told_by_turns_to_a_fresh_entry")
+{
+    this->quarantine();
+    this->now += 30s;
+    for (std::uint64_t number = 1; number <= 40; ++number)
+        this->crash(body(number), 9);
+    this->now += 5s;
+    CHECK(this->tested.reports(this->now, false).empty());
+    this->tell(this->tested, this->peer, true);
+    CHECK(this->peer.standing_of(this->request, this->now) ==
+          standing::quarantined);
+    for (int turn = 0; turn < 10; ++turn)
+        this->tell(this->tested, this->peer, true);
+    CHECK(this->peer.size() == 41);
+}
+
+// One workspace sends thousands of different requests that crash upstreams.
+TEST_CASE_FIXTURE(table_fixture,
+                  "records_of_one_workspace_leave_those_of_others")
+{
+    this->quarantine();
+    const base::workspace_id hostile("hostile");
+    for (std::uint64_t number = 1; number <= 5000; ++number) {
+        this->now += 1ms;
+        const int upstream = 10 + static_cast<int>(number);
+        this->tested.crashed(
+            body(number), hostile, this->upstream(upstream), this->now);
+        this->tested.crashed(
+            body(number), hostile, this->upstream(-upstream), this->now);
+    }
+    CHECK(this->tested.size() <= 513);
+    CHECK(this->is() == standing::quarantined);
+    CHECK(this->tested.standing_of(body(5000), this->now) ==
+          standing::quarantined);
+    CHECK(this->tested.reports(this->now, true).size() <= 28);
+}
+
+TEST_CASE_FIXTURE(table_fixture, "single_crash_lapses_quarantine_stays")
+{
+    const base::request_digest other = body(7);
+    this->crash(other, 1);
+    this->quarantine();
+    this->now += 11min;
+    this->tested.tick(this->now);
+    CHECK(this->tested.standing_of(other, this->now) == standing::clear);
+    CHECK(this->tested.size() == 1);
+    this->now += 49h;
+    this->tested.tick(this->now);
+    CHECK(this->tested.empty());
+}
+
+} // namespace greengagedrum::quarantine
--- a/src/greengagedrum/relay/upstream_call.cpp
+++ b/src/greengagedrum/relay/upstream_call.cpp
@@ -82,15 +82,15 @@
 {
     if (fault == asio::error::eof) {
         if (!this->reader.finish_at_close())
-            return this->fail("closed early");
+            return this->fail(call_fault::connection_lost, "closed early");
         return this->take();
     }
     if (fault)
-        return this->fail(fault.message());
+        return this->fail(call_fault::connection_lost, fault.message());
     this->inbox.append(this->arrived.data(), count);
     const auto taken = this->reader.feed(this->inbox);
     if (!taken)
-        return this->fail(taken.error().why);
+        return this->fail(call_fault::malformed, taken.error().why);
     this->inbox.erase(0, *taken);
     this->take();
     if (!this->over)
@@ -117,12 +117,12 @@
     tell();
 }
 
-void upstream_call::fail(std::string why)
+void upstream_call::fail(call_fault what, std::string why)
 {
     const auto self = this->shared_from_this();
     const auto tell = this->events.broken;
     this->stop();
-    tell(std::move(why));
+    tell(what, std::move(why));
 }
 
 void upstream_call::stop()
--- a/src/greengagedrum/relay/upstream_call.hpp
+++ b/src/greengagedrum/relay/upstream_call.hpp
@@ -18,12 +18,17 @@
 namespace greengagedrum::relay
 {
 
+enum class call_fault : std::uint8_t {
+    connection_lost,
+    malformed, // what came is no answer
+};
+
 struct upstream_events {
     std::function<void()> not_connected; // nothing was written
     std::function<void()> head;
     std::function<void(std::string_view)> body;
-    std::function<void()> done;              // the answer is whole
-    std::function<void(std::string)> broken; // why
+    std::function<void()> done;                          // the answer is whole
+    std::function<void(call_fault, std::string)> broken; // why
 };
 
 class upstream_call : public std::enable_shared_from_this<upstream_call>
@@ -50,7 +55,7 @@
     void read();
     void on_read(error_code fault, std::size_t count);
     void take();
-    void fail(std::string why);
+    void fail(call_fault what, std::string why);
 
     tcp::socket socket;
     asio::steady_timer connect_bound;
--- /dev/null
+++ b/src/greengagedrum/traffic/containment.cpp
@@ -0,0 +1,64 @@
+// Requests under which upstreams end, in the life of a request at this entry.
+#include <greengagedrum/traffic/scheduler.hpp>
+
+#include <algorithm>
+
+namespace greengagedrum::traffic
+{
+
+using quarantine::standing;
+
+bool scheduler::is_quarantined(const request& item) const
+{
+    return !this->suspects.empty() &&
+           this->suspects.standing_of(item.facts.digest, this->now) ==
+               standing::quarantined;
+}
+
+// Of a suspect one copy runs at a time: its end says whether there may be
+// another.
+bool scheduler::awaits_copy(const request& item) const
+{
+    if (this->suspects.empty() ||
+        this->suspects.standing_of(item.facts.digest, this->now) ==
+            standing::clear)
+        return false;
+    return std::any_of(
+        this->requests.begin(), this->requests.end(), [&](const auto& one) {
+            return one.second.send != 0 &&
+                   one.second.facts.digest == item.facts.digest;
+        });
+}
+
+// Of an earlier send it may still have run.
+void scheduler::refuse_quarantined(request& item)
+{
+    if (item.uncertain > 0)
+        return this->end(item, base::may_have_run(base::reason::quarantined));
+    this->end(
+        item,
+        base::not_run(base::reason::quarantined,
+                      this->suspects.pause_left(item.facts.digest, this->now)));
+}
+
+void scheduler::note_crash(const request& item, break_cause cause)
+{
+    if (cause != break_cause::connection_lost || item.facts.digest.empty())
+        return;
+    const auto change = this->suspects.crashed(
+        item.facts.digest, item.facts.workspace, item.upstream, this->now);
+    if (change)
+        this->out->push_back(*change);
+}
+
+void scheduler::note_answer(const request& item)
+{
+    this->suspects.upstream_lives(item.upstream, this->now);
+    if (item.facts.digest.empty())
+        return;
+    const auto change = this->suspects.cleared(item.facts.digest, this->now);
+    if (change)
+        this->out->push_back(*change);
+}
+
+} // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/delegation.cpp
+++ b/src/greengagedrum/traffic/delegation.cpp
@@ -11,7 +11,7 @@
 {
     std::vector<waiting_send> out;
     for (const auto& [id, item] : this->requests) {
-        if (!item.in_line)
+        if (!item.in_line || this->awaits_copy(item))
             continue;
         waiting_send one{id, item.connects + 1, item.facts, item.tried};
         const base::duration first = this->first_event_expected(item);
@@ -56,6 +56,12 @@
     request* item = this->awaiting(what.request, what.send);
     if (item == nullptr || this->held || !this->delegating)
         return;
+    if (this->is_quarantined(*item))
+        return this->refuse_quarantined(*item);
+    if (this->awaits_copy(*item)) {
+        item->connects += 1;
+        return;
+    }
     if (!this->pool.listed(what.upstream)) {
         // It has left, as this entry knows already, or is not known here yet:
         // another one is asked for, under the next number.
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -9,6 +9,7 @@
 #include <greengagedrum/base/request_digest.hpp>
 #include <greengagedrum/base/time.hpp>
 #include <greengagedrum/base/verdict.hpp>
+#include <greengagedrum/quarantine/messages.hpp>
 #include <greengagedrum/routing/configuration.hpp>
 
 #include <cstdint>
@@ -23,7 +24,7 @@
 struct request_facts {
     base::class_id service;
     base::workspace_id workspace;
-    base::kind_id kind; // its route
+    base::kind_id kind;          // its route
     base::request_digest digest; // empty: not known here
     routing::repeat_rule rule = routing::repeat_rule::at_most_once;
     bool stream = false;
@@ -184,7 +185,8 @@
                             stop_send,
                             deliver_answer,
                             end_request,
-                            trust_changed>;
+                            trust_changed,
+                            quarantine::standing_change>;
 
 using actions = std::vector<action>;
 
--- a/src/greengagedrum/traffic/patience.cpp
+++ b/src/greengagedrum/traffic/patience.cpp
@@ -56,7 +56,7 @@
 // make, and the time left.
 bool scheduler::try_again(request& item)
 {
-    if (item.sends >= item.facts.sends_max ||
+    if (item.sends >= item.facts.sends_max || this->is_quarantined(item) ||
         this->now + this->first_event_expected(item) >= item.end_at)
         return false;
     if (!this->retries.spend(item.facts.service, this->now))
@@ -69,6 +69,8 @@
 
 void scheduler::check_time(request& item)
 {
+    if (item.in_line && this->is_quarantined(item))
+        return this->refuse_quarantined(item);
     const base::duration reply_takes =
         this->delegating ? declined_within : base::duration(0);
     if (item.in_line && item.uncertain == 0 &&
@@ -103,8 +105,9 @@
         return;
     item.silence_told = true;
     this->bad_end(item.upstream, trouble::silent);
-    const bool again =
-        this->may_repeat(item) && item.sends < item.facts.sends_max;
+    const bool again = this->may_repeat(item) &&
+                       item.sends < item.facts.sends_max &&
+                       !this->is_quarantined(item);
     if (!again)
         return;
     const std::uint32_t send = item.send;
--- a/src/greengagedrum/traffic/placing.cpp
+++ b/src/greengagedrum/traffic/placing.cpp
@@ -89,6 +89,12 @@
     std::uint32_t free = this->pool.free_places(service, this->now);
     for (const waiting_request& next : line.in_order(this->now)) {
         request& item = this->requests.at(next.request);
+        if (this->is_quarantined(item)) {
+            this->refuse_quarantined(item);
+            continue;
+        }
+        if (this->awaits_copy(item))
+            continue;
         // The floor is for work that would yield for ever.
         const bool floor = starved.at(level_of(next.priority));
         if (!floor && this->yields_to_peers(next, elsewhere, free))
@@ -180,6 +186,7 @@
     item.sends += 1;
     item.uncertain += 1;
     this->pool.sent(where, item.facts.prompt_tokens, this->now);
+    this->suspects.sent(item.facts.digest, this->now);
     this->count.sent += 1;
     if (item.sends > 1)
         this->count.retried += 1;
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -44,6 +44,7 @@
     this->now = at;
     this->out = &into;
     this->pool.forget_silent_peers(at);
+    this->suspects.tick(at);
     std::vector<base::request_id> known;
     for (const auto& [id, item] : this->requests)
         known.push_back(id);
@@ -73,6 +74,8 @@
                                         ? what.facts.patience
                                         : caller_patience(what.facts);
     item.give_up_at = std::max(this->now, item.arrived + patience - first);
+    if (this->is_quarantined(item))
+        return this->refuse_quarantined(item);
     if (!this->pool.known(what.facts.service))
         return this->refuse(item, base::reason::no_upstream);
     if (!this->delegating && this->hopeless(item))
@@ -167,6 +170,7 @@
     request* item = this->under_way(what.request, what.send);
     if (item == nullptr || what.events <= item->events)
         return;
+    this->suspects.upstream_lives(item->upstream, this->now);
     if (item->events == 0)
         this->pool.first_event(item->upstream,
                                item->facts.prompt_tokens,
@@ -191,6 +195,7 @@
     if (item == nullptr)
         return;
     const base::upstream_id upstream = item->upstream;
+    this->note_answer(*item);
     if (what.good) {
         this->tell(this->pool.good_end(upstream));
         if (item->events == 0)
@@ -227,6 +232,7 @@
     if (item == nullptr)
         return;
     this->bad_end(item->upstream, trouble::broken);
+    this->note_crash(*item, what.cause);
     item->tried.push_back(item->upstream);
     this->leave_upstream(*item);
     if (this->may_repeat(*item) && this->try_again(*item))
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -6,6 +6,7 @@
 // the first upstream promised that it did not run it.
 #pragma once
 
+#include <greengagedrum/quarantine/suspect_table.hpp>
 #include <greengagedrum/traffic/fresh_callers.hpp>
 #include <greengagedrum/traffic/messages.hpp>
 #include <greengagedrum/traffic/retry_share.hpp>
@@ -58,7 +59,7 @@
 {
 public:
     scheduler(const retry_bounds& bounds, standpoint own)
-        : pool(std::move(own)), retries(bounds)
+        : suspects(own.salt), pool(std::move(own)), retries(bounds)
     {
     }
 
@@ -108,6 +109,13 @@
     }
     std::vector<service_waiting> own_waiting(base::instant now) const;
 
+    // Requests that crash upstreams, as known here.
+    quarantine::suspect_table& crash_suspects() { return this->suspects; }
+    const quarantine::suspect_table& crash_suspects() const
+    {
+        return this->suspects;
+    }
+
     std::size_t in_flight() const { return this->requests.size(); }
     std::size_t waiting() const;
     const scheduler_counters& counters() const { return this->count; }
@@ -164,6 +172,11 @@
     void leave_upstream(request& item);
     void bad_end(base::upstream_id upstream, trouble what);
     void tell(const std::optional<trust_changed>& change);
+    bool is_quarantined(const request& item) const;
+    bool awaits_copy(const request& item) const;
+    void refuse_quarantined(request& item);
+    void note_crash(const request& item, break_cause cause);
+    void note_answer(const request& item);
     bool may_repeat(const request& item) const;
     bool try_again(request& item);
     void check_time(request& item);
@@ -176,6 +189,7 @@
     waiting_request line_entry(const request& item) const;
     base::duration first_event_expected(const request& item) const;
 
+    quarantine::suspect_table suspects;
     upstream_pool pool;
     retry_share retries;
     fresh_callers fresh;
--- /dev/null
+++ b/src/greengagedrum/traffic/test/containment_test.cpp
@@ -0,0 +1,160 @@
+// Requests under which upstreams end, at one entry.
+#include <greengagedrum/traffic/test/scheduler_fixture.hpp>
+
+namespace greengagedrum::traffic
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+struct containment_fixture : scheduler_fixture {
+    request_facts facts = deadly_facts();
+
+    containment_fixture() { this->upstreams(4, 2); }
+
+    static request_facts deadly_facts()
+    {
+        request_facts out = stream_facts();
+        out.digest = base::digest_of_request("shop", "POST", "/", "body");
+        return out;
+    }
+
+    // The upstream that was sent it last ends.
+    void end_upstream(base::request_id id)
+    {
+        const send_request order = this->sent();
+        this->tested.upstream_left(order.upstream);
+        this->step(broken{id, order.send});
+    }
+
+    void crash() { this->end_upstream(this->arrive(this->facts)); }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(containment_fixture, "request_crashed_two_upstreams_not_sent")
+{
+    this->crash();
+    CHECK(this->order<quarantine::standing_change>()->now ==
+          quarantine::standing::suspected);
+    this->crash();
+    this->arrive(this->facts);
+    CHECK(this->order<send_request>() == nullptr);
+    CHECK(this->verdict().run == base::run_state::not_run);
+    CHECK(this->verdict().why == base::reason::quarantined);
+    CHECK(this->verdict().retry_after >= 60s);
+}
+
+TEST_CASE_FIXTURE(containment_fixture,
+                  "other_request_sent_while_one_quarantined")
+{
+    this->crash();
+    this->crash();
+    this->facts.digest = base::digest_of_request("shop", "POST", "/", "other");
+    this->arrive(this->facts);
+    CHECK(this->order<send_request>() != nullptr);
+}
+
+// An answer that can't be read is no crash.
+TEST_CASE_FIXTURE(containment_fixture, "malformed_answers_do_not_quarantine")
+{
+    for (int time = 0; time < 3; ++time) {
+        const base::request_id id = this->arrive(this->facts);
+        this->step(broken{id, this->sent().send, break_cause::malformed});
+    }
+    this->arrive(this->facts);
+    CHECK(this->order<send_request>() != nullptr);
+}
+
+// Copies that come at once are not sent at once after a first crash.
+TEST_CASE_FIXTURE(containment_fixture, "copies_of_a_suspect_run_one_at_a_time")
+{
+    this->crash();
+    const base::request_id first = this->arrive(this->facts);
+    const send_request sent_first = this->sent();
+    this->arrive(this->facts);
+    this->arrive(this->facts);
+    CHECK(this->order<send_request>() == nullptr);
+    this->tested.upstream_left(sent_first.upstream);
+    this->step(broken{first, sent_first.send});
+    CHECK(this->order<send_request>() == nullptr);
+    CHECK(this->verdict().why == base::reason::quarantined);
+    CHECK(this->tested.waiting() == 0);
+}
+
+TEST_CASE_FIXTURE(containment_fixture, "suspect_answered_copies_sent")
+{
+    this->crash();
+    const base::request_id first = this->arrive(this->facts);
+    const std::uint32_t send = this->sent().send;
+    this->arrive(this->facts);
+    this->answer(first, send);
+    CHECK(this->order<send_request>() != nullptr);
+}
+
+// One attempt of a request that may be repeated goes from upstream to upstream.
+TEST_CASE_FIXTURE(containment_fixture,
+                  "repeatable_request_ends_at_second_crash")
+{
+    this->facts.rule = routing::repeat_rule::idempotent;
+    this->facts.sends_max = 4;
+    const base::request_id id = this->arrive(this->facts);
+    this->end_upstream(id);
+    this->end_upstream(id);
+    CHECK(this->order<send_request>() == nullptr);
+    CHECK(this->verdict().run == base::run_state::may_have_run);
+}
+
+// What waits here is refused as soon as a peer's message quarantines it.
+TEST_CASE_FIXTURE(containment_fixture,
+                  "waiting_request_quarantined_by_peer_refused")
+{
+    for (int number = 0; number < 8; ++number)
+        this->arrive(stream_facts());
+    this->arrive(this->facts);
+    REQUIRE(this->tested.waiting() == 1);
+    const std::vector<quarantine::suspect_report> told = {
+        {this->facts.digest,
+         {},
+         {{base::upstream_id("x"), 1s}, {base::upstream_id("y"), 1s}},
+         {},
+         {}}};
+    this->tested.crash_suspects().merge(told, this->now);
+    this->pass(5ms);
+    CHECK(this->verdict().run == base::run_state::not_run);
+    CHECK(this->verdict().why == base::reason::quarantined);
+}
+
+// A place that another entry grants to a request that was quarantined since.
+TEST_CASE_FIXTURE(containment_fixture,
+                  "place_granted_to_quarantined_request_not_used")
+{
+    this->tested.delegate(true);
+    const base::request_id id = this->arrive(this->facts);
+    const std::vector<quarantine::suspect_report> told = {
+        {this->facts.digest,
+         {},
+         {{base::upstream_id("x"), 1s}, {base::upstream_id("y"), 1s}},
+         {},
+         {}}};
+    this->tested.crash_suspects().merge(told, this->now);
+    this->step(place_granted{id, 1, base::upstream_id("i-0")});
+    CHECK(this->order<send_request>() == nullptr);
+    CHECK(this->verdict().why == base::reason::quarantined);
+}
+
+TEST_CASE_FIXTURE(containment_fixture, "trial_after_the_pause_sent_once")
+{
+    this->crash();
+    this->crash();
+    this->pass(121s);
+    this->arrive(this->facts);
+    CHECK(this->order<send_request>() != nullptr);
+    this->arrive(this->facts);
+    CHECK(this->order<send_request>() == nullptr);
+    CHECK(this->verdict().why == base::reason::quarantined);
+}
+
+} // namespace greengagedrum::traffic
