Quarantine: a crash counts for peers once its upstream was seen to be gone

Cause: a connection that ends early looks the same whether its upstream died or a link or a fault of the upstream reset it. Now an entry connects once to the upstream, 20 ms later: where connections are taken, the crash is taken back; where not, peers are told of it. No request is sent by that, and one connect serves all that were lost with the same upstream.

The loopback test of connections that are reset while their upstreams live fails without the check (503 in place of 502) and passes with it.

The table is split by duty: the record of one request, the last answers, the table with its bounds.

--- a/src/greengagedrum/entry/decisions.cpp
+++ b/src/greengagedrum/entry/decisions.cpp
@@ -2,12 +2,21 @@
 #include <greengagedrum/entry/front.hpp>
 #include <greengagedrum/entry/milliseconds.hpp>
 #include <greengagedrum/entry/standing_log.hpp>
+#include <greengagedrum/relay/connect_check.hpp>
 
 #include <algorithm>
 
 namespace greengagedrum::entry
 {
 
+namespace
+{
+
+// A process that ends closes its connections one by one, its door perhaps last.
+constexpr base::duration check_after = std::chrono::milliseconds(20);
+
+} // namespace
+
 // ---- Decisions ------------------------------------------------------------
 
 // Carrying out a decision may tell the next fact at once; it is decided on
@@ -167,6 +176,23 @@
     wire->end(order.verdict);
 }
 
+// One connect for all whose connections to it were lost.
+void front::carry_out_one(const traffic::check_upstream& order)
+{
+    const routing::published_upstream* to =
+        this->state.known.upstreams().find(order.upstream);
+    if (to == nullptr)
+        return this->told(traffic::upstream_checked{order.upstream, false});
+    if (!this->checked.insert(order.upstream).second)
+        return;
+    const auto check = std::make_shared<relay::connect_check>(
+        this->context, [this, upstream = order.upstream](bool accepts) {
+            this->checked.erase(upstream);
+            this->told(traffic::upstream_checked{upstream, accepts});
+        });
+    check->start(to->address, check_after);
+}
+
 void front::carry_out_one(const traffic::trust_changed& change)
 {
     const routing::published_upstream* of =
--- a/src/greengagedrum/entry/fleet_test/crashing_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/crashing_fleet.cpp
@@ -185,6 +185,10 @@
             this->send(at, *send);
         if (const auto* end = std::get_if<traffic::end_request>(&one))
             this->end(at, *end);
+        if (const auto* check = std::get_if<traffic::check_upstream>(&one))
+            this->tell(at,
+                       traffic::upstream_checked{
+                           check->upstream, this->is_alive(check->upstream)});
         if (const auto* answer = std::get_if<traffic::deliver_answer>(&one)) {
             this->result.answered += static_cast<std::uint32_t>(
                 this->works[at.number].innocent.erase(answer->request));
@@ -192,6 +196,15 @@
     }
 }
 
+bool crashing_fleet::is_alive(base::upstream_id id) const
+{
+    for (std::size_t number = 0; number < this->upstreams.size(); ++number) {
+        if (this->published(number).id == id)
+            return this->upstreams[number].alive;
+    }
+    return false;
+}
+
 void crashing_fleet::end(node& at, const traffic::end_request& order)
 {
     work& own = this->works[at.number];
--- a/src/greengagedrum/entry/fleet_test/crashing_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/crashing_fleet.hpp
@@ -90,6 +90,7 @@
     void tell(node& at, const traffic::event& what);
     void send(node& at, const traffic::send_request& order);
     void end(node& at, const traffic::end_request& order);
+    bool is_alive(base::upstream_id id) const;
     void ask_deadly();
     void ask_innocent();
     void arrive(std::size_t at, std::optional<std::size_t> body);
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -150,6 +150,7 @@
     void carry_out_one(const traffic::stop_send& order);
     void carry_out_one(const traffic::deliver_answer& order);
     void carry_out_one(const traffic::end_request& order);
+    void carry_out_one(const traffic::check_upstream& order);
     void carry_out_one(const traffic::trust_changed& change);
     void carry_out_one(const quarantine::standing_change& change);
     void grant(const traffic::send_request& order);
@@ -175,6 +176,7 @@
     std::unordered_map<base::request_id, accepted> requests;
     std::unordered_map<relay::caller_connection*, base::request_id> by_caller;
     std::unordered_map<base::request_id, base::upstream_id> sent_to;
+    std::unordered_set<base::upstream_id> checked; // just now
     dispatch::member_desk members;
     dispatch::send_journal journal;
     std::uint64_t next_request = 1;
--- a/src/greengagedrum/entry/test/containment_test.cpp
+++ b/src/greengagedrum/entry/test/containment_test.cpp
@@ -9,7 +9,10 @@
 namespace
 {
 
-// Upstreams that stop listening once they have begun a certain request.
+using namespace std::chrono_literals;
+
+// Upstreams that stop listening once they have begun a certain request, and
+// lose the connections of any other but one.
 class mortal_upstreams
 {
 public:
@@ -19,11 +22,15 @@
             one.server.Post(
                 ".*",
                 [&](const httplib::Request& asked, httplib::Response& given) {
-                    if (asked.body != "deadly")
+                    if (asked.body == "sound")
                         return entry_fixture::signed_answer(
                             asked, given, "answer");
-                    this->ended += 1;
-                    one.server.stop();
+                    if (asked.body == "deadly") {
+                        this->ended += 1;
+                        one.server.stop();
+                    } else {
+                        this->reset += 1;
+                    }
                     given.set_chunked_content_provider(
                         "text/plain",
                         [](std::size_t, httplib::DataSink&) { return false; });
@@ -33,6 +40,7 @@
     }
 
     int ended_by_request() const { return this->ended; }
+    int connections_reset() const { return this->reset; }
 
 protected:
     entry_options published() const
@@ -46,6 +54,7 @@
 private:
     std::array<stand_in, 5> all;
     std::atomic<int> ended = 0;
+    std::atomic<int> reset = 0;
 };
 
 struct containment_fixture : mortal_upstreams, entry_fixture {
@@ -88,4 +97,18 @@
     CHECK(this->ended_by_request() == 2);
 }
 
+// Connections are lost while their upstreams live on.
+TEST_CASE_FIXTURE(containment_fixture,
+                  "request_whose_connections_are_reset_sent_on")
+{
+    constexpr int attempts = 6;
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        const auto got = this->post("/once/x", "unlucky");
+        REQUIRE(got);
+        CHECK(got->status == 502);
+        std::this_thread::sleep_for(100ms);
+    }
+    CHECK(this->connections_reset() == attempts);
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -392,7 +392,7 @@
   uint64_t request_high_;
   uint64_t request_low_;
   uint64_t workspace_;
-  uint32_t cleared_age_ms_;
+  uint32_t answered_age_ms_;
   uint32_t trial_age_ms_;
   uint32_t crashes_;
   int32_t padding0__;
@@ -402,17 +402,17 @@
       : request_high_(0),
         request_low_(0),
         workspace_(0),
-        cleared_age_ms_(0),
+        answered_age_ms_(0),
         trial_age_ms_(0),
         crashes_(0),
         padding0__(0) {
     (void)padding0__;
   }
-  Suspect(uint64_t _request_high, uint64_t _request_low, uint64_t _workspace, uint32_t _cleared_age_ms, uint32_t _trial_age_ms, uint32_t _crashes)
+  Suspect(uint64_t _request_high, uint64_t _request_low, uint64_t _workspace, uint32_t _answered_age_ms, uint32_t _trial_age_ms, uint32_t _crashes)
       : request_high_(flatbuffers::EndianScalar(_request_high)),
         request_low_(flatbuffers::EndianScalar(_request_low)),
         workspace_(flatbuffers::EndianScalar(_workspace)),
-        cleared_age_ms_(flatbuffers::EndianScalar(_cleared_age_ms)),
+        answered_age_ms_(flatbuffers::EndianScalar(_answered_age_ms)),
         trial_age_ms_(flatbuffers::EndianScalar(_trial_age_ms)),
         crashes_(flatbuffers::EndianScalar(_crashes)),
         padding0__(0) {
@@ -427,8 +427,8 @@
   uint64_t workspace() const {
     return flatbuffers::EndianScalar(workspace_);
   }
-  uint32_t cleared_age_ms() const {
-    return flatbuffers::EndianScalar(cleared_age_ms_);
+  uint32_t answered_age_ms() const {
+    return flatbuffers::EndianScalar(answered_age_ms_);
   }
   uint32_t trial_age_ms() const {
     return flatbuffers::EndianScalar(trial_age_ms_);
--- a/src/greengagedrum/gossip/suspect_codec.cpp
+++ b/src/greengagedrum/gossip/suspect_codec.cpp
@@ -46,7 +46,7 @@
         requests.emplace_back(one.request.high,
                               one.request.low,
                               one.workspace.value,
-                              age_ms(one.cleared_age),
+                              age_ms(one.answered_age),
                               age_ms(one.trial_age),
                               static_cast<std::uint32_t>(one.crashes.size()));
         for (const quarantine::crash_sighting& crash : one.crashes)
@@ -66,7 +66,7 @@
         quarantine::suspect_report told;
         told.request = {one->request_high(), one->request_low()};
         told.workspace.value = one->workspace();
-        told.cleared_age = age_of(one->cleared_age_ms());
+        told.answered_age = age_of(one->answered_age_ms());
         told.trial_age = age_of(one->trial_age_ms());
         for (std::uint32_t count = 0;
              count < one->crashes() && next < from.crashes()->size();
--- a/src/greengagedrum/gossip/test/suspect_codec_test.cpp
+++ b/src/greengagedrum/gossip/test/suspect_codec_test.cpp
@@ -27,10 +27,10 @@
     REQUIRE(first.crashes.size() == 2);
     CHECK(first.crashes.back().upstream == base::upstream_id("i-2"));
     CHECK(first.crashes.back().age == 3s);
-    CHECK_FALSE(first.cleared_age);
+    CHECK_FALSE(first.answered_age);
     CHECK(first.trial_age == 7s);
     CHECK(read->suspects.back().crashes.empty());
-    CHECK(read->suspects.back().cleared_age == 1ms);
+    CHECK(read->suspects.back().answered_age == 1ms);
 }
 
 TEST_CASE("word_without_suspects_read_as_none")
--- /dev/null
+++ b/src/greengagedrum/quarantine/crash_record.cpp
@@ -0,0 +1,169 @@
+#include <greengagedrum/quarantine/crash_record.hpp>
+
+#include <algorithm>
+
+namespace greengagedrum::quarantine
+{
+
+namespace
+{
+
+// Crashes of one request that are kept.
+constexpr std::size_t crashes_kept = 8;
+
+// From the last crash to the next trial: ten times as long after each crash.
+constexpr base::duration first_pause = std::chrono::seconds(60);
+constexpr base::duration longest_pause = std::chrono::hours(24);
+constexpr std::int64_t pause_growth = 10;
+// For so long a trial is waited for before there may be another.
+constexpr base::duration trial_takes = std::chrono::seconds(30);
+
+// Ages are read a message's way later than they were written: what is later by
+// less than this is no news.
+constexpr base::duration same_time = std::chrono::milliseconds(400);
+
+base::duration pause_after(std::size_t crashes)
+{
+    base::duration out = first_pause;
+    for (std::size_t at = crashes_allowed; at < crashes; ++at)
+        out = std::min(out * pause_growth, longest_pause);
+    return out;
+}
+
+// True when it was later than what is known.
+bool take_later(std::optional<base::instant>& known,
+                const std::optional<base::duration>& age,
+                base::instant now)
+{
+    if (!age || (known && now - *age <= *known + same_time))
+        return false;
+    known = now - *age;
+    return true;
+}
+
+} // namespace
+
+std::string_view to_string(standing what)
+{
+    switch (what) {
+    case standing::clear:
+        return "clear";
+    case standing::suspected:
+        return "suspected";
+    case standing::trial_due:
+        return "trial_due";
+    case standing::quarantined:
+        return "quarantined";
+    }
+    return "unknown";
+}
+
+// ---- Standing -------------------------------------------------------------
+
+std::size_t crash_record::count() const
+{
+    const auto counts = [this](const auto& one) {
+        return !this->answered_at ||
+               one.second.at > *this->answered_at + answer_holds;
+    };
+    return static_cast<std::size_t>(
+        std::count_if(this->crashes.begin(), this->crashes.end(), counts));
+}
+
+base::instant crash_record::last_crash() const
+{
+    base::instant last;
+    for (const auto& [upstream, one] : this->crashes)
+        last = std::max(last, one.at);
+    return last;
+}
+
+base::instant crash_record::trial_from(double offset) const
+{
+    const base::duration pause = pause_after(this->count());
+    const auto later =
+        static_cast<std::int64_t>(offset * static_cast<double>(pause.count()));
+    return this->last_crash() + pause + base::duration(later);
+}
+
+standing crash_record::standing_at(base::instant now, double offset) const
+{
+    const std::size_t crashed = this->count();
+    if (crashed == 0)
+        return standing::clear;
+    if (crashed < crashes_allowed)
+        return standing::suspected;
+    const bool trying =
+        this->trial_at &&
+        now<*this->trial_at + trial_takes&&* this->trial_at> this->last_crash();
+    return trying || now < this->trial_from(offset) ? standing::quarantined
+                                                    : standing::trial_due;
+}
+
+// ---- Changes ----------------------------------------------------------------
+
+bool crash_record::add(base::upstream_id upstream,
+                       base::instant at,
+                       bool confirmed)
+{
+    const auto [found, fresh] =
+        this->crashes.try_emplace(upstream, crash{at, confirmed});
+    if (!fresh)
+        return confirmed && this->confirm(upstream);
+    if (this->crashes.size() > crashes_kept)
+        this->crashes.erase(
+            std::min_element(this->crashes.begin(),
+                             this->crashes.end(),
+                             [](const auto& one, const auto& other) {
+                                 return one.second.at < other.second.at;
+                             }));
+    return true;
+}
+
+bool crash_record::confirm(base::upstream_id upstream)
+{
+    const auto found = this->crashes.find(upstream);
+    if (found == this->crashes.end() || found->second.confirmed)
+        return false;
+    found->second.confirmed = true;
+    return true;
+}
+
+bool crash_record::remove(base::upstream_id upstream)
+{
+    return this->crashes.erase(upstream) > 0;
+}
+
+bool crash_record::answered(base::instant at)
+{
+    if (this->answered_at && *this->answered_at >= at)
+        return false;
+    this->answered_at = at;
+    return true;
+}
+
+bool crash_record::merge_times(const suspect_report& told, base::instant now)
+{
+    const bool answer = take_later(this->answered_at, told.answered_age, now);
+    const bool trial = take_later(this->trial_at, told.trial_age, now);
+    return answer || trial;
+}
+
+// Of crashes those that were confirmed: connections that were reset would be
+// taken for one by all.
+suspect_report crash_record::report(const base::request_digest& request,
+                                    base::instant now) const
+{
+    suspect_report out{request, this->owner, {}, {}, {}};
+    for (const auto& [upstream, one] : this->crashes) {
+        if (one.confirmed)
+            out.crashes.push_back({upstream, now - one.at});
+    }
+    if (this->answered_at)
+        out.answered_age = now - *this->answered_at;
+    if (this->trial_at)
+        out.trial_age = now - *this->trial_at;
+    return out;
+}
+
+} // namespace greengagedrum::quarantine
--- /dev/null
+++ b/src/greengagedrum/quarantine/crash_record.hpp
@@ -0,0 +1,61 @@
+// What is known of one request under which upstreams ended.
+//
+// Crashes are kept by the life of the upstream, so that two sights of one are
+// one. Those that came no later than ten seconds after an answer of the same
+// request don't count: it does not crash what runs it.
+#pragma once
+
+#include <greengagedrum/quarantine/messages.hpp>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+
+namespace greengagedrum::quarantine
+{
+
+// Crashes after which a request is not sent.
+inline constexpr std::size_t crashes_allowed = 2;
+
+// An answer speaks for its request for so long.
+inline constexpr base::duration answer_holds = std::chrono::seconds(10);
+
+class crash_record
+{
+public:
+    explicit crash_record(base::workspace_id workspace) : owner(workspace) {}
+
+    base::workspace_id workspace() const { return this->owner; }
+    std::size_t count() const;
+    base::instant last_crash() const; // of any
+
+    // `offset`: a part of the pause, zero to one, by which a trial here is
+    // later than the first of all entries.
+    standing standing_at(base::instant now, double offset) const;
+    base::instant trial_from(double offset) const;
+
+    // True when that was not known.
+    bool add(base::upstream_id upstream, base::instant at, bool confirmed);
+    bool confirm(base::upstream_id upstream);
+    bool remove(base::upstream_id upstream);
+    bool answered(base::instant at);
+    void trial_sent(base::instant at) { this->trial_at = at; }
+    // All but the crashes, which the owner may know better.
+    bool merge_times(const suspect_report& told, base::instant now);
+
+    suspect_report report(const base::request_digest& request,
+                          base::instant now) const;
+
+private:
+    struct crash {
+        base::instant at;
+        bool confirmed = false; // the upstream was gone
+    };
+
+    base::workspace_id owner;
+    std::map<base::upstream_id, crash> crashes;
+    std::optional<base::instant> answered_at;
+    std::optional<base::instant> trial_at;
+};
+
+} // namespace greengagedrum::quarantine
--- a/src/greengagedrum/quarantine/messages.hpp
+++ b/src/greengagedrum/quarantine/messages.hpp
@@ -25,8 +25,8 @@
     base::request_digest request;
     base::workspace_id workspace;
     std::vector<crash_sighting> crashes;
-    std::optional<base::duration> cleared_age; // since it was shown innocent
-    std::optional<base::duration> trial_age;   // since its last trial was sent
+    std::optional<base::duration> answered_age; // since its last answer
+    std::optional<base::duration> trial_age;    // since its last trial was sent
 };
 
 enum class standing : std::uint8_t {
--- a/src/greengagedrum/quarantine/test/suspect_table_test.cpp
+++ b/src/greengagedrum/quarantine/test/suspect_table_test.cpp
@@ -25,11 +25,19 @@
             "shop", "POST", "/", std::to_string(number));
     }
 
-    std::optional<standing_change> crash(const base::request_digest& what,
-                                         int upstream)
+    suspect_table::changes crash(const base::request_digest& what, int upstream)
     {
-        return this->tested.crashed(
+        auto out = this->tested.crashed(
             what, this->shop, this->upstream(upstream), this->now);
+        this->tested.upstream_gone(this->upstream(upstream), this->now);
+        return out;
+    }
+
+    void crash_at_peer(int upstream)
+    {
+        this->peer.crashed(
+            this->request, this->shop, this->upstream(upstream), this->now);
+        this->peer.upstream_gone(this->upstream(upstream), this->now);
     }
 
     static base::upstream_id upstream(int number)
@@ -60,8 +68,8 @@
 TEST_CASE_FIXTURE(table_fixture, "request_one_crash_suspected_only")
 {
     const auto change = this->crash(this->request, 1);
-    REQUIRE(change);
-    CHECK(change->now == standing::suspected);
+    REQUIRE(change.size() == 1);
+    CHECK(change.front().now == standing::suspected);
     CHECK(this->is() == standing::suspected);
     CHECK(this->tested.pause_left(this->request, this->now) == 0s);
 }
@@ -70,11 +78,11 @@
 {
     this->crash(this->request, 1);
     const auto change = this->crash(this->request, 2);
-    REQUIRE(change);
-    CHECK(change->now == standing::quarantined);
-    CHECK(change->crashes == 2);
+    REQUIRE(change.size() == 1);
+    CHECK(change.front().now == standing::quarantined);
+    CHECK(change.front().crashes == 2);
     CHECK(this->tested.pause_left(this->request, this->now) >= 60s);
-    CHECK(this->tested.quarantined(this->now).size() == 1);
+    CHECK(this->tested.barred(this->now).size() == 1);
 }
 
 // Two requests that broke with one upstream are two sights of one crash.
@@ -82,7 +90,7 @@
                   "request_broken_twice_on_one_life_counted_once")
 {
     this->crash(this->request, 1);
-    CHECK_FALSE(this->crash(this->request, 1));
+    CHECK(this->crash(this->request, 1).empty());
     CHECK(this->is() == standing::suspected);
 }
 
@@ -90,8 +98,8 @@
 {
     this->quarantine();
     const auto change = this->tested.cleared(this->request, this->now);
-    REQUIRE(change);
-    CHECK(change->now == standing::clear);
+    REQUIRE(change.size() == 1);
+    CHECK(change.front().now == standing::clear);
     CHECK(this->is() == standing::clear);
 }
 
@@ -100,11 +108,11 @@
 {
     this->tested.cleared(this->request, this->now);
     this->now += 9s;
-    CHECK_FALSE(this->crash(this->request, 1));
-    CHECK_FALSE(this->crash(this->request, 2));
+    CHECK(this->crash(this->request, 1).empty());
+    CHECK(this->crash(this->request, 2).empty());
     CHECK(this->is() == standing::clear);
     this->now += 2s;
-    CHECK(this->crash(this->request, 3));
+    CHECK(this->crash(this->request, 3).size() == 1);
 }
 
 // Connections that are reset look like a crash until their upstream answers.
@@ -122,6 +130,31 @@
     CHECK(this->is() == standing::suspected);
 }
 
+// Connections that were reset are no crash, at once and for all entries.
+TEST_CASE_FIXTURE(table_fixture, "upstream_takes_connections_crash_taken_back")
+{
+    for (const int number : {1, 2})
+        this->tested.crashed(
+            this->request, this->shop, upstream(number), this->now);
+    REQUIRE(this->is() == standing::quarantined);
+    const auto change =
+        this->tested.upstream_accepts(upstream(1), this->now + 20ms);
+    REQUIRE(change.size() == 1);
+    CHECK(change.front().now == standing::suspected);
+}
+
+TEST_CASE_FIXTURE(table_fixture, "crash_not_confirmed_not_told_to_peers")
+{
+    this->tested.crashed(this->request, this->shop, upstream(1), this->now);
+    this->tell(this->tested, this->peer);
+    CHECK(this->peer.standing_of(this->request, this->now) == standing::clear);
+    this->now += 300ms;
+    this->tested.upstream_gone(upstream(1), this->now);
+    this->tell(this->tested, this->peer);
+    CHECK(this->peer.standing_of(this->request, this->now) ==
+          standing::suspected);
+}
+
 TEST_CASE_FIXTURE(table_fixture, "trial_due_after_pause_one_copy_sent")
 {
     this->quarantine();
@@ -171,14 +204,14 @@
                   "crashes_seen_by_two_entries_add_up_by_upstream")
 {
     this->crash(this->request, 1);
-    this->peer.crashed(this->request, this->shop, this->upstream(1), this->now);
+    this->crash_at_peer(1);
     this->tell(this->peer, this->tested);
     CHECK(this->is() == standing::suspected);
-    this->peer.crashed(this->request, this->shop, this->upstream(2), this->now);
+    this->crash_at_peer(2);
     this->tell(this->peer, this->tested);
     CHECK(this->is() == standing::quarantined);
     this->tell(this->peer, this->tested);
-    CHECK(this->tested.quarantined(this->now).front().crashes == 2);
+    CHECK(this->tested.barred(this->now).front().crashes == 2);
 }
 
 // Two entries repeat to each other what they know: it is no news to either.
--- a/src/greengagedrum/traffic/containment.cpp
+++ b/src/greengagedrum/traffic/containment.cpp
@@ -45,20 +45,28 @@
 {
     if (cause != break_cause::connection_lost || item.facts.digest.empty())
         return;
-    const auto change = this->suspects.crashed(
-        item.facts.digest, item.facts.workspace, item.upstream, this->now);
-    if (change)
-        this->out->push_back(*change);
+    this->tell(this->suspects.crashed(
+        item.facts.digest, item.facts.workspace, item.upstream, this->now));
+    this->out->push_back(check_upstream{item.upstream});
+}
+
+void scheduler::on(const upstream_checked& what)
+{
+    this->tell(what.accepts
+                   ? this->suspects.upstream_accepts(what.upstream, this->now)
+                   : this->suspects.upstream_gone(what.upstream, this->now));
 }
 
 void scheduler::note_answer(const request& item)
 {
-    this->suspects.upstream_lives(item.upstream, this->now);
-    if (item.facts.digest.empty())
-        return;
-    const auto change = this->suspects.cleared(item.facts.digest, this->now);
-    if (change)
-        this->out->push_back(*change);
+    this->tell(this->suspects.upstream_lives(item.upstream, this->now));
+    if (!item.facts.digest.empty())
+        this->tell(this->suspects.cleared(item.facts.digest, this->now));
+}
+
+void scheduler::tell(const quarantine::suspect_table::changes& changes)
+{
+    this->out->insert(this->out->end(), changes.begin(), changes.end());
 }
 
 } // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -106,6 +106,12 @@
     break_cause cause = break_cause::connection_lost;
 };
 
+// What became of a `check_upstream`.
+struct upstream_checked {
+    base::upstream_id upstream;
+    bool accepts = false; // connections
+};
+
 // Another entry, which places this one's requests, has a place for the send
 // that was asked for, or will have none in time.
 struct place_granted {
@@ -130,6 +136,7 @@
                            progressed,
                            answered,
                            broken,
+                           upstream_checked,
                            place_granted,
                            place_declined>;
 
@@ -173,6 +180,11 @@
     base::verdict verdict;
 };
 
+// An answer of it broke off: is it still there?
+struct check_upstream {
+    base::upstream_id upstream;
+};
+
 // An upstream came under suspicion, or was cleared of it; for the log.
 struct trust_changed {
     base::upstream_id upstream;
@@ -185,6 +197,7 @@
                             stop_send,
                             deliver_answer,
                             end_request,
+                            check_upstream,
                             trust_changed,
                             quarantine::standing_change>;
 
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -151,6 +151,7 @@
     void on(const progressed& what);
     void on(const answered& what);
     void on(const broken& what);
+    void on(const upstream_checked& what);
     void on(const place_granted& what);
     void on(const place_declined& what);
 
@@ -177,6 +178,7 @@
     void refuse_quarantined(request& item);
     void note_crash(const request& item, break_cause cause);
     void note_answer(const request& item);
+    void tell(const quarantine::suspect_table::changes& changes);
     bool may_repeat(const request& item) const;
     bool try_again(request& item);
     void check_time(request& item);
