Quarantine: an upstream that ends without a trace counts like one that crashed

A host that loses its power closes no connection: callers leave or give up, and the request that did it would be sent on. A send that ends here without an answer after a second or more, from an upstream that showed no sign of life meanwhile, is treated like a lost connection, with the same check by a connect. The unit test was written with the change.

--- a/src/greengagedrum/traffic/containment.cpp
+++ b/src/greengagedrum/traffic/containment.cpp
@@ -8,6 +8,14 @@
 
 using quarantine::standing;
 
+namespace
+{
+
+// A send that ends sooner says nothing of its upstream.
+constexpr base::duration silence_least = std::chrono::seconds(1);
+
+} // namespace
+
 bool scheduler::is_quarantined(const request& item) const
 {
     return !this->suspects.empty() &&
@@ -41,9 +49,19 @@
                       this->suspects.pause_left(item.facts.digest, this->now)));
 }
 
-void scheduler::note_crash(const request& item, break_cause cause)
+// The send ends here, without an answer. Where its upstream has shown no sign
+// of life since, the request may have ended it without a trace: a host that
+// loses its power closes no connection.
+void scheduler::note_unfinished(const request& item)
+{
+    if (this->now - item.sent_at >= silence_least &&
+        this->pool.progress_at(item.upstream) < item.sent_at)
+        this->note_crash(item);
+}
+
+void scheduler::note_crash(const request& item)
 {
-    if (cause != break_cause::connection_lost || item.facts.digest.empty())
+    if (item.facts.digest.empty())
         return;
     this->tell(this->suspects.crashed(
         item.facts.digest, item.facts.workspace, item.upstream, this->now));
--- a/src/greengagedrum/traffic/patience.cpp
+++ b/src/greengagedrum/traffic/patience.cpp
@@ -79,6 +79,7 @@
     if (this->now >= item.end_at) {
         if (item.send != 0) {
             this->out->push_back(stop_send{item.id, item.send});
+            this->note_unfinished(item);
             this->pool.probe_void(item.upstream);
             this->leave_upstream(item);
         }
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -232,7 +232,8 @@
     if (item == nullptr)
         return;
     this->bad_end(item->upstream, trouble::broken);
-    this->note_crash(*item, what.cause);
+    if (what.cause == break_cause::connection_lost)
+        this->note_crash(*item);
     item->tried.push_back(item->upstream);
     this->leave_upstream(*item);
     if (this->may_repeat(*item) && this->try_again(*item))
@@ -248,6 +249,7 @@
     request& item = found->second;
     this->count.left += 1;
     if (item.send != 0) {
+        this->note_unfinished(item);
         this->pool.probe_void(item.upstream);
         this->leave_upstream(item);
     }
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -176,7 +176,8 @@
     bool is_quarantined(const request& item) const;
     bool awaits_copy(const request& item) const;
     void refuse_quarantined(request& item);
-    void note_crash(const request& item, break_cause cause);
+    void note_crash(const request& item);
+    void note_unfinished(const request& item);
     void note_answer(const request& item);
     void tell(const quarantine::suspect_table::changes& changes);
     bool may_repeat(const request& item) const;
--- a/src/greengagedrum/traffic/test/containment_test.cpp
+++ b/src/greengagedrum/traffic/test/containment_test.cpp
@@ -107,6 +107,41 @@
     CHECK(this->verdict().run == base::run_state::may_have_run);
 }
 
+// A host loses its power under the request: no connection is closed.
+TEST_CASE_FIXTURE(containment_fixture,
+                  "upstreams_gone_without_a_trace_quarantine")
+{
+    for (int time = 0; time < 2; ++time) {
+        const base::request_id id = this->arrive(this->facts);
+        const base::upstream_id upstream = this->sent().upstream;
+        this->pass(2s);
+        this->step(caller_left{id});
+        REQUIRE(this->order<check_upstream>() != nullptr);
+        this->step(upstream_checked{upstream, false});
+        this->tested.upstream_left(upstream);
+    }
+    this->arrive(this->facts);
+    CHECK(this->order<send_request>() == nullptr);
+    CHECK(this->verdict().why == base::reason::quarantined);
+}
+
+// Callers leave early, or while their upstream answers others.
+TEST_CASE_FIXTURE(containment_fixture,
+                  "caller_that_leaves_a_live_upstream_no_suspect")
+{
+    const base::request_id first = this->arrive(this->facts);
+    this->pass(500ms);
+    this->step(caller_left{first});
+    CHECK(this->order<check_upstream>() == nullptr);
+    const base::request_id second = this->arrive(this->facts);
+    const send_request order = this->sent();
+    this->pass(500ms);
+    this->step(progressed{second, order.send, 1});
+    this->pass(1500ms);
+    this->step(caller_left{second});
+    CHECK(this->order<check_upstream>() == nullptr);
+}
+
 // What waits here is refused as soon as a peer's message quarantines it.
 TEST_CASE_FIXTURE(containment_fixture,
                   "waiting_request_quarantined_by_peer_refused")
