--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -1,4 +1,5 @@
 #include <greengagedrum/entry/entry.hpp>
+#include <greengagedrum/entry/quarantine_page.hpp>
 #include <greengagedrum/entry/suspension.hpp>
 #include <greengagedrum/logs/write.hpp>
 #include <greengagedrum/placement/seconds.hpp>
@@ -106,19 +107,23 @@
         this->context,
         given.readiness,
         this->state.clock,
-        [this](std::string_view) { return this->answer_readiness(); });
+        [this](const relay::small_question&) {
+            return this->answer_readiness();
+        });
     this->control = std::make_unique<relay::small_server>(
         this->context,
         given.control,
         this->state.clock,
-        [this](std::string_view target) {
-            return this->answer_control(target);
+        [this](const relay::small_question& asked) {
+            return this->answer_control(asked.target);
         });
     this->metrics = std::make_unique<relay::small_server>(
         this->context,
         given.metrics,
         this->state.clock,
-        [this](std::string_view) {
+        [this](const relay::small_question& asked) {
+            if (is_quarantine_question(asked))
+                return answer_quarantine(this->state, asked);
             return relay::small_answer{
                 200,
                 std::string(telemetry::prometheus_content_type),
@@ -238,6 +243,9 @@
         static_cast<double>(this->peers->alive()));
     set(telemetry::gauge::upstreams_live,
         static_cast<double>(this->state.known.upstreams().usable_count()));
+    set(telemetry::gauge::requests_quarantined,
+        static_cast<double>(
+            this->state.scheduler.crash_suspects().barred(now).size()));
     set(telemetry::gauge::log_lines_dropped,
         static_cast<double>(logs::dropped_lines() +
                             this->state.log.held_back()));
--- /dev/null
+++ b/src/greengagedrum/entry/quarantine_page.cpp
@@ -0,0 +1,67 @@
+#include <greengagedrum/entry/milliseconds.hpp>
+#include <greengagedrum/entry/quarantine_page.hpp>
+#include <greengagedrum/entry/standing_log.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+constexpr std::string_view list_target = "/quarantine";
+constexpr std::string_view release_target = "/quarantine/release/";
+constexpr unsigned not_found = 404;
+constexpr unsigned wrong_method = 405;
+
+relay::small_answer list(const shared_state& state)
+{
+    const base::instant now = state.clock();
+    const quarantine::suspect_table& suspects =
+        state.scheduler.crash_suspects();
+    nlohmann::json out = nlohmann::json::array();
+    for (const quarantine::standing_change& one : suspects.barred(now))
+        out.push_back({{"digest", base::to_hex(one.request)},
+                       {"workspace", workspace_name(state, one.workspace)},
+                       {"standing", quarantine::to_string(one.now)},
+                       {"crashes", one.crashes},
+                       {"pause_ms",
+                        milliseconds(suspects.pause_left(one.request, now))}});
+    return {relay::status_ok, "application/json", out.dump() + "\n"};
+}
+
+relay::small_answer release(shared_state& state, std::string_view digest)
+{
+    const base::instant now = state.clock();
+    quarantine::suspect_table& suspects = state.scheduler.crash_suspects();
+    for (const quarantine::standing_change& one : suspects.barred(now)) {
+        if (base::to_hex(one.request) != digest)
+            continue;
+        for (const quarantine::standing_change& change :
+             suspects.cleared(one.request, now))
+            log_standing(state, change, "operator");
+        return {relay::status_ok, "text/plain", "released\n"};
+    }
+    return {not_found, "text/plain", "no such request is quarantined\n"};
+}
+
+} // namespace
+
+bool is_quarantine_question(const relay::small_question& asked)
+{
+    return asked.target == list_target ||
+           asked.target.starts_with(release_target);
+}
+
+relay::small_answer answer_quarantine(shared_state& state,
+                                      const relay::small_question& asked)
+{
+    if (asked.target == list_target)
+        return list(state);
+    if (asked.method != "POST")
+        return {wrong_method, "text/plain", "release by POST\n"};
+    return release(state, asked.target.substr(release_target.size()));
+}
+
+} // namespace greengagedrum::entry
--- /dev/null
+++ b/src/greengagedrum/entry/quarantine_page.hpp
@@ -0,0 +1,18 @@
+// What operators see of quarantined requests, and how they release one.
+//
+//   GET  /quarantine                 all of them, as JSON
+//   POST /quarantine/release/DIGEST  DIGEST: as the log and the list show it
+#pragma once
+
+#include <greengagedrum/entry/front.hpp>
+#include <greengagedrum/relay/small_server.hpp>
+
+namespace greengagedrum::entry
+{
+
+bool is_quarantine_question(const relay::small_question& asked);
+
+relay::small_answer answer_quarantine(shared_state& state,
+                                      const relay::small_question& asked);
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/standing_log.cpp
+++ b/src/greengagedrum/entry/standing_log.cpp
@@ -25,6 +25,8 @@
     return "request_quarantined";
 }
 
+} // namespace
+
 std::string workspace_name(const shared_state& state, base::workspace_id id)
 {
     if (!state.known.routes())
@@ -35,8 +37,6 @@
     return found == all.end() ? std::string() : found->name;
 }
 
-} // namespace
-
 void log_standing(shared_state& state,
                   const quarantine::standing_change& change,
                   std::string_view source)
--- /dev/null
+++ b/src/greengagedrum/entry/test/quarantine_page_test.cpp
@@ -0,0 +1,65 @@
+// What operators see of quarantined requests.
+#include <greengagedrum/entry/quarantine_page.hpp>
+
+#include <doctest/doctest.h>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+struct page_fixture {
+    base::instant now{1h};
+    shared_state state{[this] { return this->now; },
+                       beliefs(),
+                       quota::usage_limiter(now),
+                       traffic::scheduler({}, {}),
+                       decision_log(),
+                       telemetry::registry(1),
+                       false};
+    base::request_digest request =
+        base::digest_of_request("shop", "POST", "/", "body");
+
+    page_fixture()
+    {
+        quarantine::suspect_table& suspects =
+            this->state.scheduler.crash_suspects();
+        for (const char* name : {"i-1", "i-2"})
+            suspects.crashed(this->request,
+                             base::workspace_id("shop"),
+                             base::upstream_id(name),
+                             this->now);
+    }
+
+    relay::small_answer ask(std::string_view method, const std::string& target)
+    {
+        const relay::small_question asked{method, target};
+        REQUIRE(is_quarantine_question(asked));
+        return answer_quarantine(this->state, asked);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(page_fixture, "quarantined_request_listed")
+{
+    const relay::small_answer got = this->ask("GET", "/quarantine");
+    CHECK(got.status == 200);
+    CHECK(got.body.find(base::to_hex(this->request)) != std::string::npos);
+    CHECK(got.body.find("\"crashes\":2") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(page_fixture, "quarantined_request_released_by_post_only")
+{
+    const std::string target =
+        "/quarantine/release/" + base::to_hex(this->request);
+    CHECK(this->ask("GET", target).status == 405);
+    CHECK(this->ask("POST", target).status == 200);
+    CHECK(this->ask("GET", "/quarantine").body == "[]\n");
+    CHECK(this->ask("POST", target).status == 404);
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/relay/small_server.cpp
+++ b/src/greengagedrum/relay/small_server.cpp
@@ -60,7 +60,8 @@
 
 void small_server::on_request(const caller_ptr& from)
 {
-    const small_answer given = this->answer(from->head().target);
+    const small_answer given =
+        this->answer({from->head().method, from->head().target});
     std::string head = "HTTP/1.1 " + std::to_string(given.status) +
                        (given.status == status_ok ? " OK" : " Unavailable") +
                        "\r\nContent-Type: " + given.type + "\r\n";
--- a/src/greengagedrum/relay/small_server.hpp
+++ b/src/greengagedrum/relay/small_server.hpp
@@ -1,4 +1,5 @@
-// Answers short GET questions: readiness, peers' questions, metrics.
+// Answers short questions without a body: readiness, peers' questions, metrics,
+// operators.
 #pragma once
 
 #include <greengagedrum/relay/caller_connection.hpp>
@@ -12,6 +13,11 @@
 namespace greengagedrum::relay
 {
 
+struct small_question {
+    std::string_view method;
+    std::string_view target;
+};
+
 struct small_answer {
     unsigned status = 200;
     std::string type = "text/plain";
@@ -21,7 +27,7 @@
 class small_server
 {
 public:
-    using handler = std::function<small_answer(std::string_view target)>;
+    using handler = std::function<small_answer(const small_question&)>;
 
     // Throws boost::system::system_error when the address can't be had.
     small_server(asio::io_context& context,
--- a/src/greengagedrum/telemetry/metric_descriptions.cpp
+++ b/src/greengagedrum/telemetry/metric_descriptions.cpp
@@ -52,6 +52,8 @@
      "Bytes of answers kept for callers that ask again."},
     {"greengagedrum_log_lines_dropped", "Log lines lost since the start."},
     {"greengagedrum_stopping", "1 while a graceful stop is under way."},
+    {"greengagedrum_requests_quarantined",
+     "Different requests that are not sent, since upstreams crashed by them."},
 }};
 
 } // namespace
