Quota: a starting process gives out a quarter of each burst

Cause: the window before the kill may be full, no process that starts can know, and its bucket began with the whole burst. A quarter is refilled within a second or so at the published rate. Entries that start in a living fleet are told the window by their peers.

--- a/src/greengagedrum/quota/workspace_limit.cpp
+++ b/src/greengagedrum/quota/workspace_limit.cpp
@@ -19,6 +19,10 @@
 constexpr double slack_part = 0.25;
 constexpr double overshoot_part = 0.4;
 
+// Of its burst, what a bucket holds at first: where all entries are killed at
+// once, their window may be full already, and no entry that starts can know.
+constexpr double start_share = 0.25;
+
 // Of the rate, for callers that an entry refused though it let through nothing.
 constexpr double least_share = 0.02;
 
@@ -26,7 +30,7 @@
 
 workspace_limit::workspace_limit(const routing::usage_limit& limit,
                                  base::instant now)
-    : limit(limit), level(limit.burst), filled_at(now)
+    : limit(limit), level(start_share * limit.burst), filled_at(now)
 {
 }
 
