--- a/src/greengagedrum/entry/decisions.cpp
+++ b/src/greengagedrum/entry/decisions.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-// A process that ends closes its connections one by one, its door perhaps last.
+// A process that ends may close its listening socket after its connections.
 constexpr base::duration check_after = std::chrono::milliseconds(20);
 
 } // namespace
--- a/src/greengagedrum/entry/fleet_test/crashing_fleet_test.cpp
+++ b/src/greengagedrum/entry/fleet_test/crashing_fleet_test.cpp
@@ -11,8 +11,7 @@
 
 using namespace std::chrono_literals;
 
-// Runs of such a request that entries may begin once it has crashed three
-// upstreams and all can know of it.
+// Runs that are allowed once three upstreams have ended and all can know of it.
 constexpr std::uint32_t late_most = 3;
 
 crash_result played(const crash_plan& plan)
@@ -40,8 +39,7 @@
 
 } // namespace
 
-// One caller's request, sent again as a new attempt to any entry, ends one
-// upstream after the other.
+// One request, sent again and again to any entry, ends upstream after upstream.
 TEST_CASE("request_that_crashes_upstreams_is_contained_over_all_entries")
 {
     for (const std::size_t entries : {9U, 86U, 295U}) {
@@ -82,8 +80,7 @@
     }
 }
 
-// Entries are restarted one after the other, those that place killed and
-// frozen; a fresh process learns from its peers what not to send.
+// A process that starts has to learn from its peers what is not to be sent.
 TEST_CASE("entries_replaced_one_by_one_do_not_send_a_contained_request")
 {
     for (const std::size_t entries : {9U, 86U}) {
@@ -103,8 +100,7 @@
     }
 }
 
-// Half of the entries of a data centre are cut off, and one datagram in twenty
-// is lost.
+// Entries on both sides count alone, and one datagram in twenty is lost.
 TEST_CASE("request_contained_on_both_sides_of_a_cut")
 {
     for (const std::size_t entries : {9U, 86U}) {
@@ -132,8 +128,7 @@
     CHECK(got.crashed <= 2 * plan.bodies + 10);
 }
 
-// Upstreams end and connections are reset by themselves, and a third of all
-// callers send one and the same body: nobody is refused for it.
+// Upstreams end by themselves, and a third of all callers send the same body.
 TEST_CASE("requests_that_crash_nothing_are_not_barred")
 {
     for (const std::size_t entries : {9U, 86U}) {
--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -101,8 +101,7 @@
     CHECK(let <= 1.48 * (rate * window_seconds + burst));
 }
 
-// Those before a process that starts may have used up a window, with all that
-// the operator tolerates, when the whole fleet was killed.
+// Killed with the whole fleet, those before may have used up the window.
 TEST_CASE_FIXTURE(limiter_fixture, "fresh_process_has_no_part_of_the_slack")
 {
     constexpr double slack = 400;
--- a/src/greengagedrum/quota/workspace_limit.cpp
+++ b/src/greengagedrum/quota/workspace_limit.cpp
@@ -13,14 +13,12 @@
 {
 
 // Parts of the tolerated slack and overshoot that a bucket may be overdrawn by.
-// The rest covers messages under way and processes that start with a full
-// bucket: with a half of the slack, a fleet that was killed in a busy window
-// let through 957,000 tokens where 926,000 were tolerated.
+// The rest covers messages under way and processes that start.
 constexpr double slack_part = 0.25;
 constexpr double overshoot_part = 0.4;
 
-// Of its burst, what a bucket holds at first: where all entries are killed at
-// once, their window may be full already, and no entry that starts can know.
+// Of its burst, what a bucket holds at first: a process does not know what was
+// let through before its start.
 constexpr double start_share = 0.25;
 
 // Of the rate, for callers that an entry refused though it let through nothing.
