--- a/fuzz/peer_words.cpp
+++ b/fuzz/peer_words.cpp
@@ -13,12 +13,12 @@
     using namespace greengagedrum;
     using fuzz::require;
     const std::string text(fuzz::text_of(data, size));
-    if (const auto word = gossip::decode_word(text)) {
-        require(gossip::decode_word(gossip::encode(*word)).has_value(),
-                "a word that was read can be told again");
+    if (const auto message = gossip::decode_message(text)) {
+        require(gossip::decode_message(gossip::encode(*message)).has_value(),
+                "a message that was read can be told again");
         gossip::peer_table table(1, "hall", base::incarnation{1});
         const base::instant now(std::chrono::hours(1));
-        table.heard(*word, now);
+        table.heard(*message, now);
         table.to_tell(gossip::audience::own_data_centre, now);
         table.to_tell(gossip::audience::others, now);
     }
--- a/src/greengagedrum/entry/beliefs.hpp
+++ b/src/greengagedrum/entry/beliefs.hpp
@@ -6,7 +6,7 @@
 // only by one of a higher revision, so nothing ever goes back.
 #pragma once
 
-#include <greengagedrum/gossip/word.hpp>
+#include <greengagedrum/gossip/message.hpp>
 #include <greengagedrum/routing/route_table.hpp>
 #include <greengagedrum/routing/upstream_directory.hpp>
 
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -82,7 +82,7 @@
                                     this->peer_datagrams->transport());
     this->peer_datagrams->begin(
         [this](std::string_view bytes, const std::string& from) {
-            this->peers->on_word(bytes, from);
+            this->peers->on_message(bytes, from);
         },
         [this] { this->peers->wake(); });
     store_events store_told;
@@ -149,7 +149,7 @@
         this->callers->replied(what);
     };
     out.member_reported = [this](base::slot_id member,
-                                 const gossip::word& told) {
+                                 const gossip::message& told) {
         this->callers->member_reported(
             member, told.life, told.report, told.uses);
     };
--- a/src/greengagedrum/entry/fleet_test/crashing_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/crashing_fleet.cpp
@@ -95,7 +95,7 @@
     out.report = [] { return dispatch::member_report(); };
     out.replied = [](const dispatch::dispatcher_reply&) {};
     out.member_reported = [this, &of](base::slot_id member,
-                                      const gossip::word& told) {
+                                      const gossip::message& told) {
         this->works[of.number].desk.report(
             member, told.life, told.report, told.uses);
     };
--- a/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
@@ -117,7 +117,7 @@
         this->replied(of, what);
     };
     out.member_reported = [this, &of](base::slot_id member,
-                                      const gossip::word& told) {
+                                      const gossip::message& told) {
         this->reported(of, member, told);
     };
     out.member_lost = [this, &of](base::slot_id member) {
@@ -200,7 +200,7 @@
 
 void limited_fleet::reported(node& dispatcher,
                              base::slot_id member,
-                             const gossip::word& told)
+                             const gossip::message& told)
 {
     quota::usage_limiter& limiter = dispatcher.state.limiter;
     dispatch::member_desk& desk = this->of(dispatcher).desk;
--- a/src/greengagedrum/entry/fleet_test/limited_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet.hpp
@@ -65,8 +65,9 @@
     double draw();
     void ask();
     void arrive(node& at, double cost);
-    void
-    reported(node& dispatcher, base::slot_id member, const gossip::word& told);
+    void reported(node& dispatcher,
+                  base::slot_id member,
+                  const gossip::message& told);
     void replied(node& member, const dispatch::dispatcher_reply& what);
     void
     place_alone(node& one, std::size_t unheard, const handed_limits* known);
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
@@ -151,7 +151,7 @@
                 continue;
             node& to = *this->nodes[number];
             if (to.frozen_until <= this->now)
-                to.link->on_word(one.bytes, "");
+                to.link->on_message(one.bytes, "");
         }
     }
 }
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-// A reader's watch and the pause after it take up to 900 ms, its word up to
+// A reader's watch and the pause after it take up to 900 ms, its message up to
 // 200 ms more. When the newest answer that any peer had is older, nobody may be
 // reading. What changed meanwhile is then in force within 1.5 s.
 constexpr base::duration read_lately = std::chrono::milliseconds(1200);
@@ -111,60 +111,60 @@
 
 // ---- Hearing --------------------------------------------------------------
 
-void peer_link::on_word(std::string_view bytes, const std::string& from)
+void peer_link::on_message(std::string_view bytes, const std::string& from)
 {
     const base::instant now = this->state.clock();
-    const auto word = gossip::decode_word(bytes);
-    if (!word) {
+    const auto message = gossip::decode_message(bytes);
+    if (!message) {
         this->state.log.write(now,
                               "peers",
-                              "word_unreadable",
+                              "message_unreadable",
                               {{"from", from}, {"bytes", bytes.size()}});
         return;
     }
-    const gossip::peer_news news = this->table.heard(*word, now);
+    const gossip::peer_news news = this->table.heard(*message, now);
     if (news == gossip::peer_news::outdated)
         return;
-    this->order.heard(*word, now);
+    this->order.heard(*message, now);
     if (news != gossip::peer_news::none)
         this->state.log.write(
             now,
             "peers",
             news == gossip::peer_news::found ? "peer_found" : "peer_restarted",
-            {{"peer", word->instance},
-             {"config_revision", word->configuration_revision},
-             {"store_revision", word->store_revision}});
-    this->take_suspects(*word, now);
-    this->peer_read_at = std::max(this->peer_read_at, now - word->store_age);
-    switch (word->kind) {
-    case gossip::word_kind::load:
+            {{"peer", message->instance},
+             {"config_revision", message->configuration_revision},
+             {"store_revision", message->store_revision}});
+    this->take_suspects(*message, now);
+    this->peer_read_at = std::max(this->peer_read_at, now - message->store_age);
+    switch (message->kind) {
+    case gossip::message_kind::load:
         if (this->large)
-            this->answer_greeting(*word, now);
+            this->answer_greeting(*message, now);
         else
-            this->take_load(*word, now);
+            this->take_load(*message, now);
         break;
-    case gossip::word_kind::dispatcher_load:
-        this->take_load(*word, now);
+    case gossip::message_kind::dispatcher_load:
+        this->take_load(*message, now);
         break;
-    case gossip::word_kind::report:
-        this->take_report(*word, now);
+    case gossip::message_kind::report:
+        this->take_report(*message, now);
         break;
-    case gossip::word_kind::reply:
-        this->take_reply(*word, now);
+    case gossip::message_kind::reply:
+        this->take_reply(*message, now);
         break;
-    case gossip::word_kind::greeting:
-        this->answer_greeting(*word, now);
+    case gossip::message_kind::greeting:
+        this->answer_greeting(*message, now);
         break;
-    case gossip::word_kind::greeting_answer:
+    case gossip::message_kind::greeting_answer:
         break;
     }
     if (news != gossip::peer_news::none)
         this->update_role(now);
-    if (this->large && this->dispatcher == word->address)
-        return this->follow(*word, now);
-    if (word->configuration_revision >
+    if (this->large && this->dispatcher == message->address)
+        return this->follow(*message, now);
+    if (message->configuration_revision >
             this->state.known.configuration_revision() ||
-        word->change_revision > this->state.known.changed_at())
+        message->change_revision > this->state.known.changed_at())
         this->ask_peer(now);
 }
 
@@ -197,7 +197,8 @@
     this->set_timer();
 }
 
-// A word that is owed sooner than the one that the timer is set for moves it.
+// A message that is owed sooner than the one that the timer is set for moves
+// it.
 void peer_link::set_timer()
 {
     const auto next = this->schedule.next();
@@ -214,10 +215,10 @@
     this->set_timer();
 }
 
-gossip::word peer_link::own_word(gossip::word_kind kind)
+gossip::message peer_link::own_message(gossip::message_kind kind)
 {
     const base::instant now = this->state.clock();
-    gossip::word out;
+    gossip::message out;
     out.kind = kind;
     out.delegating = this->state.delegating;
     out.serving = this->is_serving();
@@ -238,12 +239,12 @@
     return out;
 }
 
-gossip::word peer_link::own_load(gossip::audience who)
+gossip::message peer_link::own_load(gossip::audience who)
 {
     const base::instant now = this->state.clock();
-    gossip::word out =
-        this->own_word(this->large ? gossip::word_kind::dispatcher_load
-                                   : gossip::word_kind::load);
+    gossip::message out =
+        this->own_message(this->large ? gossip::message_kind::dispatcher_load
+                                      : gossip::message_kind::load);
     out.uses = this->state.scheduler.own_uses(now);
     out.waiting = this->state.scheduler.own_waiting(now);
     out.workspace_uses = this->state.limiter.own_uses(now);
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -1,7 +1,7 @@
-// Speaks with the other entries: words by datagram, items of the store on
+// Speaks with the other entries: messages by datagram, items of the store on
 // request.
 //
-// Each word is whole, so a lost datagram is made good by the next, and a
+// Each message is whole, so a lost datagram is made good by the next, and a
 // connection that has gone silent can't be mistaken for a peer that has. Among
 // few entries each tells all others; among many, peer_telling.cpp says who
 // tells whom, and peer_roles.cpp what each of them is.
@@ -10,9 +10,9 @@
 #include <greengagedrum/entry/front.hpp>
 #include <greengagedrum/entry/peer_transport.hpp>
 #include <greengagedrum/entry/settings.hpp>
+#include <greengagedrum/gossip/gossip_schedule.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
 #include <greengagedrum/gossip/succession.hpp>
-#include <greengagedrum/gossip/word_schedule.hpp>
 
 #include <functional>
 #include <optional>
@@ -37,7 +37,7 @@
     std::function<dispatch::member_report()> report;
     std::function<void(const dispatch::dispatcher_reply&)> replied;
     // A member's report, with the loads that it sees, and a member's end.
-    std::function<void(base::slot_id, const gossip::word&)> member_reported;
+    std::function<void(base::slot_id, const gossip::message&)> member_reported;
     std::function<void(base::slot_id)> member_lost;
     // Members that are to be told something, and what.
     std::function<std::vector<base::slot_id>()> members_unanswered;
@@ -65,12 +65,12 @@
               peer_transport transport);
 
     // A datagram arrived; `from` is for the log.
-    void on_word(std::string_view bytes, const std::string& from);
+    void on_message(std::string_view bytes, const std::string& from);
 
     // The time that the transport was told has passed.
     void wake();
 
-    // Tells soon, but not sooner than the least gap after the last word.
+    // Tells soon, but not sooner than the least gap after the last message.
     void tell_soon();
 
     // This entry stops: others are to place for it and in its place.
@@ -94,20 +94,20 @@
     void tell_due();
     void tell(gossip::audience who);
     void set_timer();
-    gossip::word own_word(gossip::word_kind kind);
-    gossip::word own_load(gossip::audience who);
+    gossip::message own_message(gossip::message_kind kind);
+    gossip::message own_load(gossip::audience who);
 
     // ---- Among many entries
-    void take_suspects(const gossip::word& told, base::instant now);
+    void take_suspects(const gossip::message& told, base::instant now);
     std::vector<quarantine::suspect_report>
     suspects_for(base::instant& told_all_at, base::instant now);
-    void take_load(const gossip::word& told, base::instant now);
-    void take_report(const gossip::word& told, base::instant now);
-    void take_reply(const gossip::word& told, base::instant now);
-    void answer_greeting(const gossip::word& told, base::instant now);
-    void follow(const gossip::word& told, base::instant now);
-    void ask_dispatcher(const gossip::word& told, base::instant now);
-    void take_limits(const gossip::word& told, base::instant now);
+    void take_load(const gossip::message& told, base::instant now);
+    void take_report(const gossip::message& told, base::instant now);
+    void take_reply(const gossip::message& told, base::instant now);
+    void answer_greeting(const gossip::message& told, base::instant now);
+    void follow(const gossip::message& told, base::instant now);
+    void ask_dispatcher(const gossip::message& told, base::instant now);
+    void take_limits(const gossip::message& told, base::instant now);
     std::size_t unheard_near(base::instant now) const;
     bool dispatcher_reads(base::duration bound, base::instant now) const;
     bool is_serving() const;
@@ -139,7 +139,7 @@
     peer_transport transport;
     gossip::peer_table table;
     std::uint64_t sequence = 0;
-    gossip::word_schedule schedule;
+    gossip::gossip_schedule schedule;
     std::optional<base::instant> wakes_at; // by the transport
     base::instant looked_at;
     base::instant asked_at;
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -23,7 +23,7 @@
 // Between two questions of a member for what changed.
 constexpr base::duration follow_gap = std::chrono::milliseconds(100);
 
-// A reader's watch and the pause after it take up to 900 ms, its word up to
+// A reader's watch and the pause after it take up to 900 ms, its message up to
 // 200 ms more.
 constexpr base::duration read_lately = std::chrono::milliseconds(1200);
 
@@ -41,13 +41,13 @@
 constexpr std::uint32_t farewells_told = 3;
 
 // A place that another data centre's dispatcher frees is left to it as long.
-constexpr base::duration word_gap_among_many = std::chrono::milliseconds(10);
+constexpr base::duration gossip_gap_among_many = std::chrono::milliseconds(10);
 
 } // namespace
 
 // ---- Hearing --------------------------------------------------------------
 
-void peer_link::take_suspects(const gossip::word& told, base::instant now)
+void peer_link::take_suspects(const gossip::message& told, base::instant now)
 {
     if (told.suspects.empty())
         return;
@@ -57,7 +57,7 @@
         log_standing(this->state, one, told.instance);
 }
 
-void peer_link::take_load(const gossip::word& told, base::instant now)
+void peer_link::take_load(const gossip::message& told, base::instant now)
 {
     const base::slot_id slot(told.instance);
     if (this->large &&
@@ -80,7 +80,7 @@
 }
 
 // Its limits are counted here from now on, and its load is what it shows.
-void peer_link::take_report(const gossip::word& told, base::instant now)
+void peer_link::take_report(const gossip::message& told, base::instant now)
 {
     if (!this->large)
         return;
@@ -96,7 +96,7 @@
     this->answer_members();
 }
 
-void peer_link::take_reply(const gossip::word& told, base::instant now)
+void peer_link::take_reply(const gossip::message& told, base::instant now)
 {
     this->take_limits(told, now);
     this->update_role(now);
@@ -109,7 +109,7 @@
 
 // Of a dispatcher, to an entry next in line; and of one that stops, or that
 // this one has taken over from.
-void peer_link::take_limits(const gossip::word& told, base::instant now)
+void peer_link::take_limits(const gossip::message& told, base::instant now)
 {
     const base::slot_id slot(told.instance);
     if (this->limits && this->limits->from == slot)
@@ -126,13 +126,14 @@
     this->limits = {slot, told.life, told.workspace_uses, told.stopping, now};
 }
 
-void peer_link::answer_greeting(const gossip::word& told, base::instant now)
+void peer_link::answer_greeting(const gossip::message& told, base::instant now)
 {
     base::instant& answered = this->greetings_answered[told.address];
     if (now - answered < answer_gap)
         return;
     answered = now;
-    gossip::word out = this->own_word(gossip::word_kind::greeting_answer);
+    gossip::message out =
+        this->own_message(gossip::message_kind::greeting_answer);
     out.known =
         this->order.to_name(base::data_centre_id(told.data_centre), now);
     this->transport.send(gossip::encode(out), told.address);
@@ -142,7 +143,7 @@
 
 // Its dispatcher reads the store for a member, which is passed all that
 // changes.
-void peer_link::follow(const gossip::word& told, base::instant now)
+void peer_link::follow(const gossip::message& told, base::instant now)
 {
     this->dispatcher_digest = told.digest;
     if (told.digest == this->state.known.digest())
@@ -151,7 +152,7 @@
         this->ask_dispatcher(told, now);
 }
 
-void peer_link::ask_dispatcher(const gossip::word& told, base::instant now)
+void peer_link::ask_dispatcher(const gossip::message& told, base::instant now)
 {
     const std::uint64_t known =
         this->passed.life == told.life ? this->passed.changes : 0;
@@ -245,7 +246,7 @@
         return this->count_among_many(now);
     traffic::scheduler& scheduler = this->state.scheduler;
     scheduler.set_entries(this->table.alive_lately(now) + 1);
-    scheduler.set_word_gap(
+    scheduler.set_gossip_gap(
         this->schedule.gap(gossip::audience::own_data_centre));
     this->state.limiter.set_unheard_peers(this->table.unheard());
 }
@@ -260,7 +261,7 @@
     traffic::scheduler& scheduler = this->state.scheduler;
     scheduler.set_entries(this->members.empty() ? all : placing);
     scheduler.set_retrying_entries(all);
-    scheduler.set_word_gap(word_gap_among_many);
+    scheduler.set_gossip_gap(gossip_gap_among_many);
     const std::size_t unheard =
         this->order.unheard_data_centres(now) + this->unheard_near(now);
     this->state.limiter.set_unheard_peers(unheard);
--- a/src/greengagedrum/entry/peer_telling.cpp
+++ b/src/greengagedrum/entry/peer_telling.cpp
@@ -56,7 +56,7 @@
 {
     if (!this->dispatcher)
         return;
-    gossip::word out = this->own_word(gossip::word_kind::reply);
+    gossip::message out = this->own_message(gossip::message_kind::reply);
     out.delegating = true;
     out.workspace_uses = this->state.limiter.window_uses(now);
     this->transport.send(gossip::encode(out), *this->dispatcher);
@@ -101,7 +101,7 @@
 {
     if (!this->dispatcher)
         return;
-    gossip::word out = this->own_word(gossip::word_kind::report);
+    gossip::message out = this->own_message(gossip::message_kind::report);
     out.uses = this->state.scheduler.own_uses(now);
     out.report = this->events.report();
     out.suspects = this->suspects_for(this->suspects_to_near, now);
@@ -117,7 +117,7 @@
 {
     const std::vector<gossip::ip_number> to_try = this->order.to_try(now);
     if (!to_try.empty()) {
-        gossip::word out = this->own_word(gossip::word_kind::report);
+        gossip::message out = this->own_message(gossip::message_kind::report);
         if (this->state.delegating && !this->dispatcher) {
             out.uses = this->state.scheduler.own_uses(now);
             out.report = this->events.report();
@@ -151,7 +151,7 @@
 void peer_link::greet(const std::vector<gossip::ip_number>& to_greet,
                       base::instant now)
 {
-    gossip::word out = this->own_word(gossip::word_kind::greeting);
+    gossip::message out = this->own_message(gossip::message_kind::greeting);
     out.known =
         this->order.to_name(base::data_centre_id(this->own.data_centre), now);
     const std::string bytes = gossip::encode(out);
@@ -168,7 +168,7 @@
     for (const auto& [slot, one] : this->members) {
         if (now - one.heard_at > member_for)
             continue;
-        gossip::word out = this->own_word(gossip::word_kind::reply);
+        gossip::message out = this->own_message(gossip::message_kind::reply);
         out.known = known;
         out.suspects = suspects;
         out.reply = this->events.reply(slot);
@@ -184,7 +184,7 @@
         return;
     for (const base::slot_id slot : this->events.members_unanswered()) {
         const auto found = this->members.find(slot);
-        gossip::word out = this->own_word(gossip::word_kind::reply);
+        gossip::message out = this->own_message(gossip::message_kind::reply);
         out.reply = this->events.reply(slot);
         if (found != this->members.end())
             this->transport.send(gossip::encode(out), found->second.address);
@@ -199,7 +199,7 @@
     const std::vector<gossip::ip_number> far = this->order.far_dispatchers(now);
     if (far.empty())
         return;
-    gossip::word out = this->own_load(gossip::audience::others);
+    gossip::message out = this->own_load(gossip::audience::others);
     out.known =
         this->order.to_name(base::data_centre_id(this->own.data_centre), now);
     const std::string bytes = gossip::encode(out);
--- a/src/greengagedrum/entry/peer_transport.hpp
+++ b/src/greengagedrum/entry/peer_transport.hpp
@@ -4,7 +4,7 @@
 
 #include <greengagedrum/base/ip_address.hpp>
 #include <greengagedrum/base/time.hpp>
-#include <greengagedrum/gossip/word.hpp>
+#include <greengagedrum/gossip/message.hpp>
 #include <greengagedrum/relay/http_get.hpp>
 
 #include <functional>
--- a/src/greengagedrum/entry/test/dispatch_test.cpp
+++ b/src/greengagedrum/entry/test/dispatch_test.cpp
@@ -1,7 +1,7 @@
 // An entry among many, whose requests a dispatcher places: the test plays the
 // dispatcher by datagrams.
 #include <greengagedrum/entry/test/entry_fixture.hpp>
-#include <greengagedrum/gossip/word.hpp>
+#include <greengagedrum/gossip/message.hpp>
 
 namespace greengagedrum::entry
 {
@@ -50,7 +50,7 @@
     void play()
     {
         while (!this->ended) {
-            gossip::word out = this->own_word();
+            gossip::message out = this->own_message();
             this->take_reports(out.reply);
             const std::string bytes = gossip::encode(out);
             relay::error_code ignored; // the entry may not listen yet
@@ -63,10 +63,10 @@
         }
     }
 
-    gossip::word own_word()
+    gossip::message own_message()
     {
-        gossip::word out;
-        out.kind = gossip::word_kind::reply;
+        gossip::message out;
+        out.kind = gossip::message_kind::reply;
         out.life = {1};
         out.sequence = ++this->sequence;
         out.instance = "strong";
@@ -88,8 +88,9 @@
                 this->socket.receive(relay::asio::buffer(this->room), 0, fault);
             if (fault)
                 return;
-            const auto told = gossip::decode_word({this->room.data(), count});
-            if (!told || told->kind != gossip::word_kind::report)
+            const auto told =
+                gossip::decode_message({this->room.data(), count});
+            if (!told || told->kind != gossip::message_kind::report)
                 continue;
             this->reports += 1;
             into = {};
--- a/src/greengagedrum/entry/test/limit_test.cpp
+++ b/src/greengagedrum/entry/test/limit_test.cpp
@@ -1,6 +1,6 @@
 // What an entry tells its peers of a workspace's limit, request by request.
 #include <greengagedrum/entry/test/entry_fixture.hpp>
-#include <greengagedrum/gossip/word.hpp>
+#include <greengagedrum/gossip/message.hpp>
 
 namespace greengagedrum::entry
 {
@@ -36,7 +36,8 @@
                 std::this_thread::sleep_for(10ms);
                 continue;
             }
-            const auto told = gossip::decode_word({this->room.data(), count});
+            const auto told =
+                gossip::decode_message({this->room.data(), count});
             REQUIRE(told);
             for (const quota::workspace_use& one : told->workspace_uses) {
                 if (said(one))
--- a/src/greengagedrum/entry/test/replaced_dispatcher_test.cpp
+++ b/src/greengagedrum/entry/test/replaced_dispatcher_test.cpp
@@ -1,7 +1,7 @@
 // An entry that places among many, and what it counts against limits while the
 // dispatcher of another data centre is replaced: the test plays both of those.
 #include <greengagedrum/entry/test/entry_fixture.hpp>
-#include <greengagedrum/gossip/word.hpp>
+#include <greengagedrum/gossip/message.hpp>
 
 namespace greengagedrum::entry
 {
@@ -29,10 +29,10 @@
 
     std::uint16_t port() const { return this->socket.local_endpoint().port(); }
 
-    gossip::word load_of(std::string instance, gossip::ip_number address)
+    gossip::message load_of(std::string instance, gossip::ip_number address)
     {
-        gossip::word out;
-        out.kind = gossip::word_kind::dispatcher_load;
+        gossip::message out;
+        out.kind = gossip::message_kind::dispatcher_load;
         out.life = {1};
         out.sequence = ++this->sequence;
         out.instance = std::move(instance);
@@ -46,7 +46,7 @@
         return out;
     }
 
-    void send(const gossip::word& told)
+    void send(const gossip::message& told)
     {
         this->socket.send_to(
             relay::asio::buffer(gossip::encode(told)),
@@ -78,7 +78,7 @@
 {
     const auto third = static_cast<std::uint32_t>(3 * limit_per_second);
     for (int message = 0; message < 50; ++message) {
-        gossip::word stopping = this->load_of("strong", stopping_ip);
+        gossip::message stopping = this->load_of("strong", stopping_ip);
         stopping.stopping = message > 5;
         stopping.workspace_uses = {
             {base::workspace_id("gate"), third, 0, third, {}}};
--- a/src/greengagedrum/gossip/dispatch_codec.hpp
+++ b/src/greengagedrum/gossip/dispatch_codec.hpp
@@ -1,4 +1,4 @@
-// The bytes of what members and dispatchers tell each other, within a word.
+// The bytes of what members and dispatchers tell each other, within a message.
 #pragma once
 
 #include <greengagedrum/dispatch/messages.hpp>
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -50,8 +50,8 @@
 
 struct Crash;
 
-struct Word;
-struct WordBuilder;
+struct Message;
+struct MessageBuilder;
 
 struct Item;
 struct ItemBuilder;
@@ -891,8 +891,8 @@
       report_taken);
 }
 
-struct Word FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef WordBuilder Builder;
+struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LIFE = 4,
     VT_SEQUENCE = 6,
@@ -1066,112 +1066,112 @@
   }
 };
 
-struct WordBuilder {
-  typedef Word Table;
+struct MessageBuilder {
+  typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_life(uint64_t life) {
-    fbb_.AddElement<uint64_t>(Word::VT_LIFE, life, 0);
+    fbb_.AddElement<uint64_t>(Message::VT_LIFE, life, 0);
   }
   void add_sequence(uint64_t sequence) {
-    fbb_.AddElement<uint64_t>(Word::VT_SEQUENCE, sequence, 0);
+    fbb_.AddElement<uint64_t>(Message::VT_SEQUENCE, sequence, 0);
   }
   void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
-    fbb_.AddOffset(Word::VT_INSTANCE, instance);
+    fbb_.AddOffset(Message::VT_INSTANCE, instance);
   }
   void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
-    fbb_.AddOffset(Word::VT_DATA_CENTRE, data_centre);
+    fbb_.AddOffset(Message::VT_DATA_CENTRE, data_centre);
   }
   void add_address(uint32_t address) {
-    fbb_.AddElement<uint32_t>(Word::VT_ADDRESS, address, 0);
+    fbb_.AddElement<uint32_t>(Message::VT_ADDRESS, address, 0);
   }
   void add_stopping(bool stopping) {
-    fbb_.AddElement<uint8_t>(Word::VT_STOPPING, static_cast<uint8_t>(stopping), 0);
+    fbb_.AddElement<uint8_t>(Message::VT_STOPPING, static_cast<uint8_t>(stopping), 0);
   }
   void add_configuration_revision(uint64_t configuration_revision) {
-    fbb_.AddElement<uint64_t>(Word::VT_CONFIGURATION_REVISION, configuration_revision, 0);
+    fbb_.AddElement<uint64_t>(Message::VT_CONFIGURATION_REVISION, configuration_revision, 0);
   }
   void add_store_revision(uint64_t store_revision) {
-    fbb_.AddElement<uint64_t>(Word::VT_STORE_REVISION, store_revision, 0);
+    fbb_.AddElement<uint64_t>(Message::VT_STORE_REVISION, store_revision, 0);
   }
   void add_uses(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Use *>> uses) {
-    fbb_.AddOffset(Word::VT_USES, uses);
+    fbb_.AddOffset(Message::VT_USES, uses);
   }
   void add_workspace_uses(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::WorkspaceUse *>> workspace_uses) {
-    fbb_.AddOffset(Word::VT_WORKSPACE_USES, workspace_uses);
+    fbb_.AddOffset(Message::VT_WORKSPACE_USES, workspace_uses);
   }
   void add_known(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Known *>> known) {
-    fbb_.AddOffset(Word::VT_KNOWN, known);
+    fbb_.AddOffset(Message::VT_KNOWN, known);
   }
   void add_event_gaps_us(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> event_gaps_us) {
-    fbb_.AddOffset(Word::VT_EVENT_GAPS_US, event_gaps_us);
+    fbb_.AddOffset(Message::VT_EVENT_GAPS_US, event_gaps_us);
   }
   void add_waiting_levels(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::WaitingLevels *>> waiting_levels) {
-    fbb_.AddOffset(Word::VT_WAITING_LEVELS, waiting_levels);
+    fbb_.AddOffset(Message::VT_WAITING_LEVELS, waiting_levels);
   }
   void add_change_revision(uint64_t change_revision) {
-    fbb_.AddElement<uint64_t>(Word::VT_CHANGE_REVISION, change_revision, 0);
+    fbb_.AddElement<uint64_t>(Message::VT_CHANGE_REVISION, change_revision, 0);
   }
   void add_store_age_ms(uint32_t store_age_ms) {
-    fbb_.AddElement<uint32_t>(Word::VT_STORE_AGE_MS, store_age_ms, 3600000);
+    fbb_.AddElement<uint32_t>(Message::VT_STORE_AGE_MS, store_age_ms, 3600000);
   }
   void add_workspace_waiting(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> workspace_waiting) {
-    fbb_.AddOffset(Word::VT_WORKSPACE_WAITING, workspace_waiting);
+    fbb_.AddOffset(Message::VT_WORKSPACE_WAITING, workspace_waiting);
   }
   void add_workspace_lately(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> workspace_lately) {
-    fbb_.AddOffset(Word::VT_WORKSPACE_LATELY, workspace_lately);
+    fbb_.AddOffset(Message::VT_WORKSPACE_LATELY, workspace_lately);
   }
   void add_workspace_all_lately(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> workspace_all_lately) {
-    fbb_.AddOffset(Word::VT_WORKSPACE_ALL_LATELY, workspace_all_lately);
+    fbb_.AddOffset(Message::VT_WORKSPACE_ALL_LATELY, workspace_all_lately);
   }
   void add_strength(uint32_t strength) {
-    fbb_.AddElement<uint32_t>(Word::VT_STRENGTH, strength, 0);
+    fbb_.AddElement<uint32_t>(Message::VT_STRENGTH, strength, 0);
   }
   void add_standings(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Standing *>> standings) {
-    fbb_.AddOffset(Word::VT_STANDINGS, standings);
+    fbb_.AddOffset(Message::VT_STANDINGS, standings);
   }
   void add_kind(uint8_t kind) {
-    fbb_.AddElement<uint8_t>(Word::VT_KIND, kind, 0);
+    fbb_.AddElement<uint8_t>(Message::VT_KIND, kind, 0);
   }
   void add_delegating(bool delegating) {
-    fbb_.AddElement<uint8_t>(Word::VT_DELEGATING, static_cast<uint8_t>(delegating), 0);
+    fbb_.AddElement<uint8_t>(Message::VT_DELEGATING, static_cast<uint8_t>(delegating), 0);
   }
   void add_changes(uint64_t changes) {
-    fbb_.AddElement<uint64_t>(Word::VT_CHANGES, changes, 0);
+    fbb_.AddElement<uint64_t>(Message::VT_CHANGES, changes, 0);
   }
   void add_digest(uint64_t digest) {
-    fbb_.AddElement<uint64_t>(Word::VT_DIGEST, digest, 0);
+    fbb_.AddElement<uint64_t>(Message::VT_DIGEST, digest, 0);
   }
   void add_report(flatbuffers::Offset<greengagedrum::gossip::wire::Report> report) {
-    fbb_.AddOffset(Word::VT_REPORT, report);
+    fbb_.AddOffset(Message::VT_REPORT, report);
   }
   void add_reply(flatbuffers::Offset<greengagedrum::gossip::wire::Reply> reply) {
-    fbb_.AddOffset(Word::VT_REPLY, reply);
+    fbb_.AddOffset(Message::VT_REPLY, reply);
   }
   void add_lived_for_ms(uint32_t lived_for_ms) {
-    fbb_.AddElement<uint32_t>(Word::VT_LIVED_FOR_MS, lived_for_ms, 0);
+    fbb_.AddElement<uint32_t>(Message::VT_LIVED_FOR_MS, lived_for_ms, 0);
   }
   void add_serving(bool serving) {
-    fbb_.AddElement<uint8_t>(Word::VT_SERVING, static_cast<uint8_t>(serving), 0);
+    fbb_.AddElement<uint8_t>(Message::VT_SERVING, static_cast<uint8_t>(serving), 0);
   }
   void add_suspects(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *>> suspects) {
-    fbb_.AddOffset(Word::VT_SUSPECTS, suspects);
+    fbb_.AddOffset(Message::VT_SUSPECTS, suspects);
   }
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes) {
-    fbb_.AddOffset(Word::VT_CRASHES, crashes);
+    fbb_.AddOffset(Message::VT_CRASHES, crashes);
   }
-  explicit WordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Word> Finish() {
+  flatbuffers::Offset<Message> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Word>(end);
+    auto o = flatbuffers::Offset<Message>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Word> CreateWord(
+inline flatbuffers::Offset<Message> CreateMessage(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t life = 0,
     uint64_t sequence = 0,
@@ -1203,7 +1203,7 @@
     bool serving = false,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *>> suspects = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes = 0) {
-  WordBuilder builder_(_fbb);
+  MessageBuilder builder_(_fbb);
   builder_.add_digest(digest);
   builder_.add_changes(changes);
   builder_.add_change_revision(change_revision);
@@ -1237,7 +1237,7 @@
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<Word> CreateWordDirect(
+inline flatbuffers::Offset<Message> CreateMessageDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t life = 0,
     uint64_t sequence = 0,
@@ -1282,7 +1282,7 @@
   auto standings__ = standings ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Standing>(*standings) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Suspect>(*suspects) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Crash>(*crashes) : 0;
-  return greengagedrum::gossip::wire::CreateWord(
+  return greengagedrum::gossip::wire::CreateMessage(
       _fbb,
       life,
       sequence,
@@ -1517,33 +1517,33 @@
       changes);
 }
 
-inline const greengagedrum::gossip::wire::Word *GetWord(const void *buf) {
-  return flatbuffers::GetRoot<greengagedrum::gossip::wire::Word>(buf);
+inline const greengagedrum::gossip::wire::Message *GetMessage(const void *buf) {
+  return flatbuffers::GetRoot<greengagedrum::gossip::wire::Message>(buf);
 }
 
-inline const greengagedrum::gossip::wire::Word *GetSizePrefixedWord(const void *buf) {
-  return flatbuffers::GetSizePrefixedRoot<greengagedrum::gossip::wire::Word>(buf);
+inline const greengagedrum::gossip::wire::Message *GetSizePrefixedMessage(const void *buf) {
+  return flatbuffers::GetSizePrefixedRoot<greengagedrum::gossip::wire::Message>(buf);
 }
 
-inline bool VerifyWordBuffer(
+inline bool VerifyMessageBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifyBuffer<greengagedrum::gossip::wire::Word>(nullptr);
+  return verifier.VerifyBuffer<greengagedrum::gossip::wire::Message>(nullptr);
 }
 
-inline bool VerifySizePrefixedWordBuffer(
+inline bool VerifySizePrefixedMessageBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifySizePrefixedBuffer<greengagedrum::gossip::wire::Word>(nullptr);
+  return verifier.VerifySizePrefixedBuffer<greengagedrum::gossip::wire::Message>(nullptr);
 }
 
-inline void FinishWordBuffer(
+inline void FinishMessageBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
-    flatbuffers::Offset<greengagedrum::gossip::wire::Word> root) {
+    flatbuffers::Offset<greengagedrum::gossip::wire::Message> root) {
   fbb.Finish(root);
 }
 
-inline void FinishSizePrefixedWordBuffer(
+inline void FinishSizePrefixedMessageBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
-    flatbuffers::Offset<greengagedrum::gossip::wire::Word> root) {
+    flatbuffers::Offset<greengagedrum::gossip::wire::Message> root) {
   fbb.FinishSizePrefixed(root);
 }
 
--- a/src/greengagedrum/gossip/word_schedule.cpp
+++ b/src/greengagedrum/gossip/gossip_schedule.cpp
@@ -1,4 +1,4 @@
-#include <greengagedrum/gossip/word_schedule.hpp>
+#include <greengagedrum/gossip/gossip_schedule.hpp>
 
 #include <algorithm>
 
@@ -14,7 +14,7 @@
 constexpr base::duration gap_among_few = std::chrono::milliseconds(10);
 constexpr std::size_t few = 10;
 
-// Other data centres' upstreams are the second choice, so words to there may
+// Other data centres' upstreams are the second choice, so messages to there may
 // be older; with the square of the number of entries, up to the most that
 // limits and the liveness of peers allow.
 constexpr base::duration far_gap_most = std::chrono::milliseconds(200);
@@ -25,12 +25,12 @@
 constexpr base::duration dispatched_gap = std::chrono::milliseconds(100);
 
 // A member tells one receiver only. What happens within this time goes into one
-// word: a request that ends, and the next that is asked for.
+// message: a request that ends, and the next that is asked for.
 constexpr base::duration member_gap = std::chrono::milliseconds(2);
 
 } // namespace
 
-void word_schedule::set_peers(std::size_t near_peers, std::size_t all_peers)
+void gossip_schedule::set_peers(std::size_t near_peers, std::size_t all_peers)
 {
     const auto close = static_cast<std::int64_t>(std::max(few, near_peers));
     const auto all = static_cast<std::int64_t>(std::max(few, all_peers));
@@ -41,7 +41,7 @@
     this->quiet_gap = usual_quiet_gap;
 }
 
-void word_schedule::set_member()
+void gossip_schedule::set_member()
 {
     this->near.gap = member_gap;
     this->far.gap = far_gap_most;
@@ -49,44 +49,44 @@
 }
 
 // Replies to members go out at once and by themselves.
-void word_schedule::set_dispatcher()
+void gossip_schedule::set_dispatcher()
 {
     this->near.gap = dispatched_gap;
     this->far.gap = dispatched_gap;
     this->quiet_gap = dispatched_gap;
 }
 
-const word_schedule::telling& word_schedule::of(audience who) const
+const gossip_schedule::telling& gossip_schedule::of(audience who) const
 {
     return who == audience::own_data_centre ? this->near : this->far;
 }
 
-base::duration word_schedule::gap(audience who) const
+base::duration gossip_schedule::gap(audience who) const
 {
     return this->of(who).gap;
 }
 
-void word_schedule::changed()
+void gossip_schedule::changed()
 {
     this->near.has_news = true;
     this->far.has_news = true;
 }
 
-void word_schedule::told(audience who, base::instant now)
+void gossip_schedule::told(audience who, base::instant now)
 {
     telling& state = who == audience::own_data_centre ? this->near : this->far;
     state.has_news = false;
     state.told_at = now;
 }
 
-bool word_schedule::is_due(audience who, base::instant now) const
+bool gossip_schedule::is_due(audience who, base::instant now) const
 {
     const telling& state = this->of(who);
     const base::duration passed = now - state.told_at;
     return passed >= this->quiet_gap || (state.has_news && passed >= state.gap);
 }
 
-std::optional<base::instant> word_schedule::next() const
+std::optional<base::instant> gossip_schedule::next() const
 {
     std::optional<base::instant> first;
     for (const telling* one : {&this->near, &this->far}) {
--- a/src/greengagedrum/gossip/word_schedule.hpp
+++ b/src/greengagedrum/gossip/gossip_schedule.hpp
@@ -1,6 +1,6 @@
-// When an entry tells its next word to whom.
+// When an entry tells its next message to whom.
 //
-// Words are told at changes, but not closer to each other than a gap, which
+// Messages are told at changes, but not closer to each other than a gap, which
 // differs between the own data centre and the others; without a change they are
 // told now and then as a sign of life.
 #pragma once
@@ -14,7 +14,7 @@
 namespace greengagedrum::gossip
 {
 
-class word_schedule
+class gossip_schedule
 {
 public:
     // Live peers of the own data centre, and of all.
--- a/src/greengagedrum/gossip/word.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -1,7 +1,7 @@
 #include <greengagedrum/gossip/dispatch_codec.hpp>
 #include <greengagedrum/gossip/gossip_generated.h>
+#include <greengagedrum/gossip/message.hpp>
 #include <greengagedrum/gossip/suspect_codec.hpp>
-#include <greengagedrum/gossip/word.hpp>
 
 #include <algorithm>
 #include <array>
@@ -82,7 +82,7 @@
 
 std::vector<quota::workspace_use>
 workspace_uses_of(const flatbuffers::Vector<const wire::WorkspaceUse*>& list,
-                  const wire::Word& from)
+                  const wire::Message& from)
 {
     std::vector<quota::workspace_use> out;
     for (const wire::WorkspaceUse* one : list) {
@@ -98,12 +98,12 @@
 }
 
 // One of a later build's is no load, and asks for nothing.
-word_kind kind_of(std::uint8_t from)
+message_kind kind_of(std::uint8_t from)
 {
-    constexpr auto last = word_kind::dispatcher_load;
+    constexpr auto last = message_kind::dispatcher_load;
     return from <= static_cast<std::uint8_t>(last)
-               ? static_cast<word_kind>(from)
-               : word_kind::greeting_answer;
+               ? static_cast<message_kind>(from)
+               : message_kind::greeting_answer;
 }
 
 // An entry of an earlier build tells no standings.
@@ -149,7 +149,7 @@
 
 } // namespace
 
-std::string encode(const word& told)
+std::string encode(const message& told)
 {
     flatbuffers::FlatBufferBuilder builder;
     std::vector<wire::Use> uses;
@@ -179,54 +179,55 @@
         standings.emplace_back(one.data_centre.value, one.strength);
     }
     flatbuffers::Offset<wire::Report> report;
-    if (told.kind == word_kind::report)
+    if (told.kind == message_kind::report)
         report = write_report(builder, told.report);
     flatbuffers::Offset<wire::Reply> reply;
-    if (told.kind == word_kind::reply)
+    if (told.kind == message_kind::reply)
         reply = write_reply(builder, told.reply);
     const suspect_offsets suspects = write_suspects(builder, told.suspects);
-    const auto root = wire::CreateWord(builder,
-                                       told.life.value,
-                                       told.sequence,
-                                       builder.CreateString(told.instance),
-                                       builder.CreateString(told.data_centre),
-                                       told.address,
-                                       told.stopping,
-                                       told.configuration_revision,
-                                       told.store_revision,
-                                       builder.CreateVectorOfStructs(uses),
-                                       builder.CreateVectorOfStructs(spent),
-                                       builder.CreateVectorOfStructs(known),
-                                       builder.CreateVector(gaps),
-                                       builder.CreateVectorOfStructs(waiting),
-                                       told.change_revision,
-                                       milliseconds_of(told.store_age),
-                                       builder.CreateVector(spent_waiting),
-                                       builder.CreateVector(spent_lately),
-                                       builder.CreateVector(spent_by_all),
-                                       told.strength,
-                                       builder.CreateVectorOfStructs(standings),
-                                       static_cast<std::uint8_t>(told.kind),
-                                       told.delegating,
-                                       told.changes,
-                                       told.digest,
-                                       report,
-                                       reply,
-                                       milliseconds_of(told.lived_for),
-                                       told.serving,
-                                       suspects.requests,
-                                       suspects.crashes);
+    const auto root =
+        wire::CreateMessage(builder,
+                            told.life.value,
+                            told.sequence,
+                            builder.CreateString(told.instance),
+                            builder.CreateString(told.data_centre),
+                            told.address,
+                            told.stopping,
+                            told.configuration_revision,
+                            told.store_revision,
+                            builder.CreateVectorOfStructs(uses),
+                            builder.CreateVectorOfStructs(spent),
+                            builder.CreateVectorOfStructs(known),
+                            builder.CreateVector(gaps),
+                            builder.CreateVectorOfStructs(waiting),
+                            told.change_revision,
+                            milliseconds_of(told.store_age),
+                            builder.CreateVector(spent_waiting),
+                            builder.CreateVector(spent_lately),
+                            builder.CreateVector(spent_by_all),
+                            told.strength,
+                            builder.CreateVectorOfStructs(standings),
+                            static_cast<std::uint8_t>(told.kind),
+                            told.delegating,
+                            told.changes,
+                            told.digest,
+                            report,
+                            reply,
+                            milliseconds_of(told.lived_for),
+                            told.serving,
+                            suspects.requests,
+                            suspects.crashes);
     builder.Finish(root);
     return bytes_of(builder);
 }
 
-std::optional<word> decode_word(std::string_view bytes)
+std::optional<message> decode_message(std::string_view bytes)
 {
     flatbuffers::Verifier verifier(unsigned_bytes(bytes), bytes.size());
-    if (!verifier.VerifyBuffer<wire::Word>(nullptr))
+    if (!verifier.VerifyBuffer<wire::Message>(nullptr))
         return std::nullopt;
-    const auto* root = flatbuffers::GetRoot<wire::Word>(bytes.data());
-    word out;
+    const auto* root = flatbuffers::GetRoot<wire::Message>(bytes.data());
+    message out;
     out.life.value = root->life();
     out.sequence = root->sequence();
     out.instance = text_of(root->instance());
--- a/src/greengagedrum/gossip/word.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -28,7 +28,7 @@
     std::uint32_t strength = 0; // thousandths of a processor
 };
 
-enum class word_kind : std::uint8_t {
+enum class message_kind : std::uint8_t {
     load,     // what the sender uses, where each entry places its own
     report,   // to the entry that places the sender's requests
     reply,    // and back
@@ -38,14 +38,14 @@
     dispatcher_load,
 };
 
-struct word {
-    word_kind kind = word_kind::load;
+struct message {
+    message_kind kind = message_kind::load;
     // Another entry places the sender's requests.
     bool delegating = false;
     // The sender places requests of others.
     bool serving = false;
     base::incarnation life;
-    std::uint64_t sequence = 0; // grows with each word of a life
+    std::uint64_t sequence = 0; // grows with each message of a life
     std::string instance;
     std::string data_centre;
     ip_number address = 0;
@@ -74,18 +74,18 @@
 // Items of the store that one entry passes to another.
 struct item_transfer {
     std::uint64_t store_revision = 0;
-    std::uint64_t change_revision = 0; // as in a word
+    std::uint64_t change_revision = 0; // as in a message
     base::incarnation life;            // of the sender
     std::uint64_t changes = 0;         // of it
     bool whole = false; // all that there is; what is missing was removed
     routing::item_list items;
 };
 
-std::string encode(const word& told);
+std::string encode(const message& told);
 std::string encode(const item_transfer& passed);
 
 // Empty for bytes that are no sound message.
-std::optional<word> decode_word(std::string_view bytes);
+std::optional<message> decode_message(std::string_view bytes);
 std::optional<item_transfer> decode_items(std::string_view bytes);
 
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/peer_table.cpp
+++ b/src/greengagedrum/gossip/peer_table.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-// A live entry tells at least five times a second; seven words in a row are
+// A live entry tells at least five times a second; seven messages in a row are
 // not lost by chance.
 constexpr base::duration alive_for = std::chrono::milliseconds(1500);
 
@@ -40,10 +40,10 @@
         this->peers[address].seed = true;
 }
 
-peer_news peer_table::heard(const word& told, base::instant now)
+peer_news peer_table::heard(const message& told, base::instant now)
 {
     // An address may be another process of ours at this very place, before a
-    // restart: its words are not to be taken for a peer's.
+    // restart: its messages are not to be taken for a peer's.
     if (told.address == this->own)
         return peer_news::outdated;
     peer& one = this->peers[told.address];
--- a/src/greengagedrum/gossip/peer_table.hpp
+++ b/src/greengagedrum/gossip/peer_table.hpp
@@ -1,11 +1,11 @@
 // The other entries: who was heard of, who is alive, whom to tell what.
 //
 // Entries find each other through a few seed addresses that may be down, and
-// then through each other: each word names some entries that its sender has
-// heard. Liveness rests on words received, never on what others say of it.
+// then through each other: each message names some entries that its sender has
+// heard. Liveness rests on messages received, never on what others say of it.
 #pragma once
 
-#include <greengagedrum/gossip/word.hpp>
+#include <greengagedrum/gossip/message.hpp>
 
 #include <map>
 #include <optional>
@@ -20,10 +20,10 @@
     none,
     found,     // first heard, or heard again after silence
     restarted, // another process in its place
-    outdated   // the word is older than one already taken
+    outdated   // the message is older than one already taken
 };
 
-// Whom a word is for.
+// Whom a message is for.
 enum class audience : std::uint8_t {
     own_data_centre,
     others,
@@ -39,7 +39,7 @@
 
     void add_seed(ip_number address);
 
-    peer_news heard(const word& told, base::instant now);
+    peer_news heard(const message& told, base::instant now);
 
     // Addresses to be told now: those that are alive, of the own data centre
     // or of the others, and with the others once in a while those that may be.
@@ -48,7 +48,7 @@
     // Seeds that are not alive.
     std::vector<ip_number> silent_seeds(base::instant now) const;
 
-    // For the own word: those heard lately, a few at a time in turn.
+    // For the own message: those heard lately, a few at a time in turn.
     std::vector<known_entry> some_known(audience who, base::instant now);
 
     // Those that fell silent since the last call.
--- a/src/greengagedrum/gossip/succession.cpp
+++ b/src/greengagedrum/gossip/succession.cpp
@@ -48,7 +48,7 @@
 // Those that are kept ready to take over: one, and one more for its death.
 constexpr std::size_t successors = 2;
 
-// In one word: enough to find the next dispatcher after the loss of several,
+// In one message: enough to find the next dispatcher after the loss of several,
 // and to hear of all entries of a few hundred within some seconds.
 constexpr std::size_t strongest_named = 4;
 constexpr std::size_t named_in_turn = 6;
@@ -74,7 +74,7 @@
     return is_heard(one, now) && !one.delegating && !one.stopping;
 }
 
-void succession::heard(const word& told, base::instant now)
+void succession::heard(const message& told, base::instant now)
 {
     if (told.address == this->own)
         return;
--- a/src/greengagedrum/gossip/succession.hpp
+++ b/src/greengagedrum/gossip/succession.hpp
@@ -16,7 +16,7 @@
 
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
-#include <greengagedrum/gossip/word.hpp>
+#include <greengagedrum/gossip/message.hpp>
 
 #include <cstdint>
 #include <map>
@@ -39,7 +39,7 @@
     {
     }
 
-    void heard(const word& told, base::instant now);
+    void heard(const message& told, base::instant now);
     // A message was sent to it, which it is to answer.
     void told(ip_number address, base::instant now);
 
@@ -82,7 +82,7 @@
     std::size_t unheard_data_centres(base::instant now) const;
     std::size_t known_nearby(base::instant now) const;
 
-    // For a word to an entry of that data centre: the strongest there, and
+    // For a message to an entry of that data centre: the strongest there, and
     // others in turn.
     std::vector<known_entry> to_name(base::data_centre_id to,
                                      base::instant now);
--- a/src/greengagedrum/gossip/suspect_codec.cpp
+++ b/src/greengagedrum/gossip/suspect_codec.cpp
@@ -56,7 +56,7 @@
             builder.CreateVectorOfStructs(crashes)};
 }
 
-std::vector<quarantine::suspect_report> read_suspects(const wire::Word& from)
+std::vector<quarantine::suspect_report> read_suspects(const wire::Message& from)
 {
     std::vector<quarantine::suspect_report> out;
     if (from.suspects() == nullptr || from.crashes() == nullptr)
--- a/src/greengagedrum/gossip/suspect_codec.hpp
+++ b/src/greengagedrum/gossip/suspect_codec.hpp
@@ -1,5 +1,5 @@
 // The bytes of what entries tell each other of requests that crash upstreams,
-// within a word.
+// within a message.
 #pragma once
 
 #include <greengagedrum/gossip/gossip_generated.h>
@@ -21,6 +21,7 @@
 write_suspects(flatbuffers::FlatBufferBuilder& builder,
                std::span<const quarantine::suspect_report> told);
 
-std::vector<quarantine::suspect_report> read_suspects(const wire::Word& from);
+std::vector<quarantine::suspect_report>
+read_suspects(const wire::Message& from);
 
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/test/word_schedule_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_schedule_test.cpp
@@ -1,5 +1,5 @@
 // How soon a place that was taken is known elsewhere.
-#include <greengagedrum/gossip/word_schedule.hpp>
+#include <greengagedrum/gossip/gossip_schedule.hpp>
 
 #include <doctest/doctest.h>
 
@@ -16,7 +16,7 @@
 
 struct schedule_fixture {
     base::instant now{1h};
-    word_schedule tested;
+    gossip_schedule tested;
 
     schedule_fixture()
     {
@@ -36,10 +36,10 @@
     CHECK(this->tested.is_due(far, this->now + 10ms));
 }
 
-// Eighty entries. A place is taken while a word to other data centres is owed
-// in 150 ms: the own data centre hears of it in its 20 ms all the same, or
+// Eighty entries. A place is taken while a message to other data centres is
+// owed in 150 ms: the own data centre hears of it in its 20 ms all the same, or
 // twenty entries meet on that place.
-TEST_CASE_FIXTURE(schedule_fixture, "word_owed_far_away_delays_none_nearby")
+TEST_CASE_FIXTURE(schedule_fixture, "message_due_far_away_delays_none_nearby")
 {
     this->tested.set_peers(19, 79);
     this->now += 30ms;
--- a/src/greengagedrum/gossip/test/gossip_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -1,4 +1,4 @@
-// Words between entries: their bytes, and who is believed to be there.
+// Messages between entries: their bytes, and who is believed to be there.
 #include <greengagedrum/gossip/peer_table.hpp>
 
 #include <doctest/doctest.h>
@@ -17,9 +17,10 @@
 constexpr ip_number seed = 0x0a020001;
 constexpr ip_number other = 0x0a030001;
 
-word word_from(ip_number address, std::uint64_t life, std::uint64_t sequence)
+message
+message_from(ip_number address, std::uint64_t life, std::uint64_t sequence)
 {
-    word out;
+    message out;
     out.address = address;
     out.life.value = life;
     out.sequence = sequence;
@@ -44,9 +45,9 @@
 
 } // namespace
 
-TEST_CASE("word_encoded_and_decoded_is_the_same")
+TEST_CASE("message_encoded_and_decoded_is_the_same")
 {
-    word told = word_from(seed, 7, 9);
+    message told = message_from(seed, 7, 9);
     told.data_centre = "hall";
     told.stopping = true;
     told.configuration_revision = 5;
@@ -61,7 +62,7 @@
                             5'000,
                             {9'000, 1, 2, 3}}};
     told.known = {{other, 250ms}};
-    const auto read = decode_word(encode(told));
+    const auto read = decode_message(encode(told));
     REQUIRE(read);
     CHECK(read->life == told.life);
     CHECK(read->sequence == 9);
@@ -89,8 +90,8 @@
 // What members and dispatchers tell each other, field by field.
 TEST_CASE("report_and_reply_encoded_and_decoded_are_the_same")
 {
-    word told = word_from(seed, 7, 9);
-    told.kind = word_kind::report;
+    message told = message_from(seed, 7, 9);
+    told.kind = message_kind::report;
     told.strength = 500;
     told.delegating = true;
     told.known = {{other, 250ms, base::data_centre_id("yard"), 120}};
@@ -117,9 +118,9 @@
         {{base::request_id{5}, 1}, base::upstream_id("i-2"), 77}};
     told.report.news = {
         {12, {base::request_id{6}, 3}, dispatch::send_change::broken}};
-    const auto read = decode_word(encode(told));
+    const auto read = decode_message(encode(told));
     REQUIRE(read);
-    CHECK(read->kind == word_kind::report);
+    CHECK(read->kind == message_kind::report);
     CHECK(read->strength == 500);
     CHECK(read->delegating);
     CHECK(read->known.at(0).data_centre == base::data_centre_id("yard"));
@@ -149,12 +150,12 @@
     CHECK(read->report.news.at(0).number == 12);
     CHECK(read->report.news.at(0).what == dispatch::send_change::broken);
 
-    told.kind = word_kind::reply;
+    told.kind = message_kind::reply;
     told.reply.news_taken = 12;
     told.reply.granted = {{wanted.name, base::upstream_id("i-3"), 90ms, 2, 5}};
     told.reply.declined = {
         {{base::request_id{8}, 1}, base::reason::limit_reached, 1500ms}};
-    const auto reply = decode_word(encode(told));
+    const auto reply = decode_message(encode(told));
     REQUIRE(reply);
     CHECK(reply->report.wanted.empty());
     CHECK(reply->reply.news_taken == 12);
@@ -182,17 +183,17 @@
     CHECK(read->items[1].removed);
 }
 
-TEST_CASE("bytes_that_are_no_word_are_refused")
+TEST_CASE("bytes_that_are_no_message_are_refused")
 {
-    const std::string good = encode(word_from(seed, 1, 1));
+    const std::string good = encode(message_from(seed, 1, 1));
     for (std::size_t length = 0; length < good.size(); length += 7)
-        CHECK_FALSE(decode_word(good.substr(0, length)));
-    CHECK_FALSE(decode_word(std::string(64, '\xff')));
+        CHECK_FALSE(decode_message(good.substr(0, length)));
+    CHECK_FALSE(decode_message(std::string(64, '\xff')));
     CHECK_FALSE(decode_items(std::string(64, '\xff')));
 }
 
 // The seeds may be down when an entry starts, and up later: they are told
-// again and again, but not with every word.
+// again and again, but not with every message.
 TEST_CASE_FIXTURE(peers_fixture, "silent_seed_is_told_once_in_a_while")
 {
     this->table.add_seed(seed);
@@ -205,7 +206,7 @@
 
 TEST_CASE_FIXTURE(peers_fixture, "entry_named_by_a_peer_is_told")
 {
-    word told = word_from(seed, 1, 1);
+    message told = message_from(seed, 1, 1);
     told.known = {{other, 100ms}, {own_address, 0ms}};
     CHECK(this->table.heard(told, this->now) == peer_news::found);
     CHECK(this->told(seed));
@@ -221,7 +222,7 @@
 // where both had heard a seed: placed blindly, a day lost 0.05 of its worth.
 TEST_CASE_FIXTURE(peers_fixture, "entries_are_named_to_both_audiences")
 {
-    this->table.heard(word_from(seed, 1, 1), this->now);
+    this->table.heard(message_from(seed, 1, 1), this->now);
     for (const audience who : {audience::own_data_centre, audience::others}) {
         REQUIRE(this->table.some_known(who, this->now).size() == 1);
         CHECK(this->table.some_known(who, this->now).empty());
@@ -234,23 +235,23 @@
 {
     this->table.add_seed(seed);
     CHECK(this->table.unheard() == 1);
-    word told = word_from(seed, 1, 1);
+    message told = message_from(seed, 1, 1);
     told.known = {{other, 100ms}};
     this->table.heard(told, this->now);
     CHECK(this->table.unheard() == 1);
-    this->table.heard(word_from(other, 1, 1), this->now);
+    this->table.heard(message_from(other, 1, 1), this->now);
     CHECK(this->table.unheard() == 0);
 }
 
-TEST_CASE_FIXTURE(peers_fixture, "word_told_late_or_twice_is_outdated")
+TEST_CASE_FIXTURE(peers_fixture, "message_received_late_or_twice_is_outdated")
 {
-    CHECK(this->table.heard(word_from(seed, 1, 5), this->now) ==
+    CHECK(this->table.heard(message_from(seed, 1, 5), this->now) ==
           peer_news::found);
-    CHECK(this->table.heard(word_from(seed, 1, 5), this->now) ==
+    CHECK(this->table.heard(message_from(seed, 1, 5), this->now) ==
           peer_news::outdated);
-    CHECK(this->table.heard(word_from(seed, 1, 4), this->now) ==
+    CHECK(this->table.heard(message_from(seed, 1, 4), this->now) ==
           peer_news::outdated);
-    CHECK(this->table.heard(word_from(seed, 1, 6), this->now) ==
+    CHECK(this->table.heard(message_from(seed, 1, 6), this->now) ==
           peer_news::none);
 }
 
@@ -258,28 +259,28 @@
 // life has a lower number than the old one, and is heard all the same.
 TEST_CASE_FIXTURE(peers_fixture, "life_with_a_lower_number_is_heard")
 {
-    this->table.heard(word_from(seed, 900, 5), this->now);
-    CHECK(this->table.heard(word_from(seed, 100, 1), this->now) ==
+    this->table.heard(message_from(seed, 900, 5), this->now);
+    CHECK(this->table.heard(message_from(seed, 100, 1), this->now) ==
           peer_news::restarted);
 }
 
 TEST_CASE_FIXTURE(peers_fixture, "peer_that_falls_silent_is_reported_once")
 {
-    this->table.heard(word_from(seed, 1, 1), this->now);
+    this->table.heard(message_from(seed, 1, 1), this->now);
     this->now += 1600ms;
     CHECK(this->table.fallen_silent(this->now).size() == 1);
     CHECK(this->table.fallen_silent(this->now).empty());
     CHECK(this->table.alive(this->now) == 0);
     CHECK(this->table.alive_lately(this->now) == 1);
-    CHECK(this->table.heard(word_from(seed, 1, 2), this->now) ==
+    CHECK(this->table.heard(message_from(seed, 1, 2), this->now) ==
           peer_news::found);
 }
 
 TEST_CASE_FIXTURE(peers_fixture, "peer_with_the_newest_configuration_is_asked")
 {
-    word old_one = word_from(seed, 1, 1);
+    message old_one = message_from(seed, 1, 1);
     old_one.change_revision = 4;
-    word new_one = word_from(other, 1, 1);
+    message new_one = message_from(other, 1, 1);
     new_one.change_revision = 9;
     this->table.heard(old_one, this->now);
     this->table.heard(new_one, this->now);
@@ -294,7 +295,7 @@
 TEST_CASE_FIXTURE(peers_fixture, "reader_nearby_is_the_first_live_entry")
 {
     CHECK_FALSE(this->table.has_reader_nearby(this->now));
-    word first = word_from(own_address - 1, 1, 1);
+    message first = message_from(own_address - 1, 1, 1);
     first.data_centre = "elsewhere";
     this->table.heard(first, this->now);
     CHECK_FALSE(this->table.has_reader_nearby(this->now));
--- a/src/greengagedrum/gossip/test/succession_test.cpp
+++ b/src/greengagedrum/gossip/test/succession_test.cpp
@@ -27,9 +27,9 @@
     base::instant now{std::chrono::hours(1)};
     succession own{50, hall, weak, base::instant()};
 
-    word from(ip_number address, std::uint32_t strength, const char* place)
+    message from(ip_number address, std::uint32_t strength, const char* place)
     {
-        word out;
+        message out;
         out.address = address;
         out.strength = strength;
         out.data_centre = place;
@@ -43,7 +43,7 @@
 
     void name(const known_entry& one)
     {
-        word told = this->from(49, weak, "hall");
+        message told = this->from(49, weak, "hall");
         told.known = {one};
         this->own.heard(told, this->now);
     }
@@ -103,7 +103,7 @@
 
 TEST_CASE_FIXTURE(succession_fixture, "entry_that_delegates_does_not_place")
 {
-    word told = this->from(70, strong, "hall");
+    message told = this->from(70, strong, "hall");
     told.delegating = true;
     this->own.heard(told, this->now);
     CHECK_FALSE(this->own.dispatcher(this->now));
@@ -113,7 +113,7 @@
 TEST_CASE_FIXTURE(succession_fixture, "dispatcher_that_stops_is_left_at_once")
 {
     this->hear(70, strong);
-    word told = this->from(70, strong, "hall");
+    message told = this->from(70, strong, "hall");
     told.stopping = true;
     this->own.heard(told, this->now);
     CHECK_FALSE(this->own.dispatcher(this->now));
@@ -174,7 +174,7 @@
 // goes on telling of it, so it counts beside the one that takes over.
 TEST_CASE_FIXTURE(succession_fixture, "stopping_dispatcher_counts_until_silent")
 {
-    word stopping = this->from(11, strong, "yard");
+    message stopping = this->from(11, strong, "yard");
     stopping.stopping = true;
     this->own.heard(stopping, this->now);
     this->own.heard(this->from(12, weak, "yard"), this->now);
@@ -190,7 +190,7 @@
                   "young_entry_leaves_a_dispatcher_in_place")
 {
     succession best(1, hall, strong, this->now);
-    word placing = this->from(70, weak, "hall");
+    message placing = this->from(70, weak, "hall");
     placing.lived_for = 1min;
     placing.serving = true;
     for (int second = 0; second < 9; ++second) {
@@ -207,7 +207,7 @@
 TEST_CASE_FIXTURE(succession_fixture, "dispatcher_as_strong_stays_for_good")
 {
     succession next(1, hall, weak, this->now);
-    word placing = this->from(70, weak, "hall");
+    message placing = this->from(70, weak, "hall");
     placing.lived_for = 1min;
     placing.serving = true;
     next.heard(placing, this->now);
@@ -229,7 +229,7 @@
     this->hear(70, strong);
     CHECK_FALSE(this->own.dispatcher(this->now));
     this->now += 10s;
-    word told = this->from(70, strong, "hall");
+    message told = this->from(70, strong, "hall");
     told.lived_for = 10s;
     this->own.heard(told, this->now);
     CHECK(this->own.dispatcher(this->now) == 70);
@@ -237,7 +237,7 @@
 
 TEST_CASE_FIXTURE(succession_fixture, "members_leave_a_young_entry_aside")
 {
-    word placing = this->from(40, weak, "hall");
+    message placing = this->from(40, weak, "hall");
     placing.lived_for = 1min;
     placing.serving = true;
     this->own.heard(placing, this->now);
@@ -253,7 +253,7 @@
 TEST_CASE_FIXTURE(succession_fixture, "strongest_places_among_young_entries")
 {
     succession best(1, hall, strong, this->now);
-    word placing = this->from(70, weak, "hall");
+    message placing = this->from(70, weak, "hall");
     placing.lived_for = 500ms;
     best.heard(placing, this->now);
     CHECK_FALSE(best.dispatcher(this->now));
@@ -264,7 +264,7 @@
 TEST_CASE_FIXTURE(succession_fixture, "entry_that_delegates_is_asked_seldom")
 {
     this->hear(40, weak);
-    word told = this->from(70, strong, "hall");
+    message told = this->from(70, strong, "hall");
     told.delegating = true;
     this->own.heard(told, this->now);
     CHECK_FALSE(contains(this->own.to_try(this->now), 70));
@@ -279,7 +279,7 @@
 // A strong entry said that it stops, and is back: others have heard it since.
 TEST_CASE_FIXTURE(succession_fixture, "entry_named_after_its_stop_may_place")
 {
-    word told = this->from(70, strong, "hall");
+    message told = this->from(70, strong, "hall");
     told.stopping = true;
     this->own.heard(told, this->now);
     this->now += 3s;
@@ -291,7 +291,7 @@
 
 TEST_CASE_FIXTURE(succession_fixture, "entry_that_stops_is_not_named")
 {
-    word told = this->from(70, strong, "hall");
+    message told = this->from(70, strong, "hall");
     told.stopping = true;
     this->own.heard(told, this->now);
     for (const known_entry& one : this->own.to_name(hall, this->now))
@@ -307,7 +307,7 @@
     this->hear(61);
     this->name({62, 100ms, hall, strong});
     this->hear(63, strong);
-    word stopping = this->from(64, strong, "hall");
+    message stopping = this->from(64, strong, "hall");
     stopping.stopping = true;
     this->own.heard(stopping, this->now);
     CHECK(this->own.next_in_line(this->now) == std::vector<ip_number>{63, 49});
--- a/src/greengagedrum/gossip/test/suspect_codec_test.cpp
+++ b/src/greengagedrum/gossip/test/suspect_codec_test.cpp
@@ -1,5 +1,5 @@
 // What entries tell of requests that crash upstreams, as bytes and back.
-#include <greengagedrum/gossip/word.hpp>
+#include <greengagedrum/gossip/message.hpp>
 
 #include <doctest/doctest.h>
 
@@ -10,7 +10,7 @@
 
 TEST_CASE("suspects_encoded_and_decoded_are_the_same")
 {
-    word told;
+    message told;
     told.suspects = {
         {{1, 2},
          base::workspace_id("shop"),
@@ -18,7 +18,7 @@
          std::nullopt,
          7s},
         {{3, 4}, base::workspace_id("gate"), {}, 1ms, {}}};
-    const auto read = decode_word(encode(told));
+    const auto read = decode_message(encode(told));
     REQUIRE(read);
     REQUIRE(read->suspects.size() == 2);
     const quarantine::suspect_report& first = read->suspects.front();
@@ -33,9 +33,9 @@
     CHECK(read->suspects.back().answered_age == 1ms);
 }
 
-TEST_CASE("word_without_suspects_read_as_none")
+TEST_CASE("message_without_suspects_read_as_none")
 {
-    const auto read = decode_word(encode(word()));
+    const auto read = decode_message(encode(message()));
     REQUIRE(read);
     CHECK(read->suspects.empty());
 }
--- a/src/greengagedrum/traffic/choice.cpp
+++ b/src/greengagedrum/traffic/choice.cpp
@@ -27,9 +27,9 @@
 // while an engine reads nothing.
 constexpr double gap_margin = 1.25;
 
-// Among many entries words are old when they come, and all that know the same
-// of an upstream meet there. Above this many, upstreams whose ends are alike
-// within the most below are chosen among by lot.
+// Among many entries messages are old when they come, and all that know the
+// same of an upstream meet there. Above this many, upstreams whose ends are
+// alike within the most below are chosen among by lot.
 constexpr double few_entries = 10;
 constexpr double alike_most = 0.6;
 
@@ -162,9 +162,9 @@
 }
 
 // Of other data centres' upstreams an entry among many uses some, drawn for
-// good, while its own has enough that are sound: words from there are old, and
-// all that found their own places taken met where one seemed free. A request
-// that has failed elsewhere may go to any.
+// good, while its own has enough that are sound: messages from there are old,
+// and all that found their own places taken met where one seemed free. A
+// request that has failed elsewhere may go to any.
 bool upstream_pool::may_use(base::upstream_id id,
                             const upstream& one,
                             const placing_question& asked) const
@@ -287,7 +287,7 @@
                one.own,
                one.others,
                one.slots,
-               this->oldest_word(now),
+               this->oldest_load_report(now),
                placement::duration_of(chosen->expected),
                placement::duration_of(
                    this->gap_expected(one, all, asked.prompt_tokens, now)),
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -148,7 +148,7 @@
     std::uint32_t own = 0;    // requests there, of this entry
     std::uint32_t others = 0; // and of its peers, as they told
     std::uint32_t places = 0;
-    base::duration told_age{0};    // of the peers' oldest word
+    base::duration told_age{0};    // of the peers' oldest message
     base::duration first_event{0}; // expected
     base::duration gap{0};         // the longest expected there meanwhile
     std::string_view suits;        // a suitability
--- a/src/greengagedrum/traffic/placing.cpp
+++ b/src/greengagedrum/traffic/placing.cpp
@@ -139,16 +139,17 @@
     return this->now < until;
 }
 
-// What peers told that waits there. A peer's word counts for as long as it
+// What peers told that waits there. A peer's message counts for as long as it
 // takes that peer to tell anew.
 waiting_counts scheduler::waiting_elsewhere(base::class_id service) const
 {
-    constexpr base::duration word_holds = std::chrono::milliseconds(300);
+    constexpr base::duration load_report_holds = std::chrono::milliseconds(300);
     waiting_counts out{};
-    for (const auto& [peer, word] : this->waiting_at_peers) {
-        if (word.services.empty() || this->now - word.at > word_holds)
+    for (const auto& [peer, message] : this->waiting_at_peers) {
+        if (message.services.empty() ||
+            this->now - message.at > load_report_holds)
             continue;
-        for (const service_waiting& one : word.services) {
+        for (const service_waiting& one : message.services) {
             if (one.service != service)
                 continue;
             for (std::size_t level = 0; level < out.size(); ++level)
--- a/src/greengagedrum/traffic/retry_share.hpp
+++ b/src/greengagedrum/traffic/retry_share.hpp
@@ -1,7 +1,7 @@
 // This entry's part of the retries that all entries together may make.
 //
 // Each entry spends at most a part of the bound, so that the sum keeps it with
-// no word between them: also when they can't hear each other.
+// no message between them: also when they can't hear each other.
 #pragma once
 
 #include <greengagedrum/base/ids.hpp>
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -310,11 +310,11 @@
                           std::span<const service_waiting> waiting,
                           base::instant at)
 {
-    peer_waiting& word = this->waiting_at_peers[peer];
-    this->peers_with_queues -= word.services.empty() ? 0 : 1;
-    word.at = at;
-    word.services.assign(waiting.begin(), waiting.end());
-    this->peers_with_queues += word.services.empty() ? 0 : 1;
+    peer_waiting& message = this->waiting_at_peers[peer];
+    this->peers_with_queues -= message.services.empty() ? 0 : 1;
+    message.at = at;
+    message.services.assign(waiting.begin(), waiting.end());
+    this->peers_with_queues += message.services.empty() ? 0 : 1;
     this->pool.set_waiting_peers(this->peers_with_queues);
     if (this->peers_with_queues > 0)
         this->fresh.disturbed(at);
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -88,8 +88,8 @@
     {
         this->retries.set_entries(std::max<std::size_t>(1, count));
     }
-    // Between two words of a peer close by, at the least.
-    void set_word_gap(base::duration gap) { this->pool.set_word_gap(gap); }
+    // Between two messages of a peer close by, at the least.
+    void set_gossip_gap(base::duration gap) { this->pool.set_gossip_gap(gap); }
     void set_retry_bounds(const retry_bounds& bounds)
     {
         this->retries.set_bounds(bounds);
--- a/src/greengagedrum/traffic/test/burst_run.cpp
+++ b/src/greengagedrum/traffic/test/burst_run.cpp
@@ -14,7 +14,7 @@
 
 constexpr double calm_load = 0.7;
 constexpr base::duration turn = 2ms;
-constexpr base::duration word_way = 2ms;
+constexpr base::duration message_delay = 2ms;
 constexpr double prompt_tokens_per_ms = 50;
 constexpr base::duration fixed_first = 45ms;
 constexpr base::duration event_gap = 16ms;
@@ -76,7 +76,7 @@
     }
 };
 
-struct word_under_way {
+struct message_under_way {
     base::instant at;
     std::size_t from = 0;
     bool to_near = true; // to its own data centre, else to the others
@@ -84,8 +84,8 @@
     std::vector<service_waiting> waiting;
 };
 
-// An entry's words to one side.
-struct word_state {
+// An entry's messages to one side.
+struct message_state {
     bool due = false; // there is something to tell
     base::instant told_at;
 };
@@ -103,14 +103,14 @@
 public:
     explicit burst(const burst_settings& given)
         : settings(given), dice(given.seed), engines_there(given.engines),
-          near_words(given.entries), far_words(given.entries)
+          near_messages(given.entries), far_messages(given.entries)
     {
         for (std::size_t entry = 0; entry < given.entries; ++entry) {
             this->entries.push_back(std::make_unique<scheduler>(
                 retry_bounds{},
                 standpoint{place_of(entry, given), 1000 + entry}));
             this->entries.back()->set_entries(given.entries);
-            this->entries.back()->set_word_gap(given.near_gap);
+            this->entries.back()->set_gossip_gap(given.near_gap);
             for (std::size_t one = 0; one < given.engines; ++one) {
                 auto engine = upstream_named(std::to_string(one), given.slots);
                 engine.data_centre = place_of(one, given);
@@ -133,7 +133,7 @@
                 this->let_arrive();
             this->let_return();
             this->run_engines();
-            this->pass_words();
+            this->pass_messages();
             for (std::size_t entry = 0; entry < this->entries.size(); ++entry) {
                 actions out;
                 this->entries[entry]->tick(this->now, out);
@@ -241,8 +241,8 @@
                 this->count_refusal(*ended);
         }
         if (!orders.empty()) {
-            this->near_words[entry].due = true;
-            this->far_words[entry].due = true;
+            this->near_messages[entry].due = true;
+            this->far_messages[entry].due = true;
         }
     }
 
@@ -295,7 +295,7 @@
         this->result.in_time.at(what.kind) += asked_one.in_time ? 1 : 0;
     }
 
-    void pass_words()
+    void pass_messages()
     {
         if (!this->settings.entries_talk)
             return;
@@ -305,16 +305,16 @@
         }
         while (!this->under_way.empty() &&
                this->under_way.front().at <= this->now) {
-            const word_under_way word = this->under_way.front();
+            const message_under_way message = this->under_way.front();
             this->under_way.pop_front();
             for (std::size_t to = 0; to < this->entries.size(); ++to) {
                 const bool is_near = place_of(to, this->settings) ==
-                                     place_of(word.from, this->settings);
-                if (to != word.from && is_near == word.to_near)
+                                     place_of(message.from, this->settings);
+                if (to != message.from && is_near == message.to_near)
                     this->entries[to]->peer_told(
-                        base::slot_id(std::to_string(word.from)),
-                        word.uses,
-                        word.waiting,
+                        base::slot_id(std::to_string(message.from)),
+                        message.uses,
+                        message.waiting,
                         this->now);
             }
         }
@@ -322,15 +322,15 @@
 
     void tell(std::size_t from, bool to_near)
     {
-        word_state& state =
-            to_near ? this->near_words[from] : this->far_words[from];
+        message_state& state =
+            to_near ? this->near_messages[from] : this->far_messages[from];
         const base::duration gap =
             to_near ? this->settings.near_gap : this->settings.far_gap;
         if (!state.due || this->now < state.told_at + gap)
             return;
         state = {false, this->now};
         this->under_way.push_back(
-            {this->now + word_way,
+            {this->now + message_delay,
              from,
              to_near,
              this->entries[from]->own_uses(this->now),
@@ -345,11 +345,11 @@
     std::vector<engine> engines_there;
     std::map<base::upstream_id, std::size_t> by_id;
     std::map<base::request_id, asked_request> asked;
-    std::deque<word_under_way> under_way;
+    std::deque<message_under_way> under_way;
     std::multimap<base::instant, asked_request> returning;
     std::uint64_t next = 1;
-    std::vector<word_state> near_words;
-    std::vector<word_state> far_words;
+    std::vector<message_state> near_messages;
+    std::vector<message_state> far_messages;
     burst_result result;
 };
 
--- a/src/greengagedrum/traffic/test/burst_run.hpp
+++ b/src/greengagedrum/traffic/test/burst_run.hpp
@@ -37,7 +37,7 @@
     bool entries_talk = true;
     // Entries and engines are dealt out to so many data centres in turn.
     std::size_t data_centres = 1;
-    // Between an entry's words to its own data centre, and to the others.
+    // Between an entry's messages to its own data centre, and to the others.
     base::duration near_gap = std::chrono::milliseconds(10);
     base::duration far_gap = std::chrono::milliseconds(10);
     bool priorities = true; // else all requests are alike
--- a/src/greengagedrum/traffic/test/burst_test.cpp
+++ b/src/greengagedrum/traffic/test/burst_test.cpp
@@ -88,8 +88,8 @@
 }
 
 // What entries tell each other keeps urgent work out of the engines' own
-// queues, where nobody can order it. Without their words each takes all places
-// for its own.
+// queues, where nobody can order it. Without their messages each takes all
+// places for its own.
 TEST_CASE("entries_that_do_not_talk_overfill_engines")
 {
     burst_settings settings;
@@ -97,7 +97,7 @@
     const burst_result told = play_burst(settings);
     settings.entries_talk = false;
     const burst_result alone = play_burst(settings);
-    MESSAGE("most on one engine: " << told.most_on_one << " with words, "
+    MESSAGE("most on one engine: " << told.most_on_one << " with messages, "
                                    << alone.most_on_one << " without; urgent "
                                    << "in time: " << told.in_time_share(0)
                                    << " and " << alone.in_time_share(0));
@@ -107,9 +107,9 @@
 }
 
 // Eighty entries before ninety engines, at the usual load: a third of all
-// places is free. Between two words of an entry dozens of requests are placed,
-// and entries that all choose the best engine they know of meet there: its
-// queue makes callers wait though others idle.
+// places is free. Between two messages of an entry dozens of requests are
+// placed, and entries that all choose the best engine they know of meet there:
+// its queue makes callers wait though others idle.
 TEST_CASE("many_entries_at_the_usual_load_do_not_meet_on_one_engine")
 {
     burst_settings settings;
--- a/src/greengagedrum/traffic/test/line_test.cpp
+++ b/src/greengagedrum/traffic/test/line_test.cpp
@@ -90,8 +90,8 @@
     for (int count = 0; count < 4; ++count)
         this->arrive(stream_facts(2));
     this->arrive(stream_facts(0));
-    service_waiting word{engines, {9, 0, 0, 0}};
-    this->tested.peer_told(peer, {}, {&word, 1}, this->now);
+    service_waiting message{engines, {9, 0, 0, 0}};
+    this->tested.peer_told(peer, {}, {&message, 1}, this->now);
     this->answer(running, send);
     CHECK(this->order<send_request>() != nullptr);
 }
@@ -104,11 +104,11 @@
     const auto running = this->arrive(stream_facts(0));
     const auto send = this->sent().send;
     this->arrive(stream_facts(2));
-    service_waiting word{engines, {1, 0, 0, 0}};
-    this->tested.peer_told(peer, {}, {&word, 1}, this->now);
+    service_waiting message{engines, {1, 0, 0, 0}};
+    this->tested.peer_told(peer, {}, {&message, 1}, this->now);
     this->answer(running, send);
     CHECK(this->order<send_request>() == nullptr);
-    // The peer's word is good for as long as it takes to tell anew.
+    // The peer's message is good for as long as it takes to tell anew.
     this->pass(400ms);
     CHECK(this->order<send_request>() != nullptr);
 }
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -26,11 +26,11 @@
 constexpr base::duration silence_check_gap = std::chrono::milliseconds(50);
 
 // A peer that freed a place knows it at once and refills it from its own line;
-// its word of that takes up to the gap between words and the way. Whoever is
-// left takes turns, so that one place isn't taken by all that hear of it:
+// its message of that takes up to the gap between messages and the way. Whoever
+// is left takes turns, so that one place isn't taken by all that hear of it:
 // without turns, entries with lines put 6 to 12 requests on engines of 5
 // places.
-constexpr base::duration word_way = std::chrono::milliseconds(4);
+constexpr base::duration message_delay = std::chrono::milliseconds(4);
 // The step stands for the time in which some of the others hear of it.
 constexpr base::duration turn_step = std::chrono::milliseconds(5);
 
@@ -61,8 +61,8 @@
         return;
     this->note_join(entry.id, own, now);
     // Peers may have told of it before it was known here.
-    for (const auto& [peer, word] : this->told) {
-        for (const upstream_use& use : word.uses) {
+    for (const auto& [peer, message] : this->told) {
+        for (const upstream_use& use : message.uses) {
             if (use.upstream != entry.id)
                 continue;
             own.others += use.requests;
@@ -98,9 +98,9 @@
 
 // ---- What peers tell ------------------------------------------------------
 
-void upstream_pool::count_peer(const peer_word& word, base::instant now)
+void upstream_pool::count_peer(const peer_load& message, base::instant now)
 {
-    for (const upstream_use& use : word.uses) {
+    for (const upstream_use& use : message.uses) {
         upstream* own = this->find(use.upstream);
         if (own == nullptr)
             continue;
@@ -110,9 +110,9 @@
     }
 }
 
-void upstream_pool::uncount_peer(const peer_word& word)
+void upstream_pool::uncount_peer(const peer_load& message)
 {
-    for (const upstream_use& use : word.uses) {
+    for (const upstream_use& use : message.uses) {
         upstream* own = this->find(use.upstream);
         if (own == nullptr)
             continue;
@@ -126,16 +126,16 @@
                               std::span<const upstream_use> uses,
                               base::instant now)
 {
-    peer_word& word = this->told[peer];
+    peer_load& message = this->told[peer];
     std::vector<std::pair<base::upstream_id, std::uint32_t>> before;
-    for (const upstream_use& use : word.uses) {
+    for (const upstream_use& use : message.uses) {
         if (const upstream* one = this->find(use.upstream))
             before.emplace_back(use.upstream, one->others);
     }
-    this->uncount_peer(word);
-    word.uses.assign(uses.begin(), uses.end());
-    word.at = now;
-    this->count_peer(word, now);
+    this->uncount_peer(message);
+    message.uses.assign(uses.begin(), uses.end());
+    message.at = now;
+    this->count_peer(message, now);
     for (const auto& [id, others] : before) {
         if (upstream* one = this->find(id))
             this->note_turns(id, *one, others, now);
@@ -181,9 +181,9 @@
             now + this->own_turn(placement::mix(id.value, place)));
 }
 
-void upstream_pool::set_word_gap(base::duration gap)
+void upstream_pool::set_gossip_gap(base::duration gap)
 {
-    this->peers_turn = gap + word_way;
+    this->peers_turn = gap + message_delay;
 }
 
 std::uint32_t upstream_pool::open_places(const upstream& one, base::instant now)
@@ -211,19 +211,19 @@
         return;
     this->silence_checked_at = now;
     std::vector<base::slot_id> silent;
-    for (const auto& [peer, word] : this->told) {
-        if (now - word.at > peer_silence)
+    for (const auto& [peer, message] : this->told) {
+        if (now - message.at > peer_silence)
             silent.push_back(peer);
     }
     for (const base::slot_id peer : silent)
         this->peer_lost(peer);
 }
 
-base::duration upstream_pool::oldest_word(base::instant now) const
+base::duration upstream_pool::oldest_load_report(base::instant now) const
 {
     base::duration oldest{0};
-    for (const auto& [peer, word] : this->told)
-        oldest = std::max(oldest, now - word.at);
+    for (const auto& [peer, message] : this->told)
+        oldest = std::max(oldest, now - message.at);
     return oldest;
 }
 
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -82,14 +82,14 @@
                    std::span<const upstream_use> uses,
                    base::instant now);
     void peer_lost(base::slot_id peer);
-    // Peers whose word is too old count as lost.
+    // Peers whose message is too old count as lost.
     void forget_silent_peers(base::instant now);
 
     // Entries that take requests, this one included.
     void set_entries(std::size_t count);
 
-    // Between two words of a peer close by, at the least.
-    void set_word_gap(base::duration gap);
+    // Between two messages of a peer close by, at the least.
+    void set_gossip_gap(base::duration gap);
     // Peers with requests that wait: they are after each place that falls free.
     void set_waiting_peers(std::size_t count) { this->waiting_peers = count; }
 
@@ -168,7 +168,7 @@
         upstream_trust trust;
     };
 
-    struct peer_word {
+    struct peer_load {
         base::instant at;
         std::vector<upstream_use> uses;
     };
@@ -206,8 +206,8 @@
                       const service_state& all,
                       const placing_question& asked,
                       base::instant now) const;
-    void count_peer(const peer_word& word, base::instant now);
-    void uncount_peer(const peer_word& word);
+    void count_peer(const peer_load& message, base::instant now);
+    void uncount_peer(const peer_load& message);
     void note_turns(base::upstream_id id,
                     upstream& one,
                     std::uint32_t before,
@@ -224,7 +224,7 @@
     // Data centres with upstreams that can't be reached, and their share.
     using lost_shares = std::map<base::data_centre_id, double>;
     lost_shares lost_by_place(const service_state& all) const;
-    base::duration oldest_word(base::instant now) const;
+    base::duration oldest_load_report(base::instant now) const;
     bool all_suspected(const service_state& all) const;
     upstream* find(base::upstream_id id);
 
@@ -242,7 +242,7 @@
     base::duration peers_turn = std::chrono::milliseconds(14);
     std::unordered_map<base::upstream_id, upstream> upstreams;
     std::unordered_map<base::class_id, service_state> services;
-    std::unordered_map<base::slot_id, peer_word> told;
+    std::unordered_map<base::slot_id, peer_load> told;
     base::instant silence_checked_at;
 };
 
--- a/src/programs/ggd_bench_traffic.cpp
+++ b/src/programs/ggd_bench_traffic.cpp
@@ -43,7 +43,7 @@
         }
     }
 
-    // A word of each peer, with one request on every third upstream.
+    // A message of each peer, with one request on every third upstream.
     void hear(std::size_t upstreams)
     {
         std::vector<traffic::upstream_use> uses;
@@ -98,11 +98,12 @@
     const double request = microseconds_since(from) / measured;
     from = clock_type::now();
     bench.hear(upstreams);
-    const double word = microseconds_since(from) / peers;
-    std::printf("%6zu upstreams: %9.2f us a request, %9.2f us a peer's word\n",
-                upstreams,
-                request,
-                word);
+    const double message = microseconds_since(from) / peers;
+    std::printf(
+        "%6zu upstreams: %9.2f us a request, %9.2f us a peer's message\n",
+        upstreams,
+        request,
+        message);
 }
 
 } // namespace
