--- a/src/greengagedrum/dispatch/member_desk.cpp
+++ b/src/greengagedrum/dispatch/dispatcher_book.cpp
@@ -1,4 +1,4 @@
-#include <greengagedrum/dispatch/member_desk.hpp>
+#include <greengagedrum/dispatch/dispatcher_book.hpp>
 
 #include <algorithm>
 
@@ -38,19 +38,20 @@
 
 } // namespace
 
-bool member_desk::is_members(base::request_id id)
+bool dispatcher_book::is_members(base::request_id id)
 {
     return (id.value & members_bit) != 0;
 }
 
 // ---- Reports --------------------------------------------------------------
 
-desk_news member_desk::report(base::slot_id member,
-                              base::incarnation life,
-                              const member_report& told,
-                              std::span<const traffic::upstream_use> uses)
+request_changes
+dispatcher_book::report(base::slot_id member,
+                        base::incarnation life,
+                        const member_report& told,
+                        std::span<const traffic::upstream_use> uses)
 {
-    desk_news out;
+    request_changes out;
     member_state& state = this->of[member];
     if (state.life != life) {
         out = this->lost(member);
@@ -80,7 +81,7 @@
         use.requests += 1;
         use.prompt_tokens += one.unread_tokens;
     }
-    for (const wanted_place& one : told.wanted)
+    for (const slot_request& one : told.wanted)
         this->take_wanted(member, own, one, out);
     this->drop_unnamed(own, out);
     for (const auto& [id, use] : others)
@@ -88,9 +89,9 @@
     return out;
 }
 
-void member_desk::take_news(member_state& member,
-                            const send_news& news,
-                            desk_news& out)
+void dispatcher_book::take_news(member_state& member,
+                                const send_news& news,
+                                request_changes& out)
 {
     if (news.number <= member.news_taken)
         return;
@@ -107,10 +108,10 @@
     this->sends.erase(id.value);
 }
 
-void member_desk::take_wanted(base::slot_id id,
-                              member_state& member,
-                              const wanted_place& wanted,
-                              desk_news& out)
+void dispatcher_book::take_wanted(base::slot_id id,
+                                  member_state& member,
+                                  const slot_request& wanted,
+                                  request_changes& out)
 {
     const auto [found, fresh] = member.sends.try_emplace(wanted.name);
     if (fresh) {
@@ -133,7 +134,7 @@
 // A send that a whole report does not name has ended: its caller left, it was
 // given up on, or its end was told in news that a dispatcher before this one
 // took.
-void member_desk::drop_unnamed(member_state& member, desk_news& out)
+void dispatcher_book::drop_unnamed(member_state& member, request_changes& out)
 {
     std::vector<base::request_id> gone;
     for (const auto& [name, id] : member.sends) {
@@ -144,7 +145,7 @@
         this->drop(id, out);
 }
 
-void member_desk::drop(base::request_id id, desk_news& out)
+void dispatcher_book::drop(base::request_id id, request_changes& out)
 {
     const auto found = this->sends.find(id.value);
     const send_state& send = found->second;
@@ -156,9 +157,9 @@
     this->sends.erase(found);
 }
 
-desk_news member_desk::lost(base::slot_id member)
+request_changes dispatcher_book::lost(base::slot_id member)
 {
-    desk_news out;
+    request_changes out;
     const auto found = this->of.find(member);
     if (found == this->of.end())
         return out;
@@ -171,9 +172,9 @@
     return out;
 }
 
-desk_news member_desk::lost_all()
+request_changes dispatcher_book::lost_all()
 {
-    desk_news out;
+    request_changes out;
     std::vector<base::request_id> all;
     for (const auto& [id, send] : this->sends)
         all.push_back(base::request_id{id});
@@ -186,7 +187,7 @@
 // ---- Decisions ------------------------------------------------------------
 
 std::optional<counted_cost>
-member_desk::granted(const traffic::send_request& order)
+dispatcher_book::granted(const traffic::send_request& order)
 {
     const auto found = this->sends.find(order.request.value);
     if (found == this->sends.end())
@@ -203,8 +204,8 @@
     return send.cost;
 }
 
-std::optional<counted_cost> member_desk::declined(base::request_id id,
-                                                  const base::verdict& why)
+std::optional<counted_cost> dispatcher_book::declined(base::request_id id,
+                                                      const base::verdict& why)
 {
     const auto found = this->sends.find(id.value);
     if (found == this->sends.end() || found->second.granted)
@@ -218,7 +219,7 @@
     return send.cost;
 }
 
-std::optional<counted_cost> member_desk::forget(base::request_id id)
+std::optional<counted_cost> dispatcher_book::forget(base::request_id id)
 {
     const auto found = this->sends.find(id.value);
     if (found == this->sends.end())
@@ -233,7 +234,7 @@
 
 // ---- Replies --------------------------------------------------------------
 
-bool member_desk::has_untaken(const member_state& member) const
+bool dispatcher_book::has_untaken(const member_state& member) const
 {
     return std::any_of(
         member.sends.begin(), member.sends.end(), [&](const auto& entry) {
@@ -242,7 +243,7 @@
         });
 }
 
-std::vector<base::slot_id> member_desk::unanswered(base::instant now) const
+std::vector<base::slot_id> dispatcher_book::unanswered(base::instant now) const
 {
     std::vector<base::slot_id> out;
     for (const auto& [member, state] : this->of) {
@@ -253,7 +254,7 @@
     return out;
 }
 
-dispatcher_reply member_desk::reply(base::slot_id member, base::instant now)
+dispatcher_reply dispatcher_book::reply(base::slot_id member, base::instant now)
 {
     dispatcher_reply out;
     const auto found = this->of.find(member);
--- a/src/greengagedrum/dispatch/member_desk.hpp
+++ b/src/greengagedrum/dispatch/dispatcher_book.hpp
@@ -27,30 +27,30 @@
 };
 
 // What one report means here.
-struct desk_news {
+struct request_changes {
     std::vector<traffic::event> events; // in order, of known sends
     // Sends that are new: to be let through by the limit, and then told as
     // arrived.
-    std::vector<std::pair<base::request_id, wanted_place>> arrived;
+    std::vector<std::pair<base::request_id, slot_request>> arrived;
     std::vector<counted_cost> withdrawn;       // of sends that got no place
     std::vector<traffic::upstream_use> others; // placed by nobody here
 };
 
-class member_desk
+class dispatcher_book
 {
 public:
-    // Ids given by the desk differ from those of own requests.
+    // Ids given by the book differ from those of own requests.
     static bool is_members(base::request_id id);
 
-    desk_news report(base::slot_id member,
-                     base::incarnation life,
-                     const member_report& told,
-                     std::span<const traffic::upstream_use> uses);
+    request_changes report(base::slot_id member,
+                           base::incarnation life,
+                           const member_report& told,
+                           std::span<const traffic::upstream_use> uses);
 
     // The member has died or was cut off: what it wanted is nobody's.
-    desk_news lost(base::slot_id member);
+    request_changes lost(base::slot_id member);
     // Another entry places from now on.
-    desk_news lost_all();
+    request_changes lost_all();
 
     // The send got a place. What is to be counted against its limit; empty when
     // it was counted before, or is no longer wanted.
@@ -95,14 +95,16 @@
         std::map<send_name, base::request_id> sends;
     };
 
-    void take_news(member_state& member, const send_news& news, desk_news& out);
+    void take_news(member_state& member,
+                   const send_news& news,
+                   request_changes& out);
     void take_wanted(base::slot_id id,
                      member_state& member,
-                     const wanted_place& wanted,
-                     desk_news& out);
+                     const slot_request& wanted,
+                     request_changes& out);
     bool has_untaken(const member_state& member) const;
-    void drop(base::request_id id, desk_news& out);
-    void drop_unnamed(member_state& member, desk_news& out);
+    void drop(base::request_id id, request_changes& out);
+    void drop_unnamed(member_state& member, request_changes& out);
 
     std::unordered_map<base::slot_id, member_state> of;
     std::unordered_map<std::uint64_t, send_state> sends;
--- a/src/greengagedrum/dispatch/messages.hpp
+++ b/src/greengagedrum/dispatch/messages.hpp
@@ -33,7 +33,7 @@
 };
 
 // A request that waits for a place.
-struct wanted_place {
+struct slot_request {
     send_name name;
     traffic::request_facts facts; // times from now on
     std::vector<base::upstream_id> tried;
@@ -65,7 +65,7 @@
 
 struct member_report {
     std::uint64_t number = 0; // grows with each report of a life
-    std::vector<wanted_place> wanted;
+    std::vector<slot_request> wanted;
     std::vector<running_send> running;
     std::vector<send_news> news; // that the dispatcher may not have
 };
--- a/src/greengagedrum/dispatch/test/dispatch_run.cpp
+++ b/src/greengagedrum/dispatch/test/dispatch_run.cpp
@@ -59,7 +59,7 @@
     this->term += 1;
     this->dispatcher =
         make_scheduler(this->given, 1000 + this->term, this->now);
-    this->desk = std::make_unique<member_desk>();
+    this->book = std::make_unique<dispatcher_book>();
 }
 
 void dispatch_run::at(base::instant when, std::function<void()> what)
@@ -91,7 +91,7 @@
     if (this->given.dispatcher_dies) {
         this->at(this->began + 2s, [this] {
             this->dispatcher.reset();
-            this->desk.reset();
+            this->book.reset();
         });
         this->at(this->began + 2500ms, [this] { this->begin_dispatcher(); });
     }
@@ -268,8 +268,8 @@
 {
     if (!this->dispatcher || to != this->term)
         return;
-    const desk_news news =
-        this->desk->report(slot_of(from), base::incarnation{1}, told, {});
+    const request_changes news =
+        this->book->report(slot_of(from), base::incarnation{1}, told, {});
     this->dispatcher->peer_told(slot_of(from), news.others, {}, this->now);
     for (const traffic::event& one : news.events)
         this->dispatcher_step(one);
@@ -290,17 +290,17 @@
 {
     for (const traffic::action& order : orders) {
         if (const auto* send = std::get_if<traffic::send_request>(&order))
-            this->desk->granted(*send);
+            this->book->granted(*send);
         if (const auto* end = std::get_if<traffic::end_request>(&order))
-            this->desk->declined(end->request, end->verdict);
+            this->book->declined(end->request, end->verdict);
     }
 }
 
 void dispatch_run::answer_members()
 {
-    for (const base::slot_id slot : this->desk->unanswered(this->now)) {
+    for (const base::slot_id slot : this->book->unanswered(this->now)) {
         const std::size_t one = this->numbers.at(slot);
-        const dispatcher_reply reply = this->desk->reply(slot, this->now);
+        const dispatcher_reply reply = this->book->reply(slot, this->now);
         if (!this->is_lost())
             this->at(this->now + this->given.way,
                      [this, one, reply] { this->replied(one, reply); });
--- a/src/greengagedrum/dispatch/test/member_desk_test.cpp
+++ b/src/greengagedrum/dispatch/test/dispatcher_book_test.cpp
@@ -1,5 +1,5 @@
 // A dispatcher's book of its members' sends, message by message.
-#include <greengagedrum/dispatch/member_desk.hpp>
+#include <greengagedrum/dispatch/dispatcher_book.hpp>
 #include <greengagedrum/dispatch/send_journal.hpp>
 
 #include <doctest/doctest.h>
@@ -16,13 +16,13 @@
 const base::workspace_id planning("planning");
 
 struct desk_fixture {
-    member_desk desk;
+    dispatcher_book book;
     member_report told; // what the member says at present
     base::instant now{std::chrono::hours(1)};
 
-    static wanted_place wanted(std::uint64_t request, std::uint32_t send = 1)
+    static slot_request wanted(std::uint64_t request, std::uint32_t send = 1)
     {
-        wanted_place out;
+        slot_request out;
         out.name = {base::request_id{request}, send};
         out.facts.workspace = planning;
         out.facts.delegated = true;
@@ -30,18 +30,18 @@
         return out;
     }
 
-    desk_news report(std::uint64_t life = 1)
+    request_changes report(std::uint64_t life = 1)
     {
-        return this->desk.report(
+        return this->book.report(
             member, base::incarnation{life}, this->told, {});
     }
 
     base::request_id arrive(std::uint64_t request)
     {
         this->told.wanted.push_back(wanted(request));
-        const desk_news news = this->report();
+        const request_changes news = this->report();
         REQUIRE(news.arrived.size() == 1);
-        this->desk.reply(member, this->now);
+        this->book.reply(member, this->now);
         return news.arrived.front().first;
     }
 
@@ -51,13 +51,13 @@
         order.request = id;
         order.send = 1;
         order.upstream = engine;
-        return this->desk.granted(order);
+        return this->book.granted(order);
     }
 
     // The member has sent what it was granted.
     void run_all()
     {
-        for (const wanted_place& one : this->told.wanted)
+        for (const slot_request& one : this->told.wanted)
             this->told.running.push_back({one.name, engine, 0});
         this->told.wanted.clear();
     }
@@ -65,12 +65,12 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(desk_fixture, "wanted_place_told_again_arrives_once")
+TEST_CASE_FIXTURE(desk_fixture, "slot_request_told_again_arrives_once")
 {
     const base::request_id id = this->arrive(7);
-    CHECK(member_desk::is_members(id));
+    CHECK(dispatcher_book::is_members(id));
     CHECK(this->report().arrived.empty());
-    CHECK(this->desk.unanswered(this->now).empty());
+    CHECK(this->book.unanswered(this->now).empty());
 }
 
 // The datagram with a granted place is lost. The member goes on to ask, and is
@@ -81,16 +81,16 @@
     const auto cost = this->grant(id);
     REQUIRE(cost);
     CHECK(cost->amount == 100);
-    CHECK(this->desk.unanswered(this->now).size() == 1);
-    CHECK(this->desk.reply(member, this->now).granted.size() == 1);
-    CHECK(this->desk.unanswered(this->now).empty());
+    CHECK(this->book.unanswered(this->now).size() == 1);
+    CHECK(this->book.reply(member, this->now).granted.size() == 1);
+    CHECK(this->book.unanswered(this->now).empty());
     this->report();
-    CHECK(this->desk.unanswered(this->now).size() == 1);
-    CHECK(this->desk.reply(member, this->now).granted.at(0).upstream == engine);
+    CHECK(this->book.unanswered(this->now).size() == 1);
+    CHECK(this->book.reply(member, this->now).granted.at(0).upstream == engine);
     this->run_all();
     CHECK(this->report().events.empty());
-    CHECK(this->desk.unanswered(this->now).empty());
-    CHECK(this->desk.reply(member, this->now).granted.empty());
+    CHECK(this->book.unanswered(this->now).empty());
+    CHECK(this->book.reply(member, this->now).granted.empty());
 }
 
 // A caller leaves while its request waits, or after the place was granted. The
@@ -99,12 +99,12 @@
 {
     this->arrive(7);
     this->told.wanted.clear();
-    const desk_news waited = this->report();
+    const request_changes waited = this->report();
     CHECK(waited.events.size() == 1);
     CHECK(waited.withdrawn.size() == 1);
     this->grant(this->arrive(8));
     this->told.wanted.clear();
-    const desk_news granted = this->report();
+    const request_changes granted = this->report();
     REQUIRE(granted.events.size() == 1);
     CHECK(std::holds_alternative<traffic::caller_left>(granted.events[0]));
     CHECK(granted.withdrawn.empty());
@@ -114,11 +114,11 @@
 TEST_CASE_FIXTURE(desk_fixture, "reply_that_nobody_shows_is_told_again")
 {
     this->grant(this->arrive(7));
-    this->desk.reply(member, this->now);
-    CHECK(this->desk.unanswered(this->now).empty());
+    this->book.reply(member, this->now);
+    CHECK(this->book.unanswered(this->now).empty());
     this->now += repeat_gap;
-    CHECK(this->desk.unanswered(this->now).size() == 1);
-    CHECK(this->desk.reply(member, this->now).granted.size() == 1);
+    CHECK(this->book.unanswered(this->now).size() == 1);
+    CHECK(this->book.reply(member, this->now).granted.size() == 1);
 }
 
 // A member repeats its report until it knows that it was taken.
@@ -127,10 +127,10 @@
     this->told.number = 5;
     this->told.wanted = {wanted(1)};
     this->report();
-    CHECK(this->desk.unanswered(this->now).size() == 1);
-    CHECK(this->desk.reply(member, this->now).report_taken == 5);
+    CHECK(this->book.unanswered(this->now).size() == 1);
+    CHECK(this->book.reply(member, this->now).report_taken == 5);
     this->report();
-    CHECK(this->desk.unanswered(this->now).empty());
+    CHECK(this->book.unanswered(this->now).empty());
 }
 
 TEST_CASE_FIXTURE(desk_fixture, "news_told_twice_counts_once")
@@ -142,11 +142,11 @@
     this->told.news = {{1, name, send_change::first_event},
                        {2, name, send_change::good}};
     this->told.running.clear();
-    const desk_news news = this->report();
+    const request_changes news = this->report();
     REQUIRE(news.events.size() == 2);
     CHECK(std::get<traffic::answered>(news.events[1]).request == id);
     CHECK(this->report().events.empty());
-    CHECK(this->desk.reply(member, this->now).news_taken == 2);
+    CHECK(this->book.reply(member, this->now).news_taken == 2);
 }
 
 // A dispatcher takes over from one that died: its members run requests that it
@@ -155,7 +155,7 @@
 {
     this->told.running = {{{base::request_id{3}, 1}, engine, 500},
                           {{base::request_id{4}, 2}, engine, 0}};
-    const desk_news news = this->report();
+    const request_changes news = this->report();
     REQUIRE(news.others.size() == 1);
     CHECK(news.others[0].requests == 2);
     CHECK(news.others[0].prompt_tokens == 500);
@@ -165,8 +165,8 @@
 {
     const traffic::upstream_use seen{
         engine, 3, 0, std::chrono::milliseconds(40)};
-    const desk_news news =
-        this->desk.report(member, base::incarnation{1}, this->told, {&seen, 1});
+    const request_changes news =
+        this->book.report(member, base::incarnation{1}, this->told, {&seen, 1});
     REQUIRE(news.others.size() == 1);
     CHECK(news.others[0].requests == 0);
     CHECK(news.others[0].event_gap == std::chrono::milliseconds(40));
@@ -176,25 +176,25 @@
 {
     this->arrive(7);
     this->told.wanted = {wanted(1)};
-    const desk_news news = this->report(2);
+    const request_changes news = this->report(2);
     CHECK(news.events.size() == 1);
     CHECK(news.arrived.size() == 1);
-    CHECK(this->desk.lost(member).events.size() == 1);
-    CHECK(this->desk.lost(other_member).events.empty());
+    CHECK(this->book.lost(member).events.size() == 1);
+    CHECK(this->book.lost(other_member).events.empty());
 }
 
 TEST_CASE_FIXTURE(desk_fixture, "declined_place_is_told_with_its_time")
 {
     const base::request_id id = this->arrive(7);
-    const auto cost = this->desk.declined(
+    const auto cost = this->book.declined(
         id, base::not_run(base::reason::overloaded, std::chrono::seconds(2)));
     CHECK(cost);
-    const dispatcher_reply reply = this->desk.reply(member, this->now);
+    const dispatcher_reply reply = this->book.reply(member, this->now);
     REQUIRE(reply.declined.size() == 1);
     CHECK(reply.declined[0].retry_after == std::chrono::seconds(2));
     // The member has ended it: nothing else follows.
     this->told.wanted.clear();
-    const desk_news news = this->report();
+    const request_changes news = this->report();
     CHECK(news.events.empty());
     CHECK(news.withdrawn.empty());
 }
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -157,10 +157,10 @@
         this->callers->member_lost(member);
     };
     out.members_unanswered = [this] {
-        return this->callers->desk().unanswered(this->state.clock());
+        return this->callers->book().unanswered(this->state.clock());
     };
     out.reply = [this](base::slot_id member) {
-        return this->callers->desk().reply(member, this->state.clock());
+        return this->callers->book().reply(member, this->state.clock());
     };
     return out;
 }
--- a/src/greengagedrum/entry/fleet_test/crashing_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/crashing_fleet.cpp
@@ -96,17 +96,17 @@
     out.replied = [](const dispatch::dispatcher_reply&) {};
     out.member_reported = [this, &of](base::slot_id member,
                                       const gossip::message& told) {
-        this->works[of.number].desk.report(
+        this->works[of.number].book.report(
             member, told.life, told.report, told.uses);
     };
     out.member_lost = [this, &of](base::slot_id member) {
-        this->works[of.number].desk.lost(member);
+        this->works[of.number].book.lost(member);
     };
     out.members_unanswered = [this, &of] {
-        return this->works[of.number].desk.unanswered(this->fleet.time());
+        return this->works[of.number].book.unanswered(this->fleet.time());
     };
     out.reply = [this, &of](base::slot_id member) {
-        return this->works[of.number].desk.reply(member, this->fleet.time());
+        return this->works[of.number].book.reply(member, this->fleet.time());
     };
     return out;
 }
--- a/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
@@ -103,7 +103,7 @@
     out.items = [](const gossip::item_transfer&) {};
     out.delegate = [this, &of] {
         of.state.delegating = true;
-        const dispatch::desk_news news = this->of(of).desk.lost_all();
+        const dispatch::request_changes news = this->of(of).book.lost_all();
         for (const dispatch::counted_cost& cost : news.withdrawn)
             of.state.limiter.withdrawn(
                 cost.workspace, cost.amount, this->fleet.time());
@@ -122,15 +122,15 @@
     };
     out.member_lost = [this, &of](base::slot_id member) {
         for (const dispatch::counted_cost& cost :
-             this->of(of).desk.lost(member).withdrawn)
+             this->of(of).book.lost(member).withdrawn)
             of.state.limiter.withdrawn(
                 cost.workspace, cost.amount, this->fleet.time());
     };
     out.members_unanswered = [this, &of] {
-        return this->of(of).desk.unanswered(this->fleet.time());
+        return this->of(of).book.unanswered(this->fleet.time());
     };
     out.reply = [this, &of](base::slot_id member) {
-        return this->of(of).desk.reply(member, this->fleet.time());
+        return this->of(of).book.reply(member, this->fleet.time());
     };
     return out;
 }
@@ -187,7 +187,7 @@
 {
     dispatch::member_report out;
     for (const auto& [id, request] : this->of(member).requests) {
-        dispatch::wanted_place wanted;
+        dispatch::slot_request wanted;
         wanted.name = {base::request_id{id}, 1};
         wanted.facts.workspace = busy;
         wanted.facts.time_left = 10s;
@@ -203,15 +203,15 @@
                              const gossip::message& told)
 {
     quota::usage_limiter& limiter = dispatcher.state.limiter;
-    dispatch::member_desk& desk = this->of(dispatcher).desk;
-    const dispatch::desk_news news =
-        desk.report(member, told.life, told.report, told.uses);
+    dispatch::dispatcher_book& book = this->of(dispatcher).book;
+    const dispatch::request_changes news =
+        book.report(member, told.life, told.report, told.uses);
     for (const dispatch::counted_cost& cost : news.withdrawn)
         limiter.withdrawn(cost.workspace, cost.amount, this->fleet.time());
     for (const auto& [id, wanted] : news.arrived) {
         const auto over = limiter.take(busy, wanted.cost, this->fleet.time());
         if (over) {
-            desk.declined(id,
+            book.declined(id,
                           base::not_run(base::reason::limit_reached, *over));
             continue;
         }
@@ -219,7 +219,7 @@
         order.request = id;
         order.send = 1;
         order.upstream = base::upstream_id("any");
-        desk.granted(order);
+        book.granted(order);
         limiter.sent(busy, wanted.cost, this->fleet.time());
     }
 }
--- a/src/greengagedrum/entry/fleet_test/limited_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet.hpp
@@ -52,7 +52,7 @@
 
     // What one process has to do.
     struct work {
-        dispatch::member_desk desk;
+        dispatch::dispatcher_book book;
         std::map<std::uint64_t, waiting_request> requests;
         bool was_delegating = false;
     };
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -1,7 +1,7 @@
 // Takes callers' requests, has them decided, and carries the decisions out.
 #pragma once
 
-#include <greengagedrum/dispatch/member_desk.hpp>
+#include <greengagedrum/dispatch/dispatcher_book.hpp>
 #include <greengagedrum/dispatch/send_journal.hpp>
 #include <greengagedrum/entry/beliefs.hpp>
 #include <greengagedrum/entry/decision_log.hpp>
@@ -90,7 +90,7 @@
                          const dispatch::member_report& told,
                          std::span<const traffic::upstream_use> uses);
     void member_lost(base::slot_id member);
-    dispatch::member_desk& desk() { return this->members; }
+    dispatch::dispatcher_book& book() { return this->members; }
 
 private:
     struct accepted {
@@ -155,9 +155,9 @@
     void carry_out_one(const quarantine::standing_change& change);
     void grant(const traffic::send_request& order);
     void decline(const traffic::end_request& order);
-    void take(const dispatch::desk_news& news);
+    void take(const dispatch::request_changes& news);
     void arrived_at_member(base::request_id id,
-                           const dispatch::wanted_place& wanted);
+                           const dispatch::slot_request& wanted);
     void count_waiting();
     void refuse_waiting(base::request_id id, base::duration retry_after);
     void note_over_limit(base::workspace_id workspace,
@@ -177,7 +177,7 @@
     std::unordered_map<relay::caller_connection*, base::request_id> by_caller;
     std::unordered_map<base::request_id, base::upstream_id> sent_to;
     std::unordered_set<base::upstream_id> checked; // just now
-    dispatch::member_desk members;
+    dispatch::dispatcher_book members;
     dispatch::send_journal journal;
     std::uint64_t next_request = 1;
     std::mt19937_64 dice;
--- a/src/greengagedrum/entry/member_requests.cpp
+++ b/src/greengagedrum/entry/member_requests.cpp
@@ -28,7 +28,7 @@
     }
     for (const traffic::sent_request& one :
          this->state.scheduler.sent_requests()) {
-        if (dispatch::member_desk::is_members(one.request))
+        if (dispatch::dispatcher_book::is_members(one.request))
             continue;
         out.running.push_back(
             {{one.request, one.send}, one.upstream, one.unread_tokens});
@@ -89,7 +89,7 @@
                             const dispatch::member_report& told,
                             std::span<const traffic::upstream_use> uses)
 {
-    const dispatch::desk_news news =
+    const dispatch::request_changes news =
         this->members.report(member, life, told, uses);
     this->state.scheduler.peer_told(
         member, news.others, {}, this->state.clock());
@@ -101,7 +101,7 @@
     this->take(this->members.lost(member));
 }
 
-void front::take(const dispatch::desk_news& news)
+void front::take(const dispatch::request_changes& news)
 {
     const base::instant now = this->state.clock();
     for (const dispatch::counted_cost& cost : news.withdrawn)
@@ -113,7 +113,7 @@
 }
 
 void front::arrived_at_member(base::request_id id,
-                              const dispatch::wanted_place& wanted)
+                              const dispatch::slot_request& wanted)
 {
     const auto over = wanted.counted
                           ? std::nullopt
--- a/src/greengagedrum/entry/test/dispatch_test.cpp
+++ b/src/greengagedrum/entry/test/dispatch_test.cpp
@@ -15,7 +15,7 @@
 constexpr gossip::ip_number first_other = 0x0a000001;
 constexpr gossip::ip_number others = 40;
 
-using decision = std::function<void(const dispatch::wanted_place&,
+using decision = std::function<void(const dispatch::slot_request&,
                                     dispatch::dispatcher_reply&)>;
 
 // The strongest entry of the data centre, at another address of loopback.
@@ -95,7 +95,7 @@
             this->reports += 1;
             into = {};
             into.report_taken = told->report.number;
-            for (const dispatch::wanted_place& one : told->report.wanted)
+            for (const dispatch::slot_request& one : told->report.wanted)
                 this->decide(one, into);
         }
     }
@@ -131,7 +131,7 @@
     scarce_member_fixture() : member_fixture(12'000) {}
 };
 
-void grant(const dispatch::wanted_place& wanted,
+void grant(const dispatch::slot_request& wanted,
            dispatch::dispatcher_reply& into)
 {
     into.granted.push_back(
@@ -145,7 +145,7 @@
 TEST_CASE_FIXTURE(member_fixture, "member_sends_where_its_dispatcher_says")
 {
     std::atomic<int> uncounted{0};
-    this->begin_and_wait([&uncounted](const dispatch::wanted_place& wanted,
+    this->begin_and_wait([&uncounted](const dispatch::slot_request& wanted,
                                       dispatch::dispatcher_reply& into) {
         uncounted += wanted.counted ? 0 : 1;
         grant(wanted, into);
@@ -162,7 +162,7 @@
 // knows. The caller is told when to come back.
 TEST_CASE_FIXTURE(member_fixture, "limit_counted_by_the_dispatcher_refuses")
 {
-    this->begin_and_wait([](const dispatch::wanted_place& wanted,
+    this->begin_and_wait([](const dispatch::slot_request& wanted,
                             dispatch::dispatcher_reply& into) {
         into.declined.push_back({wanted.name, base::reason::limit_reached, 3s});
     });
@@ -180,7 +180,7 @@
 TEST_CASE_FIXTURE(member_fixture, "request_outlives_its_dispatcher")
 {
     this->begin_and_wait(
-        [](const dispatch::wanted_place&, dispatch::dispatcher_reply&) {});
+        [](const dispatch::slot_request&, dispatch::dispatcher_reply&) {});
     std::thread killer([this] {
         std::this_thread::sleep_for(100ms);
         this->fall_silent();
@@ -201,7 +201,7 @@
 {
     constexpr int callers = 3;
     std::atomic<int> seen{0};
-    this->begin_and_wait([&seen](const dispatch::wanted_place& wanted,
+    this->begin_and_wait([&seen](const dispatch::slot_request& wanted,
                                  dispatch::dispatcher_reply&) {
         seen = std::max<int>(seen, static_cast<int>(wanted.name.request.value));
     });
--- a/src/greengagedrum/gossip/dispatch_codec.cpp
+++ b/src/greengagedrum/gossip/dispatch_codec.cpp
@@ -49,7 +49,7 @@
 
 flatbuffers::Offset<wire::Wanted>
 write_wanted(flatbuffers::FlatBufferBuilder& builder,
-             const dispatch::wanted_place& one)
+             const dispatch::slot_request& one)
 {
     std::vector<std::uint64_t> tried;
     for (const base::upstream_id id : one.tried)
@@ -77,9 +77,9 @@
                               builder.CreateVector(tried));
 }
 
-dispatch::wanted_place read_wanted(const wire::Wanted& from)
+dispatch::slot_request read_wanted(const wire::Wanted& from)
 {
-    dispatch::wanted_place out;
+    dispatch::slot_request out;
     out.name = {base::request_id{from.request()}, from.send()};
     traffic::request_facts& facts = out.facts;
     facts.service.value = from.service();
@@ -113,7 +113,7 @@
              const dispatch::member_report& told)
 {
     std::vector<flatbuffers::Offset<wire::Wanted>> wanted;
-    for (const dispatch::wanted_place& one : told.wanted)
+    for (const dispatch::slot_request& one : told.wanted)
         wanted.push_back(write_wanted(builder, one));
     std::vector<wire::Running> running;
     for (const dispatch::running_send& one : told.running)
--- a/src/greengagedrum/gossip/test/gossip_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -95,7 +95,7 @@
     told.strength = 500;
     told.delegating = true;
     told.known = {{other, 250ms, base::data_centre_id("yard"), 120}};
-    dispatch::wanted_place wanted;
+    dispatch::slot_request wanted;
     wanted.name = {base::request_id{4}, 2};
     wanted.facts.service = base::class_id("models");
     wanted.facts.workspace = base::workspace_id("gate");
@@ -126,7 +126,7 @@
     CHECK(read->known.at(0).data_centre == base::data_centre_id("yard"));
     CHECK(read->known.at(0).strength == 120);
     REQUIRE(read->report.wanted.size() == 1);
-    const dispatch::wanted_place& got = read->report.wanted[0];
+    const dispatch::slot_request& got = read->report.wanted[0];
     CHECK(got.name == wanted.name);
     CHECK(got.facts.service == wanted.facts.service);
     CHECK(got.facts.workspace == wanted.facts.workspace);
