--- a/src/greengagedrum/entry/fleet_test/crashing_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/crashing_fleet.cpp
@@ -57,7 +57,7 @@
 {
     routing::published_upstream out;
     out.name = "upstream-" + std::to_string(number) + "-" +
-               std::to_string(this->upstreams[number].life);
+               std::to_string(this->upstreams[number].incarnation);
     out.id = base::upstream_id(out.name);
     out.service = engines;
     out.slots = slots;
@@ -278,7 +278,7 @@
         }
         if (!one.alive && now >= one.back_at) {
             one.alive = true;
-            one.life += 1;
+            one.incarnation += 1;
             const auto fresh = this->published(number);
             tell_all([&](traffic::scheduler& of) {
                 of.upstream_joined(fresh, now);
--- a/src/greengagedrum/entry/fleet_test/crashing_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/crashing_fleet.hpp
@@ -61,7 +61,7 @@
     };
 
     struct upstream {
-        std::uint64_t life = 0;
+        std::uint64_t incarnation = 0;
         bool alive = true;
         base::instant back_at;
         std::vector<run> runs;
--- a/src/greengagedrum/entry/fleet_test/crashing_fleet_test.cpp
+++ b/src/greengagedrum/entry/fleet_test/crashing_fleet_test.cpp
@@ -37,15 +37,21 @@
     return got;
 }
 
+crash_plan plan_of(std::size_t entries)
+{
+    crash_plan out;
+    out.entries = entries;
+    out.upstreams = std::max<std::size_t>(9, entries / 4);
+    return out;
+}
+
 } // namespace
 
 // One request, sent again and again to any entry, ends upstream after upstream.
 TEST_CASE("request_that_crashes_upstreams_is_contained_over_all_entries")
 {
     for (const std::size_t entries : {9U, 86U, 295U}) {
-        crash_plan plan;
-        plan.entries = entries;
-        plan.upstreams = std::max<std::size_t>(9, entries / 4);
+        crash_plan plan = plan_of(entries);
         plan.seconds = entries > 100 ? 18 : 30;
         const crash_result got = played(plan);
         CHECK(got.late <= late_most);
@@ -57,9 +63,7 @@
 TEST_CASE("copies_at_once_over_all_entries_are_contained")
 {
     for (const std::size_t entries : {9U, 86U}) {
-        crash_plan plan;
-        plan.entries = entries;
-        plan.upstreams = std::max<std::size_t>(9, entries / 4);
+        crash_plan plan = plan_of(entries);
         plan.copies = 5;
         const crash_result got = played(plan);
         CHECK(got.late <= late_most);
@@ -71,9 +75,7 @@
 TEST_CASE("contained_request_after_all_entries_were_killed_contained_again")
 {
     for (const std::size_t entries : {9U, 86U}) {
-        crash_plan plan;
-        plan.entries = entries;
-        plan.upstreams = std::max<std::size_t>(9, entries / 4);
+        crash_plan plan = plan_of(entries);
         plan.all_killed_at = 15;
         const crash_result got = played(plan);
         CHECK(got.late <= late_most);
@@ -84,9 +86,7 @@
 TEST_CASE("entries_replaced_one_by_one_do_not_send_a_contained_request")
 {
     for (const std::size_t entries : {9U, 86U}) {
-        crash_plan plan;
-        plan.entries = entries;
-        plan.upstreams = std::max<std::size_t>(9, entries / 4);
+        crash_plan plan = plan_of(entries);
         plan.restart_gap = 500ms;
         // Among few all place, and all would be killed.
         if (entries > 9) {
@@ -104,9 +104,7 @@
 TEST_CASE("request_contained_on_both_sides_of_a_cut")
 {
     for (const std::size_t entries : {9U, 86U}) {
-        crash_plan plan;
-        plan.entries = entries;
-        plan.upstreams = std::max<std::size_t>(9, entries / 4);
+        crash_plan plan = plan_of(entries);
         plan.cut_from = 5;
         plan.lost_share = 0.05;
         const crash_result got = played(plan);
@@ -132,9 +130,7 @@
 TEST_CASE("requests_that_crash_nothing_are_not_barred")
 {
     for (const std::size_t entries : {9U, 86U}) {
-        crash_plan plan;
-        plan.entries = entries;
-        plan.upstreams = std::max<std::size_t>(9, entries / 4);
+        crash_plan plan = plan_of(entries);
         plan.crashes = false;
         plan.hot_share = 0.3;
         plan.death_gap = 1s;
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -98,9 +98,9 @@
     gossip::message own_load(gossip::audience who);
 
     // ---- Among many entries
-    void take_suspects(const gossip::message& told, base::instant now);
+    void take_suspects(const gossip::message& received, base::instant now);
     std::vector<quarantine::suspect_report>
-    suspects_for(base::instant& told_all_at, base::instant now);
+    suspects_for(base::instant& sent_all_at, base::instant now);
     void take_load(const gossip::message& told, base::instant now);
     void take_report(const gossip::message& told, base::instant now);
     void take_reply(const gossip::message& told, base::instant now);
@@ -147,7 +147,7 @@
     base::instant peer_read_at; // the same of its peers, the newest
     std::uint64_t turn = 0;
     bool asking = false;
-    // When all that is known of suspects was last told by turns.
+    // When suspects that are not news were last sent.
     base::instant suspects_to_near;
     base::instant suspects_to_far;
     base::instant suspects_to_members;
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -47,14 +47,15 @@
 
 // ---- Hearing --------------------------------------------------------------
 
-void peer_link::take_suspects(const gossip::message& told, base::instant now)
+void peer_link::take_suspects(const gossip::message& received,
+                              base::instant now)
 {
-    if (told.suspects.empty())
+    if (received.suspects.empty())
         return;
     const auto changes =
-        this->state.scheduler.crash_suspects().merge(told.suspects, now);
+        this->state.scheduler.crash_suspects().merge(received.suspects, now);
     for (const quarantine::standing_change& one : changes)
-        log_standing(this->state, one, told.instance);
+        log_standing(this->state, one, received.instance);
 }
 
 void peer_link::take_load(const gossip::message& told, base::instant now)
--- a/src/greengagedrum/entry/peer_telling.cpp
+++ b/src/greengagedrum/entry/peer_telling.cpp
@@ -28,15 +28,15 @@
 // What is not new is told by turns, so that an entry that has just started, or
 // was cut off, learns of it within a second.
 std::vector<quarantine::suspect_report>
-peer_link::suspects_for(base::instant& told_all_at, base::instant now)
+peer_link::suspects_for(base::instant& sent_all_at, base::instant now)
 {
     quarantine::suspect_table& suspects =
         this->state.scheduler.crash_suspects();
     if (suspects.empty())
         return {};
-    const bool all = now - told_all_at >= suspects_gap;
+    const bool all = now - sent_all_at >= suspects_gap;
     if (all)
-        told_all_at = now;
+        sent_all_at = now;
     return suspects.reports(now, all);
 }
 
--- a/src/greengagedrum/gossip/suspect_codec.cpp
+++ b/src/greengagedrum/gossip/suspect_codec.cpp
@@ -36,13 +36,13 @@
 } // namespace
 
 suspect_offsets write_suspects(flatbuffers::FlatBufferBuilder& builder,
-                               std::span<const quarantine::suspect_report> told)
+                               std::span<const quarantine::suspect_report> sent)
 {
-    if (told.empty())
+    if (sent.empty())
         return {};
     std::vector<wire::Suspect> requests;
     std::vector<wire::Crash> crashes;
-    for (const quarantine::suspect_report& one : told) {
+    for (const quarantine::suspect_report& one : sent) {
         requests.emplace_back(one.request.high,
                               one.request.low,
                               one.workspace.value,
@@ -63,20 +63,20 @@
         return out;
     flatbuffers::uoffset_t next = 0;
     for (const wire::Suspect* one : *from.suspects()) {
-        quarantine::suspect_report told;
-        told.request = {one->request_high(), one->request_low()};
-        told.workspace.value = one->workspace();
-        told.answered_age = age_of(one->answered_age_ms());
-        told.trial_age = age_of(one->trial_age_ms());
+        quarantine::suspect_report received;
+        received.request = {one->request_high(), one->request_low()};
+        received.workspace.value = one->workspace();
+        received.answered_age = age_of(one->answered_age_ms());
+        received.trial_age = age_of(one->trial_age_ms());
         for (std::uint32_t count = 0;
              count < one->crashes() && next < from.crashes()->size();
              ++count, ++next) {
             const wire::Crash* crash = from.crashes()->Get(next);
-            told.crashes.push_back(
+            received.crashes.push_back(
                 {base::upstream_id(crash->upstream()),
                  std::chrono::milliseconds(crash->age_ms())});
         }
-        out.push_back(std::move(told));
+        out.push_back(std::move(received));
     }
     return out;
 }
--- a/src/greengagedrum/gossip/suspect_codec.hpp
+++ b/src/greengagedrum/gossip/suspect_codec.hpp
@@ -1,5 +1,4 @@
-// The bytes of what entries tell each other of requests that crash upstreams,
-// within a message.
+// Requests that crash upstreams, as the bytes of a gossip message.
 #pragma once
 
 #include <greengagedrum/gossip/gossip_generated.h>
@@ -19,7 +18,7 @@
 // Null offsets where there is nothing to tell.
 suspect_offsets
 write_suspects(flatbuffers::FlatBufferBuilder& builder,
-               std::span<const quarantine::suspect_report> told);
+               std::span<const quarantine::suspect_report> sent);
 
 std::vector<quarantine::suspect_report>
 read_suspects(const wire::Message& from);
--- a/src/greengagedrum/quarantine/crash_record.cpp
+++ b/src/greengagedrum/quarantine/crash_record.cpp
@@ -142,10 +142,12 @@
     return true;
 }
 
-bool crash_record::merge_times(const suspect_report& told, base::instant now)
+bool crash_record::merge_times(const suspect_report& received,
+                               base::instant now)
 {
-    const bool answer = take_later(this->answered_at, told.answered_age, now);
-    const bool trial = take_later(this->trial_at, told.trial_age, now);
+    const bool answer =
+        take_later(this->answered_at, received.answered_age, now);
+    const bool trial = take_later(this->trial_at, received.trial_age, now);
     return answer || trial;
 }
 
--- a/src/greengagedrum/quarantine/crash_record.hpp
+++ b/src/greengagedrum/quarantine/crash_record.hpp
@@ -1,8 +1,8 @@
 // What is known of one request under which upstreams ended.
 //
-// Crashes are kept by the life of the upstream, so that two sights of one are
-// one. Those that came no later than ten seconds after an answer of the same
-// request don't count: it does not crash what runs it.
+// Crashes are kept by the upstream's incarnation, so that one that is seen
+// twice counts once. Those that came no later than ten seconds after an answer
+// of the same request don't count: it does not crash what runs it.
 #pragma once
 
 #include <greengagedrum/quarantine/messages.hpp>
@@ -41,7 +41,7 @@
     bool answered(base::instant at);
     void trial_sent(base::instant at) { this->trial_at = at; }
     // All but the crashes, which the owner may know better.
-    bool merge_times(const suspect_report& told, base::instant now);
+    bool merge_times(const suspect_report& received, base::instant now);
 
     suspect_report report(const base::request_digest& request,
                           base::instant now) const;
--- a/src/greengagedrum/quarantine/messages.hpp
+++ b/src/greengagedrum/quarantine/messages.hpp
@@ -13,7 +13,8 @@
 namespace greengagedrum::quarantine
 {
 
-// An upstream's life whose connection was lost while it ran the request.
+// An incarnation of an upstream whose connection was lost while it ran the
+// request.
 struct crash_sighting {
     base::upstream_id upstream;
     base::duration age{0};
--- a/src/greengagedrum/quarantine/suspect_table.cpp
+++ b/src/greengagedrum/quarantine/suspect_table.cpp
@@ -21,9 +21,9 @@
 constexpr std::size_t records_most = 2048;
 constexpr std::size_t workspace_records_most = records_most / 4;
 
-// A change is told for so long, some messages to each peer.
-constexpr base::duration told_for = std::chrono::milliseconds(400);
-constexpr std::size_t fresh_told = 16;
+// A change is sent for so long, some messages to each peer.
+constexpr base::duration news_period = std::chrono::milliseconds(400);
+constexpr std::size_t fresh_most = 16;
 constexpr std::size_t barred_by_turns = 8;
 constexpr std::size_t others_by_turns = 4;
 
@@ -131,8 +131,8 @@
     return out;
 }
 
-suspect_table::changes suspect_table::upstream_lives(base::upstream_id upstream,
-                                                     base::instant now)
+suspect_table::changes
+suspect_table::upstream_answered(base::upstream_id upstream, base::instant now)
 {
     const auto gone = this->presumed_gone.find(upstream);
     if (gone == this->presumed_gone.end() || now < gone->second + read_late)
@@ -163,13 +163,13 @@
 {
     std::vector<suspect_report> out;
     for (const auto& [request, own] : this->records) {
-        if (out.size() < fresh_told && now - own.changed_at < told_for)
+        if (out.size() < fresh_most && now - own.changed_at < news_period)
             out.push_back(own.known.report(request, now));
     }
     if (!rest)
         return out;
-    this->add_by_turns(now, true, barred_by_turns, this->told_barred, out);
-    this->add_by_turns(now, false, others_by_turns, this->told_others, out);
+    this->add_by_turns(now, true, barred_by_turns, this->last_barred, out);
+    this->add_by_turns(now, false, others_by_turns, this->last_others, out);
     return out;
 }
 
@@ -185,7 +185,7 @@
         if (next == this->records.end())
             next = this->records.begin();
         const entry& own = next->second;
-        const bool fresh = now - own.changed_at < told_for;
+        const bool fresh = now - own.changed_at < news_period;
         const bool is_barred = own.known.count() >= crashes_allowed;
         if (fresh || is_barred != wanted_barred)
             continue;
@@ -196,10 +196,11 @@
 }
 
 suspect_table::changes
-suspect_table::merge(std::span<const suspect_report> told, base::instant now)
+suspect_table::merge(std::span<const suspect_report> received,
+                     base::instant now)
 {
     changes out;
-    for (const suspect_report& one : told) {
+    for (const suspect_report& one : received) {
         if (!this->has_room_for(one))
             continue;
         entry& own = this->find_or_add(one.request, one.workspace);
@@ -212,11 +213,11 @@
 }
 
 bool suspect_table::merge_one(entry& own,
-                              const suspect_report& told,
+                              const suspect_report& received,
                               base::instant now)
 {
-    bool changed = own.known.merge_times(told, now);
-    for (const crash_sighting& one : told.crashes) {
+    bool changed = own.known.merge_times(received, now);
+    for (const crash_sighting& one : received.crashes) {
         if (this->found_alive.contains(one.upstream))
             continue;
         if (!own.known.add(one.upstream, now - one.age, true))
@@ -224,7 +225,7 @@
         this->presumed_gone.try_emplace(one.upstream, now - one.age);
         changed = true;
     }
-    const auto answered = this->answers.last(told.request);
+    const auto answered = this->answers.last(received.request);
     if (answered && own.known.answered(*answered))
         changed = true;
     return changed;
@@ -232,12 +233,12 @@
 
 // In a full table what a peer repeats of single crashes would only replace one
 // another.
-bool suspect_table::has_room_for(const suspect_report& told) const
+bool suspect_table::has_room_for(const suspect_report& received) const
 {
-    if (told.crashes.size() >= crashes_allowed ||
-        this->records.contains(told.request))
+    if (received.crashes.size() >= crashes_allowed ||
+        this->records.contains(received.request))
         return true;
-    const auto own = this->by_workspace.find(told.workspace);
+    const auto own = this->by_workspace.find(received.workspace);
     return this->records.size() < records_most &&
            (own == this->by_workspace.end() ||
             own->second < workspace_records_most);
--- a/src/greengagedrum/quarantine/suspect_table.hpp
+++ b/src/greengagedrum/quarantine/suspect_table.hpp
@@ -3,10 +3,10 @@
 //
 // A request is known by its digest, so that it is recognised when it comes
 // again as another attempt, here or at a peer. One that lost its connection to
-// two lives of upstreams, and was answered by none, is quarantined. After a
-// pause that grows with each further crash one copy is sent as a trial. An
-// answer of the same request, from any upstream, clears it; an upstream that
-// turns out to live is no crash. Peers are told of a crash once its upstream
+// two incarnations of upstreams, and was answered by none, is quarantined.
+// After a pause that grows with each further crash one copy is sent as a trial.
+// An answer of the same request, from any upstream, clears it; an upstream that
+// turns out to live has not crashed. Peers are sent a crash once its upstream
 // was seen to be gone.
 //
 // Bounded: the records of one workspace can't push out those of others.
@@ -49,7 +49,7 @@
     // A copy of it is sent; a trial, if one is due.
     void sent(const base::request_digest& request, base::instant now);
     // An upstream has answered something.
-    changes upstream_lives(base::upstream_id upstream, base::instant now);
+    changes upstream_answered(base::upstream_id upstream, base::instant now);
     // After its connections were lost it takes new ones, or does not.
     changes upstream_accepts(base::upstream_id upstream, base::instant now);
     changes upstream_gone(base::upstream_id upstream, base::instant now);
@@ -58,7 +58,7 @@
 
     // What is new, and beside it, with `rest`, a part of all else by turns.
     std::vector<suspect_report> reports(base::instant now, bool rest);
-    changes merge(std::span<const suspect_report> told, base::instant now);
+    changes merge(std::span<const suspect_report> received, base::instant now);
 
     // Drops what has lapsed.
     void tick(base::instant now);
@@ -77,11 +77,12 @@
 
     entry& find_or_add(const base::request_digest& request,
                        base::workspace_id workspace);
-    bool has_room_for(const suspect_report& told) const;
+    bool has_room_for(const suspect_report& received) const;
     void make_room(base::workspace_id workspace);
     void drop_least(base::workspace_id workspace);
     void erase(entry_map::iterator which);
-    bool merge_one(entry& own, const suspect_report& told, base::instant now);
+    bool
+    merge_one(entry& own, const suspect_report& received, base::instant now);
     double offset(const base::request_digest& request) const;
     // Adds the standing to `out` if it differs from `before`.
     void note_change(const base::request_digest& request,
@@ -106,8 +107,8 @@
     std::unordered_map<base::upstream_id, base::instant> found_alive;
     recent_answers answers;
     // Where the reports by turns go on.
-    base::request_digest told_barred;
-    base::request_digest told_others;
+    base::request_digest last_barred;
+    base::request_digest last_others;
 };
 
 } // namespace greengagedrum::quarantine
--- a/src/greengagedrum/quarantine/test/suspect_table_test.cpp
+++ b/src/greengagedrum/quarantine/test/suspect_table_test.cpp
@@ -116,14 +116,14 @@
 }
 
 // Connections that are reset look like a crash until their upstream answers.
-TEST_CASE_FIXTURE(table_fixture, "upstream_lives_its_crash_taken_back")
+TEST_CASE_FIXTURE(table_fixture, "upstream_answers_its_crash_taken_back")
 {
     this->quarantine();
     const std::vector<suspect_report> told =
         this->tested.reports(this->now, false);
-    this->tested.upstream_lives(this->upstream(1), this->now + 50ms);
+    this->tested.upstream_answered(this->upstream(1), this->now + 50ms);
     CHECK(this->is() == standing::quarantined); // written before its end
-    this->tested.upstream_lives(this->upstream(1), this->now + 150ms);
+    this->tested.upstream_answered(this->upstream(1), this->now + 150ms);
     CHECK(this->is() == standing::suspected);
     this->now += 200ms;
     this->tested.merge(told, this->now);
--- a/src/greengagedrum/traffic/containment.cpp
+++ b/src/greengagedrum/traffic/containment.cpp
@@ -77,7 +77,7 @@
 
 void scheduler::note_answer(const request& item)
 {
-    this->tell(this->suspects.upstream_lives(item.upstream, this->now));
+    this->tell(this->suspects.upstream_answered(item.upstream, this->now));
     if (!item.facts.digest.empty())
         this->tell(this->suspects.cleared(item.facts.digest, this->now));
 }
