Quota: a starting process gives out what the operator tolerates of a burst

The test of it also checks that nothing is given out at once where nothing is tolerated; two tests set the tolerance that they rest on.

--- a/src/greengagedrum/quota/test/handover_test.cpp
+++ b/src/greengagedrum/quota/test/handover_test.cpp
@@ -36,6 +36,7 @@
     this->hear_peer(this->peer.own_uses(this->now), false);
     this->own.forget_peer(base::slot_id("peer"));
     this->now += 100ms;
+    this->peer.set_tolerance({8s, 0.25, 0});
     this->peer.restart(this->now);
     CHECK(this->take(this->peer, 20));
     this->hear_peer(this->peer.own_uses(this->now), false);
--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -109,16 +109,18 @@
     CHECK(this->take(this->own, rate * window_seconds + burst + 0.25 * slack));
     CHECK_FALSE(this->take(this->own, 1));
 
-    usage_limiter fresh = this->fresh_limiter({8s, 0, slack});
+    usage_limiter fresh = this->fresh_limiter({8s, 0.25, slack});
     CHECK(this->take(fresh, burst / 4));
     CHECK_FALSE(this->take(fresh, 1));
+    usage_limiter strict = this->fresh_limiter({8s, 0, 0});
+    CHECK_FALSE(this->take(strict, 1));
 }
 
 // An entry that starts anew hears of all that its peers let through since
 // their start, hours ago. None of it belongs into the window.
 TEST_CASE_FIXTURE(limiter_fixture, "history_of_peers_is_no_use_of_now")
 {
-    usage_limiter fresh = this->fresh_limiter({8s, 0, 0});
+    usage_limiter fresh = this->fresh_limiter({8s, 0.25, 0});
     const workspace_use long_ago[] = {{planning, 5'000'000}};
     fresh.peer_told(base::slot_id("peer"),
                     base::incarnation{2},
--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -38,7 +38,7 @@
     this->peers.clear();
     this->absent = absent_peers(now);
     for (auto& [workspace, own] : this->limits) {
-        workspace_limit fresh(own.limit, now);
+        workspace_limit fresh(own.limit, this->allowed, now);
         // Peers go by how much it has grown since they heard of it last.
         fresh.own_sent = own.own_sent;
         own = fresh;
@@ -69,7 +69,7 @@
     const limit_rules now_valid = this->rules(now);
     for (const routing::workspace& one : config.workspaces) {
         const auto [found, fresh] =
-            this->limits.try_emplace(one.id, one.limit, now);
+            this->limits.try_emplace(one.id, one.limit, this->allowed, now);
         if (!fresh)
             found->second.change(one.limit, now_valid, now);
     }
--- a/src/greengagedrum/quota/workspace_limit.cpp
+++ b/src/greengagedrum/quota/workspace_limit.cpp
@@ -17,18 +17,16 @@
 constexpr double slack_part = 0.25;
 constexpr double overshoot_part = 0.4;
 
-// Of its burst, what a bucket holds at first: a process does not know what was
-// let through before its start.
-constexpr double start_share = 0.25;
-
 // Of the rate, for callers that an entry refused though it let through nothing.
 constexpr double least_share = 0.02;
 
 } // namespace
 
 workspace_limit::workspace_limit(const routing::usage_limit& limit,
+                                 const tolerance& allowed,
                                  base::instant now)
-    : limit(limit), level(start_share * limit.burst), filled_at(now)
+    : limit(limit), level(std::min(1.0, allowed.overshoot) * limit.burst),
+      filled_at(now)
 {
 }
 
--- a/src/greengagedrum/quota/workspace_limit.hpp
+++ b/src/greengagedrum/quota/workspace_limit.hpp
@@ -25,8 +25,12 @@
 };
 
 struct workspace_limit {
-    // As of a process that starts now.
-    workspace_limit(const routing::usage_limit& limit, base::instant now);
+    // As of a process that starts now. It does not know what was let through
+    // before, and gives out no more of a burst at once than the operator
+    // tolerates beyond a limit.
+    workspace_limit(const routing::usage_limit& limit,
+                    const tolerance& allowed,
+                    base::instant now);
 
     void fill(base::instant now);
     void restore(double amount, base::instant now);
