Routing, entry: an evacuated data centre's upstreams get nothing new

Cause: op/evacuate/ was read by nobody: every watch brought it, and beliefs dropped every key but the configuration and upstreams.

Now the orders are kept like all that the store says: replaced by a higher revision only, passed to peers, part of the digest by which members and their dispatcher compare what they know. Upstreams of an evacuated data centre leave the pool, so all paths (choice, dispatch, a grant that is under way, retry, resume) lose them at once, and what runs there goes on. Queue, forecasts and Retry-After count what is left.

--- a/src/greengagedrum/entry/beliefs.cpp
+++ b/src/greengagedrum/entry/beliefs.cpp
@@ -27,6 +27,11 @@
 // heard of it, are dropped.
 constexpr std::size_t spent_most = 4096;
 
+bool is_evacuation(const routing::published_item& item)
+{
+    return !platform::evacuated_data_centre(item.key).empty();
+}
+
 std::uint64_t meaning_of(const routing::published_upstream& one)
 {
     std::uint64_t out = placement::mix(
@@ -44,8 +49,15 @@
                               base::instant now)
 {
     belief_changes out;
-    for (const routing::published_item& one : news)
-        this->take(one, now, out);
+    // Evacuations first: an upstream that is listed with them is not to join.
+    for (const routing::published_item& one : news) {
+        if (is_evacuation(one))
+            this->take(one, now, out);
+    }
+    for (const routing::published_item& one : news) {
+        if (!is_evacuation(one))
+            this->take(one, now, out);
+    }
     if (whole) {
         std::set<std::string_view> listed;
         for (const routing::published_item& one : news)
@@ -77,11 +89,18 @@
                    belief_changes& out)
 {
     const bool configuration = item.key == platform::configuration_key;
-    if (!configuration && platform::upstream_name(item.key).empty())
+    const bool evacuation = is_evacuation(item);
+    if (!configuration && !evacuation &&
+        platform::upstream_name(item.key).empty())
         return;
     const auto known = this->items.find(item.key);
     if (known != this->items.end() && known->second.revision >= item.revision)
         return;
+    if (evacuation) {
+        this->take_evacuation(item, out);
+        this->items[item.key] = item;
+        return;
+    }
     const bool readable = configuration ? this->take_configuration(item, out)
                                         : this->take_upstream(item, now, out);
     routing::published_item& kept = this->items[item.key];
@@ -98,9 +117,11 @@
 {
     auto oldest = this->items.end();
     for (auto one = this->items.begin(); one != this->items.end(); ++one) {
-        if (one->second.value.empty() &&
-            (oldest == this->items.end() ||
-             one->second.revision < oldest->second.revision))
+        const routing::published_item& item = one->second;
+        const bool spent =
+            item.removed || (item.value.empty() && !is_evacuation(item));
+        if (spent && (oldest == this->items.end() ||
+                      one->second.revision < oldest->second.revision))
             oldest = one;
     }
     if (oldest == this->items.end())
@@ -134,6 +155,26 @@
     return true;
 }
 
+void beliefs::take_evacuation(const routing::published_item& item,
+                              belief_changes& out)
+{
+    const std::string place(platform::evacuated_data_centre(item.key));
+    const bool evacuated = !item.removed;
+    const bool was = this->directory.evacuated().contains(place);
+    for (const routing::published_upstream& one :
+         this->directory.set_evacuated(place, evacuated)) {
+        if (evacuated)
+            out.left.push_back({one.name, one.id});
+        else
+            out.joined.push_back(one);
+    }
+    if (was != evacuated)
+        out.evacuations.push_back({place, evacuated, item.revision});
+    this->change = std::max(this->change, item.revision);
+    this->note_change(item.key);
+    this->note_meaning(item.key, evacuated ? item.revision : 0);
+}
+
 // What can't be read as an upstream's is another writer's: whatever stood under
 // that key before no longer counts, and the others hold.
 bool beliefs::take_upstream(const routing::published_item& item,
--- a/src/greengagedrum/entry/beliefs.hpp
+++ b/src/greengagedrum/entry/beliefs.hpp
@@ -26,9 +26,17 @@
     base::upstream_id id;
 };
 
+// A data centre whose upstreams get nothing more, or may again.
+struct evacuation_change {
+    std::string data_centre;
+    bool evacuated = false;
+    std::uint64_t revision = 0; // of the store
+};
+
 // What changed by some news.
 struct belief_changes {
     bool configuration = false;
+    std::vector<evacuation_change> evacuations;
     std::vector<routing::published_upstream> joined; // or moved
     std::vector<departed_upstream> left;
     std::vector<std::string> faults; // items that can't be read
@@ -91,6 +99,8 @@
     bool take_upstream(const routing::published_item& item,
                        base::instant now,
                        belief_changes& out);
+    void take_evacuation(const routing::published_item& item,
+                         belief_changes& out);
     void note_upstream(const std::string& name,
                        routing::upstream_change change,
                        std::optional<base::upstream_id> before,
--- a/src/greengagedrum/entry/decisions.cpp
+++ b/src/greengagedrum/entry/decisions.cpp
@@ -91,8 +91,11 @@
     const base::instant now = this->state.clock();
     for (const departed_upstream& one : changes.left)
         this->state.scheduler.upstream_left(one.id);
-    for (const routing::published_upstream& one : changes.joined)
-        this->state.scheduler.upstream_joined(one, now);
+    // The same news may have taken away what it brought.
+    for (const routing::published_upstream& one : changes.joined) {
+        if (this->state.known.upstreams().find(one.id) != nullptr)
+            this->state.scheduler.upstream_joined(one, now);
+    }
 }
 
 void front::carry_out(const traffic::actions& orders)
@@ -180,7 +183,7 @@
 void front::carry_out_one(const traffic::check_upstream& order)
 {
     const routing::published_upstream* to =
-        this->state.known.upstreams().find(order.upstream);
+        this->state.known.upstreams().find_alive(order.upstream);
     if (to == nullptr)
         return this->told(traffic::upstream_checked{order.upstream, false});
     if (!this->checked.insert(order.upstream).second)
@@ -196,7 +199,7 @@
 void front::carry_out_one(const traffic::trust_changed& change)
 {
     const routing::published_upstream* of =
-        this->state.known.upstreams().find(change.upstream);
+        this->state.known.upstreams().find_alive(change.upstream);
     this->state.log.write(
         this->state.clock(),
         "scheduler",
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -243,6 +243,8 @@
         static_cast<double>(this->peers->alive()));
     set(telemetry::gauge::upstreams_live,
         static_cast<double>(this->state.known.upstreams().usable_count()));
+    set(telemetry::gauge::data_centres_evacuated,
+        static_cast<double>(this->state.known.upstreams().evacuated().size()));
     set(telemetry::gauge::requests_quarantined,
         static_cast<double>(
             this->state.scheduler.crash_suspects().barred(now).size()));
--- a/src/greengagedrum/entry/test/beliefs_test.cpp
+++ b/src/greengagedrum/entry/test/beliefs_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace greengagedrum::entry
 {
 
@@ -29,6 +31,11 @@
             false};
 }
 
+routing::published_item evacuation_item(std::uint64_t revision)
+{
+    return {"op/evacuate/hall", "", revision, false};
+}
+
 routing::published_item
 born_item(const char* name, std::uint64_t born, std::uint64_t revision)
 {
@@ -54,6 +61,83 @@
 
 } // namespace
 
+// An evacuated data centre's upstreams are given work.
+TEST_CASE_FIXTURE(beliefs_fixture, "evacuated_upstreams_leave_and_come_back")
+{
+    this->whole({upstream_item("i-1", 4)}, 4);
+    const base::upstream_id id("i-1");
+    const auto begun = this->news({evacuation_item(6)}, 6);
+    CHECK(begun.left.size() == 1);
+    REQUIRE(begun.evacuations.size() == 1);
+    CHECK(begun.evacuations.front().data_centre == "hall");
+    CHECK(this->known.upstreams().find(id) == nullptr);
+    CHECK(this->known.upstreams().find_alive(id) != nullptr);
+    // Reports of its load go on, and bring it back no sooner.
+    CHECK(this->news({upstream_item("i-1", 8)}, 8).joined.empty());
+    const auto over = this->news({{"op/evacuate/hall", "", 9, true}}, 9);
+    CHECK(over.joined.size() == 1);
+    CHECK(this->known.upstreams().find(id) != nullptr);
+}
+
+// A started entry is told of upstreams and evacuations at once, in any order.
+TEST_CASE_FIXTURE(beliefs_fixture, "upstream_listed_with_its_evacuation_is_out")
+{
+    const auto changes =
+        this->whole({upstream_item("i-1", 4), evacuation_item(3)}, 6);
+    CHECK(changes.joined.empty());
+    CHECK(this->known.upstreams().usable_count() == 0);
+}
+
+// A watch was lost: the next whole reading shows that the order is gone.
+TEST_CASE_FIXTURE(beliefs_fixture,
+                  "evacuation_missing_from_a_whole_reading_is_over")
+{
+    this->whole({upstream_item("i-1", 4), evacuation_item(5)}, 6);
+    const auto changes = this->whole({upstream_item("i-1", 4)}, 9);
+    CHECK(changes.joined.size() == 1);
+    CHECK(this->known.upstreams().usable_count() == 1);
+}
+
+// A peer that is behind takes an evacuation back, or orders it once more.
+TEST_CASE_FIXTURE(beliefs_fixture,
+                  "older_news_of_an_evacuation_changes_nothing")
+{
+    this->whole({upstream_item("i-1", 4)}, 4);
+    this->news({{"op/evacuate/hall", "", 9, true}}, 9);
+    CHECK(this->news({evacuation_item(7)}, 9).left.empty());
+    this->news({evacuation_item(12)}, 12);
+    CHECK(this->news({{"op/evacuate/hall", "", 10, true}}, 12).joined.empty());
+    CHECK(this->known.upstreams().usable_count() == 0);
+}
+
+// Two entries that differ in an evacuation only take each other for alike.
+TEST_CASE_FIXTURE(beliefs_fixture, "evacuation_reaches_those_that_ask_a_peer")
+{
+    this->whole({upstream_item("i-1", 4)}, 4);
+    beliefs behind;
+    behind.learn(this->known.items_since(0), this->now);
+    CHECK(behind.digest() == this->known.digest());
+    this->news({evacuation_item(6)}, 6);
+    CHECK(behind.digest() != this->known.digest());
+    CHECK(behind.changed_at() < this->known.changed_at());
+    CHECK(behind.learn(this->known.items_since(4), this->now).left.size() == 1);
+    CHECK(behind.digest() == this->known.digest());
+}
+
+// Thousands of removed items push out the order that an empty value carries.
+TEST_CASE_FIXTURE(beliefs_fixture, "evacuation_outlasts_many_removed_items")
+{
+    this->whole({upstream_item("i-1", 4), evacuation_item(5)}, 6);
+    for (std::uint64_t number = 10; number < 5000; ++number)
+        this->news({{"servers/x-" + std::to_string(number), "", number, true}},
+                   number);
+    const auto passed = this->known.items_since(0);
+    CHECK(std::any_of(
+        passed.items.begin(), passed.items.end(), [](const auto& one) {
+            return one.key == "op/evacuate/hall" && !one.removed;
+        }));
+}
+
 // An entry is fed by a peer that is behind the store: a change that was in
 // force must not be taken back.
 TEST_CASE_FIXTURE(beliefs_fixture, "older_configuration_never_comes_back")
--- a/src/greengagedrum/entry/upkeep.cpp
+++ b/src/greengagedrum/entry/upkeep.cpp
@@ -68,6 +68,13 @@
                      {"workspaces", config.workspaces.size()},
                      {"source", source}});
     }
+    for (const evacuation_change& one : changes.evacuations)
+        logs::write(logs::level::info,
+                    "beliefs",
+                    one.evacuated ? "evacuation_in_force" : "evacuation_over",
+                    {{"data_centre", one.data_centre},
+                     {"revision", one.revision},
+                     {"source", source}});
     for (const routing::published_upstream& one : changes.joined)
         this->state.log.write(now,
                               "beliefs",
--- a/src/greengagedrum/platform/documents.cpp
+++ b/src/greengagedrum/platform/documents.cpp
@@ -192,6 +192,13 @@
     return key.substr(upstream_prefix.size());
 }
 
+std::string_view evacuated_data_centre(std::string_view key)
+{
+    if (!key.starts_with(evacuation_prefix))
+        return {};
+    return key.substr(evacuation_prefix.size());
+}
+
 tl::expected<routing::configuration, std::string>
 read_configuration(const routing::published_item& item)
 {
--- a/src/greengagedrum/platform/documents.hpp
+++ b/src/greengagedrum/platform/documents.hpp
@@ -17,9 +17,15 @@
 inline constexpr std::string_view configuration_key = "op/config";
 inline constexpr std::string_view upstream_prefix = "servers/";
 
+inline constexpr std::string_view evacuation_prefix = "op/evacuate/";
+
 // The name of the upstream that an item is about; empty for any other item.
 std::string_view upstream_name(std::string_view key);
 
+// The data centre that is evacuated for as long as the item is there; empty
+// for any other item.
+std::string_view evacuated_data_centre(std::string_view key);
+
 // A fault says what could not be read.
 tl::expected<routing::configuration, std::string>
 read_configuration(const routing::published_item& item);
--- a/src/greengagedrum/routing/upstream_directory.cpp
+++ b/src/greengagedrum/routing/upstream_directory.cpp
@@ -23,18 +23,24 @@
     return found->second.entry.id;
 }
 
-upstream_directory::state* upstream_directory::find_life(base::upstream_id id)
+const upstream_directory::state*
+upstream_directory::find_life(base::upstream_id id) const
 {
     const auto name = this->names.find(id);
     return name == this->names.end() ? nullptr : &this->states.at(name->second);
 }
 
-bool upstream_directory::usable(const state& of)
+bool upstream_directory::alive(const state& of)
 {
     const bool older_life = of.newest_born && of.entry.born < of.newest_born;
     return !of.gone && !older_life && of.left_life != of.entry.id;
 }
 
+bool upstream_directory::usable(const state& of) const
+{
+    return alive(of) && !this->evacuated_places.contains(of.entry.data_centre);
+}
+
 // Nothing here depends on the order in which entries and removals come: of the
 // newest life the highest revision counts, if it is above that of any removal.
 //
@@ -61,10 +67,10 @@
 upstream_change upstream_directory::learn(const published_upstream& entry)
 {
     state& own = this->states[entry.name];
-    const bool was_usable = usable(own);
+    const bool was_usable = this->usable(own);
     const published_upstream before = own.entry;
     this->note(own, entry);
-    const bool is_usable = usable(own);
+    const bool is_usable = this->usable(own);
     if (was_usable != is_usable)
         return is_usable ? upstream_change::joined : upstream_change::left;
     if (!is_usable)
@@ -88,8 +94,8 @@
     own.removed_at = std::max(own.removed_at, revision);
     if (own.gone || own.entry.revision > revision)
         return upstream_change::none;
-    const bool was_usable = usable(own);
-    if (lapse_bound && was_usable) {
+    const bool was_usable = this->usable(own);
+    if (lapse_bound && alive(own)) {
         own.lapses_at = lapse_bound;
         this->may_lapse = true;
         return upstream_change::none;
@@ -100,11 +106,15 @@
 
 upstream_change upstream_directory::misdirected(base::upstream_id id)
 {
-    state* own = this->find_life(id);
-    if (own == nullptr || !usable(*own))
+    const auto name = this->names.find(id);
+    if (name == this->names.end())
         return upstream_change::none;
-    own->gone = true;
-    return upstream_change::left;
+    state& own = this->states.at(name->second);
+    if (!alive(own))
+        return upstream_change::none;
+    const bool was_usable = this->usable(own);
+    own.gone = true;
+    return was_usable ? upstream_change::left : upstream_change::none;
 }
 
 void upstream_directory::expire(base::instant now,
@@ -126,18 +136,37 @@
 
 const published_upstream* upstream_directory::find(base::upstream_id id) const
 {
-    const auto name = this->names.find(id);
-    if (name == this->names.end())
-        return nullptr;
-    const state& own = this->states.at(name->second);
-    return usable(own) ? &own.entry : nullptr;
+    const state* own = this->find_life(id);
+    return own != nullptr && this->usable(*own) ? &own->entry : nullptr;
+}
+
+const published_upstream*
+upstream_directory::find_alive(base::upstream_id id) const
+{
+    const state* own = this->find_life(id);
+    return own != nullptr && alive(*own) ? &own->entry : nullptr;
+}
+
+std::vector<published_upstream>
+upstream_directory::set_evacuated(const std::string& place, bool evacuated)
+{
+    const bool changed = evacuated ? this->evacuated_places.insert(place).second
+                                   : this->evacuated_places.erase(place) > 0;
+    std::vector<published_upstream> out;
+    if (!changed)
+        return out;
+    for (const auto& [name, own] : this->states) {
+        if (own.entry.data_centre == place && alive(own))
+            out.push_back(own.entry);
+    }
+    return out;
 }
 
 void upstream_directory::for_each_usable(
     const std::function<void(const published_upstream&)>& take) const
 {
     for (const auto& [name, own] : this->states) {
-        if (usable(own))
+        if (this->usable(own))
             take(own.entry);
     }
 }
@@ -145,8 +174,8 @@
 std::size_t upstream_directory::usable_count() const
 {
     return static_cast<std::size_t>(std::count_if(
-        this->states.begin(), this->states.end(), [](const auto& one) {
-            return usable(one.second);
+        this->states.begin(), this->states.end(), [this](const auto& one) {
+            return this->usable(one.second);
         }));
 }
 
--- a/src/greengagedrum/routing/upstream_directory.hpp
+++ b/src/greengagedrum/routing/upstream_directory.hpp
@@ -9,6 +9,9 @@
 // id, so that nothing learnt of one life (by this entry or told by a peer)
 // counts for another. What was published by an older life never replaces a
 // newer one, and a life that said it leaves never returns.
+//
+// Upstreams of an evacuated data centre stay known and may be given no work
+// until their data centre is taken back.
 #pragma once
 
 #include <greengagedrum/base/ids.hpp>
@@ -18,6 +21,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -77,9 +81,22 @@
     // The life of that name that was published last; none while unknown.
     std::optional<base::upstream_id> life_of(std::string_view name) const;
 
-    // Null when that life is gone or leaving.
+    // Null when that life is gone, leaving or evacuated.
     const published_upstream* find(base::upstream_id id) const;
 
+    // Null when that life is gone or leaving.
+    const published_upstream* find_alive(base::upstream_id id) const;
+
+    // Returns the upstreams that may be given work because of it, or may no
+    // longer be.
+    std::vector<published_upstream> set_evacuated(const std::string& place,
+                                                  bool evacuated);
+    // Data centres, by name.
+    const std::set<std::string>& evacuated() const
+    {
+        return this->evacuated_places;
+    }
+
     void for_each_usable(
         const std::function<void(const published_upstream&)>& take) const;
 
@@ -95,14 +112,16 @@
         std::optional<base::upstream_id> left_life; // that said it leaves
     };
 
-    static bool usable(const state& of);
-    state* find_life(base::upstream_id id);
+    static bool alive(const state& of);
+    bool usable(const state& of) const;
+    const state* find_life(base::upstream_id id) const;
     void note(state& own, const published_upstream& entry);
 
     std::unordered_map<std::string, state> states; // by name
     bool may_lapse = false; // else there is nothing to look for
     // Of each name's last life.
     std::unordered_map<base::upstream_id, std::string> names;
+    std::set<std::string> evacuated_places;
 };
 
 } // namespace greengagedrum::routing
--- a/src/greengagedrum/telemetry/messages.hpp
+++ b/src/greengagedrum/telemetry/messages.hpp
@@ -92,11 +92,12 @@
     peers_linked,
     upstreams_live,
     kept_answer_bytes,
-    log_lines_dropped,   // since the start
-    stopping,            // 1 while a graceful stop is under way
-    requests_quarantined // different ones that crashed upstreams
+    log_lines_dropped,    // since the start
+    stopping,             // 1 while a graceful stop is under way
+    requests_quarantined, // different ones that crashed upstreams
+    data_centres_evacuated
 };
-inline constexpr std::size_t gauge_count = 11;
+inline constexpr std::size_t gauge_count = 12;
 
 struct gauge_set {
     gauge what = gauge::config_age_seconds;
--- a/src/greengagedrum/telemetry/metric_descriptions.cpp
+++ b/src/greengagedrum/telemetry/metric_descriptions.cpp
@@ -54,6 +54,8 @@
     {"greengagedrum_stopping", "1 while a graceful stop is under way."},
     {"greengagedrum_requests_quarantined",
      "Different requests that are not sent, since upstreams crashed by them."},
+    {"greengagedrum_data_centres_evacuated",
+     "Data centres whose upstreams get no new requests."},
 }};
 
 } // namespace
