Traffic, entry: cold upstreams get a bounded rate over all entries

Cause: warmupRemainingMs was parsed and used by no decision; warmupS, warmupPerS, warmupOvershoot and warmupSlack were not read; the load of a cold upstream was bounded by its slots only, at each entry that placed.

Now a cold upstream is left to the entries of its own data centre that place: among few entries each has a part by rank, among many the dispatcher has all. Parts add up to half of the bound at most, and to no more than the published rate, so two sides that can't hear each other stay within it. An entry that has been awake for less than 3 s, or has heard of nobody though others are named, has no part; a dispatcher has one once it has placed for half of its data centre for a second, so that its predecessor's sends have left the window. What was taken back from an evacuation counts as cold for the published time.

--- a/src/greengagedrum/entry/beliefs.cpp
+++ b/src/greengagedrum/entry/beliefs.cpp
@@ -38,6 +38,7 @@
         one.id.value, base::hash_name(base::to_string(one.address)));
     out = placement::mix(out, one.service.value);
     out = placement::mix(out, one.slots);
+    out = placement::mix(out, one.warmup.count() > 0 ? 1 : 2);
     return placement::mix(out, one.leaving ? 1 : 2);
 }
 
@@ -155,6 +156,18 @@
     return true;
 }
 
+// What was evacuated may be cold, whatever it published before.
+routing::published_upstream
+beliefs::taken_back(const routing::published_upstream& one) const
+{
+    routing::published_upstream out = one;
+    const routing::service* of =
+        this->table ? this->table->find_service(one.service) : nullptr;
+    if (of != nullptr)
+        out.warmup = std::max(out.warmup, of->warmup);
+    return out;
+}
+
 void beliefs::take_evacuation(const routing::published_item& item,
                               belief_changes& out)
 {
@@ -166,7 +179,7 @@
         if (evacuated)
             out.left.push_back({one.name, one.id});
         else
-            out.joined.push_back(one);
+            out.joined.push_back(this->taken_back(one));
     }
     if (was != evacuated)
         out.evacuations.push_back({place, evacuated, item.revision});
--- a/src/greengagedrum/entry/beliefs.hpp
+++ b/src/greengagedrum/entry/beliefs.hpp
@@ -101,6 +101,8 @@
                        belief_changes& out);
     void take_evacuation(const routing::published_item& item,
                          belief_changes& out);
+    routing::published_upstream
+    taken_back(const routing::published_upstream& one) const;
     void note_upstream(const std::string& name,
                        routing::upstream_change change,
                        std::optional<base::upstream_id> before,
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -195,6 +195,22 @@
                                        this->own.bounds.usage_overshoot,
                                        this->own.bounds.usage_slack});
     this->state.scheduler.set_retry_bounds(retry_bounds_of(this->own.bounds));
+    this->apply_slow_start();
+}
+
+void entry::apply_slow_start()
+{
+    const routing::route_table_ptr& routes = this->state.known.routes();
+    if (!routes)
+        return;
+    const traffic::slow_start_tolerance tolerance{
+        this->own.bounds.warmup_overshoot, this->own.bounds.warmup_slack};
+    for (const routing::service& one : routes->source().services)
+        this->state.scheduler.set_slow_start(
+            one.id,
+            one.warmup_per_second > 0
+                ? traffic::slow_start_sends(one.warmup_per_second, tolerance)
+                : 0);
 }
 
 // ---- Questions ------------------------------------------------------------
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -59,6 +59,7 @@
     void on_store_failed(const std::string& why);
     void on_store_answered();
     void apply_bounds();
+    void apply_slow_start();
     relay::small_answer answer_control(std::string_view target) const;
     relay::small_answer answer_readiness() const;
     std::string metrics_text() const;
--- /dev/null
+++ b/src/greengagedrum/entry/fleet_test/cold_fleet.cpp
@@ -0,0 +1,134 @@
+#include <greengagedrum/entry/fleet_test/cold_fleet.hpp>
+
+#include <algorithm>
+#include <string>
+
+namespace greengagedrum::entry::fleet_test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const base::class_id engines("engines");
+constexpr std::uint32_t slots = 50;
+constexpr base::duration ask_gap = 50ms; // of one entry
+constexpr base::duration window = 1s;
+
+} // namespace
+
+cold_fleet::cold_fleet(const cold_plan& plan)
+    : plan(plan), books(plan.entries), sent_lately(plan.data_centres),
+      fleet(plan, this->hooks())
+{
+    this->fleet.start();
+}
+
+virtual_fleet::hooks cold_fleet::hooks()
+{
+    virtual_fleet::hooks out;
+    out.configure = [this](node& one) { this->configure(one); };
+    out.events = [this](node& one) { return this->events_of(one); };
+    out.stepped = [this](node& one) { this->ask(one); };
+    return out;
+}
+
+routing::published_upstream cold_fleet::published(std::size_t data_centre) const
+{
+    routing::published_upstream out;
+    out.name = "upstream-" + std::to_string(data_centre);
+    out.id = base::upstream_id(out.name);
+    out.service = engines;
+    out.slots = slots;
+    out.data_centre = "centre-" + std::to_string(data_centre);
+    out.warmup = 1h;
+    return out;
+}
+
+void cold_fleet::configure(node& one)
+{
+    this->books[one.number] = {};
+    const std::size_t place = one.number % this->plan.data_centres;
+    one.state.scheduler = traffic::scheduler(
+        {0.2, 60, 10s}, {"centre-" + std::to_string(place), one.number + 1});
+    one.state.scheduler.set_slow_start(engines, this->plan.sends);
+    for (std::size_t each = 0; each < this->plan.data_centres; ++each)
+        one.state.scheduler.upstream_joined(this->published(each),
+                                            this->fleet.time());
+}
+
+peer_events cold_fleet::events_of(node& of)
+{
+    peer_events out;
+    out.load_changed = [] {};
+    out.items = [](const gossip::item_transfer&) {};
+    out.delegate = [&of] { of.state.delegating = true; };
+    out.place_alone = [&of](std::size_t, const handed_limits*) {
+        of.state.delegating = false;
+    };
+    out.report = [] { return dispatch::member_report(); };
+    out.replied = [](const dispatch::dispatcher_reply&) {};
+    out.member_reported = [this, &of](base::slot_id member,
+                                      const gossip::message& told) {
+        this->books[of.number].report(
+            member, told.life, told.report, told.uses);
+    };
+    out.member_lost = [this, &of](base::slot_id member) {
+        this->books[of.number].lost(member);
+    };
+    out.members_unanswered = [this, &of] {
+        return this->books[of.number].unanswered(this->fleet.time());
+    };
+    out.reply = [this, &of](base::slot_id member) {
+        return this->books[of.number].reply(member, this->fleet.time());
+    };
+    return out;
+}
+
+void cold_fleet::ask(node& one)
+{
+    const base::instant now = this->fleet.time();
+    const auto phase = (now.time_since_epoch() + one.number * 5ms) % ask_gap;
+    if (phase >= 5ms)
+        return;
+    traffic::request_facts facts;
+    facts.service = engines;
+    facts.kind = base::kind_id("brief");
+    facts.objective = 1s;
+    facts.time_left = 10s;
+    const base::request_id id{this->next_request++};
+    traffic::actions orders;
+    one.state.scheduler.step(traffic::request_arrived{id, facts}, now, orders);
+    for (const traffic::action& each : orders) {
+        if (const auto* order = std::get_if<traffic::send_request>(&each))
+            this->note_send(order->upstream);
+    }
+    orders.clear();
+    one.state.scheduler.step(traffic::caller_left{id}, now, orders);
+}
+
+void cold_fleet::note_send(base::upstream_id upstream)
+{
+    const base::instant now = this->fleet.time();
+    for (std::size_t each = 0; each < this->sent_lately.size(); ++each) {
+        if (this->published(each).id != upstream)
+            continue;
+        std::deque<base::instant>& sent = this->sent_lately[each];
+        sent.push_back(now);
+        while (now - sent.front() >= window)
+            sent.pop_front();
+        this->result.sends += 1;
+        this->result.most = std::max(this->result.most,
+                                     static_cast<std::uint32_t>(sent.size()));
+    }
+}
+
+cold_result cold_fleet::play()
+{
+    while (this->fleet.seconds() < this->plan.seconds)
+        this->fleet.step();
+    return this->result;
+}
+
+} // namespace greengagedrum::entry::fleet_test
--- /dev/null
+++ b/src/greengagedrum/entry/fleet_test/cold_fleet.hpp
@@ -0,0 +1,48 @@
+// A fleet of entries before cold upstreams, one in each data centre, with more
+// requests at each entry than they take, in virtual time. Each entry sends its
+// own requests: what may be sent in all is what the shares let through.
+#pragma once
+
+#include <greengagedrum/entry/fleet_test/virtual_fleet.hpp>
+
+#include <deque>
+#include <vector>
+
+namespace greengagedrum::entry::fleet_test
+{
+
+struct cold_plan : trouble_plan {
+    std::uint32_t sends = 7; // to a cold upstream in a second
+};
+
+struct cold_result {
+    std::uint32_t most = 0;  // sends to one upstream in any second
+    std::uint64_t sends = 0; // in all
+};
+
+class cold_fleet
+{
+public:
+    explicit cold_fleet(const cold_plan& plan);
+
+    cold_result play();
+
+private:
+    using node = virtual_fleet::node;
+
+    virtual_fleet::hooks hooks();
+    peer_events events_of(node& of);
+    void configure(node& one);
+    void ask(node& one);
+    void note_send(base::upstream_id upstream);
+    routing::published_upstream published(std::size_t data_centre) const;
+
+    cold_plan plan;
+    std::vector<dispatch::dispatcher_book> books;       // by entry
+    std::vector<std::deque<base::instant>> sent_lately; // by data centre
+    virtual_fleet fleet;
+    std::uint64_t next_request = 1;
+    cold_result result;
+};
+
+} // namespace greengagedrum::entry::fleet_test
--- /dev/null
+++ b/src/greengagedrum/entry/fleet_test/cold_fleet_test.cpp
@@ -0,0 +1,114 @@
+// What all entries together send to a cold upstream.
+#include <greengagedrum/entry/fleet_test/cold_fleet.hpp>
+#include <greengagedrum/traffic/slow_start.hpp>
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <random>
+#include <string>
+
+namespace greengagedrum::entry::fleet_test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr double per_second = 7.3;
+constexpr traffic::slow_start_tolerance tolerance{1.5, 5};
+constexpr std::uint32_t bound = 15; // 7.3 x 1.5 + 5
+
+cold_plan plan_of(std::size_t entries, std::size_t data_centres)
+{
+    cold_plan out;
+    out.entries = entries;
+    out.data_centres = data_centres;
+    out.seconds = 15;
+    out.sends = traffic::slow_start_sends(per_second, tolerance);
+    return out;
+}
+
+cold_plan random_plan(std::uint64_t seed)
+{
+    std::mt19937_64 dice(seed);
+    const auto below = [&dice](std::uint64_t most) { return dice() % most; };
+    constexpr std::size_t sizes[] = {2, 5, 9, 24, 40, 69};
+    cold_plan out = plan_of(sizes[below(std::size(sizes))], 1 + below(4));
+    out.entries = std::max(out.entries, out.data_centres);
+    out.seed = seed;
+    out.seconds = 20;
+    const auto moment = [&] {
+        return 3 + static_cast<double>(below(120)) / 10;
+    };
+    if (below(2) == 0)
+        out.killed_at = {moment()};
+    if (below(3) == 0)
+        out.frozen_at = {moment()};
+    out.frozen_for = 0.3 + static_cast<double>(below(50)) / 10;
+    if (below(3) == 0)
+        out.restart_gap = 100ms + 1ms * below(500);
+    out.restarts_from = moment();
+    if (below(3) == 0)
+        out.all_killed_at = moment();
+    if (below(3) == 0)
+        out.cut_from = moment();
+    out.cut_for = 1 + static_cast<double>(below(80)) / 10;
+    out.lost_share = 0.01 * static_cast<double>(below(10));
+    return out;
+}
+
+std::uint64_t random_fleets()
+{
+    constexpr std::uint64_t usual = 40;
+    const char* given = std::getenv("GGD_RANDOM_FLEETS");
+    return given == nullptr ? usual : std::stoull(given);
+}
+
+} // namespace
+
+TEST_CASE("cold_upstreams_get_their_sends_from_fleets_of_any_size")
+{
+    for (const std::size_t entries : {1U, 9U, 69U, 295U}) {
+        const cold_result got = cold_fleet(plan_of(entries, 4)).play();
+        CHECK(got.most <= 7);
+        MESSAGE(entries, " entries: ", got.sends, " sends");
+        if (entries > 4)
+            CHECK(got.sends > 4U * 7 * 8);
+    }
+}
+
+// All entries start again at once, and each takes itself for the only one.
+TEST_CASE("cold_upstreams_are_spared_by_entries_that_all_start_at_once")
+{
+    cold_plan plan = plan_of(69, 4);
+    plan.all_killed_at = 6;
+    CHECK(cold_fleet(plan).play().most <= 7);
+}
+
+// Entries that can't hear each other both send as if they were alone.
+TEST_CASE("cold_upstreams_are_spared_by_random_fleets")
+{
+    std::uint32_t worst = 0;
+    for (std::uint64_t seed = 1; seed <= random_fleets(); ++seed) {
+        CAPTURE(seed);
+        const cold_plan plan = random_plan(seed);
+        CAPTURE(plan.entries);
+        CAPTURE(plan.data_centres);
+        CAPTURE(plan.restart_gap.count());
+        CAPTURE(plan.restarts_from);
+        CAPTURE(plan.frozen_for);
+        CAPTURE(plan.all_killed_at);
+        CAPTURE(plan.cut_from);
+        CAPTURE(plan.cut_for);
+        CAPTURE(plan.killed_at.size());
+        CAPTURE(plan.frozen_at.size());
+        const cold_result got = cold_fleet(plan).play();
+        CHECK(got.most <= bound);
+        worst = std::max(worst, got.most);
+    }
+    MESSAGE("most in a second: ", worst);
+}
+
+} // namespace greengagedrum::entry::fleet_test
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -85,9 +85,11 @@
             base::data_centre_id(given.data_centre),
             strength_of(given),
             state.clock()),
-      began(state.clock()), dispatcher_at(state.clock()),
-      placing_since(state.clock())
+      began(state.clock()), awake_since(state.clock()),
+      counted_at(state.clock()), half_since(state.clock()),
+      dispatcher_at(state.clock()), placing_since(state.clock())
 {
+    state.scheduler.set_slow_start_share({}); // until others were heard of
     this->reseed(given);
 }
 
@@ -177,7 +179,9 @@
 {
     const base::instant now = this->state.clock();
     const base::duration bound =
-        std::min(this->own.bounds.configuration, this->own.bounds.drain) *
+        std::min({this->own.bounds.configuration,
+                  this->own.bounds.drain,
+                  this->own.bounds.evacuation}) *
         rest_parts / all_parts;
     if (this->large)
         return this->dispatcher_reads(bound, now);
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -114,6 +114,9 @@
     void update_role(base::instant now);
     void set_role(bool delegating, base::instant now);
     void count_entries(base::instant now);
+    void note_awake(base::instant now);
+    bool places_for_half(base::instant now) const;
+    traffic::slow_start_share cold_share(base::instant now) const;
     void count_among_many(base::instant now);
     void forget_replaced(base::instant now);
     void tell_among_many(base::instant now);
@@ -164,7 +167,10 @@
     };
 
     gossip::succession order;
-    base::instant began; // this process
+    base::instant began;       // this process
+    base::instant awake_since; // without a pause
+    base::instant counted_at;
+    base::instant half_since; // placing for half of its data centre, or more
     bool large = false;
     std::optional<gossip::ip_number> dispatcher; // none: this entry
     base::instant dispatcher_at;                 // when there was one last
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -40,6 +40,19 @@
 // Of messages to other data centres one in a hundred may be lost.
 constexpr std::uint32_t farewells_told = 3;
 
+// A process that has been awake for less may not have heard of all others.
+constexpr base::duration peers_found_within = std::chrono::seconds(3);
+
+// Entries are counted many times a second; after a longer pause the process was
+// frozen.
+constexpr base::duration stood_still = std::chrono::milliseconds(400);
+
+// A member reports ten times a second.
+constexpr base::duration reports_within = std::chrono::milliseconds(500);
+
+// Of a dispatcher that is followed: the window in which its sends count.
+constexpr base::duration last_sends_within = std::chrono::seconds(1);
+
 // A place that another data centre's dispatcher frees is left to it as long.
 constexpr base::duration gossip_gap_among_many = std::chrono::milliseconds(10);
 
@@ -241,8 +254,52 @@
     this->limits.reset();
 }
 
+// Failure guarded against: all entries start, or wake, at once before cold
+// upstreams, and each sends them the whole of what they bear, until it has
+// heard of the others.
+void peer_link::note_awake(base::instant now)
+{
+    if (now - this->counted_at > stood_still)
+        this->awake_since = now;
+    this->counted_at = now;
+    if (!this->places_for_half(now))
+        this->half_since = now;
+}
+
+// At most two entries of a data centre can place for half of it at a time.
+bool peer_link::places_for_half(base::instant now) const
+{
+    if (this->state.delegating)
+        return false;
+    const auto heard = std::count_if(
+        this->members.begin(), this->members.end(), [&](const auto& one) {
+            return now - one.second.heard_at <= reports_within;
+        });
+    return 2 * (static_cast<std::size_t>(heard) + 1) >=
+           this->order.known_nearby(now) + 1;
+}
+
+// Of the requests that cold upstreams of the own data centre get. Among many
+// entries they are the dispatcher's, once the one before it has sent its last.
+traffic::slow_start_share peer_link::cold_share(base::instant now) const
+{
+    const bool alone =
+        this->table.unheard() > 0 && this->table.alive_lately(now) == 0;
+    if (alone || now - this->awake_since < peers_found_within)
+        return {};
+    if (this->large)
+        return now - this->half_since >= last_sends_within
+                   ? traffic::slow_start_share{0, 1}
+                   : traffic::slow_start_share{};
+    const auto nearby = this->table.nearby_lately(now);
+    return {static_cast<std::uint32_t>(nearby.lower),
+            static_cast<std::uint32_t>(nearby.entries)};
+}
+
 void peer_link::count_entries(base::instant now)
 {
+    this->note_awake(now);
+    this->state.scheduler.set_slow_start_share(this->cold_share(now));
     if (this->large)
         return this->count_among_many(now);
     traffic::scheduler& scheduler = this->state.scheduler;
--- a/src/greengagedrum/entry/settings.cpp
+++ b/src/greengagedrum/entry/settings.cpp
@@ -23,7 +23,10 @@
         << "retry_slack = " << given.retry_slack << '\n'
         << "usage_window_ms = " << milliseconds_of(given.usage_window) << '\n'
         << "usage_overshoot = " << given.usage_overshoot << '\n'
-        << "usage_slack = " << given.usage_slack << '\n';
+        << "usage_slack = " << given.usage_slack << '\n'
+        << "warmup_overshoot = " << given.warmup_overshoot << '\n'
+        << "warmup_slack = " << given.warmup_slack << '\n'
+        << "evacuation_ms = " << milliseconds_of(given.evacuation) << '\n';
 }
 
 } // namespace
--- a/src/greengagedrum/entry/settings.hpp
+++ b/src/greengagedrum/entry/settings.hpp
@@ -20,8 +20,12 @@
     base::duration retry_window = std::chrono::seconds(10);
     double retry_slack = 0; // in a window, all entries
     base::duration usage_window = std::chrono::seconds(8);
-    double usage_overshoot = 0; // share of a limit that lag may exceed it by
-    double usage_slack = 0;     // and in its unit, all entries
+    double usage_overshoot = 0;  // share of a limit that lag may exceed it by
+    double usage_slack = 0;      // and in its unit, all entries
+    double warmup_overshoot = 1; // times a cold upstream's published rate
+    double warmup_slack = 0;     // and in requests of a second, all entries
+    // No new work to an evacuated data centre.
+    base::duration evacuation = std::chrono::seconds(2);
 };
 
 struct settings {
--- a/src/greengagedrum/entry/test/beliefs_test.cpp
+++ b/src/greengagedrum/entry/test/beliefs_test.cpp
@@ -31,6 +31,26 @@
             false};
 }
 
+routing::published_item
+cold_item(const char* name, int remaining_ms, std::uint64_t revision)
+{
+    routing::published_item out = upstream_item(name, revision);
+    const std::string field = R"("warmupRemainingMs": )";
+    out.value.replace(out.value.find(field),
+                      field.size() + 1,
+                      field + std::to_string(remaining_ms));
+    return out;
+}
+
+routing::published_item service_item(std::uint64_t revision)
+{
+    return {"op/config",
+            R"({"version": 1, "routes": [], "services": [{"name": "s",
+                "warmupS": 3, "warmupPerS": 7.3}]})",
+            revision,
+            false};
+}
+
 routing::published_item evacuation_item(std::uint64_t revision)
 {
     return {"op/evacuate/hall", "", revision, false};
@@ -79,6 +99,33 @@
     CHECK(this->known.upstreams().find(id) != nullptr);
 }
 
+// Upstreams cool down while they are evacuated, and say so later.
+TEST_CASE_FIXTURE(beliefs_fixture, "upstreams_taken_back_count_as_cold")
+{
+    this->whole({service_item(2), upstream_item("i-1", 4), evacuation_item(5)},
+                6);
+    const auto over = this->news({{"op/evacuate/hall", "", 9, true}}, 9);
+    REQUIRE(over.joined.size() == 1);
+    CHECK(over.joined.front().warmup == 3s);
+}
+
+// Only its first report says that an upstream is cold; members ask their
+// dispatcher by digest.
+TEST_CASE_FIXTURE(beliefs_fixture, "upstream_that_turns_cold_or_warm_is_news")
+{
+    this->whole({upstream_item("i-1", 4)}, 4);
+    const std::uint64_t warm = this->known.digest();
+    const auto cold = this->news({cold_item("i-1", 2500, 6)}, 6);
+    REQUIRE(cold.joined.size() == 1);
+    CHECK(cold.joined.front().warmup == 2500ms);
+    CHECK(this->known.digest() != warm);
+    CHECK(this->news({cold_item("i-1", 1300, 8)}, 8).joined.size() == 1);
+    CHECK(this->news({upstream_item("i-1", 10)}, 10).joined.size() == 1);
+    CHECK(this->known.digest() == warm);
+    CHECK(this->known.changed_at() == 10);
+    CHECK(this->news({upstream_item("i-1", 12)}, 12).joined.empty());
+}
+
 // A started entry is told of upstreams and evacuations at once, in any order.
 TEST_CASE_FIXTURE(beliefs_fixture, "upstream_listed_with_its_evacuation_is_out")
 {
--- a/src/greengagedrum/entry/upkeep.cpp
+++ b/src/greengagedrum/entry/upkeep.cpp
@@ -59,6 +59,7 @@
         const routing::configuration& config =
             this->state.known.routes()->source();
         this->state.limiter.set_limits(config, now);
+        this->apply_slow_start();
         logs::write(logs::level::info,
                     "beliefs",
                     "configuration_in_force",
--- a/src/greengagedrum/gossip/peer_table.cpp
+++ b/src/greengagedrum/gossip/peer_table.cpp
@@ -176,6 +176,18 @@
     return count;
 }
 
+peer_table::nearby_order peer_table::nearby_lately(base::instant now) const
+{
+    nearby_order out;
+    for (const auto& [address, one] : this->peers) {
+        if (!one.near || !one.heard_at || now - *one.heard_at > lately)
+            continue;
+        out.entries += 1;
+        out.lower += address < this->own ? 1 : 0;
+    }
+    return out;
+}
+
 std::optional<peer_table::source>
 peer_table::newest_source(base::instant now, std::uint64_t turn) const
 {
--- a/src/greengagedrum/gossip/peer_table.hpp
+++ b/src/greengagedrum/gossip/peer_table.hpp
@@ -61,6 +61,14 @@
     // Alive now, or not long ago.
     std::size_t alive_lately(base::instant now) const;
 
+    // Of those of the own data centre, this entry included: how many there
+    // are, and how many of them have a lower address.
+    struct nearby_order {
+        std::size_t entries = 1;
+        std::size_t lower = 0;
+    };
+    nearby_order nearby_lately(base::instant now) const;
+
     struct source {
         ip_number address = 0;
         bool near = false;
--- a/src/greengagedrum/platform/documents.cpp
+++ b/src/greengagedrum/platform/documents.cpp
@@ -17,13 +17,22 @@
 using json = nlohmann::json;
 using namespace std::string_literals;
 
+// Microseconds.
+constexpr double millisecond = 1e3;
+constexpr double second = 1e6;
+
+base::duration time_of(const json& from, const char* name, double unit)
+{
+    // Far above any timeout, and no sum with it overflows.
+    constexpr base::duration most = std::chrono::hours(24);
+    const double value = std::clamp(
+        from.value(name, 0.0) * unit, 0.0, static_cast<double>(most.count()));
+    return base::duration(static_cast<base::duration::rep>(value));
+}
+
 base::duration milliseconds_of(const json& from, const char* name)
 {
-    // A day: far above any timeout, and no sum with it overflows.
-    constexpr double most = 86'400'000;
-    const double value =
-        std::clamp(from.value(name, 0.0), 0.0, most); // milliseconds
-    return base::duration(static_cast<base::duration::rep>(value * 1000));
+    return time_of(from, name, millisecond);
 }
 
 routing::route_target read_target(const std::string& service, double weight)
@@ -81,6 +90,8 @@
     out.id = base::class_id(out.name);
     out.engine = from.contains("engine");
     out.connections_max = bounded_number(from, "maxConnections", 0U);
+    out.warmup = time_of(from, "warmupS", second);
+    out.warmup_per_second = std::max(0.0, from.value("warmupPerS", 0.0));
     return out;
 }
 
--- a/src/greengagedrum/platform/settings_file.cpp
+++ b/src/greengagedrum/platform/settings_file.cpp
@@ -116,6 +116,11 @@
     out.usage_overshoot =
         from.number("bounds.quotaOvershoot", out.usage_overshoot);
     out.usage_slack = from.number("bounds.quotaSlack", out.usage_slack);
+    out.warmup_overshoot =
+        from.number("bounds.warmupOvershoot", out.warmup_overshoot);
+    out.warmup_slack = from.number("bounds.warmupSlack", out.warmup_slack);
+    out.evacuation =
+        from.time("bounds.evacuationMs", millisecond, out.evacuation);
     return out;
 }
 
--- a/src/greengagedrum/platform/test/platform_test.cpp
+++ b/src/greengagedrum/platform/test/platform_test.cpp
@@ -30,6 +30,9 @@
 graceS = 8
 retrySlack = 56
 quotaOvershoot = 0.25
+warmupOvershoot = 1.5
+warmupSlack = 5
+evacuationMs = 5000
 [platform]
 address = "10.200.1.7:8225"
 )";
@@ -42,7 +45,8 @@
                    {"service": "s-2", "weight": 10}]},
  {"name": "r-2", "hostname": "hall.example", "prefix": "/b/",
   "routeType": "non_idempotent", "service": "s-2", "anonymous": true}],
- "services": [{"name": "s-1", "maxConnections": 370, "engine": {"slots": 5}},
+ "services": [{"name": "s-1", "maxConnections": 370, "engine": {"slots": 5},
+   "warmupS": 2.5, "warmupPerS": 7.3},
               {"name": "s-2"}],
  "limits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 15000},
  "tenants": [{"name": "gate", "apiKeys": ["k1", "k2"], "priority": 1,
@@ -71,6 +75,9 @@
     CHECK(read->bounds.retry_slack == 56);
     CHECK(read->bounds.usage_overshoot == 0.25);
     CHECK(read->bounds.usage_window == 8s); // its default
+    CHECK(read->bounds.warmup_overshoot == 1.5);
+    CHECK(read->bounds.warmup_slack == 5);
+    CHECK(read->bounds.evacuation == 5s);
 }
 
 TEST_CASE("settings_with_many_faults_name_them_all")
@@ -118,6 +125,9 @@
     CHECK(plain.sends_max == 1);
     CHECK(plain.targets.at(0).service_name == "s-2");
     CHECK(read->services.at(0).engine);
+    CHECK(read->services.at(0).warmup == 2500ms);
+    CHECK(read->services.at(0).warmup_per_second == 7.3);
+    CHECK(read->services.at(1).warmup_per_second == 0);
     CHECK_FALSE(read->services.at(1).engine);
     const routing::workspace& owner = read->workspaces.at(0);
     CHECK(owner.keys.size() == 2);
--- a/src/greengagedrum/routing/configuration.hpp
+++ b/src/greengagedrum/routing/configuration.hpp
@@ -51,6 +51,9 @@
     base::class_id id;
     bool engine = false;               // a model engine; else a plain service
     std::uint32_t connections_max = 0; // of one upstream, all callers; 0: none
+    base::duration warmup{0};          // how long one is cold after its start
+    // Requests that a cold one takes, of all callers; 0: no bound is published.
+    double warmup_per_second = 0;
 };
 
 // A limit on what a workspace may ask for, over all entries together.
--- a/src/greengagedrum/routing/upstream_directory.cpp
+++ b/src/greengagedrum/routing/upstream_directory.cpp
@@ -77,9 +77,12 @@
         return upstream_change::none;
     if (before.id != own.entry.id)
         return upstream_change::restarted;
-    const bool moved = before.address != own.entry.address ||
-                       before.slots != own.entry.slots ||
-                       before.service != own.entry.service;
+    const bool moved =
+        before.address != own.entry.address ||
+        before.slots != own.entry.slots ||
+        before.service != own.entry.service ||
+        (entry.id == own.entry.id && entry.revision == own.entry.revision &&
+         before.warmup != own.entry.warmup);
     return moved ? upstream_change::updated : upstream_change::none;
 }
 
--- a/src/greengagedrum/routing/upstream_directory.hpp
+++ b/src/greengagedrum/routing/upstream_directory.hpp
@@ -39,7 +39,7 @@
     std::string data_centre;
     std::uint32_t slots = 1;
     bool leaving = false;
-    base::duration warmup{0};   // how much longer it is slow after its start
+    base::duration warmup{0};   // how much longer it is cold
     std::uint64_t revision = 0; // the store's
 };
 
@@ -50,7 +50,7 @@
 enum class upstream_change : std::uint8_t {
     none,
     joined,
-    updated,   // address, slots or service
+    updated,   // address, slots, service, or how long it stays cold
     left,      // leaving, or no longer published
     restarted, // the life before is over, another one joined
 };
--- a/src/greengagedrum/traffic/choice.cpp
+++ b/src/greengagedrum/traffic/choice.cpp
@@ -207,7 +207,7 @@
             (!any_will_do || one.trust.unreachable()))
             continue;
         const suitability suits = this->suits(one, all, asked, now);
-        const std::uint32_t open = open_places(one, now);
+        const std::uint32_t open = this->open_places(one, now);
         if (open == 0) {
             if (!probe)
                 out.best_full = std::max(out.best_full, suits);
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -83,6 +83,15 @@
     void peer_lost(base::slot_id peer);
     // Entries that place requests, this one included.
     void set_entries(std::size_t count);
+    // Of each service that publishes one: the bound on cold upstreams.
+    void set_slow_start(base::class_id service, std::uint32_t sends)
+    {
+        this->pool.set_slow_start(service, sends);
+    }
+    void set_slow_start_share(const slow_start_share& share)
+    {
+        this->pool.set_slow_start_share(share);
+    }
     // Entries that send again what failed; all of them, unless told.
     void set_retrying_entries(std::size_t count)
     {
--- /dev/null
+++ b/src/greengagedrum/traffic/test/slow_start_test.cpp
@@ -0,0 +1,140 @@
+// What cold upstreams are sent in a second.
+#include <greengagedrum/traffic/test/scheduler_fixture.hpp>
+
+namespace greengagedrum::traffic
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t cold_sends = 3; // in a second
+constexpr std::uint32_t slots = 5;
+
+routing::published_upstream cold_upstream(const std::string& name,
+                                          const char* data_centre,
+                                          base::duration warmup)
+{
+    routing::published_upstream out = upstream_named(name, slots);
+    out.data_centre = data_centre;
+    out.warmup = warmup;
+    return out;
+}
+
+struct cold_fixture : scheduler_fixture {
+    cold_fixture() { this->tested.set_slow_start(engines, cold_sends); }
+
+    void join(const routing::published_upstream& one)
+    {
+        this->tested.upstream_joined(one, this->now);
+    }
+
+    // Requests that are answered at once, every 20 ms.
+    int sends_within(base::duration span)
+    {
+        int count = 0;
+        for (const base::instant end = this->now + span; this->now < end;
+             this->now += 20ms) {
+            const auto id = this->arrive(stream_facts());
+            if (this->order<send_request>() == nullptr) {
+                this->step(caller_left{id});
+                continue;
+            }
+            count += 1;
+            this->answer(id, this->sent().send);
+        }
+        return count;
+    }
+};
+
+} // namespace
+
+TEST_CASE("slow_start_sends_stay_within_half_of_the_bound")
+{
+    CHECK(slow_start_sends(7.3, {1.5, 5}) == 7);
+    CHECK(slow_start_sends(100, {1, 0}) == 50);
+    CHECK(slow_start_sends(0.5, {1, 0}) == 0);
+    CHECK(slow_start_sends(1, {1, 0}) == 1);
+    CHECK(slow_start_sends(0.5, {1.5, 5}) == 1);
+    CHECK(slow_start_sends(1e30, {1e30, 1e30}) == 1'000'000);
+}
+
+TEST_CASE("parts_of_all_sharers_add_up_to_the_whole")
+{
+    for (std::uint32_t sends = 0; sends < 20; ++sends) {
+        for (std::uint32_t sharers = 1; sharers < 30; ++sharers) {
+            std::uint32_t sum = 0;
+            for (std::uint32_t rank = 0; rank < sharers; ++rank)
+                sum += slow_start_share{rank, sharers}.part_of(sends);
+            CHECK(sum == sends);
+        }
+    }
+    CHECK(slow_start_share{}.part_of(7) == 0);
+}
+
+// An upstream that has just started gets its slots' worth at once and crashes.
+TEST_CASE_FIXTURE(cold_fixture, "cold_upstream_gets_no_more_than_its_sends")
+{
+    this->join(cold_upstream("i-1", "hall", 3s));
+    CHECK(this->sends_within(1s) == cold_sends);
+    CHECK(this->sends_within(1s) == cold_sends);
+    this->now += 1s;
+    CHECK(this->sends_within(1s) > 10);
+}
+
+// A warm upstream turns cold: what it was sent just before counts.
+TEST_CASE_FIXTURE(cold_fixture, "upstream_that_turns_cold_is_held_at_once")
+{
+    this->join(cold_upstream("i-1", "hall", 0s));
+    CHECK(this->sends_within(1s) > 10);
+    this->join(cold_upstream("i-1", "hall", 2s));
+    CHECK(this->sends_within(900ms) == 0);
+    CHECK(this->sends_within(1s) <= cold_sends);
+    // It warms up sooner than it said.
+    this->join(cold_upstream("i-1", "hall", 0s));
+    CHECK(this->sends_within(1s) > 10);
+}
+
+// Entries of all data centres send to one cold upstream.
+TEST_CASE_FIXTURE(cold_fixture, "cold_upstream_elsewhere_gets_nothing")
+{
+    this->join(cold_upstream("i-1", "away", 3s));
+    CHECK(this->sends_within(1s) == 0);
+    this->now += 2s;
+    CHECK(this->sends_within(1s) > 10);
+}
+
+TEST_CASE_FIXTURE(cold_fixture,
+                  "entry_without_a_share_sends_nothing_while_cold")
+{
+    this->tested.set_slow_start_share({});
+    this->join(cold_upstream("i-1", "hall", 3s));
+    CHECK(this->sends_within(1s) == 0);
+    this->tested.set_slow_start_share({1, 2});
+    CHECK(this->sends_within(1s) == 1);
+}
+
+TEST_CASE_FIXTURE(cold_fixture, "service_without_a_bound_is_not_held")
+{
+    this->tested.set_slow_start(engines, 0);
+    this->join(cold_upstream("i-1", "away", 3s));
+    CHECK(this->sends_within(1s) > 10);
+}
+
+// A request that waits for a cold upstream is sent as soon as that may be.
+TEST_CASE_FIXTURE(cold_fixture,
+                  "waiting_request_is_sent_when_its_second_is_over")
+{
+    this->join(cold_upstream("i-1", "hall", 5s));
+    for (std::uint32_t count = 0; count < cold_sends; ++count) {
+        const auto id = this->arrive(stream_facts());
+        this->answer(id, this->sent().send);
+    }
+    const auto waiting = this->arrive(stream_facts());
+    CHECK(this->order<send_request>() == nullptr);
+    this->pass(1s);
+    CHECK(this->sent().request == waiting);
+}
+
+} // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -57,6 +57,7 @@
     own.slots = entry.slots;
     own.listed = true;
     own.data_centre = base::data_centre_id(entry.data_centre);
+    own.cold_until = now + entry.warmup;
     if (!fresh)
         return;
     this->note_join(entry.id, own, now);
@@ -186,14 +187,29 @@
     this->peers_turn = gap + message_delay;
 }
 
-std::uint32_t upstream_pool::open_places(const upstream& one, base::instant now)
+std::uint32_t upstream_pool::open_places(const upstream& one,
+                                         base::instant now) const
 {
     const auto awaited = static_cast<std::uint32_t>(
         std::count_if(one.peers_turns.begin(),
                       one.peers_turns.end(),
                       [&](base::instant until) { return until > now; }));
     const std::uint32_t taken = one.own + one.others + awaited;
-    return one.slots - std::min(one.slots, taken);
+    const std::uint32_t open = one.slots - std::min(one.slots, taken);
+    return now < one.cold_until ? std::min(open, this->cold_room(one, now))
+                                : open;
+}
+
+// Requests that this entry may send to a cold upstream just now.
+std::uint32_t upstream_pool::cold_room(const upstream& one,
+                                       base::instant now) const
+{
+    const std::uint32_t all = this->services.at(one.service).cold_sends;
+    if (all == 0)
+        return one.slots;
+    const std::uint32_t part =
+        this->is_near(one) ? this->cold_share.part_of(all) : 0;
+    return part - std::min(part, one.recent.count(now));
 }
 
 void upstream_pool::peer_lost(base::slot_id peer)
@@ -238,6 +254,8 @@
         return;
     own->own += 1;
     own->own_unread += prompt_tokens;
+    if (this->services[own->service].cold_sends > 0)
+        own->recent.add(now);
     if (!where.probe)
         return;
     own->trust.probe_sent();
@@ -327,7 +345,7 @@
     for (const base::upstream_id id : found->second.members) {
         const upstream& one = this->upstreams.at(id);
         if (!one.trust.suspected())
-            sum += open_places(one, now);
+            sum += this->open_places(one, now);
     }
     return sum;
 }
@@ -340,7 +358,8 @@
     return std::any_of(found->second.members.begin(),
                        found->second.members.end(),
                        [&](base::upstream_id id) {
-                           return open_places(this->upstreams.at(id), now) > 0;
+                           return this->open_places(this->upstreams.at(id),
+                                                    now) > 0;
                        });
 }
 
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -13,6 +13,7 @@
 #include <greengagedrum/traffic/event_speed.hpp>
 #include <greengagedrum/traffic/gap_reading.hpp>
 #include <greengagedrum/traffic/messages.hpp>
+#include <greengagedrum/traffic/slow_start.hpp>
 #include <greengagedrum/traffic/upstream_trust.hpp>
 
 #include <map>
@@ -93,6 +94,18 @@
     // Peers with requests that wait: they are after each place that falls free.
     void set_waiting_peers(std::size_t count) { this->waiting_peers = count; }
 
+    // Requests that a cold upstream of the service gets in a second; 0: there
+    // is no bound.
+    void set_slow_start(base::class_id service, std::uint32_t sends)
+    {
+        this->services[service].cold_sends = sends;
+    }
+    // What is this entry's of it, at upstreams of the own data centre.
+    void set_slow_start_share(const slow_start_share& share)
+    {
+        this->cold_share = share;
+    }
+
     // None when no upstream has a free place.
     std::optional<placing> choose(const placing_question& asked,
                                   base::instant now) const;
@@ -166,6 +179,8 @@
         base::instant progress_at;
         event_speed speed;
         upstream_trust trust;
+        base::instant cold_until;
+        recent_sends recent; // where the service has a bound while cold
     };
 
     struct peer_load {
@@ -182,6 +197,7 @@
         double bad = 0;         // share of bad ends
         base::instant probe_at; // when the next probe may be sent
         gap_reading gaps;
+        std::uint32_t cold_sends = 0; // to one of them in a second; 0: any
     };
 
     // How slow it is against the service's mean; none while that is unknown.
@@ -214,7 +230,8 @@
                     base::instant now);
     void note_join(base::upstream_id id, upstream& one, base::instant now);
     base::duration own_turn(std::uint64_t lot) const;
-    static std::uint32_t open_places(const upstream& one, base::instant now);
+    std::uint32_t open_places(const upstream& one, base::instant now) const;
+    std::uint32_t cold_room(const upstream& one, base::instant now) const;
     bool is_near(const upstream& one) const;
     std::size_t sound_nearby(const service_state& all) const;
     bool may_use(base::upstream_id id,
@@ -236,6 +253,7 @@
     const candidate* pick(const offers& open, std::uint64_t draw) const;
 
     standpoint own_place;
+    slow_start_share cold_share{0, 1};
     std::size_t entries = 1;
     double alike = 0; // see set_entries()
     std::size_t waiting_peers = 0;
