Tests: an evacuated upstream gets nothing until it is back, over loopback

Store, entry and upstream over sockets: the order comes by a watch, requests are refused as not run with a time to come back, none reaches the upstream, and it is sent requests again once the order is gone.

--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -174,12 +174,32 @@
             given.set_content(page, "application/json");
         });
     this->store.server.Get(
-        "/kv-watch", [](const httplib::Request&, httplib::Response& given) {
+        "/kv-watch",
+        [this](const httplib::Request& asked, httplib::Response& given) {
             std::this_thread::sleep_for(20ms);
-            given.set_content(R"({"events": [], "at": 2})", "application/json");
+            const std::lock_guard lock(this->mutex);
+            const bool behind = std::stoi(asked.get_param_value("after")) <
+                                this->store_revision;
+            given.set_content(
+                "{\"events\": [" + (behind ? this->store_events : "") +
+                    "], \"at\": " + std::to_string(this->store_revision) + "}",
+                "application/json");
         });
 }
 
+void entry_fixture::evacuate(bool evacuated)
+{
+    const std::lock_guard lock(this->mutex);
+    this->store_revision += 1;
+    const std::string key = "op/evacuate/hall";
+    json event = item(key, json::object(), this->store_revision);
+    if (!evacuated)
+        event = {{"key", key},
+                 {"revision", this->store_revision},
+                 {"deleted", true}};
+    this->store_events = event.dump();
+}
+
 void entry_fixture::wait_until_configured() const
 {
     for (int tries = 0; tries < 500; ++tries) {
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -72,6 +72,9 @@
 
     std::vector<httplib::Request> received() const;
 
+    // The operator evacuates the data centre, or takes it back.
+    void evacuate(bool evacuated);
+
     std::unique_ptr<entry> tested;
 
 private:
@@ -84,6 +87,8 @@
     // own steps.
     mutable std::mutex mutex;
     std::vector<httplib::Request> requests;
+    int store_revision = 2;
+    std::string store_events; // that watches since the last one get, as JSON
     handler upstream = [](const httplib::Request& asked,
                           httplib::Response& given) {
         signed_answer(asked, given, "answer");
--- a/src/greengagedrum/entry/test/entry_test.cpp
+++ b/src/greengagedrum/entry/test/entry_test.cpp
@@ -278,4 +278,34 @@
     CHECK(*broken_off);
 }
 
+// A data centre is emptied for work on it, and its upstreams are sent requests.
+TEST_CASE_FIXTURE(entry_fixture,
+                  "evacuated_upstream_gets_nothing_until_it_is_back")
+{
+    const auto status = [this] {
+        auto asked = this->client();
+        const auto got = asked.Post("/once/", headers(), "x", "text/plain");
+        REQUIRE(got);
+        return std::pair(got->status, got->has_header("Retry-After"));
+    };
+    const auto becomes = [&](int wanted) {
+        // Twice the time in which a change is to be in force.
+        for (int tries = 0; tries < 200; ++tries) {
+            if (status().first == wanted)
+                return true;
+            std::this_thread::sleep_for(20ms);
+        }
+        return false;
+    };
+    CHECK(status().first == 200);
+    this->evacuate(true);
+    REQUIRE(becomes(503));
+    const std::size_t before = this->received().size();
+    for (int count = 0; count < 5; ++count)
+        CHECK(status() == std::pair(503, true));
+    CHECK(this->received().size() == before);
+    this->evacuate(false);
+    CHECK(becomes(200));
+}
+
 } // namespace greengagedrum::entry
