Store reading: as often as the operator's bounds ask for

Cause: an entry watched the store every 400 ms whatever its bounds were, a constant of the earlier deployments, where a change has to be in force within 2 s; here it is 3 s. And an entry that the store turned away asked 2.5 times a second, also while another entry read for it.

Now the pause between watches is a fifth of the shortest of the bounds for configuration, leavers and evacuations (400 ms for 2 s, 600 ms for 3 s), how old a peer's reading may be follows from it, and an entry that is turned away asks once a second while another one reads.

--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -1,4 +1,5 @@
 #include <greengagedrum/entry/peer_link.hpp>
+#include <greengagedrum/entry/store_reader.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -9,16 +10,14 @@
 namespace
 {
 
-// A reader's watch and the pause after it take up to 900 ms, its message up to
-// 200 ms more. When the newest answer that any peer had is older, nobody may be
-// reading. What changed meanwhile is then in force within 1.5 s.
-constexpr base::duration read_lately = std::chrono::milliseconds(1200);
-
 // Of the bound within which a change has to be in force, an entry rests for six
 // tenths at most: the rest is for two calls of the store, one of them lost.
 constexpr std::int64_t rest_parts = 6;
 constexpr std::int64_t all_parts = 10;
 
+// A reader's watch takes up to 500 ms, its message up to 200 ms more.
+constexpr base::duration answer_takes = std::chrono::milliseconds(800);
+
 constexpr base::duration ask_gap = std::chrono::milliseconds(250);
 constexpr base::duration ask_bound = std::chrono::milliseconds(400);
 
@@ -170,6 +169,12 @@
         this->ask_peer(now);
 }
 
+// When the newest answer that any peer had is older, nobody may be reading.
+base::duration peer_link::read_lately() const
+{
+    return store_reader::pause_of(this->own.bounds.news()) + answer_takes;
+}
+
 // Failures guarded against: the reader of a data centre dies, is frozen or is
 // turned away by the store (its last answer grows old, and whoever notices
 // reads for itself); a store that lost its history tells a reader of a change
@@ -179,14 +184,11 @@
 {
     const base::instant now = this->state.clock();
     const base::duration bound =
-        std::min({this->own.bounds.configuration,
-                  this->own.bounds.drain,
-                  this->own.bounds.evacuation}) *
-        rest_parts / all_parts;
+        this->own.bounds.news() * rest_parts / all_parts;
     if (this->large)
         return this->dispatcher_reads(bound, now);
     return now - this->own_read_at < bound &&
-           now - this->peer_read_at <= read_lately &&
+           now - this->peer_read_at <= this->read_lately() &&
            this->table.has_reader_nearby(now);
 }
 
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -23,10 +23,6 @@
 // Between two questions of a member for what changed.
 constexpr base::duration follow_gap = std::chrono::milliseconds(100);
 
-// A reader's watch and the pause after it take up to 900 ms, its message up to
-// 200 ms more.
-constexpr base::duration read_lately = std::chrono::milliseconds(1200);
-
 // Entries that read the store as soon as their dispatcher may not.
 constexpr std::size_t readers_in_line = 3;
 
@@ -183,7 +179,8 @@
         return false;
     const base::duration age = now - this->peer_read_at;
     const bool next_in_line = this->order.place_in_line(now) < readers_in_line;
-    return age <= (next_in_line ? read_lately : std::max(bound, read_lately));
+    const base::duration lately = this->read_lately();
+    return age <= (next_in_line ? lately : std::max(bound, lately));
 }
 
 // ---- Roles ----------------------------------------------------------------
--- a/src/greengagedrum/entry/settings.hpp
+++ b/src/greengagedrum/entry/settings.hpp
@@ -5,6 +5,7 @@
 #include <greengagedrum/base/ip_address.hpp>
 #include <greengagedrum/base/time.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -26,6 +27,12 @@
     double warmup_slack = 0;     // and in requests of a second, all entries
     // No new work to an evacuated data centre.
     base::duration evacuation = std::chrono::seconds(2);
+
+    // For whatever the store tells to be in force.
+    base::duration news() const
+    {
+        return std::min({this->configuration, this->drain, this->evacuation});
+    }
 };
 
 struct settings {
--- a/src/greengagedrum/entry/store_reader.cpp
+++ b/src/greengagedrum/entry/store_reader.cpp
@@ -9,10 +9,11 @@
 namespace
 {
 
-// Between watches. A change is to be in force within 2 s: this, a call's few
-// milliseconds, and a quarter of a second for an entry that learns of it from a
-// peer.
-constexpr auto pause_between = std::chrono::milliseconds(400);
+// Between watches, of the time in which a change is to be in force: the rest is
+// for a lost call, and for an entry that learns of it from a peer.
+constexpr std::int64_t pause_parts = 5;
+constexpr base::duration pause_most = std::chrono::seconds(1);
+constexpr base::duration default_bound = std::chrono::seconds(2);
 
 // How soon a resting reader notices that it is to read again.
 constexpr auto rest_step = std::chrono::milliseconds(100);
@@ -28,6 +29,9 @@
 constexpr auto failure_pause = std::chrono::milliseconds(100);
 constexpr std::uint32_t failure_steps = 4;
 
+// The same while another entry reads for this one.
+constexpr base::duration failure_pause_at_rest = std::chrono::seconds(1);
+
 } // namespace
 
 store_reader::store_reader(relay::asio::io_context& context,
@@ -36,6 +40,12 @@
     : timer(context), client(std::make_shared<relay::http_get>(context)),
       store(store), events(std::move(events))
 {
+    this->set_bound(default_bound);
+}
+
+base::duration store_reader::pause_of(base::duration bound)
+{
+    return std::min(bound / pause_parts, pause_most);
 }
 
 void store_reader::start()
@@ -107,7 +117,7 @@
     this->events.answered();
     const routing::item_list all = std::exchange(this->pages, {});
     this->events.news(all, this->after, true);
-    this->again_after(pause_between);
+    this->again_after(this->pause);
 }
 
 // Failure guarded against: another writer's items fill a thousand pages. The
@@ -160,7 +170,7 @@
     this->after = std::max(this->after, news->as_of);
     this->events.answered();
     this->events.news(news->items, this->after, false);
-    this->again_after(pause_between);
+    this->again_after(this->pause);
 }
 
 void store_reader::failed(const std::string& why)
@@ -169,7 +179,10 @@
     this->last_key.clear();
     this->failures = std::min(this->failures + 1, failure_steps);
     this->events.failed(why);
-    this->again_after(failure_pause * this->failures);
+    const base::duration pause = failure_pause * this->failures;
+    this->again_after(this->after > 0 && this->events.may_rest()
+                          ? failure_pause_at_rest
+                          : pause);
 }
 
 void store_reader::again_after(base::duration pause)
--- a/src/greengagedrum/entry/store_reader.hpp
+++ b/src/greengagedrum/entry/store_reader.hpp
@@ -41,6 +41,10 @@
                  const base::ip_endpoint& store,
                  store_events events);
 
+    // Between two watches, of the time in which a change is to be in force.
+    static base::duration pause_of(base::duration bound);
+    void set_bound(base::duration bound) { this->pause = pause_of(bound); }
+
     void start();
 
     // Ask now: what is known may be old.
@@ -73,6 +77,7 @@
     routing::item_list pages; // of a whole reading under way
     std::string last_key;
     std::uint64_t pages_as_of = 0;
+    base::duration pause{0}; // between watches
     std::uint64_t after = 0; // revision read up to; 0: all is to be read
     std::uint32_t failures = 0;
     bool asking = false;
