Entry: whoever has unheard others awaits them before cold upstreams

What callers would see: upstreams that crash as they come back, where entries were started behind a cut.

Cause: 5 of 3,000 random fleets sent 16 to 78 requests in a second to an upstream that takes 15 (seeds 245, 763, 1523, 1592, 1932). Entries that were started behind a cut had heard a few others of their data centre when three seconds were over, and each took its part among these few; 23 of them did within one second (1592).

An entry that knows of others that it has never heard (among many: of a seed) has no part for 30 s. A machine that is named and gone costs a started entry its part for that long.

--- a/src/greengagedrum/entry/fleet_test/cold_fleet_test.cpp
+++ b/src/greengagedrum/entry/fleet_test/cold_fleet_test.cpp
@@ -59,11 +59,10 @@
     return out;
 }
 
-std::uint64_t random_fleets()
+std::uint64_t number_from(const char* variable, std::uint64_t otherwise)
 {
-    constexpr std::uint64_t usual = 40;
-    const char* given = std::getenv("GGD_RANDOM_FLEETS");
-    return given == nullptr ? usual : std::stoull(given);
+    const char* given = std::getenv(variable);
+    return given == nullptr ? otherwise : std::stoull(given);
 }
 
 } // namespace
@@ -87,11 +86,24 @@
     CHECK(cold_fleet(plan).play().most <= 7);
 }
 
+// Seeds of random fleets that sent too much once: dispatchers that follow each
+// other, processes frozen or cut off in their first seconds.
+TEST_CASE("cold_upstreams_are_spared_by_fleets_that_failed_once")
+{
+    for (const std::uint64_t seed :
+         {5U, 13U, 24U, 37U, 245U, 763U, 1523U, 1592U, 1932U}) {
+        CAPTURE(seed);
+        CHECK(cold_fleet(random_plan(seed)).play().most <= bound);
+    }
+}
+
 // Entries that can't hear each other both send as if they were alone.
 TEST_CASE("cold_upstreams_are_spared_by_random_fleets")
 {
     std::uint32_t worst = 0;
-    for (std::uint64_t seed = 1; seed <= random_fleets(); ++seed) {
+    const std::uint64_t first = number_from("GGD_FIRST_FLEET", 1);
+    const std::uint64_t count = number_from("GGD_RANDOM_FLEETS", 40);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
         CAPTURE(seed);
         const cold_plan plan = random_plan(seed);
         CAPTURE(plan.entries);
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -39,6 +39,10 @@
 // A process that has been awake for less may not have heard of all others.
 constexpr base::duration peers_found_within = std::chrono::seconds(3);
 
+// One that was started behind a cut may have heard few of those on its side.
+// Whoever was named and not heard for so long is not there.
+constexpr base::duration unheard_awaited = std::chrono::seconds(30);
+
 // Entries are counted many times a second; after a longer pause the process was
 // frozen.
 constexpr base::duration stood_still = std::chrono::milliseconds(400);
@@ -280,9 +284,10 @@
 // entries they are the dispatcher's, once the one before it has sent its last.
 traffic::slow_start_share peer_link::cold_share(base::instant now) const
 {
-    const bool alone =
-        this->table.unheard() > 0 && this->table.alive_lately(now) == 0;
-    if (alone || now - this->awake_since < peers_found_within)
+    const base::duration awake = now - this->awake_since;
+    const bool others_unheard = this->large ? this->table.has_unheard_seed()
+                                            : this->table.unheard() > 0;
+    if (awake < (others_unheard ? unheard_awaited : peers_found_within))
         return {};
     if (this->large)
         return now - this->half_since >= last_sends_within
--- a/src/greengagedrum/gossip/peer_table.cpp
+++ b/src/greengagedrum/gossip/peer_table.cpp
@@ -160,6 +160,14 @@
         }));
 }
 
+bool peer_table::has_unheard_seed() const
+{
+    return std::any_of(
+        this->peers.begin(), this->peers.end(), [](const auto& entry) {
+            return entry.second.seed && !entry.second.heard_at;
+        });
+}
+
 std::size_t peer_table::alive_near(base::instant now) const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/greengagedrum/gossip/peer_table.hpp
+++ b/src/greengagedrum/gossip/peer_table.hpp
@@ -57,6 +57,7 @@
     std::size_t alive(base::instant now) const;
     // Named by seeds or peers, and never heard.
     std::size_t unheard() const;
+    bool has_unheard_seed() const;
     std::size_t alive_near(base::instant now) const;
     // Alive now, or not long ago.
     std::size_t alive_lately(base::instant now) const;
