Routing, traffic: requests run in the regions that their route and workspace allow

The data centres that a request may run in follow from both lists and the region of each data centre; where both are given both bind, and one whose region is not known is no home. Choice looks at no other upstream, whatever was tried before, so retries and resumes stay there as well; a dispatcher finds the homes of its members' requests in its own configuration, and a member takes no slot outside its own. A request none of whose homes has its service is refused as not run.

With the guard of the choice taken out two tests of homes_test.cpp fail, with the member's one. A dispatcher's look-up for its members has no test of its own.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -58,7 +58,9 @@
                 {given.data_centre, base::hash_name(given.instance)}),
             decision_log(),
             telemetry::registry(series_most),
-            false},
+            false,
+            false,
+            given.regions},
       life(new_life()), timer(this->context),
       signals(this->context, SIGTERM, SIGINT, SIGHUP)
 {
--- a/src/greengagedrum/entry/front.cpp
+++ b/src/greengagedrum/entry/front.cpp
@@ -155,6 +155,7 @@
     facts.stream = route.stream;
     facts.priority = this->state.known.routes()->urgency(route, owner);
     facts.sends_max = route.sends_max;
+    facts.homes = routing::homes_of(route, owner, this->state.regions);
     facts.objective = route.objective;
     facts.gap_objective = route.gap_objective;
     facts.prompt_tokens = marks.prompt_tokens.value_or(0);
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -33,6 +33,7 @@
     // Another entry places this one's requests and counts them against their
     // limits.
     bool delegating = false;
+    routing::region_map regions{};
 };
 
 // What a dispatcher knows of limits, as it tells the entries next in line.
@@ -156,6 +157,7 @@
     void grant(const traffic::send_request& order);
     void decline(const traffic::end_request& order);
     void take(const dispatch::request_changes& news);
+    routing::homes homes_of(const traffic::request_facts& facts) const;
     void arrived_at_member(base::request_id id,
                            const dispatch::slot_request& wanted);
     void count_waiting();
--- a/src/greengagedrum/entry/member_requests.cpp
+++ b/src/greengagedrum/entry/member_requests.cpp
@@ -127,7 +127,21 @@
             id, base::not_run(base::reason::limit_reached, over));
         return;
     }
-    this->told(traffic::request_arrived{id, wanted.facts, wanted.tried});
+    traffic::request_facts facts = wanted.facts;
+    facts.homes = this->homes_of(facts);
+    this->told(traffic::request_arrived{id, facts, wanted.tried});
+}
+
+// As the configuration in force here says: members ask by route and workspace.
+routing::homes front::homes_of(const traffic::request_facts& facts) const
+{
+    const routing::route_table_ptr& table = this->state.known.routes();
+    const routing::route* route =
+        table ? table->find_route(facts.kind) : nullptr;
+    if (route == nullptr)
+        return {};
+    return routing::homes_of(
+        *route, table->find_workspace(facts.workspace), this->state.regions);
 }
 
 void front::grant(const traffic::send_request& order)
--- a/src/greengagedrum/entry/settings.cpp
+++ b/src/greengagedrum/entry/settings.cpp
@@ -45,6 +45,8 @@
         << "processors = " << given.processors << '\n';
     for (const base::ip_endpoint& seed : given.seeds)
         out << "seed = " << base::to_string(seed) << '\n';
+    for (const auto& [place, region] : given.regions)
+        out << "region of " << place << " = " << region << '\n';
     print(given.bounds, out);
     return out.str();
 }
--- a/src/greengagedrum/entry/settings.hpp
+++ b/src/greengagedrum/entry/settings.hpp
@@ -4,6 +4,7 @@
 
 #include <greengagedrum/base/ip_address.hpp>
 #include <greengagedrum/base/time.hpp>
+#include <greengagedrum/routing/homes.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -38,6 +39,7 @@
 struct settings {
     std::string instance;
     std::string data_centre;
+    routing::region_map regions; // of all data centres
     std::string ip;
     base::ip_endpoint callers;   // clients' requests
     base::ip_endpoint readiness; // the balancer's question
--- a/src/greengagedrum/platform/documents.cpp
+++ b/src/greengagedrum/platform/documents.cpp
@@ -80,6 +80,7 @@
     out.objective = milliseconds_of(from, "targetLatencyMs");
     out.gap_objective = milliseconds_of(from, "targetGapMs");
     out.targets = read_targets(from);
+    out.regions = from.value("allowedRegions", std::vector<std::string>());
     return out;
 }
 
@@ -103,6 +104,7 @@
     out.keys = from.value("apiKeys", std::vector<std::string>());
     if (const auto own = from.find("priority"); own != from.end())
         out.priority = bounded_number<std::uint32_t>(*own);
+    out.regions = from.value("allowedRegions", std::vector<std::string>());
     // Named for requests, but in the unit that `unit` says.
     out.limit.per_second = from.value("ratePerS", 0.0);
     out.limit.burst = from.value("burst", 0.0);
--- a/src/greengagedrum/platform/settings_file.cpp
+++ b/src/greengagedrum/platform/settings_file.cpp
@@ -80,6 +80,20 @@
         return out;
     }
 
+    // A table of texts; others are left out.
+    routing::region_map texts(std::string_view path)
+    {
+        routing::region_map out;
+        const toml::table* from = this->table.at_path(path).as_table();
+        if (from == nullptr)
+            return out;
+        for (const auto& [key, value] : *from) {
+            if (const auto text = value.value<std::string>())
+                out.emplace(key.str(), *text);
+        }
+        return out;
+    }
+
     std::uint16_t first_port(std::string_view path)
     {
         const toml::array* range = this->table.at_path(path).as_array();
@@ -141,6 +155,7 @@
     entry::settings out;
     out.instance = from.text("nodeName");
     out.data_centre = from.text("zone");
+    out.regions = from.texts("zones");
     out.ip = from.text("ip");
     out.callers = from.endpoint("listen.frontend");
     out.readiness = from.endpoint("listen.readiness");
--- a/src/greengagedrum/platform/test/platform_test.cpp
+++ b/src/greengagedrum/platform/test/platform_test.cpp
@@ -22,6 +22,9 @@
 internalPortRange = [7600,7615]
 seedNodes = ["10.1.0.25:8229","10.2.0.17:8229"]
 somethingNew = { deep = [1, 2] }
+[zones]
+hall = "west"
+yard = 7
 [listen]
 frontend = "10.1.0.25:8221"
 readiness = "10.1.0.25:8224"
@@ -39,7 +42,7 @@
 
 constexpr const char* configuration_text = R"({"version": 7, "routes": [
  {"name": "r-1", "hostname": "Hall.Example", "prefix": "/a/",
-  "routeType": "streaming", "timeoutMs": 12000, "targetLatencyMs": 800,
+  "routeType": "streaming", "timeoutMs": 12000, "allowedRegions": ["west"], "targetLatencyMs": 800,
   "priority": 2, "maxAttempts": 2, "streamResume": true, "targetGapMs": 200,
   "trafficSplit": [{"service": "s-1", "weight": 90},
                    {"service": "s-2", "weight": 10}]},
@@ -49,7 +52,7 @@
    "warmupS": 2.5, "warmupPerS": 7.3},
               {"name": "s-2"}],
  "limits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 15000},
- "tenants": [{"name": "gate", "apiKeys": ["k1", "k2"], "priority": 1,
+ "tenants": [{"name": "gate", "apiKeys": ["k1", "k2"], "allowedRegions": ["west", "east"], "priority": 1,
               "unit": "tokens", "uncachedTokens": 200, "ratePerS": 91282,
               "burst": 5}]})";
 
@@ -68,6 +71,7 @@
     CHECK(read->data_centre == "hall");
     CHECK(read->callers.port == 8221);
     CHECK(read->control.port == 8229);
+    CHECK(read->regions == routing::region_map{{"hall", "west"}});
     CHECK(read->peer_port == 7600);
     CHECK(read->seeds.size() == 2);
     CHECK(read->store.port == 8225);
@@ -115,6 +119,9 @@
     CHECK(stream.host == "hall.example");
     CHECK(stream.rule == routing::repeat_rule::resumable);
     CHECK(stream.stream);
+    CHECK(stream.regions == std::vector<std::string>{"west"});
+    CHECK(read->routes.at(1).regions.empty());
+    CHECK(read->workspaces.at(0).regions.size() == 2);
     CHECK(stream.sends_max == 2);
     CHECK(stream.timeout == 12s);
     CHECK(stream.objective == 800ms);
--- a/src/greengagedrum/routing/configuration.hpp
+++ b/src/greengagedrum/routing/configuration.hpp
@@ -44,6 +44,7 @@
     base::duration objective{0}; // to the answer, or a stream's first event
     base::duration gap_objective{0};   // between a stream's events
     std::vector<route_target> targets; // never empty
+    std::vector<std::string> regions;  // where it may run; empty: anywhere
 };
 
 struct service {
@@ -69,6 +70,7 @@
     base::workspace_id id;
     std::vector<std::string> keys;
     std::optional<std::uint32_t> priority; // orders workspaces
+    std::vector<std::string> regions;      // of its requests; empty: anywhere
     usage_limit limit;
 };
 
--- /dev/null
+++ b/src/greengagedrum/routing/homes.hpp
@@ -0,0 +1,33 @@
+// The data centres that a request may run in.
+//
+// The operator names regions for a route, a workspace, or both; a request may
+// run where all of them allow it.
+#pragma once
+
+#include <greengagedrum/base/ids.hpp>
+#include <greengagedrum/routing/configuration.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace greengagedrum::routing
+{
+
+// The region of each data centre, by their names.
+using region_map = std::map<std::string, std::string>;
+
+struct homes {
+    bool bound = false; // else anywhere
+    std::vector<base::data_centre_id> data_centres;
+
+    bool allow(base::data_centre_id where) const;
+};
+
+// `owner`: null for a request without a workspace. A data centre whose region
+// is not known is no home.
+homes homes_of(const route& of,
+               const workspace* owner,
+               const region_map& regions);
+
+} // namespace greengagedrum::routing
--- a/src/greengagedrum/routing/route_table.cpp
+++ b/src/greengagedrum/routing/route_table.cpp
@@ -51,8 +51,10 @@
 
 route_table::route_table(configuration_ptr given) : config(std::move(given))
 {
-    for (const route& one : this->config->routes)
+    for (const route& one : this->config->routes) {
         this->by_prefix.emplace(joined(one.host, one.prefix), &one);
+        this->by_kind.emplace(one.id, &one);
+    }
     for (const workspace& one : this->config->workspaces) {
         for (const std::string& key : one.keys)
             this->by_key.emplace(key, &one);
@@ -95,6 +97,12 @@
     return nullptr;
 }
 
+const route* route_table::find_route(base::kind_id id) const
+{
+    const auto found = this->by_kind.find(id);
+    return found == this->by_kind.end() ? nullptr : found->second;
+}
+
 const workspace* route_table::find_workspace(std::string_view key) const
 {
     const auto found = this->by_key.find(key);
--- a/src/greengagedrum/routing/route_table.hpp
+++ b/src/greengagedrum/routing/route_table.hpp
@@ -24,6 +24,8 @@
     // `host` as received; `path` without its query. Null: no such route.
     const route* find_route(std::string_view host, std::string_view path) const;
 
+    const route* find_route(base::kind_id id) const;
+
     // Null: no workspace has this key.
     const workspace* find_workspace(std::string_view key) const;
     // Null: this version has none of that id.
@@ -42,6 +44,7 @@
 private:
     configuration_ptr config;
     std::unordered_map<std::string, const route*> by_prefix;
+    std::unordered_map<base::kind_id, const route*> by_kind;
     std::unordered_map<std::string_view, const workspace*> by_key;
     std::unordered_map<base::class_id, const service*> by_service;
     std::vector<std::uint32_t> route_steps;     // priorities in use, sorted
--- a/src/greengagedrum/routing/test/routing_test.cpp
+++ b/src/greengagedrum/routing/test/routing_test.cpp
@@ -1,4 +1,5 @@
 // Which route, workspace and upstream a request may have.
+#include <greengagedrum/routing/homes.hpp>
 #include <greengagedrum/routing/route_table.hpp>
 #include <greengagedrum/routing/upstream_directory.hpp>
 
@@ -259,4 +260,31 @@
     CHECK(tested.learn(upstream_at("i-1", 6)) == upstream_change::joined);
 }
 
+// Where route and workspace both name regions, both bind.
+TEST_CASE("homes_are_where_route_and_workspace_allow")
+{
+    const region_map regions = {{"hall", "west"},
+                                {"yard", "west"},
+                                {"quay", "east"},
+                                {"mill", "north"}};
+    const base::data_centre_id hall("hall");
+    const base::data_centre_id quay("quay");
+    route of;
+    workspace owner;
+    CHECK(homes_of(of, &owner, regions).allow(hall));
+    CHECK(homes_of(of, nullptr, {}).allow(hall));
+    of.regions = {"west", "east"};
+    CHECK(homes_of(of, nullptr, regions).allow(hall));
+    CHECK_FALSE(
+        homes_of(of, nullptr, regions).allow(base::data_centre_id("mill")));
+    owner.regions = {"east", "north"};
+    CHECK(homes_of(of, &owner, regions).allow(quay));
+    CHECK_FALSE(homes_of(of, &owner, regions).allow(hall));
+    owner.regions = {"nowhere"};
+    CHECK_FALSE(homes_of(of, &owner, regions).allow(quay));
+    // A data centre that the settings don't name is no home.
+    CHECK_FALSE(
+        homes_of(of, nullptr, regions).allow(base::data_centre_id("new")));
+}
+
 } // namespace greengagedrum::routing
--- a/src/greengagedrum/traffic/delegation.cpp
+++ b/src/greengagedrum/traffic/delegation.cpp
@@ -62,9 +62,9 @@
         item->connects += 1;
         return;
     }
-    if (!this->pool.listed(what.upstream)) {
-        // It has left, as this entry knows already, or is not known here yet:
-        // another one is asked for, under the next number.
+    if (!this->pool.may_run(what.upstream, item->facts.homes)) {
+        // It has left or is no home of it, as this entry knows already, or is
+        // not known here yet: another one is asked for, under the next number.
         item->tried.push_back(what.upstream);
         item->connects += 1;
         return;
--- a/src/greengagedrum/traffic/placing.cpp
+++ b/src/greengagedrum/traffic/placing.cpp
@@ -106,7 +106,8 @@
                                      item.arrived + item.facts.objective -
                                          this->now,
                                      item.facts.gap_objective,
-                                     item.id.value + item.connects};
+                                     item.id.value + item.connects,
+                                     item.facts.homes};
         const auto where = this->pool.choose(asked, this->now);
         if (where && this->awaits_better(item, next, *where))
             continue;
@@ -116,7 +117,7 @@
             this->send(item, *where);
             free = this->pool.free_places(service, this->now);
             starved = line.starved(this->now);
-        } else if (item.tried.empty()) {
+        } else if (item.tried.empty() && !item.facts.homes.bound) {
             return; // nobody behind it finds a place either
         }
     }
--- /dev/null
+++ b/src/greengagedrum/traffic/test/homes_test.cpp
@@ -0,0 +1,92 @@
+// Requests that may run in some data centres only.
+#include <greengagedrum/traffic/test/scheduler_fixture.hpp>
+
+namespace greengagedrum::traffic
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// One upstream in the entry's own data centre and two in the only home.
+struct homes_fixture : scheduler_fixture {
+    homes_fixture()
+    {
+        this->join("near", "hall");
+        this->join("home-1", "home");
+        this->join("home-2", "home");
+    }
+
+    void join(const std::string& name, const char* data_centre)
+    {
+        auto entry = upstream_named(name, 1);
+        entry.data_centre = data_centre;
+        this->tested.upstream_joined(entry, this->now);
+    }
+
+    static request_facts bound_facts()
+    {
+        request_facts out = stream_facts();
+        out.homes = {true, {base::data_centre_id("home")}};
+        out.rule = routing::repeat_rule::resumable;
+        out.sends_max = 3;
+        return out;
+    }
+
+    static bool is_home(base::upstream_id upstream)
+    {
+        return upstream != base::upstream_id("near");
+    }
+};
+
+} // namespace
+
+// Bodies leave the region that they may not leave.
+TEST_CASE_FIXTURE(homes_fixture, "bound_request_is_sent_to_its_home_only")
+{
+    for (int count = 0; count < 2; ++count) {
+        this->arrive(bound_facts());
+        CHECK(is_home(this->sent().upstream));
+    }
+    this->arrive(bound_facts());
+    CHECK(this->order<send_request>() == nullptr);
+    // It waits for its home, and keeps nobody else from the slot that is free.
+    this->arrive(stream_facts());
+    CHECK(this->sent().upstream == base::upstream_id("near"));
+}
+
+// A stream breaks, and is resumed where its body may not go.
+TEST_CASE_FIXTURE(homes_fixture, "broken_stream_is_resumed_in_its_home_only")
+{
+    const auto id = this->arrive(bound_facts());
+    const auto first = this->sent();
+    this->step(progressed{id, first.send, 2});
+    this->step(broken{id, first.send});
+    CHECK(is_home(this->sent().upstream));
+    CHECK(this->sent().upstream != first.upstream);
+    this->step(broken{id, this->sent().send});
+    CHECK(this->order<send_request>() == nullptr);
+}
+
+TEST_CASE_FIXTURE(homes_fixture, "request_without_a_home_is_refused_as_not_run")
+{
+    this->tested.upstream_left(base::upstream_id("home-1"));
+    this->tested.upstream_left(base::upstream_id("home-2"));
+    this->arrive(bound_facts());
+    CHECK(this->verdict().run == base::run_state::not_run);
+    CHECK(this->verdict().why == base::reason::no_upstream);
+}
+
+// The dispatcher's configuration is older, and lets the request go anywhere.
+TEST_CASE_FIXTURE(homes_fixture, "slot_granted_outside_the_home_is_not_taken")
+{
+    this->tested.delegate(true);
+    const auto id = this->arrive(bound_facts());
+    this->step(place_granted{id, 1, base::upstream_id("near"), 50ms, 0, 1});
+    CHECK(this->order<send_request>() == nullptr);
+    this->step(place_granted{id, 2, base::upstream_id("home-1"), 50ms, 0, 1});
+    CHECK(this->sent().upstream == base::upstream_id("home-1"));
+}
+
+} // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -85,16 +85,23 @@
         this->upstreams.erase(id);
 }
 
-bool upstream_pool::known(base::class_id service) const
+bool upstream_pool::known(base::class_id service,
+                          const routing::homes& homes) const
 {
     const auto found = this->services.find(service);
-    return found != this->services.end() && !found->second.members.empty();
+    return found != this->services.end() &&
+           std::any_of(
+               found->second.members.begin(),
+               found->second.members.end(),
+               [&](base::upstream_id id) { return this->may_run(id, homes); });
 }
 
-bool upstream_pool::listed(base::upstream_id id) const
+bool upstream_pool::may_run(base::upstream_id id,
+                            const routing::homes& homes) const
 {
     const auto found = this->upstreams.find(id);
-    return found != this->upstreams.end() && found->second.listed;
+    return found != this->upstreams.end() && found->second.listed &&
+           homes.allow(found->second.data_centre);
 }
 
 // ---- What peers tell ------------------------------------------------------
