Entry: settings' regions are reloaded, shares of cold upstreams are logged

Reading the change as a newcomer: regions of data centres changed with the settings file only at a start; nothing in the logs said which entries may send to cold upstreams, so a slow return could not be told from a fault (cold_upstreams_shared); a data centre was called a place in the new names.

--- a/src/greengagedrum/entry/beliefs.cpp
+++ b/src/greengagedrum/entry/beliefs.cpp
@@ -171,18 +171,18 @@
 void beliefs::take_evacuation(const routing::published_item& item,
                               belief_changes& out)
 {
-    const std::string place(platform::evacuated_data_centre(item.key));
+    const std::string data_centre(platform::evacuated_data_centre(item.key));
     const bool evacuated = !item.removed;
-    const bool was = this->directory.evacuated().contains(place);
+    const bool was = this->directory.evacuated().contains(data_centre);
     for (const routing::published_upstream& one :
-         this->directory.set_evacuated(place, evacuated)) {
+         this->directory.set_evacuated(data_centre, evacuated)) {
         if (evacuated)
             out.left.push_back({one.name, one.id});
         else
             out.joined.push_back(this->taken_back(one));
     }
     if (was != evacuated)
-        out.evacuations.push_back({place, evacuated, item.revision});
+        out.evacuations.push_back({data_centre, evacuated, item.revision});
     this->change = std::max(this->change, item.revision);
     this->note_change(item.key);
     this->note_meaning(item.key, evacuated ? item.revision : 0);
--- a/src/greengagedrum/entry/peer_link.cpp
+++ b/src/greengagedrum/entry/peer_link.cpp
@@ -88,7 +88,7 @@
       counted_at(state.clock()), half_since(state.clock()),
       dispatcher_at(state.clock()), placing_since(state.clock())
 {
-    state.scheduler.set_slow_start_share({}); // until others were heard of
+    state.scheduler.set_slow_start_share(this->share);
     this->reseed(given);
 }
 
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -118,6 +118,7 @@
     void note_awake(base::instant now);
     bool places_for_half(base::instant now) const;
     traffic::slow_start_share cold_share(base::instant now) const;
+    void share_cold_upstreams(base::instant now);
     void count_among_many(base::instant now);
     void forget_replaced(base::instant now);
     void tell_among_many(base::instant now);
@@ -172,6 +173,7 @@
     base::instant awake_since; // without a pause
     base::instant counted_at;
     base::instant half_since; // placing for half of its data centre, or more
+    traffic::slow_start_share share; // of cold upstreams; none at first
     bool large = false;
     std::optional<gossip::ip_number> dispatcher; // none: this entry
     base::instant dispatcher_at;                 // when there was one last
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -298,10 +298,23 @@
             static_cast<std::uint32_t>(nearby.entries)};
 }
 
+void peer_link::share_cold_upstreams(base::instant now)
+{
+    const traffic::slow_start_share next = this->cold_share(now);
+    if (next == this->share)
+        return;
+    this->share = next;
+    this->state.scheduler.set_slow_start_share(next);
+    this->state.log.write(now,
+                          "peers",
+                          "cold_upstreams_shared",
+                          {{"rank", next.rank}, {"sharers", next.sharers}});
+}
+
 void peer_link::count_entries(base::instant now)
 {
     this->note_awake(now);
-    this->state.scheduler.set_slow_start_share(this->cold_share(now));
+    this->share_cold_upstreams(now);
     if (this->large)
         return this->count_among_many(now);
     traffic::scheduler& scheduler = this->state.scheduler;
--- a/src/greengagedrum/entry/settings.cpp
+++ b/src/greengagedrum/entry/settings.cpp
@@ -45,8 +45,8 @@
         << "processors = " << given.processors << '\n';
     for (const base::ip_endpoint& seed : given.seeds)
         out << "seed = " << base::to_string(seed) << '\n';
-    for (const auto& [place, region] : given.regions)
-        out << "region of " << place << " = " << region << '\n';
+    for (const auto& [data_centre, region] : given.regions)
+        out << "region of " << data_centre << " = " << region << '\n';
     print(given.bounds, out);
     return out.str();
 }
--- a/src/greengagedrum/entry/upkeep.cpp
+++ b/src/greengagedrum/entry/upkeep.cpp
@@ -207,6 +207,7 @@
         return;
     this->own.bounds = changed->bounds;
     this->own.seeds = changed->seeds;
+    this->state.regions = changed->regions;
     this->apply_bounds();
     this->peers->reseed(*changed);
     logs::write(logs::level::info, "entry", "settings_reloaded");
--- a/src/greengagedrum/routing/homes.cpp
+++ b/src/greengagedrum/routing/homes.cpp
@@ -32,10 +32,10 @@
         !of.regions.empty() || (owner != nullptr && !owner->regions.empty());
     if (!out.bound)
         return out;
-    for (const auto& [place, region] : regions) {
+    for (const auto& [data_centre, region] : regions) {
         if (names(of.regions, region) &&
             (owner == nullptr || names(owner->regions, region)))
-            out.data_centres.emplace_back(place);
+            out.data_centres.emplace_back(data_centre);
     }
     return out;
 }
--- a/src/greengagedrum/routing/upstream_directory.cpp
+++ b/src/greengagedrum/routing/upstream_directory.cpp
@@ -38,7 +38,8 @@
 
 bool upstream_directory::usable(const state& of) const
 {
-    return alive(of) && !this->evacuated_places.contains(of.entry.data_centre);
+    return alive(of) &&
+           !this->evacuated_data_centres.contains(of.entry.data_centre);
 }
 
 // Nothing here depends on the order in which entries and removals come: of the
@@ -151,15 +152,17 @@
 }
 
 std::vector<published_upstream>
-upstream_directory::set_evacuated(const std::string& place, bool evacuated)
+upstream_directory::set_evacuated(const std::string& data_centre,
+                                  bool evacuated)
 {
-    const bool changed = evacuated ? this->evacuated_places.insert(place).second
-                                   : this->evacuated_places.erase(place) > 0;
+    const bool changed =
+        evacuated ? this->evacuated_data_centres.insert(data_centre).second
+                  : this->evacuated_data_centres.erase(data_centre) > 0;
     std::vector<published_upstream> out;
     if (!changed)
         return out;
     for (const auto& [name, own] : this->states) {
-        if (own.entry.data_centre == place && alive(own))
+        if (own.entry.data_centre == data_centre && alive(own))
             out.push_back(own.entry);
     }
     return out;
--- a/src/greengagedrum/routing/upstream_directory.hpp
+++ b/src/greengagedrum/routing/upstream_directory.hpp
@@ -89,12 +89,12 @@
 
     // Returns the upstreams that may be given work because of it, or may no
     // longer be.
-    std::vector<published_upstream> set_evacuated(const std::string& place,
-                                                  bool evacuated);
+    std::vector<published_upstream>
+    set_evacuated(const std::string& data_centre, bool evacuated);
     // Data centres, by name.
     const std::set<std::string>& evacuated() const
     {
-        return this->evacuated_places;
+        return this->evacuated_data_centres;
     }
 
     void for_each_usable(
@@ -121,7 +121,7 @@
     bool may_lapse = false; // else there is nothing to look for
     // Of each name's last life.
     std::unordered_map<base::upstream_id, std::string> names;
-    std::set<std::string> evacuated_places;
+    std::set<std::string> evacuated_data_centres;
 };
 
 } // namespace greengagedrum::routing
