--- a/src/greengagedrum/routing/upstream_directory.hpp
+++ b/src/greengagedrum/routing/upstream_directory.hpp
@@ -81,10 +81,10 @@
     // The life of that name that was published last; none while unknown.
     std::optional<base::upstream_id> life_of(std::string_view name) const;
 
-    // Null when that life is gone, leaving or evacuated.
+    // Null when that incarnation is gone, leaving or evacuated.
     const published_upstream* find(base::upstream_id id) const;
 
-    // Null when that life is gone or leaving.
+    // Null when that incarnation is gone or leaving.
     const published_upstream* find_alive(base::upstream_id id) const;
 
     // Returns the upstreams that may be given work because of it, or may no
