Trace: an enumerator in a trace line is a name of its table, never a number

What was seen: continuous integration failed in the fuzzer of trace lines: index 100 out of bounds in admission::controller, from a line with "tier": 100. A hand-written trace with such a number made ggd-replay read beyond a table.

Cause: read_name took any number up to 255 for any enumerator, as write_name wrote a number where a table lacked a name; base::reason::quarantined did lack one, so that a recorded refusal of a quarantined request was told as 9.

Change: tables name all enumerators in their order, checked when it is compiled (the check fails without the new name), and a number is refused.

Evidence: enumerator_given_as_a_number_refused; before, the line was accepted.

--- a/src/greengagedrum/trace/json_scalars.hpp
+++ b/src/greengagedrum/trace/json_scalars.hpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <stdexcept>
 #include <string>
@@ -20,28 +21,37 @@
     using std::runtime_error::runtime_error;
 };
 
+// Whether a table names the enumerators 0, 1, 2 and so on, each once.
 template <class Enum>
-json write_name(Enum value)
+constexpr bool names_all_in_order()
 {
-    for (const auto& one : names_of<Enum>) {
-        if (one.value == value)
-            return std::string(one.name);
+    for (std::size_t index = 0; index < names_of<Enum>.size(); ++index) {
+        if (static_cast<std::size_t>(names_of<Enum>[index].value) != index)
+            return false;
     }
-    return static_cast<std::uint64_t>(value);
+    return !names_of<Enum>.empty();
+}
+
+template <class Enum>
+json write_name(Enum value)
+{
+    static_assert(names_all_in_order<Enum>());
+    const auto index = static_cast<std::size_t>(value);
+    return std::string(
+        index < names_of<Enum>.size() ? names_of<Enum>[index].name : "unknown");
 }
 
 template <class Enum>
 void read_name(const json& from, Enum& into)
 {
+    static_assert(names_all_in_order<Enum>());
     for (const auto& one : names_of<Enum>) {
         if (from == one.name) {
             into = one.value;
             return;
         }
     }
-    if (!from.is_number_unsigned() || from.get<std::uint64_t>() > UINT8_MAX)
-        throw bad_line("unknown name: " + from.dump());
-    into = static_cast<Enum>(from.get<std::uint8_t>());
+    throw bad_line("unknown name: " + from.dump());
 }
 
 template <class Number>
--- a/src/greengagedrum/trace/names.hpp
+++ b/src/greengagedrum/trace/names.hpp
@@ -114,7 +114,7 @@
 inline constexpr std::string_view name_of<idempotency::caller_key> =
     "caller_key";
 
-// One enumerator and its name. One that a table lacks is written as a number.
+// One enumerator and its name. A table has them all, in their order.
 template <class Enum>
 struct enumerator {
     Enum value;
@@ -156,6 +156,7 @@
          {base::reason::no_upstream, "no_upstream"},
          {base::reason::upstream_failed, "upstream_failed"},
          {base::reason::upstream_silent, "upstream_silent"},
+         {base::reason::quarantined, "quarantined"},
          {base::reason::stopping, "stopping"},
          {base::reason::ticket_home_gone, "ticket_home_gone"},
          {base::reason::ticket_home_away, "ticket_home_away"},
--- a/src/greengagedrum/trace/test/replay_test.cpp
+++ b/src/greengagedrum/trace/test/replay_test.cpp
@@ -144,4 +144,15 @@
     CHECK_FALSE(replay(this->lines).same());
 }
 
+// An index beyond the tables that the core keeps by tier.
+TEST_CASE_FIXTURE(replay_fixture, "enumerator_given_as_a_number_refused")
+{
+    const auto found = this->with(
+        R"({"at_ms": 2, "event": "request_arrived", "request": 2, "work":
+            {"class": "c", "model": "m", "tier": 100},
+            "deadline_after_ms": 5000})");
+    REQUIRE(found.first);
+    CHECK(found.first->what.find("unknown name: 100") != std::string::npos);
+}
+
 } // namespace greengagedrum::trace
