--- a/src/greengagedrum/traffic/placing.cpp
+++ b/src/greengagedrum/traffic/placing.cpp
@@ -60,7 +60,7 @@
 
 // Refused at once, a caller can come back in time for a later place; refused
 // after it has waited in vain, it can't.
-bool scheduler::hopeless(const request& item) const
+bool scheduler::cannot_meet_deadline(const request& item) const
 {
     return this->now + this->wait_expected(item) > item.give_up_at;
 }
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -78,7 +78,7 @@
         return this->refuse_quarantined(item);
     if (!this->pool.known(what.facts.service, what.facts.homes))
         return this->refuse(item, base::reason::no_upstream);
-    if (!this->delegating && this->hopeless(item))
+    if (!this->delegating && this->cannot_meet_deadline(item))
         return this->refuse(item, base::reason::overloaded);
     this->join_line(item);
 }
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -168,7 +168,7 @@
     request* awaiting(base::request_id id, std::uint32_t send);
     void note_arrival(request& item);
     void join_line(request& item);
-    bool hopeless(const request& item) const;
+    bool cannot_meet_deadline(const request& item) const;
     void place_waiting();
     void place_service(base::class_id service, waiting_line& line);
     bool awaits_better(const request& item,
--- a/src/greengagedrum/traffic/test/line_test.cpp
+++ b/src/greengagedrum/traffic/test/line_test.cpp
@@ -144,7 +144,8 @@
 // A burst fills the line with what can't be served before its callers give up.
 // Told at once, they can come back for a later place; told after seconds of
 // waiting, they can't.
-TEST_CASE_FIXTURE(scheduler_fixture, "hopeless_work_is_refused_on_arrival")
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "work_that_cannot_meet_its_deadline_is_refused_on_arrival")
 {
     this->upstreams(1, 1);
     int refused = 0;
