--- a/src/greengagedrum/traffic/delegation.cpp
+++ b/src/greengagedrum/traffic/delegation.cpp
@@ -11,7 +11,7 @@
 {
     std::vector<waiting_send> out;
     for (const auto& [id, item] : this->requests) {
-        if (!item.in_line || this->awaits_copy(item))
+        if (!item.queued || this->awaits_copy(item))
             continue;
         waiting_send one{id, item.connects + 1, item.facts, item.tried};
         const base::duration first = this->first_event_expected(item);
@@ -45,7 +45,7 @@
 scheduler::request* scheduler::awaiting(base::request_id id, std::uint32_t send)
 {
     const auto found = this->requests.find(id);
-    if (found == this->requests.end() || !found->second.in_line ||
+    if (found == this->requests.end() || !found->second.queued ||
         found->second.connects + 1 != send)
         return nullptr;
     return &found->second;
@@ -69,7 +69,7 @@
         item->connects += 1;
         return;
     }
-    this->lines[item->facts.service].remove(item->id);
+    this->queues[item->facts.service].remove(item->id);
     placing where;
     where.upstream = what.upstream;
     where.expected = placement::seconds_of(what.expected);
--- a/src/greengagedrum/traffic/patience.cpp
+++ b/src/greengagedrum/traffic/patience.cpp
@@ -37,7 +37,7 @@
     std::optional<base::instant> first;
     for (const auto& [id, item] : this->requests) {
         base::instant due = item.end_at;
-        if (item.in_line)
+        if (item.queued)
             due = std::min({due, item.give_up_at, this->now + longest_sleep});
         else
             due = std::min(due, this->now + longest_sleep);
@@ -61,7 +61,7 @@
         return false;
     if (!this->retries.spend(item.facts.service, this->now))
         return false;
-    this->join_line(item);
+    this->join_queue(item);
     return true;
 }
 
@@ -69,11 +69,11 @@
 
 void scheduler::check_time(request& item)
 {
-    if (item.in_line && this->is_quarantined(item))
+    if (item.queued && this->is_quarantined(item))
         return this->refuse_quarantined(item);
     const base::duration reply_takes =
         this->delegating ? declined_within : base::duration(0);
-    if (item.in_line && item.uncertain == 0 &&
+    if (item.queued && item.uncertain == 0 &&
         this->now >= item.give_up_at + reply_takes)
         return this->refuse(item, base::reason::overloaded);
     if (this->now >= item.end_at) {
@@ -85,7 +85,7 @@
         }
         return this->fail(item, base::reason::deadline);
     }
-    if (!item.in_line && !item.facts.delegated)
+    if (!item.queued && !item.facts.delegated)
         this->check_silence(item);
 }
 
@@ -118,7 +118,7 @@
     this->out->push_back(stop_send{item.id, send});
     this->leave_upstream(item);
     item.tried.push_back(upstream);
-    this->join_line(item);
+    this->join_queue(item);
 }
 
 } // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/placing.cpp
+++ b/src/greengagedrum/traffic/placing.cpp
@@ -1,4 +1,4 @@
-// From the line to an upstream: who waits, who is placed, who yields.
+// From the queue to an upstream: who waits, who is placed, who yields.
 #include <greengagedrum/placement/seconds.hpp>
 #include <greengagedrum/traffic/scheduler.hpp>
 
@@ -16,7 +16,7 @@
                                                     item.facts.prompt_tokens));
 }
 
-waiting_request scheduler::line_entry(const request& item) const
+waiting_request scheduler::queue_entry(const request& item) const
 {
     waiting_request out;
     out.request = item.id;
@@ -34,11 +34,11 @@
     return out;
 }
 
-void scheduler::join_line(request& item)
+void scheduler::join_queue(request& item)
 {
-    item.in_line = true;
+    item.queued = true;
     item.send = 0;
-    this->lines[item.facts.service].add(this->line_entry(item), this->now);
+    this->queues[item.facts.service].add(this->queue_entry(item), this->now);
 }
 
 // How long what goes before it keeps the places that are this entry's to use
@@ -46,12 +46,12 @@
 // priority was given lately says, whichever is longer.
 base::duration scheduler::wait_expected(const request& item) const
 {
-    const auto line = this->lines.find(item.facts.service);
-    if (line == this->lines.end() || line->second.empty())
+    const auto queue = this->queues.find(item.facts.service);
+    if (queue == this->queues.end() || queue->second.empty())
         return base::duration{0};
-    const waiting_request entry = this->line_entry(item);
-    const double ahead = line->second.seconds_ahead(entry, this->now);
-    const double by_rate = line->second.seconds_by_rate(entry, this->now);
+    const waiting_request entry = this->queue_entry(item);
+    const double ahead = queue->second.seconds_ahead(entry, this->now);
+    const double by_rate = queue->second.seconds_by_rate(entry, this->now);
     const double all = this->pool.places(item.facts.service);
     const double part = all / static_cast<double>(this->entries);
     const double left = all - this->pool.foreign_places(item.facts.service);
@@ -71,13 +71,13 @@
 {
     if (this->held || this->delegating)
         return;
-    for (auto& [service, line] : this->lines) {
-        if (!line.empty())
-            this->place_service(service, line);
+    for (auto& [service, queue] : this->queues) {
+        if (!queue.empty())
+            this->place_service(service, queue);
     }
 }
 
-void scheduler::place_service(base::class_id service, waiting_line& line)
+void scheduler::place_service(base::class_id service, wait_queue& queue)
 {
     // Under load nothing is free most of the time: with all that waits weighed
     // against all upstreams 200 times a second, an entry of a large fleet had
@@ -85,9 +85,9 @@
     if (!this->pool.any_open(service, this->now))
         return;
     const waiting_counts elsewhere = this->waiting_elsewhere(service);
-    waiting_line::level_flags starved = line.starved(this->now);
+    wait_queue::level_flags starved = queue.starved(this->now);
     std::uint32_t free = this->pool.free_places(service, this->now);
-    for (const waiting_request& next : line.in_order(this->now)) {
+    for (const waiting_request& next : queue.in_order(this->now)) {
         request& item = this->requests.at(next.request);
         if (this->is_quarantined(item)) {
             this->refuse_quarantined(item);
@@ -112,11 +112,11 @@
         if (where && this->awaits_better(item, next, *where))
             continue;
         if (where) {
-            line.remove(next.request);
-            line.served(next.priority, this->now);
+            queue.remove(next.request);
+            queue.served(next.priority, this->now);
             this->send(item, *where);
             free = this->pool.free_places(service, this->now);
-            starved = line.starved(this->now);
+            starved = queue.starved(this->now);
         } else if (item.tried.empty() && !item.facts.homes.bound) {
             return; // nobody behind it finds a place either
         }
@@ -166,7 +166,7 @@
                                 const waiting_counts& elsewhere,
                                 std::uint32_t free) const
 {
-    const std::size_t level = level_of(waiting_line::rank(item, this->now));
+    const std::size_t level = level_of(wait_queue::rank(item, this->now));
     const std::uint32_t before =
         std::accumulate(elsewhere.begin(),
                         elsewhere.begin() + static_cast<std::ptrdiff_t>(level),
@@ -176,7 +176,7 @@
 
 void scheduler::send(request& item, const placing& where)
 {
-    item.in_line = false;
+    item.queued = false;
     item.connects += 1;
     item.send = item.connects;
     item.upstream = where.upstream;
@@ -201,9 +201,9 @@
 std::vector<service_waiting> scheduler::own_waiting(base::instant at) const
 {
     std::vector<service_waiting> out;
-    for (const auto& [service, line] : this->lines) {
-        if (!line.empty())
-            out.push_back({service, line.counts(at)});
+    for (const auto& [service, queue] : this->queues) {
+        if (!queue.empty())
+            out.push_back({service, queue.counts(at)});
     }
     return out;
 }
@@ -211,8 +211,8 @@
 std::size_t scheduler::waiting() const
 {
     std::size_t sum = 0;
-    for (const auto& [service, line] : this->lines)
-        sum += line.size();
+    for (const auto& [service, queue] : this->queues)
+        sum += queue.size();
     return sum;
 }
 
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -80,7 +80,7 @@
         return this->refuse(item, base::reason::no_upstream);
     if (!this->delegating && this->cannot_meet_deadline(item))
         return this->refuse(item, base::reason::overloaded);
-    this->join_line(item);
+    this->join_queue(item);
 }
 
 // What arrivals teach. A send after the first of another entry's request is no
@@ -94,7 +94,7 @@
         return;
     item.came_back = this->fresh.came_back(facts.kind, facts.time_left);
     this->fresh.asked(facts.kind, facts.time_left, this->now);
-    this->lines[facts.service].arrived(facts.priority, this->now);
+    this->queues[facts.service].arrived(facts.priority, this->now);
 }
 
 scheduler::request* scheduler::under_way(base::request_id id,
@@ -145,7 +145,7 @@
         return item->uncertain == 0
                    ? this->refuse(*item, base::reason::no_upstream)
                    : this->fail(*item, base::reason::upstream_failed);
-    this->join_line(*item);
+    this->join_queue(*item);
 }
 
 void scheduler::on(const turned_away& what)
@@ -209,8 +209,8 @@
                                     item->facts.output_tokens,
                                     this->now - item->first_event_at,
                                     this->now);
-        this->lines[item->facts.service].learn_hold(item->facts.kind,
-                                                    this->now - item->sent_at);
+        this->queues[item->facts.service].learn_hold(item->facts.kind,
+                                                     this->now - item->sent_at);
     } else {
         this->bad_end(upstream, trouble::failing);
     }
@@ -260,7 +260,7 @@
 
 void scheduler::refuse(request& item, base::reason why)
 {
-    // Long enough for the line to have drained to where it could be in time.
+    // Long enough for the queue to have drained to where it could be in time.
     constexpr base::duration least = std::chrono::milliseconds(200);
     constexpr base::duration most = std::chrono::seconds(5);
     const base::duration wait = this->wait_expected(item);
@@ -287,8 +287,8 @@
 
 void scheduler::forget(request& item)
 {
-    if (item.in_line)
-        this->lines[item.facts.service].remove(item.id);
+    if (item.queued)
+        this->queues[item.facts.service].remove(item.id);
     this->requests.erase(item.id);
 }
 
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -11,7 +11,7 @@
 #include <greengagedrum/traffic/messages.hpp>
 #include <greengagedrum/traffic/retry_share.hpp>
 #include <greengagedrum/traffic/upstream_pool.hpp>
-#include <greengagedrum/traffic/waiting_line.hpp>
+#include <greengagedrum/traffic/wait_queue.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -135,10 +135,10 @@
         base::request_id id;
         request_facts facts;
         base::instant arrived;
-        base::instant give_up_at; // in line: refused from here on
+        base::instant give_up_at; // queued: refused from here on
         base::instant end_at;     // no answer of any kind is of use after it
         bool came_back = false;   // its caller was refused before
-        bool in_line = false;
+        bool queued = false;
         std::uint32_t sends = 0;     // that reached an upstream
         std::uint32_t uncertain = 0; // of these, those that may have run it
         std::uint32_t connects = 0;  // also those that did not
@@ -167,10 +167,10 @@
     request* under_way(base::request_id id, std::uint32_t send);
     request* awaiting(base::request_id id, std::uint32_t send);
     void note_arrival(request& item);
-    void join_line(request& item);
+    void join_queue(request& item);
     bool cannot_meet_deadline(const request& item) const;
     void place_waiting();
-    void place_service(base::class_id service, waiting_line& line);
+    void place_service(base::class_id service, wait_queue& queue);
     bool awaits_better(const request& item,
                        const waiting_request& entry,
                        const placing& offered) const;
@@ -198,14 +198,14 @@
     void end(request& item, const base::verdict& verdict);
     void forget(request& item);
     base::duration wait_expected(const request& item) const;
-    waiting_request line_entry(const request& item) const;
+    waiting_request queue_entry(const request& item) const;
     base::duration first_event_expected(const request& item) const;
 
     quarantine::suspect_table suspects;
     upstream_pool pool;
     retry_share retries;
     fresh_callers fresh;
-    std::map<base::class_id, waiting_line> lines;
+    std::map<base::class_id, wait_queue> queues;
     std::unordered_map<base::request_id, request> requests;
     struct peer_waiting {
         base::instant at;
--- a/src/greengagedrum/traffic/test/line_test.cpp
+++ b/src/greengagedrum/traffic/test/wait_queue_test.cpp
@@ -24,12 +24,12 @@
 
 struct line_fixture {
     base::instant now{1h};
-    waiting_line line;
+    wait_queue queue;
 
     std::vector<std::uint64_t> order() const
     {
         std::vector<std::uint64_t> out;
-        for (const waiting_request& one : this->line.in_order(this->now))
+        for (const waiting_request& one : this->queue.in_order(this->now))
             out.push_back(one.request.value);
         return out;
     }
@@ -39,10 +39,10 @@
 
 TEST_CASE_FIXTURE(line_fixture, "more_urgent_goes_first_and_then_the_earlier")
 {
-    this->line.add(waiting(1, 2, this->now + 100ms), this->now);
-    this->line.add(waiting(2, 0, this->now + 300ms), this->now);
-    this->line.add(waiting(3, 0, this->now + 200ms), this->now);
-    this->line.add(waiting(4, 1, this->now + 50ms), this->now);
+    this->queue.add(waiting(1, 2, this->now + 100ms), this->now);
+    this->queue.add(waiting(2, 0, this->now + 300ms), this->now);
+    this->queue.add(waiting(3, 0, this->now + 200ms), this->now);
+    this->queue.add(waiting(4, 1, this->now + 50ms), this->now);
     CHECK(this->order() == std::vector<std::uint64_t>{3, 2, 4, 1});
 }
 
@@ -51,34 +51,34 @@
 TEST_CASE_FIXTURE(line_fixture,
                   "late_work_lets_short_fresh_work_of_next_step_go")
 {
-    this->line.learn_hold(base::kind_id("kind-0"), 800ms);
-    this->line.learn_hold(base::kind_id("kind-1"), 400ms);
-    this->line.learn_hold(base::kind_id("kind-2"), 900ms);
-    this->line.add(waiting(1, 0, this->now - 1ms), this->now);
-    this->line.add(waiting(2, 1, this->now + 300ms), this->now);
-    this->line.add(waiting(3, 2, this->now + 300ms), this->now);
-    this->line.add(waiting(4, 1, this->now - 1ms), this->now);
+    this->queue.learn_hold(base::kind_id("kind-0"), 800ms);
+    this->queue.learn_hold(base::kind_id("kind-1"), 400ms);
+    this->queue.learn_hold(base::kind_id("kind-2"), 900ms);
+    this->queue.add(waiting(1, 0, this->now - 1ms), this->now);
+    this->queue.add(waiting(2, 1, this->now + 300ms), this->now);
+    this->queue.add(waiting(3, 2, this->now + 300ms), this->now);
+    this->queue.add(waiting(4, 1, this->now - 1ms), this->now);
     CHECK(this->order() == std::vector<std::uint64_t>{2, 1, 4, 3});
 }
 
 // Dossiers come without end. Shift notes must get a place now and then.
 TEST_CASE_FIXTURE(line_fixture, "starved_priority_goes_first_once")
 {
-    this->line.add(waiting(1, 2, this->now + 10s), this->now);
-    this->line.add(waiting(2, 0, this->now + 10s), this->now);
+    this->queue.add(waiting(1, 2, this->now + 10s), this->now);
+    this->queue.add(waiting(2, 0, this->now + 10s), this->now);
     for (int count = 0; count < 4; ++count) {
-        this->line.arrived(0, this->now);
-        this->line.arrived(2, this->now);
+        this->queue.arrived(0, this->now);
+        this->queue.arrived(2, this->now);
     }
     CHECK(this->order().front() == 2);
     for (int count = 0; count < 4; ++count)
-        this->line.served(0, this->now);
+        this->queue.served(0, this->now);
     CHECK(this->order().front() == 1);
-    this->line.served(2, this->now);
+    this->queue.served(2, this->now);
     CHECK(this->order().front() == 2);
 }
 
-// Every entry had a starved request at the front of its line that yielded to
+// Every entry had a starved request at the front of its queue that yielded to
 // more urgent ones elsewhere; nothing behind it was placed. Engines idled while
 // a thousand requests were refused.
 TEST_CASE_FIXTURE(scheduler_fixture,
@@ -141,7 +141,7 @@
     CHECK(this->order<send_request>() != nullptr);
 }
 
-// A burst fills the line with what can't be served before its callers give up.
+// A burst fills the queue with what can't be served before its callers give up.
 // Told at once, they can come back for a later place; told after seconds of
 // waiting, they can't.
 TEST_CASE_FIXTURE(scheduler_fixture,
@@ -205,11 +205,12 @@
 TEST_CASE_FIXTURE(line_fixture, "wait_of_a_dossier_is_not_that_of_later_notes")
 {
     for (std::uint64_t note = 1; note <= 20; ++note)
-        this->line.add(waiting(note, 5, this->now), this->now);
+        this->queue.add(waiting(note, 5, this->now), this->now);
     this->now += 2s;
     const waiting_request dossier = waiting(99, 3, this->now + 500ms);
-    CHECK(this->line.seconds_by_rate(dossier, this->now) == 0);
-    CHECK(this->line.seconds_by_rate(waiting(98, 5, this->now), this->now) > 5);
+    CHECK(this->queue.seconds_by_rate(dossier, this->now) == 0);
+    CHECK(this->queue.seconds_by_rate(waiting(98, 5, this->now), this->now) >
+          5);
 }
 
 // Most callers came to one entry of forty, which holds forty places and fills
@@ -263,7 +264,7 @@
     CHECK(this->tested.waiting() == 0);
 }
 
-// Two dozen engines come back at once while all entries have lines. If each
+// Two dozen engines come back at once while all entries have queues. If each
 // entry filled each of them, seven would queue for every place.
 TEST_CASE_FIXTURE(scheduler_fixture,
                   "engine_that_comes_back_is_not_filled_alone")
@@ -273,9 +274,9 @@
     for (int count = 0; count < 10; ++count)
         this->arrive(stream_facts());
     for (std::uint64_t number = 0; number < peers; ++number) {
-        const service_waiting line[] = {{engines, {5}}};
+        const service_waiting queued[] = {{engines, {5}}};
         this->tested.peer_told(
-            base::slot_id(std::to_string(number)), {}, line, this->now);
+            base::slot_id(std::to_string(number)), {}, queued, this->now);
     }
     this->tested.upstream_joined(upstream_named("back", 5), this->now);
     this->pass(1ms);
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -25,10 +25,10 @@
 // Silence shows this late at most; the check costs a look at every peer.
 constexpr base::duration silence_check_gap = std::chrono::milliseconds(50);
 
-// A peer that freed a place knows it at once and refills it from its own line;
+// A peer that freed a place knows it at once and refills it from its own queue;
 // its message of that takes up to the gap between messages and the way. Whoever
 // is left takes turns, so that one place isn't taken by all that hear of it:
-// without turns, entries with lines put 6 to 12 requests on engines of 5
+// without turns, entries with queues put 6 to 12 requests on engines of 5
 // places.
 constexpr base::duration message_delay = std::chrono::milliseconds(4);
 // The step stands for the time in which some of the others hear of it.
@@ -176,7 +176,7 @@
 }
 
 // Failure guarded against: two dozen engines come back at once while all
-// entries have lines. Each entry filled each of them for itself, up to 35
+// entries have queues. Each entry filled each of them for itself, up to 35
 // requests on engines of 5 places.
 void upstream_pool::note_join(base::upstream_id id,
                               upstream& one,
--- a/src/greengagedrum/traffic/waiting_line.cpp
+++ b/src/greengagedrum/traffic/wait_queue.cpp
@@ -1,5 +1,5 @@
 #include <greengagedrum/placement/seconds.hpp>
-#include <greengagedrum/traffic/waiting_line.hpp>
+#include <greengagedrum/traffic/wait_queue.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -22,7 +22,7 @@
 constexpr double hold_weight = 0.1;
 
 // What a priority is given is judged over the last few seconds, and only
-// once its line has stood for so long.
+// once its queue has stood for so long.
 constexpr double rate_least = 0.2; // a second
 constexpr base::duration rate_known_after = std::chrono::milliseconds(600);
 
@@ -50,12 +50,12 @@
     return std::min<std::size_t>(priority, priority_levels - 1);
 }
 
-std::uint32_t waiting_line::rank(const waiting_request& item, base::instant now)
+std::uint32_t wait_queue::rank(const waiting_request& item, base::instant now)
 {
     return item.priority + (now > item.objective_at ? 1 : 0);
 }
 
-void waiting_line::add(const waiting_request& item, base::instant now)
+void wait_queue::add(const waiting_request& item, base::instant now)
 {
     const std::size_t level = level_of(item.priority);
     const bool first = std::none_of(this->items.begin(),
@@ -64,18 +64,18 @@
                                         return level_of(one.priority) == level;
                                     });
     if (first)
-        this->levels.at(level).line_since = now;
+        this->levels.at(level).queued_since = now;
     this->items.push_back(item);
 }
 
-void waiting_line::remove(base::request_id request)
+void wait_queue::remove(base::request_id request)
 {
     std::erase_if(this->items, [&](const waiting_request& one) {
         return one.request == request;
     });
 }
 
-waiting_line::level_flags waiting_line::starved(base::instant now) const
+wait_queue::level_flags wait_queue::starved(base::instant now) const
 {
     std::array<double, priority_levels> arrived{};
     std::array<double, priority_levels> served{};
@@ -95,9 +95,9 @@
     return out;
 }
 
-bool waiting_line::goes_before(const waiting_request& left,
-                               const waiting_request& right,
-                               base::instant now) const
+bool wait_queue::goes_before(const waiting_request& left,
+                             const waiting_request& right,
+                             base::instant now) const
 {
     const std::uint32_t left_rank = rank(left, now);
     const std::uint32_t right_rank = rank(right, now);
@@ -112,7 +112,7 @@
     return left.request < right.request;
 }
 
-std::vector<waiting_request> waiting_line::in_order(base::instant now) const
+std::vector<waiting_request> wait_queue::in_order(base::instant now) const
 {
     std::vector<waiting_request> out = this->items;
     std::sort(out.begin(),
@@ -131,8 +131,8 @@
     return out;
 }
 
-double waiting_line::seconds_ahead(const waiting_request& item,
-                                   base::instant now) const
+double wait_queue::seconds_ahead(const waiting_request& item,
+                                 base::instant now) const
 {
     double sum = 0;
     for (const waiting_request& one : this->items) {
@@ -142,20 +142,20 @@
     return sum;
 }
 
-void waiting_line::arrived(std::uint32_t priority, base::instant now)
+void wait_queue::arrived(std::uint32_t priority, base::instant now)
 {
     this->levels.at(level_of(priority)).arrived.add(now);
 }
 
-void waiting_line::served(std::uint32_t priority, base::instant now)
+void wait_queue::served(std::uint32_t priority, base::instant now)
 {
     level_state& own = this->levels.at(level_of(priority));
     own.served.add(now);
     own.served_lately.add(now);
 }
 
-double waiting_line::seconds_by_rate(const waiting_request& item,
-                                     base::instant now) const
+double wait_queue::seconds_by_rate(const waiting_request& item,
+                                   base::instant now) const
 {
     const std::size_t level = level_of(item.priority);
     const level_state& own = this->levels.at(level);
@@ -164,13 +164,13 @@
             return one.request != item.request &&
                    level_of(one.priority) == level;
         });
-    if (ahead == 0 || now - own.line_since < rate_known_after)
+    if (ahead == 0 || now - own.queued_since < rate_known_after)
         return 0;
     const double rate = own.served_lately.per_second(now);
     return static_cast<double>(ahead) / std::max(rate, rate_least);
 }
 
-void waiting_line::learn_hold(base::kind_id kind, base::duration held)
+void wait_queue::learn_hold(base::kind_id kind, base::duration held)
 {
     const double seconds = placement::seconds_of(held);
     const auto [found, fresh] = this->holds.try_emplace(kind, seconds);
@@ -178,13 +178,13 @@
         found->second += hold_weight * (seconds - found->second);
 }
 
-double waiting_line::hold_seconds(base::kind_id kind) const
+double wait_queue::hold_seconds(base::kind_id kind) const
 {
     const auto found = this->holds.find(kind);
     return found == this->holds.end() ? unknown_hold : found->second;
 }
 
-waiting_counts waiting_line::counts(base::instant now) const
+waiting_counts wait_queue::counts(base::instant now) const
 {
     waiting_counts out{};
     for (const waiting_request& one : this->items)
--- a/src/greengagedrum/traffic/waiting_line.hpp
+++ b/src/greengagedrum/traffic/wait_queue.hpp
@@ -56,7 +56,7 @@
     base::instant last;
 };
 
-class waiting_line
+class wait_queue
 {
 public:
     void add(const waiting_request& item, base::instant now);
@@ -111,7 +111,7 @@
     std::vector<waiting_request> items;
     std::unordered_map<base::kind_id, double> holds; // seconds
     struct level_state {
-        base::instant line_since; // something has waited ever since
+        base::instant queued_since; // something has waited ever since
         fading_count arrived{floor_memory};
         fading_count served{floor_memory};
         fading_count served_lately{rate_memory};
