--- a/src/greengagedrum/traffic/gap_reading.cpp
+++ b/src/greengagedrum/traffic/prefill_interference.cpp
@@ -1,4 +1,4 @@
-#include <greengagedrum/traffic/gap_reading.hpp>
+#include <greengagedrum/traffic/prefill_interference.hpp>
 
 #include <algorithm>
 
@@ -22,7 +22,7 @@
 
 } // namespace
 
-void gap_reading::seen(double tokens)
+void prefill_interference::seen(double tokens)
 {
     const double held = std::clamp(tokens, 1.0, tokens_most);
     if (this->high <= 0)
--- a/src/greengagedrum/traffic/gap_reading.hpp
+++ b/src/greengagedrum/traffic/prefill_interference.hpp
@@ -12,7 +12,7 @@
 namespace greengagedrum::traffic
 {
 
-class gap_reading
+class prefill_interference
 {
 public:
     // A pause of which that many prompt tokens could have been read.
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -11,8 +11,8 @@
 #include <greengagedrum/base/time.hpp>
 #include <greengagedrum/routing/upstream_directory.hpp>
 #include <greengagedrum/traffic/event_speed.hpp>
-#include <greengagedrum/traffic/gap_reading.hpp>
 #include <greengagedrum/traffic/messages.hpp>
+#include <greengagedrum/traffic/prefill_interference.hpp>
 #include <greengagedrum/traffic/slow_start.hpp>
 #include <greengagedrum/traffic/upstream_trust.hpp>
 
@@ -197,7 +197,7 @@
         double token_time = 0;  // seconds for one expected output token
         double bad = 0;         // share of bad ends
         base::instant probe_at; // when the next probe may be sent
-        gap_reading gaps;
+        prefill_interference gaps;
         std::uint32_t cold_sends = 0; // to one of them in a second; 0: any
     };
 
