--- a/src/greengagedrum/traffic/event_speed.cpp
+++ b/src/greengagedrum/traffic/inter_event_time.cpp
@@ -1,4 +1,4 @@
-#include <greengagedrum/traffic/event_speed.hpp>
+#include <greengagedrum/traffic/inter_event_time.hpp>
 
 namespace greengagedrum::traffic
 {
@@ -20,7 +20,7 @@
 
 } // namespace
 
-void event_speed::seen(base::duration gap, base::instant now)
+void inter_event_time::seen(base::duration gap, base::instant now)
 {
     const auto value = static_cast<double>(gap.count());
     const bool known = this->own > 0 && now - this->own_at < last_holds;
@@ -30,7 +30,7 @@
     this->last_at = now;
 }
 
-void event_speed::told(base::duration gap, base::instant now)
+void inter_event_time::told(base::duration gap, base::instant now)
 {
     if (gap.count() <= 0)
         return;
@@ -40,7 +40,7 @@
     this->last_at = now;
 }
 
-void event_speed::withdrawn(base::duration gap)
+void inter_event_time::withdrawn(base::duration gap)
 {
     if (gap.count() <= 0 || this->told_count == 0)
         return;
@@ -48,14 +48,14 @@
     this->told_count -= 1;
 }
 
-base::duration event_speed::own_gap(base::instant now) const
+base::duration inter_event_time::own_gap(base::instant now) const
 {
     if (this->own <= 0 || now - this->own_at > own_holds)
         return base::duration{0};
     return base::duration(static_cast<std::int64_t>(this->own));
 }
 
-base::duration event_speed::mean(base::instant now) const
+base::duration inter_event_time::mean(base::instant now) const
 {
     const base::duration own_part = this->own_gap(now);
     const std::int64_t count =
@@ -65,7 +65,7 @@
     return (this->told_sum + own_part) / count;
 }
 
-base::duration event_speed::gap(base::instant now) const
+base::duration inter_event_time::gap(base::instant now) const
 {
     const base::duration fresh = this->mean(now);
     if (fresh.count() > 0)
--- a/src/greengagedrum/traffic/event_speed.hpp
+++ b/src/greengagedrum/traffic/inter_event_time.hpp
@@ -13,7 +13,7 @@
 namespace greengagedrum::traffic
 {
 
-class event_speed
+class inter_event_time
 {
 public:
     // One event of a stream of this entry came so long after the one before.
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -10,7 +10,7 @@
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
 #include <greengagedrum/routing/upstream_directory.hpp>
-#include <greengagedrum/traffic/event_speed.hpp>
+#include <greengagedrum/traffic/inter_event_time.hpp>
 #include <greengagedrum/traffic/messages.hpp>
 #include <greengagedrum/traffic/prefill_interference.hpp>
 #include <greengagedrum/traffic/slow_start.hpp>
@@ -178,7 +178,7 @@
         double pace = 0; // time taken over time of a usual upstream; 0: unknown
         base::instant paced_at;
         base::instant progress_at;
-        event_speed speed;
+        inter_event_time speed;
         upstream_trust trust;
         base::instant cold_until;
         recent_sends recent; // where the service has a bound while cold
