--- a/src/greengagedrum/traffic/fresh_callers.cpp
+++ b/src/greengagedrum/traffic/first_attempt_estimator.cpp
@@ -1,5 +1,5 @@
 #include <greengagedrum/placement/seconds.hpp>
-#include <greengagedrum/traffic/fresh_callers.hpp>
+#include <greengagedrum/traffic/first_attempt_estimator.hpp>
 
 namespace greengagedrum::traffic
 {
@@ -24,9 +24,9 @@
 
 } // namespace
 
-void fresh_callers::asked(base::kind_id kind,
-                          base::duration time_left,
-                          base::instant now)
+void first_attempt_estimator::asked(base::kind_id kind,
+                                    base::duration time_left,
+                                    base::instant now)
 {
     const double seconds = seconds_of(time_left);
     const auto [found, first] =
@@ -37,8 +37,8 @@
     low *= seconds < low ? 1 - step * (1 - below) : 1 + step * below;
 }
 
-bool fresh_callers::came_back(base::kind_id kind,
-                              base::duration time_left) const
+bool first_attempt_estimator::came_back(base::kind_id kind,
+                                        base::duration time_left) const
 {
     const auto found = this->least.find(kind);
     return found != this->least.end() && seconds_of(time_left) < found->second;
--- a/src/greengagedrum/traffic/fresh_callers.hpp
+++ b/src/greengagedrum/traffic/first_attempt_estimator.hpp
@@ -16,7 +16,7 @@
 namespace greengagedrum::traffic
 {
 
-class fresh_callers
+class first_attempt_estimator
 {
 public:
     // A caller asked that waits for so long still.
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -7,7 +7,7 @@
 #pragma once
 
 #include <greengagedrum/quarantine/suspect_table.hpp>
-#include <greengagedrum/traffic/fresh_callers.hpp>
+#include <greengagedrum/traffic/first_attempt_estimator.hpp>
 #include <greengagedrum/traffic/messages.hpp>
 #include <greengagedrum/traffic/retry_share.hpp>
 #include <greengagedrum/traffic/upstream_pool.hpp>
@@ -204,7 +204,7 @@
     quarantine::suspect_table suspects;
     upstream_pool pool;
     retry_share retries;
-    fresh_callers fresh;
+    first_attempt_estimator fresh;
     std::map<base::class_id, wait_queue> queues;
     std::unordered_map<base::request_id, request> requests;
     struct peer_waiting {
--- a/src/greengagedrum/traffic/test/fresh_callers_test.cpp
+++ b/src/greengagedrum/traffic/test/first_attempt_estimator_test.cpp
@@ -1,5 +1,5 @@
 // Who asks for the first time, and who goes first for it.
-#include <greengagedrum/traffic/fresh_callers.hpp>
+#include <greengagedrum/traffic/first_attempt_estimator.hpp>
 #include <greengagedrum/traffic/test/scheduler_fixture.hpp>
 
 #include <random>
@@ -16,7 +16,7 @@
 
 struct fresh_fixture {
     base::instant now{1h};
-    fresh_callers tested;
+    first_attempt_estimator tested;
     std::mt19937_64 dice{7};
 
     // Callers of a calm time, who wait from `low` to `high`.
