--- a/src/greengagedrum/entry/beliefs.cpp
+++ b/src/greengagedrum/entry/cluster_state.cpp
@@ -1,4 +1,4 @@
-#include <greengagedrum/entry/beliefs.hpp>
+#include <greengagedrum/entry/cluster_state.hpp>
 #include <greengagedrum/placement/mix.hpp>
 #include <greengagedrum/platform/documents.hpp>
 
@@ -44,12 +44,12 @@
 
 } // namespace
 
-belief_changes beliefs::learn(const routing::item_list& news,
-                              std::uint64_t as_of,
-                              bool whole,
-                              base::instant now)
+cluster_changes cluster_state::learn(const routing::item_list& news,
+                                     std::uint64_t as_of,
+                                     bool whole,
+                                     base::instant now)
 {
-    belief_changes out;
+    cluster_changes out;
     // Evacuations first: an upstream that is listed with them is not to join.
     for (const routing::published_item& one : news) {
         if (is_evacuation(one))
@@ -76,18 +76,18 @@
     return out;
 }
 
-belief_changes beliefs::learn(const gossip::item_transfer& passed,
-                              base::instant now)
+cluster_changes cluster_state::learn(const gossip::item_transfer& passed,
+                                     base::instant now)
 {
-    belief_changes out =
+    cluster_changes out =
         this->learn(passed.items, passed.store_revision, passed.whole, now);
     this->change = std::max(this->change, passed.change_revision);
     return out;
 }
 
-void beliefs::take(const routing::published_item& item,
-                   base::instant now,
-                   belief_changes& out)
+void cluster_state::take(const routing::published_item& item,
+                         base::instant now,
+                         cluster_changes& out)
 {
     const bool configuration = item.key == platform::configuration_key;
     const bool evacuation = is_evacuation(item);
@@ -114,7 +114,7 @@
 }
 
 // The oldest removed one is known to all by now.
-void beliefs::drop_oldest_spent()
+void cluster_state::drop_oldest_spent()
 {
     auto oldest = this->items.end();
     for (auto one = this->items.begin(); one != this->items.end(); ++one) {
@@ -133,8 +133,8 @@
     this->items.erase(oldest);
 }
 
-bool beliefs::take_configuration(const routing::published_item& item,
-                                 belief_changes& out)
+bool cluster_state::take_configuration(const routing::published_item& item,
+                                       cluster_changes& out)
 {
     if (item.removed)
         return true; // the operator replaces it, and never takes it away
@@ -158,7 +158,7 @@
 
 // What was evacuated may be cold, whatever it published before.
 routing::published_upstream
-beliefs::taken_back(const routing::published_upstream& one) const
+cluster_state::taken_back(const routing::published_upstream& one) const
 {
     routing::published_upstream out = one;
     const routing::service* of =
@@ -168,8 +168,8 @@
     return out;
 }
 
-void beliefs::take_evacuation(const routing::published_item& item,
-                              belief_changes& out)
+void cluster_state::take_evacuation(const routing::published_item& item,
+                                    cluster_changes& out)
 {
     const std::string data_centre(platform::evacuated_data_centre(item.key));
     const bool evacuated = !item.removed;
@@ -190,9 +190,9 @@
 
 // What can't be read as an upstream's is another writer's: whatever stood under
 // that key before no longer counts, and the others hold.
-bool beliefs::take_upstream(const routing::published_item& item,
-                            base::instant now,
-                            belief_changes& out)
+bool cluster_state::take_upstream(const routing::published_item& item,
+                                  base::instant now,
+                                  cluster_changes& out)
 {
     const std::string name(platform::upstream_name(item.key));
     const auto before = this->directory.life_of(name);
@@ -220,7 +220,7 @@
 }
 
 // Exclusive or takes a meaning in and out again, in whatever order items come.
-void beliefs::note_meaning(const std::string& key, std::uint64_t meaning)
+void cluster_state::note_meaning(const std::string& key, std::uint64_t meaning)
 {
     std::uint64_t& known = this->meanings[key];
     const std::uint64_t fresh =
@@ -229,7 +229,7 @@
     known = fresh;
 }
 
-void beliefs::note_change(const std::string& key)
+void cluster_state::note_change(const std::string& key)
 {
     this->change_count += 1;
     this->changed_as[key] = this->change_count;
@@ -237,7 +237,8 @@
 
 // Where upstreams tell when they were born, one that doesn't is none.
 tl::expected<routing::published_upstream, std::string>
-beliefs::read_life(const routing::published_item& item, belief_changes& out)
+cluster_state::read_life(const routing::published_item& item,
+                         cluster_changes& out)
 {
     auto read = platform::read_upstream(item);
     if (!read)
@@ -249,7 +250,7 @@
     return read;
 }
 
-void beliefs::drop_unborn(belief_changes& out)
+void cluster_state::drop_unborn(cluster_changes& out)
 {
     this->lives_told = true;
     std::vector<routing::published_upstream> unborn;
@@ -264,10 +265,10 @@
     }
 }
 
-void beliefs::note_upstream(const std::string& name,
-                            routing::upstream_change change,
-                            std::optional<base::upstream_id> before,
-                            belief_changes& out)
+void cluster_state::note_upstream(const std::string& name,
+                                  routing::upstream_change change,
+                                  std::optional<base::upstream_id> before,
+                                  cluster_changes& out)
 {
     using routing::upstream_change;
     if (change == upstream_change::none)
@@ -283,7 +284,7 @@
 
 // ---- The store's absence --------------------------------------------------
 
-std::optional<base::instant> beliefs::lapse_bound(base::instant now) const
+std::optional<base::instant> cluster_state::lapse_bound(base::instant now) const
 {
     if (this->away_since && now - *this->away_since >= outage_least)
         return now + told_by_peer;
@@ -292,22 +293,22 @@
     return std::nullopt;
 }
 
-void beliefs::store_answered(base::instant now)
+void cluster_state::store_answered(base::instant now)
 {
     if (this->away_since && now - *this->away_since >= outage_least)
         this->doubted_until = now + reported_anew;
     this->away_since.reset();
 }
 
-void beliefs::store_failed(base::instant now)
+void cluster_state::store_failed(base::instant now)
 {
     if (!this->away_since)
         this->away_since = now;
 }
 
-belief_changes beliefs::expire(base::instant now)
+cluster_changes cluster_state::expire(base::instant now)
 {
-    belief_changes out;
+    cluster_changes out;
     std::vector<std::string> gone;
     this->directory.expire(now, gone);
     for (const std::string& name : gone)
@@ -315,9 +316,9 @@
     return out;
 }
 
-belief_changes beliefs::misdirected(base::upstream_id upstream)
+cluster_changes cluster_state::misdirected(base::upstream_id upstream)
 {
-    belief_changes out;
+    cluster_changes out;
     const routing::published_upstream* known = this->directory.find(upstream);
     if (known == nullptr)
         return out;
@@ -328,17 +329,17 @@
 
 // ---- What is known --------------------------------------------------------
 
-std::uint64_t beliefs::configuration_revision() const
+std::uint64_t cluster_state::configuration_revision() const
 {
     return this->table ? this->table->source().revision : 0;
 }
 
-std::int64_t beliefs::configuration_version() const
+std::int64_t cluster_state::configuration_version() const
 {
     return this->table ? this->table->source().version : 0;
 }
 
-gossip::item_transfer beliefs::items_since(std::uint64_t since) const
+gossip::item_transfer cluster_state::items_since(std::uint64_t since) const
 {
     gossip::item_transfer out;
     out.store_revision = this->revision;
@@ -353,7 +354,7 @@
 
 // A store that lost its history may tell of a change late, under a revision
 // below that of others: by their own order none is missed.
-gossip::item_transfer beliefs::items_after(std::uint64_t changes) const
+gossip::item_transfer cluster_state::items_after(std::uint64_t changes) const
 {
     gossip::item_transfer out;
     out.store_revision = this->revision;
--- a/src/greengagedrum/entry/beliefs.hpp
+++ b/src/greengagedrum/entry/cluster_state.hpp
@@ -1,6 +1,5 @@
-// What this entry believes of the published world: the configuration in force
-// and the upstreams, with the items they were read from, as peers may ask for
-// them.
+// What this entry knows of the published world: the configuration in force and
+// the upstreams, with the items they were read from, as peers may ask for them.
 //
 // News comes from the store or from peers, in any order. An item is replaced
 // only by one of a higher revision, so nothing ever goes back.
@@ -34,7 +33,7 @@
 };
 
 // What changed by some news.
-struct belief_changes {
+struct cluster_changes {
     bool configuration = false;
     std::vector<evacuation_change> evacuations;
     std::vector<routing::published_upstream> joined; // or moved
@@ -42,28 +41,28 @@
     std::vector<std::string> faults; // items that can't be read
 };
 
-class beliefs
+class cluster_state
 {
 public:
     // `whole`: all items that there are as of that revision; what is known and
     // not among them was removed.
-    belief_changes learn(const routing::item_list& items,
-                         std::uint64_t as_of,
-                         bool whole,
-                         base::instant now);
+    cluster_changes learn(const routing::item_list& items,
+                          std::uint64_t as_of,
+                          bool whole,
+                          base::instant now);
 
     // What a peer passed of all that changed since changed_at().
-    belief_changes learn(const gossip::item_transfer& passed,
-                         base::instant now);
+    cluster_changes learn(const gossip::item_transfer& passed,
+                          base::instant now);
 
     // The store gave an answer, or none.
     void store_answered(base::instant now);
     void store_failed(base::instant now);
 
     // Upstreams whose lapse was waited for.
-    belief_changes expire(base::instant now);
+    cluster_changes expire(base::instant now);
 
-    belief_changes misdirected(base::upstream_id upstream);
+    cluster_changes misdirected(base::upstream_id upstream);
 
     // Null until a configuration is known.
     const routing::route_table_ptr& routes() const { return this->table; }
@@ -92,24 +91,24 @@
 private:
     void take(const routing::published_item& item,
               base::instant now,
-              belief_changes& out);
+              cluster_changes& out);
     // False for what can't be read.
     bool take_configuration(const routing::published_item& item,
-                            belief_changes& out);
+                            cluster_changes& out);
     bool take_upstream(const routing::published_item& item,
                        base::instant now,
-                       belief_changes& out);
+                       cluster_changes& out);
     void take_evacuation(const routing::published_item& item,
-                         belief_changes& out);
+                         cluster_changes& out);
     routing::published_upstream
     taken_back(const routing::published_upstream& one) const;
     void note_upstream(const std::string& name,
                        routing::upstream_change change,
                        std::optional<base::upstream_id> before,
-                       belief_changes& out);
+                       cluster_changes& out);
     tl::expected<routing::published_upstream, std::string>
-    read_life(const routing::published_item& item, belief_changes& out);
-    void drop_unborn(belief_changes& out);
+    read_life(const routing::published_item& item, cluster_changes& out);
+    void drop_unborn(cluster_changes& out);
     void note_change(const std::string& key);
     void note_meaning(const std::string& key, std::uint64_t meaning);
     void drop_oldest_spent();
--- a/src/greengagedrum/entry/decisions.cpp
+++ b/src/greengagedrum/entry/decisions.cpp
@@ -86,7 +86,7 @@
     this->upstreams_changed(this->state.known.misdirected(upstream));
 }
 
-void front::upstreams_changed(const belief_changes& changes)
+void front::upstreams_changed(const cluster_changes& changes)
 {
     const base::instant now = this->state.clock();
     for (const departed_upstream& one : changes.left)
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -51,7 +51,7 @@
     : own(given), read_again(std::move(read_again)),
       began(std::chrono::steady_clock::now()),
       state{loop_clock(this->began),
-            beliefs(),
+            cluster_state(),
             quota::usage_limiter(base::instant(epoch)),
             traffic::scheduler(
                 retry_bounds_of(given.bounds),
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -55,7 +55,7 @@
                  std::uint64_t as_of,
                  bool whole,
                  const char* source);
-    void apply(const belief_changes& changes, const char* source);
+    void apply(const cluster_changes& changes, const char* source);
     void on_store_failed(const std::string& why);
     void on_store_answered();
     void apply_bounds();
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
@@ -22,7 +22,7 @@
 
 virtual_fleet::node::node(base::instant now)
     : state{{},
-            beliefs(),
+            cluster_state(),
             quota::usage_limiter(now),
             traffic::scheduler({}, {}),
             decision_log(),
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -3,7 +3,7 @@
 
 #include <greengagedrum/dispatch/dispatcher_book.hpp>
 #include <greengagedrum/dispatch/send_journal.hpp>
-#include <greengagedrum/entry/beliefs.hpp>
+#include <greengagedrum/entry/cluster_state.hpp>
 #include <greengagedrum/entry/decision_log.hpp>
 #include <greengagedrum/entry/exchange.hpp>
 #include <greengagedrum/entry/settings.hpp>
@@ -24,7 +24,7 @@
 // What the parts of an entry share; they all run on its one loop.
 struct shared_state {
     std::function<base::instant()> clock;
-    beliefs known;
+    cluster_state known;
     quota::usage_limiter limiter;
     traffic::scheduler scheduler;
     decision_log log;
@@ -57,7 +57,7 @@
     // Places may be free for what waits.
     void place();
 
-    void upstreams_changed(const belief_changes& changes);
+    void upstreams_changed(const cluster_changes& changes);
 
     // Answers say that their connections close from now on.
     void begin_stop();
--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -158,7 +158,7 @@
     base::instant suspects_to_members;
 
     // What an entry believed, and after which of its changes.
-    struct belief_point {
+    struct change_point {
         base::incarnation life;
         std::uint64_t changes = 0;
     };
@@ -178,7 +178,7 @@
     std::optional<gossip::ip_number> dispatcher; // none: this entry
     base::instant dispatcher_at;                 // when there was one last
     base::instant placing_since;                 // this entry, by itself
-    belief_point passed; // to this entry, by whoever was asked last
+    change_point passed; // to this entry, by whoever was asked last
     std::uint64_t dispatcher_digest = 0;
     base::instant reported_at;
     std::uint64_t unanswered_report = 0; // by sequence; 0: none
--- a/src/greengagedrum/entry/test/beliefs_test.cpp
+++ b/src/greengagedrum/entry/test/cluster_state_test.cpp
@@ -1,5 +1,5 @@
 // What an entry takes from the store and from peers, in any order.
-#include <greengagedrum/entry/beliefs.hpp>
+#include <greengagedrum/entry/cluster_state.hpp>
 
 #include <doctest/doctest.h>
 
@@ -65,15 +65,15 @@
     return out;
 }
 
-struct beliefs_fixture {
+struct cluster_state_fixture {
     base::instant now{1h};
-    beliefs known;
+    cluster_state known;
 
-    belief_changes whole(const routing::item_list& items, std::uint64_t as_of)
+    cluster_changes whole(const routing::item_list& items, std::uint64_t as_of)
     {
         return this->known.learn(items, as_of, true, this->now);
     }
-    belief_changes news(const routing::item_list& items, std::uint64_t as_of)
+    cluster_changes news(const routing::item_list& items, std::uint64_t as_of)
     {
         return this->known.learn(items, as_of, false, this->now);
     }
@@ -82,7 +82,8 @@
 } // namespace
 
 // An evacuated data centre's upstreams are given work.
-TEST_CASE_FIXTURE(beliefs_fixture, "evacuated_upstreams_leave_and_come_back")
+TEST_CASE_FIXTURE(cluster_state_fixture,
+                  "evacuated_upstreams_leave_and_come_back")
 {
     this->whole({upstream_item("i-1", 4)}, 4);
     const base::upstream_id id("i-1");
@@ -100,7 +101,7 @@
 }
 
 // Upstreams cool down while they are evacuated, and say so later.
-TEST_CASE_FIXTURE(beliefs_fixture, "upstreams_taken_back_count_as_cold")
+TEST_CASE_FIXTURE(cluster_state_fixture, "upstreams_taken_back_count_as_cold")
 {
     this->whole({service_item(2), upstream_item("i-1", 4), evacuation_item(5)},
                 6);
@@ -111,7 +112,8 @@
 
 // Only its first report says that an upstream is cold; members ask their
 // dispatcher by digest.
-TEST_CASE_FIXTURE(beliefs_fixture, "upstream_that_turns_cold_or_warm_is_news")
+TEST_CASE_FIXTURE(cluster_state_fixture,
+                  "upstream_that_turns_cold_or_warm_is_news")
 {
     this->whole({upstream_item("i-1", 4)}, 4);
     const std::uint64_t warm = this->known.digest();
@@ -127,7 +129,8 @@
 }
 
 // A started entry is told of upstreams and evacuations at once, in any order.
-TEST_CASE_FIXTURE(beliefs_fixture, "upstream_listed_with_its_evacuation_is_out")
+TEST_CASE_FIXTURE(cluster_state_fixture,
+                  "upstream_listed_with_its_evacuation_is_out")
 {
     const auto changes =
         this->whole({upstream_item("i-1", 4), evacuation_item(3)}, 6);
@@ -136,7 +139,7 @@
 }
 
 // A watch was lost: the next whole reading shows that the order is gone.
-TEST_CASE_FIXTURE(beliefs_fixture,
+TEST_CASE_FIXTURE(cluster_state_fixture,
                   "evacuation_missing_from_a_whole_reading_is_over")
 {
     this->whole({upstream_item("i-1", 4), evacuation_item(5)}, 6);
@@ -146,7 +149,7 @@
 }
 
 // A peer that is behind takes an evacuation back, or orders it once more.
-TEST_CASE_FIXTURE(beliefs_fixture,
+TEST_CASE_FIXTURE(cluster_state_fixture,
                   "older_news_of_an_evacuation_changes_nothing")
 {
     this->whole({upstream_item("i-1", 4)}, 4);
@@ -158,10 +161,11 @@
 }
 
 // Two entries that differ in an evacuation only take each other for alike.
-TEST_CASE_FIXTURE(beliefs_fixture, "evacuation_reaches_those_that_ask_a_peer")
+TEST_CASE_FIXTURE(cluster_state_fixture,
+                  "evacuation_reaches_those_that_ask_a_peer")
 {
     this->whole({upstream_item("i-1", 4)}, 4);
-    beliefs behind;
+    cluster_state behind;
     behind.learn(this->known.items_since(0), this->now);
     CHECK(behind.digest() == this->known.digest());
     this->news({evacuation_item(6)}, 6);
@@ -172,7 +176,8 @@
 }
 
 // Thousands of removed items push out the order that an empty value carries.
-TEST_CASE_FIXTURE(beliefs_fixture, "evacuation_outlasts_many_removed_items")
+TEST_CASE_FIXTURE(cluster_state_fixture,
+                  "evacuation_outlasts_many_removed_items")
 {
     this->whole({upstream_item("i-1", 4), evacuation_item(5)}, 6);
     for (std::uint64_t number = 10; number < 5000; ++number)
@@ -187,7 +192,7 @@
 
 // An entry is fed by a peer that is behind the store: a change that was in
 // force must not be taken back.
-TEST_CASE_FIXTURE(beliefs_fixture, "older_configuration_never_comes_back")
+TEST_CASE_FIXTURE(cluster_state_fixture, "older_configuration_never_comes_back")
 {
     CHECK(this->whole({config_item(3, 10)}, 10).configuration);
     CHECK(this->news({config_item(5, 14)}, 14).configuration);
@@ -196,7 +201,7 @@
     CHECK(this->known.as_of() == 14);
 }
 
-TEST_CASE_FIXTURE(beliefs_fixture,
+TEST_CASE_FIXTURE(cluster_state_fixture,
                   "unreadable_configuration_leaves_the_last_good")
 {
     this->whole({config_item(3, 10)}, 10);
@@ -206,7 +211,7 @@
     CHECK(this->known.configuration_version() == 3);
 }
 
-TEST_CASE_FIXTURE(beliefs_fixture,
+TEST_CASE_FIXTURE(cluster_state_fixture,
                   "upstream_missing_from_a_whole_reading_is_gone")
 {
     this->whole({upstream_item("i-1", 4), upstream_item("i-2", 5)}, 6);
@@ -218,7 +223,8 @@
 
 // Another writer replaces an upstream's entry, and puts a thousand of its own
 // beside it. That one gets no more work; the others go on.
-TEST_CASE_FIXTURE(beliefs_fixture, "items_of_another_writer_name_no_upstream")
+TEST_CASE_FIXTURE(cluster_state_fixture,
+                  "items_of_another_writer_name_no_upstream")
 {
     this->whole({upstream_item("i-1", 4), upstream_item("i-2", 5)}, 6);
     routing::item_list foreign = {
@@ -244,7 +250,7 @@
 
 // An upstream's next life takes the place of the one before, which is told as
 // one that has left.
-TEST_CASE_FIXTURE(beliefs_fixture,
+TEST_CASE_FIXTURE(cluster_state_fixture,
                   "upstream_that_starts_again_leaves_and_joins")
 {
     this->whole({born_item("i-1", 1'000, 4)}, 6);
@@ -258,7 +264,8 @@
 
 // Upstreams come and go for weeks, and another writer's keys are never the
 // same. What peers are still told of those that are gone has an end.
-TEST_CASE_FIXTURE(beliefs_fixture, "removed_and_unreadable_items_are_bounded")
+TEST_CASE_FIXTURE(cluster_state_fixture,
+                  "removed_and_unreadable_items_are_bounded")
 {
     for (std::uint64_t one = 1; one <= 10'000; ++one) {
         const std::string key = "servers/x-" + std::to_string(one);
@@ -267,7 +274,7 @@
     CHECK(this->known.items_since(1).items.size() < 5'000);
 }
 
-TEST_CASE_FIXTURE(beliefs_fixture,
+TEST_CASE_FIXTURE(cluster_state_fixture,
                   "entry_without_birth_read_first_is_dropped_later")
 {
     this->whole({upstream_item("i-1", 4)}, 4);
@@ -278,7 +285,7 @@
 
 // The store was away for longer than the leases last. On its return it tells of
 // every upstream that it is gone; those that live report within two seconds.
-TEST_CASE_FIXTURE(beliefs_fixture,
+TEST_CASE_FIXTURE(cluster_state_fixture,
                   "upstreams_lapsed_in_an_outage_are_waited_for")
 {
     this->whole({upstream_item("i-1", 4), upstream_item("i-2", 5)}, 6);
@@ -293,7 +300,7 @@
     CHECK(this->known.upstreams().find(base::upstream_id("i-1")) != nullptr);
 }
 
-TEST_CASE_FIXTURE(beliefs_fixture,
+TEST_CASE_FIXTURE(cluster_state_fixture,
                   "upstream_removed_on_a_calm_day_is_gone_at_once")
 {
     this->whole({upstream_item("i-1", 4)}, 6);
@@ -303,7 +310,8 @@
     CHECK(this->news({{"servers/i-1", "", 9, true}}, 9).left.size() == 1);
 }
 
-TEST_CASE_FIXTURE(beliefs_fixture, "peer_that_knows_some_is_given_the_rest")
+TEST_CASE_FIXTURE(cluster_state_fixture,
+                  "peer_that_knows_some_is_given_the_rest")
 {
     this->whole({config_item(3, 2), upstream_item("i-1", 4)}, 6);
     this->news({{"servers/i-1", "", 9, true}, upstream_item("i-2", 8)}, 9);
@@ -315,7 +323,7 @@
     CHECK(all.whole);
     CHECK(all.items.size() == 2); // no removed ones
 
-    beliefs other;
+    cluster_state other;
     other.learn(all.items, all.store_revision, all.whole, this->now);
     CHECK(other.configuration_version() == 3);
     CHECK(other.upstreams().usable_count() == 1);
@@ -324,12 +332,13 @@
 // A store that lost its history tells of a configuration of revision 15 after
 // reports of revision 20. An entry that learnt from a peer "as of 20" is to get
 // it from that peer all the same.
-TEST_CASE_FIXTURE(beliefs_fixture, "change_heard_of_late_reaches_a_follower")
+TEST_CASE_FIXTURE(cluster_state_fixture,
+                  "change_heard_of_late_reaches_a_follower")
 {
     this->whole({config_item(3, 5), upstream_item("i-1", 4)}, 6);
     this->news({upstream_item("i-1", 20)}, 20); // a report, no change
     CHECK(this->known.changed_at() == 5);
-    beliefs follower;
+    cluster_state follower;
     follower.learn(this->known.items_since(0), this->now);
     CHECK(follower.as_of() == 20);
 
@@ -344,7 +353,7 @@
 // A store that had lost its history tells of a change late, under a revision
 // below that of others. Whoever asked for what is above the newest revision
 // that it knows would never hear of it.
-TEST_CASE_FIXTURE(beliefs_fixture, "change_told_late_is_passed_on")
+TEST_CASE_FIXTURE(cluster_state_fixture, "change_told_late_is_passed_on")
 {
     this->news({upstream_item("i-1", 20)}, 20);
     const std::uint64_t passed = this->known.changes();
@@ -359,9 +368,10 @@
 
 // Entries hear the same in another order, and of reports at other times. They
 // have to see that they believe the same, or each would go on asking.
-TEST_CASE_FIXTURE(beliefs_fixture, "same_beliefs_have_the_same_digest")
+TEST_CASE_FIXTURE(cluster_state_fixture,
+                  "same_cluster_states_have_the_same_digest")
 {
-    beliefs other;
+    cluster_state other;
     other.learn({upstream_item("i-2", 9)}, 9, false, this->now);
     other.learn({upstream_item("i-3", 10)}, 10, false, this->now);
     this->news({upstream_item("i-1", 5)}, 5);
--- a/src/greengagedrum/entry/test/quarantine_page_test.cpp
+++ b/src/greengagedrum/entry/test/quarantine_page_test.cpp
@@ -14,7 +14,7 @@
 struct page_fixture {
     base::instant now{1h};
     shared_state state{[this] { return this->now; },
-                       beliefs(),
+                       cluster_state(),
                        quota::usage_limiter(now),
                        traffic::scheduler({}, {}),
                        decision_log(),
--- a/src/greengagedrum/entry/upkeep.cpp
+++ b/src/greengagedrum/entry/upkeep.cpp
@@ -21,7 +21,7 @@
 // A turn of the loop takes milliseconds. One that is this late means that the
 // process stood still, and that what it believes is as old.
 constexpr base::duration pause_least = std::chrono::milliseconds(400);
-// With neither store nor peers in reach, old beliefs are better than none.
+// With neither store nor peers in reach, an old state is better than none.
 constexpr base::duration pause_most = std::chrono::milliseconds(500);
 
 // From SIGTERM on the balancer is told to send no more; it asks once a second
@@ -45,12 +45,12 @@
     this->end_pause(source);
 }
 
-void entry::apply(const belief_changes& changes, const char* source)
+void entry::apply(const cluster_changes& changes, const char* source)
 {
     const base::instant now = this->state.clock();
     if (!changes.faults.empty())
         this->state.log.write(now,
-                              "beliefs",
+                              "cluster_state",
                               "item_unreadable",
                               {{"why", changes.faults.front()},
                                {"items", changes.faults.size()},
@@ -61,7 +61,7 @@
         this->state.limiter.set_limits(config, now);
         this->apply_slow_start();
         logs::write(logs::level::info,
-                    "beliefs",
+                    "cluster_state",
                     "configuration_in_force",
                     {{"version", config.version},
                      {"revision", config.revision},
@@ -71,14 +71,14 @@
     }
     for (const evacuation_change& one : changes.evacuations)
         logs::write(logs::level::info,
-                    "beliefs",
+                    "cluster_state",
                     one.evacuated ? "evacuation_in_force" : "evacuation_over",
                     {{"data_centre", one.data_centre},
                      {"revision", one.revision},
                      {"source", source}});
     for (const routing::published_upstream& one : changes.joined)
         this->state.log.write(now,
-                              "beliefs",
+                              "cluster_state",
                               "upstream_joined",
                               {{"upstream", one.name},
                                {"address", base::to_string(one.address)},
@@ -87,7 +87,7 @@
                                {"source", source}});
     for (const departed_upstream& one : changes.left)
         this->state.log.write(now,
-                              "beliefs",
+                              "cluster_state",
                               "upstream_left",
                               {{"upstream", one.name},
                                {"as_of", this->state.known.as_of()},
--- a/src/greengagedrum/traffic/test/scheduler_test.cpp
+++ b/src/greengagedrum/traffic/test/scheduler_test.cpp
@@ -277,7 +277,8 @@
     CHECK(this->sent().request == second);
 }
 
-// The process was frozen and wakes with old beliefs: nothing is sent by them.
+// The process was frozen and wakes with an old state of the cluster: nothing is
+// sent by them.
 TEST_CASE_FIXTURE(scheduler_fixture,
                   "held_scheduler_sends_nothing_until_let_go")
 {
