--- a/fuzz/store_items.cpp
+++ b/fuzz/store_items.cpp
@@ -1,7 +1,7 @@
 // What the store answers: pages, watches, and the values in them. Anything may
 // be refused; nothing may bring the entry down or be half read, and an entry
 // that isn't an upstream's own names none and harms no other.
-#include <greengagedrum/entry/beliefs.hpp>
+#include <greengagedrum/entry/cluster_state.hpp>
 #include <greengagedrum/platform/documents.hpp>
 #include <greengagedrum/platform/settings_file.hpp>
 #include <greengagedrum/platform/store_calls.hpp>
@@ -39,7 +39,7 @@
             "version": "v1", "slots": 2, "state": "ready",
             "warmupRemainingMs": 0, "sequence": 1, "born": 1000})";
     const base::instant now(std::chrono::hours(1));
-    entry::beliefs known;
+    entry::cluster_state known;
     known.learn(
         {{"servers/a", sound, 1, false}, {"servers/b", sound, 2, false}},
         2,
@@ -67,7 +67,7 @@
 {
     const std::string text(fuzz::text_of(data, size));
     if (const auto page = platform::read_store_answer(text)) {
-        entry::beliefs known;
+        entry::cluster_state known;
         known.learn(page->items,
                     page->as_of,
                     true,
