Quota: the window under an earlier limit is asked of a lowered limit alone

The comparison of the two bounds said nothing: where the earlier bound is not the higher one, room under it is room under the present one.

--- a/src/greengagedrum/quota/workspace_limit.cpp
+++ b/src/greengagedrum/quota/workspace_limit.cpp
@@ -128,9 +128,8 @@
     // Failure guarded against: a limit is lowered and raised again and again,
     // or a process starts anew; the bucket then lets its burst through each
     // time. Whatever it says, the window under the highest limit lately holds.
-    const bool raised_lately =
-        now<this->earlier_until&& this->earlier_bound> bound;
-    const bool fits = lacking <= 0 || (raised_lately &&
+    const bool lowered_lately = now < this->earlier_until;
+    const bool fits = lacking <= 0 || (lowered_lately &&
                                        cost <= this->room(this->earlier_bound));
     if (missing <= 0 && fits)
         return base::duration{0};
