Quota: the bucket fills with what the window may hold

Cause: the bucket filled at the published rate, the window allows more than that.

Change: the bucket fills with what the window may hold, evenly; at the rate alone while the window is not known. What it still refuses are uses beyond a burst at once.

--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -63,8 +63,9 @@
         });
     if (!this->took_over)
         return;
+    const limit_rules valid = this->rules(now);
     for (auto& [workspace, limited] : this->limits)
-        limited.follow_window(this->allowed.window, now);
+        limited.follow_window(valid, now);
 }
 
 void usage_limiter::set_limits(const routing::configuration& config,
@@ -112,9 +113,10 @@
     workspace_limit* own = this->find_limited(workspace);
     if (own == nullptr)
         return std::nullopt;
-    own->fill(now);
+    const limit_rules valid = this->rules(now);
+    own->fill(valid, now);
     own->drop_old(this->allowed.window, now);
-    const base::duration wait = own->until_allowed(cost, this->rules(now), now);
+    const base::duration wait = own->until_allowed(cost, valid, now);
     if (wait.count() > 0)
         return own->promise_return(cost, wait, this->allowed.window, now);
     own->level -= cost;
@@ -145,7 +147,7 @@
     if (own == nullptr)
         return;
     own->own_waiting = std::max(0.0, own->own_waiting - cost);
-    own->restore(cost, now);
+    own->restore(cost, this->rules(now), now);
 }
 
 void usage_limiter::not_run(base::workspace_id workspace,
@@ -153,7 +155,7 @@
                             base::instant now)
 {
     if (workspace_limit* own = this->find_limited(workspace))
-        own->restore(cost, now);
+        own->restore(cost, this->rules(now), now);
 }
 
 std::vector<std::uint32_t> usage_limiter::all_lately(const workspace_limit& own,
@@ -278,14 +280,15 @@
     if (found == this->limits.end())
         return;
     workspace_limit& own = found->second;
-    own.fill(now);
+    const limit_rules valid = this->rules(now);
+    own.fill(valid, now);
     own.drop_old(this->allowed.window, now);
     own.peers_waiting = std::max(0.0, own.peers_waiting + waiting_more);
     own.recent.add(counted, now);
     this->absent.used(peer, told.workspace, counted, now);
     // What it let through before it was heard is no debt of the bucket.
     if (!anew)
-        own.restore(-(counted + waiting_more), now);
+        own.restore(-(counted + waiting_more), valid, now);
 }
 
 // Failures guarded against: an entry restarts in a busy workspace's window;
@@ -372,8 +375,9 @@
         rates.push_back({workspace, own.limit.per_second});
     for (const base::slot_id peer : this->absent.notice(rates, now))
         this->forget_waiting(this->peers[peer]);
+    const limit_rules valid = this->rules(now);
     for (auto& [workspace, own] : this->limits) {
-        own.fill(now);
+        own.fill(valid, now);
         own.absent = this->absent.of(workspace, now);
     }
 }
--- a/src/greengagedrum/quota/usage_limiter.hpp
+++ b/src/greengagedrum/quota/usage_limiter.hpp
@@ -1,13 +1,12 @@
 // Keeps each workspace within its limit over all entries together, without
 // refusing what is within it.
 //
-// A request is let through when a token bucket of the published rate and burst
-// has its cost, and all that was let through in the operator's window, this
-// included, is within rate times window plus burst. The bucket spreads a
-// workspace's use over the window, so that all entries may be killed at any
-// moment and their successors, which know nothing of it, still keep the limit.
-// The window holds what a bucket alone forgets: changes of the limit, and uses
-// of entries that are heard late.
+// A request is let through when all that was let through in the operator's
+// window, this included, is within rate times window plus burst, and a token
+// bucket of the published burst has its cost. The bucket fills evenly with what
+// the window may hold, so that no more than a burst goes out at once: all
+// entries may be killed at any moment, and their successors, which know nothing
+// of the window and give out the rate, still keep the limit.
 //
 // Each entry counts what it let through and what its peers tell that they did.
 // Nothing is divided among entries that hear each other, since callers are
--- a/src/greengagedrum/quota/workspace_limit.cpp
+++ b/src/greengagedrum/quota/workspace_limit.cpp
@@ -34,31 +34,40 @@
 {
 }
 
+double workspace_limit::pace(const limit_rules& rules) const
+{
+    if (!rules.window_known)
+        return this->limit.per_second;
+    return this->window_bound(rules) / seconds_of(rules.allowed.window);
+}
+
 // What absent peers are assumed to use is not given out here.
-void workspace_limit::fill(base::instant now)
+void workspace_limit::fill(const limit_rules& rules, base::instant now)
 {
     const double part = 1 - this->absent.share;
-    const double filled = this->level + part * this->limit.per_second *
+    const double filled = this->level + part * this->pace(rules) *
                                             seconds_of(now - this->filled_at);
     this->level = std::min(part * this->limit.burst, filled);
     this->filled_at = now;
 }
 
-void workspace_limit::restore(double amount, base::instant now)
+void workspace_limit::restore(double amount,
+                              const limit_rules& rules,
+                              base::instant now)
 {
-    this->fill(now);
+    this->fill(rules, now);
     this->level = std::min(this->limit.burst, this->level + amount);
 }
 
-void workspace_limit::follow_window(base::duration window, base::instant now)
+void workspace_limit::follow_window(const limit_rules& rules, base::instant now)
 {
     const std::vector<double> used =
-        this->recent.by_part(parts_followed, window, now);
-    const double filled =
-        this->limit.per_second * seconds_of(window) / parts_followed;
+        this->recent.by_part(parts_followed, rules.allowed.window, now);
+    const double filled = this->window_bound(rules) / parts_followed;
     this->level = this->limit.burst;
-    for (auto part = used.rbegin(); part != used.rend(); ++part)
-        this->level = std::min(this->limit.burst, this->level + filled) - *part;
+    std::for_each(used.rbegin(), used.rend(), [&](double part) {
+        this->level = std::min(this->limit.burst, this->level + filled) - part;
+    });
     this->filled_at = now;
 }
 
@@ -72,7 +81,7 @@
                              const limit_rules& rules,
                              base::instant now)
 {
-    this->fill(now);
+    this->fill(rules, now);
     const bool lowered = published.per_second < this->limit.per_second ||
                          published.burst < this->limit.burst;
     if (lowered) {
@@ -136,7 +145,7 @@
     const base::duration left =
         this->recent.until_left(lacking, rules.allowed.window, now);
     const base::duration filled =
-        duration_of(std::max(0.0, missing) / this->limit.per_second);
+        duration_of(std::max(0.0, missing) / this->pace(rules));
     return fits ? filled : std::max(filled, left);
 }
 
--- a/src/greengagedrum/quota/workspace_limit.hpp
+++ b/src/greengagedrum/quota/workspace_limit.hpp
@@ -1,6 +1,6 @@
-// One workspace's limit at one entry: a bucket of the published rate and burst,
-// and what all entries sent within the operator's window. A request needs room
-// in both.
+// One workspace's limit at one entry: what all entries sent within the
+// operator's window, and a bucket of the published burst that spreads what the
+// window may hold evenly over it. A request needs room in both.
 #pragma once
 
 #include <greengagedrum/base/time.hpp>
@@ -33,11 +33,11 @@
                     const tolerance& allowed,
                     base::instant now);
 
-    void fill(base::instant now);
-    void restore(double amount, base::instant now);
+    void fill(const limit_rules& rules, base::instant now);
+    void restore(double amount, const limit_rules& rules, base::instant now);
     void drop_old(base::duration window, base::instant now);
     // The bucket as the uses within the window leave it, full before them.
-    void follow_window(base::duration window, base::instant now);
+    void follow_window(const limit_rules& rules, base::instant now);
 
     // The operator publishes another one.
     void change(const routing::usage_limit& published,
@@ -80,6 +80,9 @@
     base::instant promised_until;
 
 private:
+    // At which the bucket fills, a second: what a window may hold, evenly
+    // spread over it, or the rate alone while the window is not known.
+    double pace(const limit_rules& rules) const;
     double margin(const limit_rules& rules) const;
     double room(double bound) const;
 };
