--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -291,11 +291,9 @@
         own.restore(-(counted + waiting_more), valid, now);
 }
 
-// Failures guarded against: an entry restarts in a busy workspace's window;
-// each peer can tell what it let through itself, but only all of them know what
-// this entry's former process did. And entries restart in turn: with both
-// counted, and passed on from one fresh process to the next, work within the
-// limit was refused (160 requests of a calm day, for none).
+// An entry restarts in a busy workspace's window: each peer tells what it let
+// through itself, and all of them together what this entry's former process
+// did. Each counts once.
 void usage_limiter::learn_history(const workspace_use& told, base::instant now)
 {
     const auto found = this->limits.find(told.workspace);
@@ -329,12 +327,9 @@
     }
 }
 
-// Failure guarded against: a dispatcher stops and another one takes over, but
-// the first is heard until its own requests have ended. With nothing known of
-// it, each of its messages counted all that it let through lately once more,
-// and work within the limits was refused in all data centres until that had
-// left the window. What was counted of it is therefore kept as long as the
-// window holds it, and only what is new counts.
+// A dispatcher that stops is heard until its own requests have ended. What was
+// counted of it is kept as long as the window holds it, and only what is new
+// counts, or each of its messages would count its whole window once more.
 void usage_limiter::forget_peer(base::slot_id peer)
 {
     const auto found = this->peers.find(peer);
