Tests: a process that does not know the window gives out the rate alone

Found by taking the guard out: with the pace of the window also while it is not known, no test of the slice failed. fresh_process_gives_no_second_window had become loose when the fixture's limit got a burst longer than the window's rate: 896 passed a bound of 900. It is held to the rate (80) now, as strict as before that change, and fails without the guard at 896 of 80.

--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -154,7 +154,8 @@
         if (step == 0)
             CHECK_FALSE(this->take(fresh, 200));
     }
-    CHECK(let <= rate * window_seconds + burst);
+    // The rate alone, for whoever was there before may have used the rest.
+    CHECK(let <= rate * window_seconds);
     CHECK(let > 0.9 * rate * window_seconds);
     this->now += 82s;
     CHECK(this->take(fresh, 800));
