Trace: a difference says by itself whether the core broke a promise

Cause: the target told a broken promise from a malformed trace by searching the replay's message for those words, and the message of a malformed line quotes the line. No promise was broken: the replay ends at a line that can't be read.

Now the player marks what the ledger found, and the target asks for the mark. As strict as before: the mark is set at the one place that produced the words.

--- a/fuzz/trace_lines.cpp
+++ b/fuzz/trace_lines.cpp
@@ -49,8 +49,7 @@
             all.push_back(line);
     }
     const auto found = trace::replay(all);
-    require(!found.first ||
-                found.first->what.find("promise broken") == std::string::npos,
+    require(!found.first || !found.first->promise_broken,
             "the core keeps its promises");
     return 0;
 }
--- a/src/greengagedrum/trace/player.cpp
+++ b/src/greengagedrum/trace/player.cpp
@@ -28,7 +28,8 @@
     fault wrong = line.is_object() ? this->take_line(line)
                                    : fault("the line is no JSON object");
     if (wrong)
-        this->result.first = difference{this->line_number, std::move(*wrong)};
+        this->result.first = difference{
+            this->line_number, std::move(*wrong), this->promise_broken};
     return !this->result.first;
 }
 
@@ -39,7 +40,8 @@
         fault wrong = this->core ? this->no_action_left()
                                  : fault("the trace has no header");
         if (wrong)
-            this->result.first = {this->line_number, std::move(*wrong)};
+            this->result.first =
+                difference{this->line_number, std::move(*wrong)};
     }
     return std::move(this->result);
 }
@@ -124,8 +126,10 @@
     this->actions.clear();
     this->core->step(what, this->now, this->actions);
     for (const delivery::action& one : this->actions) {
-        if (auto promise = this->found.note(one, this->now))
+        if (auto promise = this->found.note(one, this->now)) {
+            this->promise_broken = true;
             return "promise broken: " + *promise + ": " + to_json(one).dump();
+        }
         if (!this->recorded)
             this->upstreams.note(one, this->now);
     }
--- a/src/greengagedrum/trace/player.hpp
+++ b/src/greengagedrum/trace/player.hpp
@@ -47,6 +47,7 @@
     std::vector<delivery::action> actions;
     std::deque<delivery::action> untold; // of a recording's last event
     std::size_t line_number = 0;
+    bool promise_broken = false;
     replay_result result;
 };
 
--- a/src/greengagedrum/trace/replay.hpp
+++ b/src/greengagedrum/trace/replay.hpp
@@ -18,6 +18,7 @@
 struct difference {
     std::size_t line = 0; // from 1
     std::string what;
+    bool promise_broken = false; // by the core, not a fault of the trace
 };
 
 struct replay_result {
--- a/src/greengagedrum/trace/test/replay_test.cpp
+++ b/src/greengagedrum/trace/test/replay_test.cpp
@@ -125,6 +125,16 @@
     CHECK_FALSE(replay({}).same());
 }
 
+// A trace whose own text speaks of a broken promise, and no core that broke
+// one.
+TEST_CASE_FIXTURE(replay_fixture, "broken_promise_named_by_the_trace_is_none")
+{
+    const auto found = this->with(R"({"at_ms": 2, "event": "promise broken"})");
+    REQUIRE(found.first);
+    CHECK(found.first->what.find("promise broken") != std::string::npos);
+    CHECK_FALSE(found.first->promise_broken);
+}
+
 // A recorded dispatch that the core no longer makes (or one it makes anew)
 // must not pass for the same run.
 TEST_CASE_FIXTURE(replay_fixture, "recorded_action_other_reported")
