Quota: beyond its limit, a workspace's more urgent requests go first

Cause: a limit let through whoever came first, whatever its priority.

Change: while more is asked than the limit's pace, a request leaves in bucket and window what more urgent ones ask for in the next half second, half of a burst at most. Within its limit nothing changes.

--- a/src/greengagedrum/entry/front.cpp
+++ b/src/greengagedrum/entry/front.cpp
@@ -197,8 +197,10 @@
         request.origin.workspace, head.method, head.target, from->body());
     const bool counted = !this->state.delegating;
     const auto over =
-        counted ? this->state.limiter.take(request.workspace, request.cost, now)
-                : std::nullopt;
+        counted
+            ? this->state.limiter.take(
+                  request.workspace, request.cost, request.facts.priority, now)
+            : std::nullopt;
     this->state.log.write(
         now,
         "front",
@@ -225,6 +227,7 @@
     fresh.arrived = now - waited;
     fresh.workspace = request.workspace;
     fresh.cost = request.cost;
+    fresh.priority = request.facts.priority;
     fresh.counted = counted;
     fresh.series = request.series;
     fresh.digest = request.facts.digest;
--- a/src/greengagedrum/entry/front.hpp
+++ b/src/greengagedrum/entry/front.hpp
@@ -100,7 +100,8 @@
         base::instant end_at;
         base::workspace_id workspace;
         base::request_digest digest;
-        double cost = 0;     // counted against its workspace's limit
+        double cost = 0; // counted against its workspace's limit
+        std::uint32_t priority = 0;
         bool counted = true; // here, and not where it is placed
         telemetry::series_key series;
         base::duration objective{0};
--- a/src/greengagedrum/entry/member_requests.cpp
+++ b/src/greengagedrum/entry/member_requests.cpp
@@ -119,6 +119,7 @@
                           ? std::nullopt
                           : this->state.limiter.take(wanted.facts.workspace,
                                                      wanted.cost,
+                                                     wanted.facts.priority,
                                                      this->state.clock());
     if (over) {
         this->note_over_limit(wanted.facts.workspace, wanted.cost, *over);
--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -108,17 +108,20 @@
 
 std::optional<base::duration> usage_limiter::take(base::workspace_id workspace,
                                                   double cost,
+                                                  std::uint32_t priority,
                                                   base::instant now)
 {
     workspace_limit* own = this->find_limited(workspace);
     if (own == nullptr)
         return std::nullopt;
+    own->demand.asked(priority, cost, now);
     const limit_rules valid = this->rules(now);
     own->fill(valid, now);
     own->drop_old(this->allowed.window, now);
-    const base::duration wait = own->until_allowed(cost, valid, now);
+    const base::duration wait = own->until_allowed(cost, priority, valid, now);
     if (wait.count() > 0)
         return own->promise_return(cost, wait, this->allowed.window, now);
+    own->demand.let_through(priority, cost, now);
     own->level -= cost;
     own->own_waiting += cost;
     return std::nullopt;
--- a/src/greengagedrum/quota/workspace_limit.cpp
+++ b/src/greengagedrum/quota/workspace_limit.cpp
@@ -21,6 +21,14 @@
 // A bucket follows what another process knew of the window in as many steps.
 constexpr std::size_t parts_followed = 32;
 
+// Beyond the limit, of the bucket: what more urgent requests ask for within
+// this time, and the most that is kept for them.
+constexpr base::duration kept_ahead = std::chrono::milliseconds(500);
+constexpr double kept_most = 0.5;
+
+// Of the cost of a more urgent request: next to nothing.
+constexpr double small_part = 0.05;
+
 // Of the rate, for callers that an entry refused though it let through nothing.
 constexpr double least_share = 0.02;
 
@@ -126,20 +134,51 @@
     return part * (bound - before) - since;
 }
 
+double workspace_limit::own_share() const
+{
+    const double all = this->recent.sum();
+    return all > 0 ? std::clamp(this->own_recent.sum() / all, least_share, 1.0)
+                   : 1.0;
+}
+
+// Failure guarded against: a workspace asks for several times its limit, and
+// its notes use what its dossiers are refused for. Requests that cost next to
+// nothing beside those leave them enough in any case.
+double workspace_limit::kept_for_more_urgent(double cost,
+                                             std::uint32_t priority,
+                                             const limit_rules& rules,
+                                             base::instant now) const
+{
+    const double share = this->own_share();
+    const double urgent_cost = this->demand.urgent_cost(priority, now);
+    if (this->demand.all(now) <= share * this->pace(rules) ||
+        cost <= small_part * urgent_cost)
+        return 0;
+    const double expected = this->demand.more_urgent(priority, now) / share *
+                            seconds_of(kept_ahead);
+    const double kept = std::min(kept_most * this->limit.burst, expected);
+    return this->demand.starved(priority, now) ? std::min(kept, urgent_cost)
+                                               : kept;
+}
+
 base::duration workspace_limit::until_allowed(double cost,
+                                              std::uint32_t priority,
                                               const limit_rules& rules,
                                               base::instant now) const
 {
     const double part = 1 - this->absent.share;
-    const double missing = cost - this->level - part * this->margin(rules);
+    const double wanted =
+        cost + part * this->kept_for_more_urgent(cost, priority, rules, now);
+    const double missing = wanted - this->level - part * this->margin(rules);
     const double bound = this->window_bound(rules);
-    const double lacking = cost - this->room(bound);
+    const double lacking = wanted - this->room(bound);
     // Failure guarded against: a limit is lowered and raised again and again,
     // or a process starts anew; the bucket then lets its burst through each
     // time. Whatever it says, the window under the highest limit lately holds.
     const bool lowered_lately = now < this->earlier_until;
-    const bool fits = lacking <= 0 || (lowered_lately &&
-                                       cost <= this->room(this->earlier_bound));
+    const bool fits =
+        lacking <= 0 ||
+        (lowered_lately && wanted <= this->room(this->earlier_bound));
     if (missing <= 0 && fits)
         return base::duration{0};
     const base::duration left =
@@ -159,14 +198,10 @@
                                                base::duration window,
                                                base::instant now)
 {
-    const double all = this->recent.sum();
-    const double share =
-        all > 0 ? std::clamp(this->own_recent.sum() / all, least_share, 1.0)
-                : 1.0;
     const base::instant at = std::clamp(
         this->promised_until, now + std::min(wait, window), now + window);
     this->promised_until =
-        at + duration_of(cost / (share * this->limit.per_second));
+        at + duration_of(cost / (this->own_share() * this->limit.per_second));
     return at - now;
 }
 
--- a/src/greengagedrum/quota/workspace_limit.hpp
+++ b/src/greengagedrum/quota/workspace_limit.hpp
@@ -5,6 +5,7 @@
 
 #include <greengagedrum/base/time.hpp>
 #include <greengagedrum/quota/absent_peers.hpp>
+#include <greengagedrum/quota/priority_demand.hpp>
 #include <greengagedrum/quota/window_sum.hpp>
 #include <greengagedrum/routing/configuration.hpp>
 
@@ -47,8 +48,10 @@
     // What a window may hold.
     double window_bound(const limit_rules& rules) const;
 
-    // How long until a request of that cost is within the limit.
+    // How long until a request of that cost is within the limit, and leaves
+    // enough for those more urgent.
     base::duration until_allowed(double cost,
+                                 std::uint32_t priority,
                                  const limit_rules& rules,
                                  base::instant now) const;
 
@@ -70,7 +73,8 @@
     double own_waiting = 0; // let through, not sent
     double peers_waiting = 0;
     window_sum own_recent;
-    window_sum recent; // all entries'
+    window_sum recent;      // all entries'
+    priority_demand demand; // of the requests that are counted here
     // From before this process: what peers told of themselves, and what was
     // counted.
     double told_of_peers = 0;
@@ -85,6 +89,12 @@
     double pace(const limit_rules& rules) const;
     double margin(const limit_rules& rules) const;
     double room(double bound) const;
+    // Of what all entries used lately, the part that went through this one.
+    double own_share() const;
+    double kept_for_more_urgent(double cost,
+                                std::uint32_t priority,
+                                const limit_rules& rules,
+                                base::instant now) const;
 };
 
 } // namespace greengagedrum::quota
