Gossip: a dispatcher is found wherever it stands in line

What callers saw: nothing by name; limits that were given out twice and more, and work of a full data centre that found no room elsewhere.

Causes, both in whom an entry asks: * Of another data centre, the two strongest were asked who places, again and again, though both had just said that another one places for them. After restarts the strong ones are young and leave a weaker one in place, so that one was never asked. Now whoever declined within two seconds is passed over, as among the own data centre's entries. * Behind a cut, those first in line may all be on the other side. Three at a time were asked, 0.4 s each; after half a second each entry placed by itself. Now twice as many are asked each 0.1 s, for a second.

Both unit tests fail without it by their first check.

--- a/src/greengagedrum/gossip/succession.cpp
+++ b/src/greengagedrum/gossip/succession.cpp
@@ -42,6 +42,11 @@
 constexpr std::size_t tried_at_once = 3;
 constexpr std::size_t far_tried_at_once = 2;
 
+// While none of them is found at first, twice as many after each such time.
+constexpr base::duration search_step = std::chrono::milliseconds(100);
+constexpr int search_steps = 4;
+constexpr base::duration wide_search = std::chrono::seconds(1);
+
 // The age that an entry is named with lacks the message's own way.
 constexpr base::duration naming_lag = std::chrono::milliseconds(100);
 
@@ -268,8 +273,21 @@
         }));
 }
 
+bool succession::is_placed_nearby(base::instant now) const
+{
+    return std::any_of(
+        this->others.begin(), this->others.end(), [&](const auto& entry) {
+            return entry.second.data_centre == this->data_centre &&
+                   places(entry.second, now);
+        });
+}
+
 // Those of one data centre that go before `before`, in order, unless they were
 // asked in vain.
+//
+// Failure guarded against: the strongest entries of another data centre were
+// restarted and left the one that had followed them in place. Whoever asked
+// only them who places there, again and again, never heard of that one.
 void succession::try_strongest(base::data_centre_id of,
                                std::size_t most,
                                std::optional<ip_number> before,
@@ -281,7 +299,9 @@
         if (address == before || count == most)
             return;
         const candidate& one = this->others.at(address);
-        const bool declined = before && one.delegating && one.heard_at &&
+        const bool others_may_place = before || of != this->data_centre;
+        const bool declined = others_may_place && one.delegating &&
+                              one.heard_at &&
                               now - *one.heard_at <= delegates_for;
         if (declined || now < one.passed_over_until || places(one, now))
             continue;
@@ -290,11 +310,27 @@
     }
 }
 
+// Failure guarded against: a data centre is cut in two, and those on one side
+// that go first in line are all on the other. Asked three at a time, it takes
+// seconds to pass them over, in which each entry places by itself.
+std::size_t succession::tried_now(base::instant now) const
+{
+    if (!this->searching_since || now - *this->searching_since > wide_search)
+        return tried_at_once;
+    const auto steps = (now - *this->searching_since) / search_step;
+    return tried_at_once << std::min<std::int64_t>(steps, search_steps);
+}
+
 std::vector<ip_number> succession::to_try(base::instant now)
 {
     std::vector<ip_number> out;
     const auto placing = this->dispatcher(now);
-    this->try_strongest(this->data_centre, tried_at_once, placing, now, out);
+    if (placing)
+        this->searching_since.reset();
+    else if (!this->searching_since)
+        this->searching_since = now;
+    this->try_strongest(
+        this->data_centre, this->tried_now(now), placing, now, out);
     if (!placing)
         std::erase_if(out, [&](ip_number address) {
             return !this->goes_before_own(address);
--- a/src/greengagedrum/gossip/succession.hpp
+++ b/src/greengagedrum/gossip/succession.hpp
@@ -76,6 +76,8 @@
 
     // Others that place, of any data centre, this one not counted.
     std::size_t dispatchers(base::instant now) const;
+    // Another entry of the own data centre places.
+    bool is_placed_nearby(base::instant now) const;
 
     // Other data centres of which nobody was heard lately, and entries of the
     // own one that are known of.
@@ -113,6 +115,7 @@
     static bool places(const candidate& one, base::instant now);
     std::vector<ip_number> ranked(base::data_centre_id of,
                                   base::instant now) const;
+    std::size_t tried_now(base::instant now) const;
     void try_strongest(base::data_centre_id of,
                        std::size_t most,
                        std::optional<ip_number> before,
@@ -125,6 +128,7 @@
     base::instant started;
     bool serving = false;
     std::optional<ip_number> chosen; // the dispatcher, when last asked
+    std::optional<base::instant> searching_since; // none was found since then
     candidates others;
     ip_number next_named = 0;
     bool large = false;
--- a/src/greengagedrum/gossip/test/succession_test.cpp
+++ b/src/greengagedrum/gossip/test/succession_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace greengagedrum::gossip
 {
@@ -157,6 +158,47 @@
     CHECK(this->own.unheard_data_centres(this->now) == 0);
 }
 
+// The strongest of another data centre leave a weaker one in place, which
+// nobody elsewhere ever finds.
+TEST_CASE_FIXTURE(succession_fixture,
+                  "dispatcher_behind_those_that_decline_found")
+{
+    for (const ip_number address : {10U, 11U, 12U, 13U})
+        this->name({address, 100ms, yard, address < 12 ? strong : weak});
+    CHECK_FALSE(contains(this->own.far_dispatchers(this->now), 12));
+    for (const ip_number address : {10U, 11U}) {
+        message declining = this->from(address, strong, "yard");
+        declining.delegating = true;
+        this->own.heard(declining, this->now);
+    }
+    const auto next = this->own.far_dispatchers(this->now);
+    CHECK(contains(next, 12));
+    CHECK(contains(next, 13));
+    CHECK_FALSE(contains(next, 10));
+}
+
+// All that go first in line are behind a cut: the first that is not is found
+// within half a second.
+TEST_CASE_FIXTURE(succession_fixture, "many_first_in_line_silent_next_is_found")
+{
+    message told = this->from(200, weak, "yard");
+    for (ip_number address = 10; address < 50; ++address)
+        told.known.push_back({address, 100ms, hall, strong});
+    this->own.heard(told, this->now);
+    std::set<ip_number> asked;
+    for (const base::instant until = this->now + 500ms; this->now < until;
+         this->now += 100ms) {
+        for (const ip_number address : this->own.to_try(this->now)) {
+            this->own.told(address, this->now);
+            asked.insert(address);
+        }
+    }
+    CHECK(asked.size() == 40);
+    // Not for ever: those behind a long cut are asked a few at a time.
+    this->now += 5s;
+    CHECK(this->own.to_try(this->now).size() <= 3);
+}
+
 // A dispatcher elsewhere falls silent and another one of its data centre
 // places: nothing is kept for the first any more.
 TEST_CASE_FIXTURE(succession_fixture,
