Quota: a part is kept for members that report to nobody that is heard

Cause: each side has a dispatcher, and each gave out what the data centre may use; a part was kept only for entries of a data centre of which none reported.

Change: while no other entry of the data centre places, the part of its known entries that does not report is kept of this dispatcher's own part (all that is not kept for silent peers, divided by those heard and itself). It fades as they report or are forgotten (30 s), and is not kept by one that stops, whose members left it for another.

Weighed: a whole further entry as soon as a third does not report (refuses more where many die at once, and does not hold where one side is small); nothing kept (before).

--- a/src/greengagedrum/entry/peer_link.hpp
+++ b/src/greengagedrum/entry/peer_link.hpp
@@ -109,6 +109,8 @@
     void ask_dispatcher(const gossip::message& told, base::instant now);
     void take_limits(const gossip::message& told, base::instant now);
     std::size_t unheard_near(base::instant now) const;
+    std::size_t members_heard(base::instant now) const;
+    double unreported_part(base::instant now) const;
     base::duration read_lately() const;
     bool dispatcher_reads(base::duration bound, base::instant now) const;
     bool is_serving() const;
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -272,12 +272,16 @@
 {
     if (this->state.delegating)
         return false;
-    const auto heard = std::count_if(
+    return 2 * (this->members_heard(now) + 1) >=
+           this->order.known_nearby(now) + 1;
+}
+
+std::size_t peer_link::members_heard(base::instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(
         this->members.begin(), this->members.end(), [&](const auto& one) {
             return now - one.second.heard_at <= reports_within;
-        });
-    return 2 * (static_cast<std::size_t>(heard) + 1) >=
-           this->order.known_nearby(now) + 1;
+        }));
 }
 
 // Of the requests that cold upstreams of the own data centre get. Among many
@@ -338,6 +342,7 @@
     const std::size_t unheard =
         this->order.unheard_data_centres(now) + this->unheard_near(now);
     this->state.limiter.set_unheard_peers(unheard);
+    this->state.limiter.set_unreported_members(this->unreported_part(now), now);
     this->forget_replaced(now);
     const entry_counts counted{placing, unheard};
     if (this->state.delegating || counted == this->counts)
@@ -367,6 +372,21 @@
     return this->unheard_alone - this->members.size();
 }
 
+// Of the entries of this data centre, the part that reports to nobody that this
+// one hears. An entry with no members is counted for by unheard_near().
+double peer_link::unreported_part(base::instant now) const
+{
+    if (this->state.delegating || this->state.stopping ||
+        this->members.empty() || now - this->placing_since < gather_time ||
+        this->order.is_placed_nearby(now))
+        return 0;
+    const std::size_t reporting = 1 + this->members_heard(now);
+    const std::size_t all = 1 + this->order.known_nearby(now);
+    return reporting >= all
+               ? 0
+               : 1 - static_cast<double>(reporting) / static_cast<double>(all);
+}
+
 // Failure guarded against: a dispatcher falls silent and another one of its
 // data centre takes over. With a part of each limit kept for the first as for
 // one behind a cut, work within the limits was refused for half a minute.
--- a/src/greengagedrum/quota/absent_peers.cpp
+++ b/src/greengagedrum/quota/absent_peers.cpp
@@ -17,6 +17,9 @@
 // that the limits were tried with (12 s).
 constexpr base::duration assumed_for = std::chrono::seconds(30);
 
+// Of the entries that report: fewer are lost one by one.
+constexpr double new_cut = 0.1;
+
 } // namespace
 
 void absent_peers::own_used(base::workspace_id workspace,
@@ -117,6 +120,26 @@
            static_cast<double>(this->peers.size() + this->unheard + 1);
 }
 
+// More of them than so is another cut.
+void absent_peers::set_unreported(double part, base::instant now)
+{
+    if (part > this->unreported + new_cut)
+        this->unreported_since = now;
+    this->unreported = part;
+}
+
+// Failure guarded against: two parts of a data centre can't hear each other,
+// each has a dispatcher, and each of them gives out what the data centre may
+// use. `own_part`: of the limit, what heard entries and this one have.
+double absent_peers::unreported_share(double own_part) const
+{
+    const auto heard =
+        std::count_if(this->peers.begin(),
+                      this->peers.end(),
+                      [](const auto& entry) { return !entry.second.silent; });
+    return this->unreported * own_part / static_cast<double>(heard + 1);
+}
+
 assumed_use absent_peers::of(base::workspace_id workspace,
                              base::instant now) const
 {
@@ -131,6 +154,10 @@
         out.since = std::min(out.since, one.heard_at);
     }
     out.share = std::min(out.share, 1.0);
+    if (this->unreported > 0) {
+        out.share += this->unreported_share(1 - out.share);
+        out.since = std::min(out.since, this->unreported_since);
+    }
     return out;
 }
 
--- a/src/greengagedrum/quota/absent_peers.hpp
+++ b/src/greengagedrum/quota/absent_peers.hpp
@@ -48,6 +48,9 @@
 
     // Entries that are known of and were never heard.
     void set_unheard(std::size_t count) { this->unheard = count; }
+    // Of the entries that this one counts for, the part that does not report:
+    // another one may count for them where neither can be heard.
+    void set_unreported(double part, base::instant now);
 
     // One workspace's limit.
     struct limited {
@@ -74,11 +77,14 @@
                      base::instant now);
     double all_rates(base::workspace_id workspace, base::instant now) const;
     double unheard_share(base::instant now) const;
+    double unreported_share(double own_part) const;
 
     base::instant started;
     std::unordered_map<base::slot_id, state> peers;
     std::unordered_map<base::workspace_id, fading_rate> own;
     std::size_t unheard = 0;
+    double unreported = 0;
+    base::instant unreported_since;
 };
 
 } // namespace greengagedrum::quota
--- a/src/greengagedrum/quota/test/handover_test.cpp
+++ b/src/greengagedrum/quota/test/handover_test.cpp
@@ -95,8 +95,32 @@
     CHECK_FALSE(this->take(next, 20));
 }
 
-// Two thousand workspaces are in use, and one of them is near its limit. What
-// is handed over fits into a datagram, and that one is among it.
+// Members report to another dispatcher behind a cut, and both give out the
+// same.
+TEST_CASE_FIXTURE(limiter_fixture, "part_of_unreported_members_is_kept")
+{
+    this->own.set_unreported_members(0.5, this->now);
+    this->own.assume_silent_peers(this->now);
+    CHECK(this->take(this->own, 400));
+    CHECK_FALSE(this->take(this->own, 60));
+    this->own.set_unreported_members(0, this->now);
+    this->own.assume_silent_peers(this->now);
+    this->now += 9s;
+    CHECK(this->take(this->own, 800));
+}
+
+// The same where another data centre's dispatcher is heard: its part is its
+// own.
+TEST_CASE_FIXTURE(limiter_fixture,
+                  "part_of_unreported_members_leaves_peers_theirs")
+{
+    this->talk();
+    this->own.set_unreported_members(0.5, this->now);
+    this->own.assume_silent_peers(this->now);
+    CHECK(this->take(this->own, 600));
+    CHECK_FALSE(this->take(this->own, 60));
+}
+
 TEST_CASE("workspaces_nearest_to_their_limits_are_handed_over")
 {
     constexpr std::uint64_t workspaces = 2000;
--- a/src/greengagedrum/quota/usage_limiter.cpp
+++ b/src/greengagedrum/quota/usage_limiter.cpp
@@ -365,6 +365,11 @@
     this->absent.set_unheard(count);
 }
 
+void usage_limiter::set_unreported_members(double part, base::instant now)
+{
+    this->absent.set_unreported(part, now);
+}
+
 void usage_limiter::assume_silent_peers(base::instant now)
 {
     this->drop_forgotten(now);
--- a/src/greengagedrum/quota/usage_limiter.hpp
+++ b/src/greengagedrum/quota/usage_limiter.hpp
@@ -112,6 +112,8 @@
     void assume_silent_peers(base::instant now);
     // Entries that are named somewhere and were never heard.
     void set_unheard_peers(std::size_t count);
+    // Of those that this entry counts for, the part that does not report.
+    void set_unreported_members(double part, base::instant now);
 
     std::vector<workspace_use> own_uses(base::instant now);
     // For whoever may take over: also what only others used, in finer parts.
