--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -26,9 +26,6 @@
 // Entries that read the store as soon as their dispatcher may not.
 constexpr std::size_t readers_in_line = 3;
 
-// Until members have found their new dispatcher.
-constexpr base::duration gather_time = std::chrono::milliseconds(300);
-
 // What a dispatcher told of limits holds until its successor has noticed that
 // it is silent, and has asked those before it in line.
 constexpr base::duration limits_hold = std::chrono::milliseconds(1000);
@@ -53,9 +50,6 @@
 // Of a dispatcher that is followed: the window in which its sends count.
 constexpr base::duration last_sends_within = std::chrono::seconds(1);
 
-// A place that another data centre's dispatcher frees is left to it as long.
-constexpr base::duration gossip_gap_among_many = std::chrono::milliseconds(10);
-
 } // namespace
 
 // ---- Hearing --------------------------------------------------------------
@@ -315,89 +309,4 @@
                           {{"rank", next.rank}, {"sharers", next.sharers}});
 }
 
-void peer_link::count_entries(base::instant now)
-{
-    this->note_awake(now);
-    this->share_cold_upstreams(now);
-    if (this->large)
-        return this->count_among_many(now);
-    traffic::scheduler& scheduler = this->state.scheduler;
-    scheduler.set_entries(this->table.alive_lately(now) + 1);
-    scheduler.set_gossip_gap(
-        this->schedule.gap(gossip::audience::own_data_centre));
-    this->state.limiter.set_unheard_peers(this->table.unheard());
-}
-
-// Failure guarded against: an entry that is cut off from all others has no
-// members, places by itself, and would give each workspace its whole limit
-// beside the one that the others give.
-void peer_link::count_among_many(base::instant now)
-{
-    const std::size_t all = this->order.size(now);
-    const std::size_t placing = this->order.dispatchers(now) + 1;
-    traffic::scheduler& scheduler = this->state.scheduler;
-    scheduler.set_entries(this->members.empty() ? all : placing);
-    scheduler.set_retrying_entries(all);
-    scheduler.set_gossip_gap(gossip_gap_among_many);
-    const std::size_t unheard =
-        this->order.unheard_data_centres(now) + this->unheard_near(now);
-    this->state.limiter.set_unheard_peers(unheard);
-    this->state.limiter.set_unreported_members(this->unreported_part(now), now);
-    this->forget_replaced(now);
-    const entry_counts counted{placing, unheard};
-    if (this->state.delegating || counted == this->counts)
-        return;
-    this->counts = counted;
-    this->state.log.write(now,
-                          "peers",
-                          "dispatchers_counted",
-                          {{"dispatchers", placing},
-                           {"unheard", unheard},
-                           {"members", this->members.size()},
-                           {"entries", all}});
-}
-
-// Entries of this data centre that may let requests through where they can't be
-// heard. Members come one by one after a change of dispatchers; an entry with
-// none for longer is cut off.
-std::size_t peer_link::unheard_near(base::instant now) const
-{
-    const bool gathered = now - this->placing_since >= gather_time;
-    if (this->members.empty())
-        return gathered ? std::max(this->unheard_alone,
-                                   this->order.known_nearby(now))
-                        : this->unheard_alone;
-    if (gathered || this->members.size() >= this->unheard_alone)
-        return 0;
-    return this->unheard_alone - this->members.size();
-}
-
-// Of the entries of this data centre, the part that reports to nobody that this
-// one hears. An entry with no members is counted for by unheard_near().
-double peer_link::unreported_part(base::instant now) const
-{
-    if (this->state.delegating || this->state.stopping ||
-        this->members.empty() || now - this->placing_since < gather_time ||
-        this->order.is_placed_nearby(now))
-        return 0;
-    const std::size_t reporting = 1 + this->members_heard(now);
-    const std::size_t all = 1 + this->order.known_nearby(now);
-    return reporting >= all
-               ? 0
-               : 1 - static_cast<double>(reporting) / static_cast<double>(all);
-}
-
-// Failure guarded against: a dispatcher falls silent and another one of its
-// data centre takes over. With a part of each limit kept for the first as for
-// one behind a cut, work within the limits was refused for half a minute.
-void peer_link::forget_replaced(base::instant now)
-{
-    std::erase_if(this->counting, [&](const auto& one) {
-        if (!this->order.is_replaced(one.second, now))
-            return false;
-        this->state.limiter.forget_peer(one.first);
-        return true;
-    });
-}
-
 } // namespace greengagedrum::entry
