--- a/src/greengagedrum/entry/fleet_test/fleet_trouble.cpp
+++ b/src/greengagedrum/entry/fleet_test/fleet_trouble.cpp
@@ -89,6 +89,13 @@
                                 this->plan.frozen_for * 1e6));
         });
     }
+    if (this->seconds() >= this->plan.most_gone_at) {
+        for (std::size_t number = this->plan.left; number < this->nodes.size();
+             ++number) {
+            this->end(number);
+            this->back_at[number] = base::instant::max();
+        }
+    }
     if (!this->all_killed && this->seconds() >= this->plan.all_killed_at) {
         this->all_killed = true;
         for (std::size_t number = 0; number < this->nodes.size(); ++number)
--- a/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
@@ -295,8 +295,12 @@
             this->judge();
     }
     for (std::size_t number = 0; number < this->fleet.size(); ++number) {
-        if (this->fleet.at(number) == nullptr)
+        const node* one = this->fleet.at(number);
+        if (one == nullptr)
             continue;
+        this->result.kept_for_absent = std::max(
+            this->result.kept_for_absent,
+            one->state.limiter.view(busy, this->fleet.time()).absent_share);
         for (const auto& [id, request] : this->works[number].requests) {
             const bool late = this->fleet.time() - request.arrived > 1s;
             this->result.unanswered += late ? 1 : 0;
--- a/src/greengagedrum/entry/fleet_test/limited_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet.hpp
@@ -30,6 +30,9 @@
     double let = 0;         // of what the limit allows in all that time
     double worst_share = 0; // of what a window may hold, the most that one held
     double worst_at = 0;    // seconds
+    // Of the limit, kept at the end for entries that are not heard, the most at
+    // one entry.
+    double kept_for_absent = 0;
     std::uint32_t dispatcher_changes = 0; // after the start of all entries
     std::uint64_t busiest_bytes = 0;      // of one entry, a second, on average
 };
--- a/src/greengagedrum/entry/fleet_test/limited_fleet_test.cpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet_test.cpp
@@ -118,6 +118,19 @@
     }
 }
 
+// A fleet that shrinks until each entry places by itself goes on keeping a part
+// for those that are gone.
+TEST_CASE("fleet_that_shrinks_keeps_nothing_for_those_that_are_gone")
+{
+    fleet_plan plan;
+    plan.entries = 34;
+    plan.data_centres = 1;
+    plan.most_gone_at = 5;
+    plan.left = 20;
+    plan.seconds = 40;
+    CHECK(played(plan).kept_for_absent == 0);
+}
+
 // Dispatchers and others come and go in any way, with one workspace at 0.3 to 3
 // times its limit: no window of the operator's holds more than is tolerated.
 TEST_CASE("random_changes_of_dispatchers_keep_every_window")
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
@@ -32,6 +32,9 @@
     // Half of the entries of the first data centre, its dispatcher with them.
     double cut_from = 1e9;
     double cut_for = 10;
+    // All but the first few are gone for good.
+    double most_gone_at = 1e9;
+    std::size_t left = 0;
     double lost_share = 0; // of all datagrams
     std::uint64_t seed = 1;
 };
--- a/src/greengagedrum/entry/peer_counting.cpp
+++ b/src/greengagedrum/entry/peer_counting.cpp
@@ -28,6 +28,7 @@
     scheduler.set_gossip_gap(
         this->schedule.gap(gossip::audience::own_data_centre));
     this->state.limiter.set_unheard_peers(this->table.unheard());
+    this->state.limiter.set_unreported_members(0, now); // it has none
 }
 
 // Failure guarded against: an entry that is cut off from all others has no
