Tests: a fleet that shrinks is played until nothing else keeps a part

Played for 70 s it fails without the change (0.01 of the limit kept for good, at the former dispatcher) and passes with it (0).

--- a/src/greengagedrum/entry/fleet_test/limited_fleet_test.cpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet_test.cpp
@@ -127,7 +127,7 @@
     plan.data_centres = 1;
     plan.most_gone_at = 5;
     plan.left = 20;
-    plan.seconds = 40;
+    plan.seconds = 70;
     CHECK(played(plan).kept_for_absent == 0);
 }
 
