--- a/src/greengagedrum/quota/test/priority_test.cpp
+++ b/src/greengagedrum/quota/test/priority_test.cpp
@@ -113,4 +113,30 @@
     CHECK(more_notes.served() == 1);
 }
 
+// A process that has just begun to count hears what busy peers let through, and
+// takes the limit for exceeded.
+TEST_CASE_FIXTURE(priority_fixture, "notes_within_a_limit_pass_a_fresh_process")
+{
+    series elsewhere{dossier, 40, 0.6};
+    const auto peer_goes_on = [&] {
+        elsewhere.due += elsewhere.demand * per_second * 0.01;
+        for (; elsewhere.due >= elsewhere.cost; elsewhere.due -= elsewhere.cost)
+            CHECK(this->take(this->peer, elsewhere.cost));
+    };
+    for (int step = 0; step < 800; ++step) {
+        peer_goes_on();
+        this->now += 10ms;
+    }
+    this->own = this->fresh_limiter({8s, 0.25, 0}, per_second, most_at_once);
+    series dossiers{dossier, 40, 0.12};
+    series notes{note, 10, 0.2};
+    for (int step = 0; step < 200; ++step) {
+        peer_goes_on();
+        this->talk();
+        this->play(dossiers, notes, 10ms);
+    }
+    CHECK(dossiers.served() == 1);
+    CHECK(notes.served() == 1);
+}
+
 } // namespace greengagedrum::quota
