--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -259,14 +259,9 @@
     const auto query = parse_item_query(target);
     if (!query)
         return {503, "text/plain", "unknown target\n"};
-    gossip::item_transfer out =
-        query->incarnation
-            ? this->state.cluster.items_after_change(
-                  *query->incarnation == this->incarnation ? query->position
-                                                           : 0)
-            : this->state.cluster.items_after_revision(query->position);
-    out.incarnation = this->incarnation;
-    return {200, "application/octet-stream", gossip::encode(out)};
+    return {200,
+            "application/octet-stream",
+            answer_item_query(*query, this->state.cluster, this->incarnation)};
 }
 
 std::string entry::metrics_text() const
--- /dev/null
+++ b/src/greengagedrum/entry/item_query.hpp
@@ -0,0 +1,32 @@
+// Requests of one entry to another for configuration items, and their answers.
+#pragma once
+
+#include <greengagedrum/entry/cluster_state.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace greengagedrum::entry
+{
+
+// A request to a peer for configuration items: those above a revision of the
+// store, or, with an incarnation, those changed after a change count of that
+// incarnation of the peer.
+struct item_query {
+    std::uint64_t position = 0;
+    std::optional<base::incarnation> incarnation;
+};
+
+// The HTTP request target of a query, and its parser; empty if `target` is
+// malformed.
+std::string item_query_target(const item_query& query);
+std::optional<item_query> parse_item_query(std::string_view target);
+
+// The body of the answer to a query, from the entry of that incarnation.
+std::string answer_item_query(const item_query& query,
+                              const cluster_state& cluster,
+                              base::incarnation incarnation);
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -2,7 +2,6 @@
 #include <greengagedrum/entry/store_reader.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace greengagedrum::entry
 {
@@ -26,10 +25,6 @@
 // Interval of the liveness check; nothing that depends on it is needed sooner.
 constexpr base::duration check_interval = std::chrono::milliseconds(20);
 
-constexpr std::string_view since_path = "/items?since=";
-constexpr std::string_view after_path = "/items?after=";
-constexpr std::string_view life_parameter = "&life=";
-
 std::uint32_t strength_of(const settings& given)
 {
     constexpr double thousandths = 1000;
@@ -38,40 +33,6 @@
 
 } // namespace
 
-std::string item_query_target(const item_query& query)
-{
-    const std::string number = std::to_string(query.position);
-    if (!query.incarnation)
-        return std::string(since_path) + number;
-    return std::string(after_path) + number + std::string(life_parameter) +
-           std::to_string(query.incarnation->value);
-}
-
-std::optional<item_query> parse_item_query(std::string_view target)
-{
-    const bool after = target.starts_with(after_path);
-    if (!after && !target.starts_with(since_path))
-        return std::nullopt;
-    target.remove_prefix(after ? after_path.size() : since_path.size());
-    item_query out;
-    const char* const end = target.data() + target.size();
-    const auto number = std::from_chars(target.data(), end, out.position);
-    if (number.ec != std::errc())
-        return std::nullopt;
-    if (!after)
-        return out;
-    target.remove_prefix(static_cast<std::size_t>(number.ptr - target.data()));
-    if (!target.starts_with(life_parameter))
-        return std::nullopt;
-    target.remove_prefix(life_parameter.size());
-    base::incarnation incarnation;
-    if (std::from_chars(target.data(), end, incarnation.value).ec !=
-        std::errc())
-        return std::nullopt;
-    out.incarnation = incarnation;
-    return out;
-}
-
 peer_protocol::peer_protocol(const settings& given,
                              base::incarnation incarnation,
                              shared_state& state,
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -9,6 +9,7 @@
 // peer_roles.cpp which role this entry has.
 #pragma once
 
+#include <greengagedrum/entry/item_query.hpp>
 #include <greengagedrum/entry/peer_transport.hpp>
 #include <greengagedrum/entry/request_handler.hpp>
 #include <greengagedrum/entry/settings.hpp>
@@ -49,19 +50,6 @@
     std::function<dispatch::dispatcher_reply(base::slot_id)> make_reply;
 };
 
-// A request to a peer for configuration items: those above a revision of the
-// store, or, with an incarnation, those changed after a change count of that
-// incarnation of the peer.
-struct item_query {
-    std::uint64_t position = 0;
-    std::optional<base::incarnation> incarnation;
-};
-
-// The HTTP request target of a query, and its parser; empty if `target` is
-// malformed.
-std::string item_query_target(const item_query& query);
-std::optional<item_query> parse_item_query(std::string_view target);
-
 class peer_protocol
 {
 public:
