Entry: transfers of items between entries log size and time

What told apart slow transfers, late ones and dispatchers that are busy was not logged: a failed transfer now says after how long, and how many bytes of the answer had arrived; a finished one has a line with its size, time and whether it held all items. No decision is changed.

--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -1,5 +1,6 @@
 #include <greengagedrum/entry/peer_protocol.hpp>
 #include <greengagedrum/entry/store_reader.hpp>
+#include <greengagedrum/entry/to_milliseconds.hpp>
 
 #include <algorithm>
 
@@ -313,18 +314,30 @@
         fetch_timeout,
         [this, to](tl::expected<relay::fetched, std::string> got) {
             this->fetching = false;
+            const base::instant ended_at = this->state.clock();
+            const double after_ms =
+                to_milliseconds(ended_at - this->fetch_started_at);
             if (got && got->status == relay::status_ok) {
                 if (const auto items = gossip::decode_items(got->body)) {
                     this->synced_position = {items->incarnation,
                                              items->change_count};
+                    this->state.log.write(ended_at,
+                                          "peers",
+                                          "peer_gave_items",
+                                          {{"peer", to.ip},
+                                           {"items", items->items.size()},
+                                           {"complete", items->complete},
+                                           {"bytes", got->body.size()},
+                                           {"after_ms", after_ms}});
                     return this->events.items_received(*items);
                 }
             }
             this->state.log.write(
-                this->state.clock(),
+                ended_at,
                 "peers",
                 "peer_gave_no_items",
                 {{"peer", to.ip},
+                 {"after_ms", after_ms},
                  {"why",
                   got ? std::string("unexpected status or undecodable items")
                       : got.error()}});
--- a/src/greengagedrum/relay/http_get.cpp
+++ b/src/greengagedrum/relay/http_get.cpp
@@ -28,8 +28,9 @@
         if (fault || question != self->number || !self->tell)
             return;
         // The connection may have gone silent for good: never used again.
+        const std::string why = self->timeout_text();
         self->disconnect();
-        self->finish(tl::unexpected(std::string("no answer in time")));
+        self->finish(tl::unexpected(why));
     });
     if (this->connected)
         this->write();
@@ -37,6 +38,15 @@
         this->connect();
 }
 
+std::string http_get::timeout_text() const
+{
+    const std::size_t count = this->body.size() + this->inbox.size();
+    if (count == 0)
+        return "no answer in time";
+    return "no whole answer in time, " + std::to_string(count) +
+           " bytes received";
+}
+
 void http_get::connect()
 {
     this->socket = tcp::socket(this->context);
--- a/src/greengagedrum/relay/http_get.hpp
+++ b/src/greengagedrum/relay/http_get.hpp
@@ -52,6 +52,7 @@
     void on_read(error_code fault, std::size_t count);
     void finish(tl::expected<fetched, std::string> result);
     void disconnect();
+    std::string timeout_text() const;
 
     asio::io_context& context;
     tcp::socket socket;
