Tests: changes of a large configuration over fleets on slow links (red)

The simulated fleet gets transfers over links of limited capacity and a model of each entry's reading of the store.

--- /dev/null
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
@@ -0,0 +1,276 @@
+#include <greengagedrum/entry/fleet_test/configuration_fleet.hpp>
+#include <greengagedrum/entry/store_reader.hpp>
+#include <greengagedrum/placement/mix.hpp>
+#include <greengagedrum/platform/documents.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace greengagedrum::entry::fleet_test
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// As in store_reader.
+constexpr base::duration idle_check_interval = 100ms;
+constexpr base::duration call_timeout = 1100ms;
+constexpr base::duration backoff_step = 100ms;
+constexpr base::duration idle_backoff = 1s;
+constexpr std::uint32_t max_backoff_steps = 4;
+
+// The store sends values in Base64.
+constexpr double base64_expansion = 4.0 / 3;
+constexpr double bytes_of_other_changes = 2000;
+
+std::string random_name(std::uint64_t seed, std::uint64_t number)
+{
+    constexpr std::size_t letters = 8;
+    constexpr std::uint64_t alphabet = 26;
+    std::uint64_t draw = placement::mix(seed, number);
+    std::string out;
+    for (std::size_t each = 0; each < letters; ++each, draw /= alphabet)
+        out += static_cast<char>('a' + draw % alphabet);
+    return out;
+}
+
+std::string route_text(std::uint64_t number)
+{
+    const std::string name = random_name(1, number);
+    return R"({"name": ")" + name + R"(", "hostname": ")" +
+           random_name(2, number % 20) + R"(.example", "prefix": "/)" + name +
+           "/" + random_name(3, number) +
+           R"(/", "routeType": "idempotent", "timeoutMs": 3000, )"
+           R"("targetLatencyMs": 500, "maxAttempts": 2, "service": "models"})";
+}
+
+std::string workspace_text(std::uint64_t number, std::uint64_t key)
+{
+    return R"({"name": "workspace-)" + std::to_string(number) +
+           R"(", "apiKeys": [")" + random_name(4 + key, number) + R"("]})";
+}
+
+} // namespace
+
+configuration_fleet::configuration_fleet(const configuration_plan& plan)
+    : plan(plan), readers(plan.entries), behind(plan.entries),
+      requests(plan.entries), routes(plan.routes), fleet(plan, this->hooks())
+{
+    this->document.key = platform::configuration_key;
+    this->write_configuration();
+    this->fleet.start();
+}
+
+virtual_fleet::hooks configuration_fleet::hooks()
+{
+    virtual_fleet::hooks out;
+    out.configure = [this](node& one) {
+        this->readers[one.number] = {};
+        this->requests[one.number] = {};
+        this->behind[one.number] = this->changes.size();
+    };
+    out.events = [this](node& one) { return this->events_of(one); };
+    out.after_step = [this](node& one) { this->read_store(one); };
+    out.answer_query = [](node& one, const item_query& query) {
+        return answer_item_query(query, one.state.cluster, one.incarnation);
+    };
+    out.store_fails = [this](const node& one) {
+        return this->readers[one.number].failures > 0;
+    };
+    return out;
+}
+
+peer_events configuration_fleet::events_of(node& entry)
+{
+    peer_events out;
+    out.peer_load_changed = [] {};
+    out.items_received = [this, &entry](const gossip::item_transfer& transfer) {
+        entry.state.cluster.apply(transfer, this->fleet.time());
+        reader& own = this->readers[entry.number];
+        if (own.known_revision > 0)
+            own.known_revision = std::max(own.known_revision,
+                                          entry.state.cluster.store_revision());
+    };
+    out.delegation_started = [&entry] { entry.state.delegating = true; };
+    out.delegation_ended = [&entry](std::size_t, const limit_handover*) {
+        entry.state.delegating = false;
+    };
+    out.make_report = [] { return dispatch::member_report(); };
+    out.reply_received = [](const dispatch::dispatcher_reply&) {};
+    out.report_received = [this, &entry](base::slot_id member,
+                                         const gossip::message& message) {
+        this->requests[entry.number].on_report(member,
+                                               message.incarnation,
+                                               message.report,
+                                               message.upstream_loads);
+    };
+    out.member_lost = [this, &entry](base::slot_id member) {
+        this->requests[entry.number].remove_member(member);
+    };
+    out.members_awaiting_reply = [this, &entry] {
+        return this->requests[entry.number].members_to_answer(
+            this->fleet.time());
+    };
+    out.make_reply = [this, &entry](base::slot_id member) {
+        return this->requests[entry.number].build_reply(member,
+                                                        this->fleet.time());
+    };
+    return out;
+}
+
+void configuration_fleet::write_configuration()
+{
+    const auto version = static_cast<std::int64_t>(this->changes.size()) + 1;
+    std::string text =
+        R"({"version": )" + std::to_string(version) + R"(, "routes": [)";
+    for (std::size_t each = 0; each < this->routes; ++each)
+        text += (each > 0 ? ", " : "") + route_text(each);
+    text += R"(], "services": [{"name": "models"}], "tenants": [)";
+    for (std::size_t each = 0; each < this->plan.workspaces; ++each) {
+        const std::uint64_t key =
+            each == this->changes.size() % this->plan.workspaces
+                ? this->changes.size()
+                : 0;
+        text += (each > 0 ? ", " : "") + workspace_text(each, key);
+    }
+    this->document.value = text + "]}";
+    this->document.revision += 3;
+    this->changes.push_back({this->fleet.time(), version});
+}
+
+void configuration_fleet::apply_due_changes()
+{
+    if (this->routes == this->plan.routes &&
+        this->fleet.seconds() >= this->plan.routes_added_at) {
+        this->routes += this->plan.routes_added;
+        this->write_configuration();
+    }
+    if (this->next_change < this->plan.changes_at.size() &&
+        this->fleet.seconds() >= this->plan.changes_at[this->next_change]) {
+        this->next_change += 1;
+        this->write_configuration();
+    }
+}
+
+bool configuration_fleet::is_rejected(std::size_t number) const
+{
+    constexpr std::uint64_t parts = 10'000;
+    const std::uint64_t draw = placement::mix(this->plan.seed, number) % parts;
+    return this->fleet.seconds() >= this->plan.rejected_from &&
+           static_cast<double>(draw) < this->plan.rejected_share * parts;
+}
+
+void configuration_fleet::read_store(node& one)
+{
+    reader& own = this->readers[one.number];
+    const base::instant now = this->fleet.time();
+    if (own.calling || now < own.next_call_at)
+        return;
+    if (own.known_revision > 0 && own.failures == 0 &&
+        one.protocol->peer_reads_store()) {
+        own.next_call_at = now + idle_check_interval;
+        return;
+    }
+    this->result.store_calls += 1;
+    if (this->is_rejected(one.number))
+        return this->on_call_failed(one);
+    own.calling = true;
+    const bool changed = own.known_revision < this->document.revision;
+    const double bytes =
+        bytes_of_other_changes +
+        (changed ? static_cast<double>(this->document.value.size()) *
+                       base64_expansion
+                 : 0);
+    this->fleet.transfers().start(
+        {store_address,
+         one.address,
+         bytes,
+         call_timeout,
+         [this, number = one.number, as_of = this->document.revision](
+             bool whole) {
+             this->readers[number].calling = false;
+             if (whole)
+                 this->on_store_answer(number, as_of);
+             else
+                 this->on_call_failed(*this->fleet.at(number));
+         },
+         now},
+        now);
+}
+
+void configuration_fleet::on_call_failed(node& one)
+{
+    reader& own = this->readers[one.number];
+    const base::instant now = this->fleet.time();
+    one.state.cluster.on_store_failed(now);
+    own.failures = std::min(own.failures + 1, max_backoff_steps);
+    own.next_call_at =
+        now + (own.known_revision > 0 && one.protocol->peer_reads_store()
+                   ? idle_backoff
+                   : backoff_step * own.failures);
+}
+
+void configuration_fleet::on_store_answer(std::size_t number,
+                                          std::uint64_t as_of)
+{
+    node& one = *this->fleet.at(number);
+    reader& own = this->readers[number];
+    const base::instant now = this->fleet.time();
+    own.failures = 0;
+    own.next_call_at =
+        now + store_reader::poll_interval_for(
+                  virtual_fleet::entry_bounds().shortest_update_delay());
+    one.state.cluster.on_store_answered(now);
+    one.protocol->record_store_answer();
+    // A version written while the answer was on its way comes with the next.
+    routing::store_item_list items;
+    if (as_of == this->document.revision)
+        items.push_back(this->document);
+    const bool complete = own.known_revision == 0 && !items.empty();
+    if (!items.empty())
+        own.known_revision = std::max(own.known_revision, as_of);
+    one.state.cluster.apply(items, own.known_revision, complete, now);
+}
+
+void configuration_fleet::record_delays()
+{
+    const base::instant now = this->fleet.time();
+    for (std::size_t number = 0; number < this->fleet.size(); ++number) {
+        node* one = this->fleet.at(number);
+        if (one == nullptr)
+            continue;
+        std::size_t& in_force = this->behind[number];
+        const std::int64_t version = one->state.cluster.configuration_version();
+        while (in_force < this->changes.size()) {
+            const change& next = this->changes[in_force];
+            const base::duration delay = now - next.written_at;
+            const bool over =
+                delay > virtual_fleet::entry_bounds().configuration_delay;
+            if (version < next.version && !over)
+                break;
+            this->result.slowest =
+                std::max(this->result.slowest,
+                         std::chrono::duration<double>(delay).count());
+            if (version < next.version)
+                this->result.late += 1;
+            in_force += 1;
+        }
+    }
+}
+
+configuration_result configuration_fleet::simulate()
+{
+    while (this->fleet.seconds() < this->plan.seconds) {
+        this->fleet.step();
+        this->apply_due_changes();
+        this->record_delays();
+    }
+    this->result.document_bytes = this->document.value.size();
+    this->result.failed_transfers = this->fleet.failed_fetches();
+    return this->result;
+}
+
+} // namespace greengagedrum::entry::fleet_test
--- /dev/null
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet.hpp
@@ -0,0 +1,81 @@
+// A fleet of entries in virtual time that read their configuration from a store
+// and from each other while it changes. The store rejects a share of the
+// entries; the transfers share links of limited capacity.
+#pragma once
+
+#include <greengagedrum/entry/fleet_test/virtual_fleet.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace greengagedrum::entry::fleet_test
+{
+
+struct configuration_plan : fault_plan {
+    std::size_t routes = 50; // of the first configuration
+    std::size_t routes_added = 1400;
+    std::size_t workspaces = 20;
+    double routes_added_at = 6; // seconds
+    // Seconds at which one workspace gets another key.
+    std::vector<double> changes_at;
+    double rejected_share = 0; // of the entries, by the store
+    double rejected_from = 4;  // seconds
+};
+
+struct configuration_result {
+    // The longest time from a change until an entry has it in force, in
+    // seconds; the time that was left if it never has.
+    double slowest = 0;
+    // Changes not in force in time, summed over entries and changes.
+    std::uint64_t late = 0;
+    std::uint64_t failed_transfers = 0; // from peers
+    std::uint64_t store_calls = 0;
+    std::size_t document_bytes = 0; // of the last configuration
+};
+
+class configuration_fleet
+{
+public:
+    explicit configuration_fleet(const configuration_plan& plan);
+
+    configuration_result simulate();
+
+private:
+    using node = virtual_fleet::node;
+
+    // What an entry's store_reader does.
+    struct reader {
+        base::instant next_call_at;
+        std::uint64_t known_revision = 0; // 0: nothing was read yet
+        std::uint32_t failures = 0;
+        bool calling = false;
+    };
+
+    struct change {
+        base::instant written_at;
+        std::int64_t version = 0;
+    };
+
+    virtual_fleet::hooks hooks();
+    peer_events events_of(node& entry);
+    void write_configuration();
+    void apply_due_changes();
+    bool is_rejected(std::size_t number) const;
+    void read_store(node& one);
+    void on_call_failed(node& one);
+    void on_store_answer(std::size_t number, std::uint64_t as_of);
+    void record_delays();
+
+    configuration_plan plan;
+    std::vector<reader> readers;     // by entry
+    std::vector<std::size_t> behind; // by entry: changes in force so far
+    std::vector<dispatch::member_request_table> requests; // by entry
+    routing::store_item document;
+    std::vector<change> changes;
+    std::size_t routes = 0;
+    std::size_t next_change = 0;
+    configuration_result result;
+    virtual_fleet fleet;
+};
+
+} // namespace greengagedrum::entry::fleet_test
--- a/src/greengagedrum/entry/fleet_test/fault_injection.cpp
+++ b/src/greengagedrum/entry/fleet_test/fault_injection.cpp
@@ -37,6 +37,7 @@
     if (!this->nodes[number])
         return;
     this->owner_hooks.before_stop(*this->nodes[number]);
+    this->links.drop(this->nodes[number]->address);
     this->nodes[number].reset();
     this->restart_at[number] = this->now + start_duration;
 }
--- /dev/null
+++ b/src/greengagedrum/entry/fleet_test/simulated_links.hpp
@@ -0,0 +1,52 @@
+// Transfers between simulated entries, and from the store, over links of
+// limited capacity. Transfers over the same link share it evenly.
+#pragma once
+
+#include <greengagedrum/base/time.hpp>
+#include <greengagedrum/gossip/message.hpp>
+
+#include <functional>
+#include <vector>
+
+namespace greengagedrum::entry::fleet_test
+{
+
+// The sender of a transfer whose link has no limit.
+inline constexpr gossip::ipv4_address store_address = 0;
+
+struct simulated_transfer {
+    gossip::ipv4_address from = store_address;
+    gossip::ipv4_address to = 0;
+    double bytes_left = 0; // infinite: the sender does not answer
+    base::duration time_limit{0};
+    std::function<void(bool whole)> on_end;
+    base::instant started_at;
+};
+
+class simulated_links
+{
+public:
+    // Capacity of an entry's link in each direction.
+    explicit simulated_links(double bytes_per_second)
+        : bytes_per_second(bytes_per_second)
+    {
+    }
+
+    void start(simulated_transfer transfer, base::instant now);
+
+    // Moves bytes for `length`, then ends transfers that are whole or have
+    // exceeded their time limit.
+    void step(base::instant now, base::duration length);
+
+    // The process at that address has ended: its transfers fail.
+    void drop(gossip::ipv4_address address);
+
+private:
+    std::size_t sharing(gossip::ipv4_address simulated_transfer::*end,
+                        gossip::ipv4_address address) const;
+
+    double bytes_per_second;
+    std::vector<simulated_transfer> transfers;
+};
+
+} // namespace greengagedrum::entry::fleet_test
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
@@ -2,6 +2,7 @@
 #include <greengagedrum/placement/mix.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <string>
 
 namespace greengagedrum::entry::fleet_test
@@ -33,7 +34,8 @@
 
 virtual_fleet::virtual_fleet(const fault_plan& plan, hooks owner)
     : plan(plan), owner_hooks(std::move(owner)), started_at(1h), now(1h),
-      nodes(plan.entries), restart_at(plan.entries), sent_bytes(plan.entries)
+      nodes(plan.entries), restart_at(plan.entries), sent_bytes(plan.entries),
+      links(plan.link_bytes_per_second)
 {
 }
 
@@ -92,29 +94,70 @@
     fresh.address = first_address + static_cast<gossip::ipv4_address>(number);
     fresh.state.clock = [this] { return this->now; };
     this->owner_hooks.configure(fresh);
-    peer_transport transport;
-    transport.send = [this, &fresh](std::string_view bytes,
-                                    gossip::ipv4_address to) {
-        this->sent_bytes[fresh.number] += bytes.size();
-        this->send(fresh.address, to, bytes);
+    fresh.incarnation = base::incarnation{this->next_incarnation++};
+    fresh.protocol =
+        std::make_unique<peer_protocol>(this->settings_of(number),
+                                        fresh.incarnation,
+                                        fresh.state,
+                                        this->owner_hooks.events(fresh),
+                                        this->transport_of(fresh));
+    fresh.protocol->record_store_answer();
+    fresh.protocol->schedule_gossip();
+}
+
+peer_transport virtual_fleet::transport_of(node& one)
+{
+    peer_transport out;
+    out.send = [this, &one](std::string_view bytes, gossip::ipv4_address to) {
+        this->sent_bytes[one.number] += bytes.size();
+        this->send(one.address, to, bytes);
     };
-    transport.start_timer = [this, &fresh](base::duration after) {
-        fresh.timer_due_at = this->now + after;
+    out.start_timer = [this, &one](base::duration after) {
+        one.timer_due_at = this->now + after;
     };
-    transport.fetch = [](const base::ip_endpoint&,
-                         const std::string&,
-                         base::duration,
-                         const relay::http_get::answer& on_answer) {
-        on_answer(tl::unexpected(std::string("not simulated")));
+    out.fetch = [this, &one](const base::ip_endpoint& of,
+                             const std::string& target,
+                             base::duration time_limit,
+                             relay::http_get::answer on_answer) {
+        this->fetch(one, of, target, time_limit, std::move(on_answer));
     };
-    fresh.protocol = std::make_unique<peer_protocol>(
-        this->settings_of(number),
-        base::incarnation{this->next_incarnation++},
-        fresh.state,
-        this->owner_hooks.events(fresh),
-        std::move(transport));
-    fresh.protocol->record_store_answer();
-    fresh.protocol->schedule_gossip();
+    return out;
+}
+
+void virtual_fleet::fetch(const node& asking,
+                          const base::ip_endpoint& of,
+                          const std::string& target,
+                          base::duration time_limit,
+                          relay::http_get::answer on_answer)
+{
+    if (!this->owner_hooks.answer_query)
+        return on_answer(tl::unexpected(std::string("not simulated")));
+    const gossip::ipv4_address from =
+        relay::asio::ip::make_address_v4(of.ip).to_uint();
+    const std::size_t number = from - first_address;
+    const auto query = parse_item_query(target);
+    const bool answers = number < this->nodes.size() && this->nodes[number] &&
+                         this->nodes[number]->frozen_until <= this->now &&
+                         !this->is_partitioned(from, asking.address);
+    const std::string body =
+        answers && query
+            ? this->owner_hooks.answer_query(*this->nodes[number], *query)
+            : std::string();
+    const double bytes = answers ? static_cast<double>(body.size())
+                                 : std::numeric_limits<double>::infinity();
+    this->links.start(
+        {from,
+         asking.address,
+         bytes,
+         time_limit,
+         [this, body, on_answer = std::move(on_answer)](bool whole) {
+             if (whole)
+                 return on_answer(relay::fetched{relay::status_ok, body});
+             this->failures += 1;
+             on_answer(tl::unexpected(std::string("no answer in time")));
+         },
+         this->now},
+        this->now);
 }
 
 void virtual_fleet::send(gossip::ipv4_address from,
@@ -165,7 +208,7 @@
     constexpr auto ticks_per_interval = tick_interval / step_length;
     if ((tick + static_cast<std::int64_t>(one.number)) % ticks_per_interval ==
         0)
-        one.protocol->tick(false);
+        one.protocol->tick(this->owner_hooks.store_fails(one));
     this->owner_hooks.after_step(one);
 }
 
@@ -175,6 +218,7 @@
     this->restart_due_entries();
     this->inject_due_faults();
     this->deliver();
+    this->links.step(this->now, step_length);
     for (const std::unique_ptr<node>& one : this->nodes) {
         if (one)
             this->step(*one);
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <greengagedrum/dispatch/member_request_table.hpp>
+#include <greengagedrum/entry/fleet_test/simulated_links.hpp>
 #include <greengagedrum/entry/peer_protocol.hpp>
 
 #include <deque>
@@ -38,7 +39,8 @@
     // All but the first `remaining_entries` are removed for good.
     double shrinks_at = 1e9;
     std::size_t remaining_entries = 0;
-    double lost_share = 0; // share of all datagrams
+    double lost_share = 0;                 // share of all datagrams
+    double link_bytes_per_second = 1.25e6; // of each entry, for transfers
     std::uint64_t seed = 1;
 };
 
@@ -51,6 +53,7 @@
 
         std::size_t number = 0;
         gossip::ipv4_address address = 0;
+        base::incarnation incarnation;
         shared_state state;
         std::unique_ptr<peer_protocol> protocol;
         std::optional<base::instant> timer_due_at;
@@ -64,6 +67,11 @@
         std::function<void(node&)> configure;
         std::function<peer_events(node&)> events;
         std::function<void(node&)> after_step = [](node&) {};
+        // The answer to an entry's query for items; empty: none is simulated.
+        std::function<std::string(node&, const item_query&)> answer_query;
+        std::function<bool(const node&)> store_fails = [](const node&) {
+            return false;
+        };
         // Called before the process stops.
         std::function<void(node&)> before_stop = [](node&) {};
     };
@@ -84,6 +92,11 @@
     // stops or is frozen.
     node* serving(std::size_t number);
     base::instant time() const { return this->now; }
+    // Transfers from the store to entries share links with those of peers.
+    simulated_links& transfers() { return this->links; }
+    std::uint64_t failed_fetches() const { return this->failures; }
+    // The bounds in the settings of each entry.
+    static bounds entry_bounds() { return {}; }
     double seconds() const;
     // Sent by the busiest entry over the whole run.
     std::uint64_t busiest_bytes() const;
@@ -98,6 +111,12 @@
 
     void start(std::size_t number);
     settings settings_of(std::size_t number) const;
+    peer_transport transport_of(node& one);
+    void fetch(const node& asking,
+               const base::ip_endpoint& of,
+               const std::string& target,
+               base::duration time_limit,
+               relay::http_get::answer on_answer);
     void send(gossip::ipv4_address from,
               gossip::ipv4_address to,
               std::string_view bytes);
@@ -119,6 +138,8 @@
     std::deque<datagram> near_queue; // within a data centre
     std::deque<datagram> far_queue;
     std::vector<std::uint64_t> sent_bytes; // by entry number
+    simulated_links links;
+    std::uint64_t failures = 0; // of fetches
     std::size_t next_restart = 0;
     std::size_t next_killed = 0;
     std::size_t next_frozen = 0;
