Entry: a peer sends what changed in the configuration, compressed

What callers saw: on a deployment of 69 entries requests are refused with 401 seconds after the change that allows them was acknowledged.

Cause: each change, however small, moves the whole configuration (some 320 KB with 1,450 routes) from the dispatcher to each entry, under a time limit of 400 ms that does not depend on the size. An entry with 10 Mbit/s, which reads the same document from the store meanwhile, does not get it in that time; what arrived is thrown away and asked for again.

Entries of earlier builds name no revision and get plain items; their plain answers are read as before.

change_of_a_large_configuration_is_in_force_in_time failed before (3 to 234 changes late), 0 late now, slowest 1.03 s of 2 s.

--- a/src/greengagedrum/entry/cluster_state.cpp
+++ b/src/greengagedrum/entry/cluster_state.cpp
@@ -110,6 +110,8 @@
     const bool readable = configuration ? this->apply_configuration(item, out)
                                         : this->apply_upstream(item, now, out);
     routing::store_item& kept = this->items[item.key];
+    if (configuration)
+        this->keep_former_configuration(std::move(kept));
     kept = item;
     // Values written by other programs are neither stored nor passed on to
     // peers.
@@ -351,38 +353,4 @@
     return this->table ? this->table->config().version : 0;
 }
 
-gossip::item_transfer
-cluster_state::items_after_revision(std::uint64_t since) const
-{
-    gossip::item_transfer out;
-    out.store_revision = this->revision;
-    out.change_revision = this->last_change;
-    out.complete = since == 0;
-    for (const auto& [key, item] : this->items) {
-        if (item.revision > since && !(out.complete && item.removed))
-            out.items.push_back(item);
-    }
-    return out;
-}
-
-// A store that lost its history may deliver a change late, with a revision
-// below those of other changes. Selecting by change number misses none of them.
-gossip::item_transfer
-cluster_state::items_after_change(std::uint64_t changes) const
-{
-    gossip::item_transfer out;
-    out.store_revision = this->revision;
-    out.change_revision = this->last_change;
-    out.change_count = this->applied_changes;
-    out.complete = changes == 0;
-    for (const auto& [key, item] : this->items) {
-        const auto found = this->change_numbers.find(key);
-        const bool changed =
-            found != this->change_numbers.end() && found->second > changes;
-        if (out.complete ? !item.removed : changed)
-            out.items.push_back(item);
-    }
-    return out;
-}
-
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/cluster_state.hpp
+++ b/src/greengagedrum/entry/cluster_state.hpp
@@ -11,6 +11,7 @@
 
 #include <tl/expected.hpp>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -86,6 +87,13 @@
     // Digest of the items' content, without the load that upstreams report.
     std::uint64_t content_digest() const { return this->combined_digest; }
 
+    // The newest configuration item, whether or not it could be read.
+    gossip::reference_document newest_configuration() const;
+    // The configuration item of that revision, if it is the newest or one of
+    // the few before it; else none.
+    gossip::reference_document
+    configuration_at(std::uint64_t item_revision) const;
+
     // For a peer that knows all items up to revision `since`.
     gossip::item_transfer items_after_revision(std::uint64_t since) const;
     // For a peer that was sent the state after the first `changes` changes.
@@ -115,9 +123,12 @@
     void record_change(const std::string& key);
     void update_digest(const std::string& key, std::uint64_t hash);
     void drop_oldest_empty_item();
+    void keep_former_configuration(routing::store_item former);
     std::optional<base::instant> removal_deadline(base::instant now) const;
 
     std::map<std::string, routing::store_item, std::less<>> items;
+    // Replaced configuration items that peers may still hold, newest first.
+    std::deque<routing::store_item> former_configurations;
     routing::route_table_ptr table;
     routing::upstream_directory directory;
     std::uint64_t revision = 0;
--- a/src/greengagedrum/entry/item_query.hpp
+++ b/src/greengagedrum/entry/item_query.hpp
@@ -17,6 +17,9 @@
 struct item_query {
     std::uint64_t position = 0;
     std::optional<base::incarnation> incarnation;
+    // The answer may be compressed, against the configuration item of this
+    // revision, which the asking entry holds; 0: it holds none.
+    std::optional<std::uint64_t> held_configuration;
 };
 
 // The HTTP request target of a query, and its parser; empty if `target` is
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -296,14 +296,19 @@
     this->fetch_items(source->address,
                       {std::min(this->state.cluster.last_change_revision(),
                                 this->state.cluster.configuration_revision()),
+                       std::nullopt,
                        std::nullopt},
                       now);
 }
 
 void peer_protocol::fetch_items(gossip::ipv4_address of,
-                                const item_query& query,
+                                item_query query,
                                 base::instant now)
 {
+    query.held_configuration =
+        this->reference_failed
+            ? 0
+            : this->state.cluster.newest_configuration().revision;
     this->fetching = true;
     this->fetch_started_at = now;
     const base::ip_endpoint to{relay::asio::ip::address_v4(of).to_string(),
@@ -318,7 +323,12 @@
             const double after_ms =
                 to_milliseconds(ended_at - this->fetch_started_at);
             if (got && got->status == relay::status_ok) {
-                if (const auto items = gossip::decode_items(got->body)) {
+                const auto items = gossip::decode_items(
+                    got->body, [this](std::uint64_t revision) {
+                        return this->state.cluster.configuration_at(revision);
+                    });
+                this->reference_failed = !items;
+                if (items) {
                     this->synced_position = {items->incarnation,
                                              items->change_count};
                     this->state.log.write(ended_at,
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -137,9 +137,8 @@
                                base::instant now);
     void probe_silent(base::instant now);
     void fetch_if_outdated(base::instant now);
-    void fetch_items(gossip::ipv4_address of,
-                     const item_query& query,
-                     base::instant now);
+    void
+    fetch_items(gossip::ipv4_address of, item_query query, base::instant now);
 
     settings own_settings;
     base::incarnation incarnation;
@@ -157,6 +156,8 @@
     base::instant peer_store_answer_at;
     std::uint64_t source_rotation = 0;
     bool fetching = false;
+    // The last answer could not be decompressed: the next one has no reference.
+    bool reference_failed = false;
     // When unchanged crash suspects were last sent.
     base::instant near_suspects_sent_at;
     base::instant far_suspects_sent_at;
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -186,7 +186,8 @@
         this->synced_position.incarnation == received.incarnation
             ? this->synced_position.changes
             : 0;
-    this->fetch_items(received.address, {known, received.incarnation}, now);
+    this->fetch_items(
+        received.address, {known, received.incarnation, std::nullopt}, now);
 }
 
 // Failure guarded against: the store rejects the dispatcher, or hangs. Then a
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -1413,7 +1413,9 @@
     VT_ITEMS = 8,
     VT_CHANGE_REVISION = 10,
     VT_LIFE = 12,
-    VT_CHANGES = 14
+    VT_CHANGES = 14,
+    VT_PACKED = 16,
+    VT_REFERENCE = 18
   };
   uint64_t store_revision() const {
     return GetField<uint64_t>(VT_STORE_REVISION, 0);
@@ -1433,6 +1435,12 @@
   uint64_t changes() const {
     return GetField<uint64_t>(VT_CHANGES, 0);
   }
+  const flatbuffers::Vector<uint8_t> *packed() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED);
+  }
+  uint64_t reference() const {
+    return GetField<uint64_t>(VT_REFERENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_STORE_REVISION, 8) &&
@@ -1443,6 +1451,9 @@
            VerifyField<uint64_t>(verifier, VT_CHANGE_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
            VerifyField<uint64_t>(verifier, VT_CHANGES, 8) &&
+           VerifyOffset(verifier, VT_PACKED) &&
+           verifier.VerifyVector(packed()) &&
+           VerifyField<uint64_t>(verifier, VT_REFERENCE, 8) &&
            verifier.EndTable();
   }
 };
@@ -1469,6 +1480,12 @@
   void add_changes(uint64_t changes) {
     fbb_.AddElement<uint64_t>(Items::VT_CHANGES, changes, 0);
   }
+  void add_packed(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed) {
+    fbb_.AddOffset(Items::VT_PACKED, packed);
+  }
+  void add_reference(uint64_t reference) {
+    fbb_.AddElement<uint64_t>(Items::VT_REFERENCE, reference, 0);
+  }
   explicit ItemsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1487,12 +1504,16 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagedrum::gossip::wire::Item>>> items = 0,
     uint64_t change_revision = 0,
     uint64_t life = 0,
-    uint64_t changes = 0) {
+    uint64_t changes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0,
+    uint64_t reference = 0) {
   ItemsBuilder builder_(_fbb);
+  builder_.add_reference(reference);
   builder_.add_changes(changes);
   builder_.add_life(life);
   builder_.add_change_revision(change_revision);
   builder_.add_store_revision(store_revision);
+  builder_.add_packed(packed);
   builder_.add_items(items);
   builder_.add_whole(whole);
   return builder_.Finish();
@@ -1505,8 +1526,11 @@
     const std::vector<flatbuffers::Offset<greengagedrum::gossip::wire::Item>> *items = nullptr,
     uint64_t change_revision = 0,
     uint64_t life = 0,
-    uint64_t changes = 0) {
+    uint64_t changes = 0,
+    const std::vector<uint8_t> *packed = nullptr,
+    uint64_t reference = 0) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<greengagedrum::gossip::wire::Item>>(*items) : 0;
+  auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
   return greengagedrum::gossip::wire::CreateItems(
       _fbb,
       store_revision,
@@ -1514,7 +1538,9 @@
       items__,
       change_revision,
       life,
-      changes);
+      changes,
+      packed__,
+      reference);
 }
 
 inline const greengagedrum::gossip::wire::Message *GetMessage(const void *buf) {
--- a/src/greengagedrum/gossip/message.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -13,6 +13,7 @@
 #include <greengagedrum/traffic/scheduler.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -86,11 +87,31 @@
     routing::store_item_list items;
 };
 
+// A configuration that both sides of a transfer hold: transfers are compressed
+// against it. Revision 0: none.
+struct reference_document {
+    std::uint64_t revision = 0; // in the store
+    std::string_view text;
+};
+
+inline reference_document no_reference(std::uint64_t /* revision */)
+{
+    return {};
+}
+
 std::string encode(const message& sent);
 std::string encode(const item_transfer& sent);
+std::string encode_compressed(const item_transfer& sent,
+                              const reference_document& reference);
 
 // Empty if the bytes are not a valid message.
 std::optional<message> decode_message(std::string_view bytes);
-std::optional<item_transfer> decode_items(std::string_view bytes);
+// Finds the configuration of a revision; none if it is not held.
+using reference_lookup =
+    std::function<reference_document(std::uint64_t revision)>;
+// Empty also if the items were compressed against a document that is not held.
+std::optional<item_transfer>
+decode_items(std::string_view bytes,
+             const reference_lookup& find_reference = no_reference);
 
 } // namespace greengagedrum::gossip
