Relay: an answer that goes on arriving is not given up

An answer is now given up after a time without any byte of it (400 ms, 1.1 s as before), or after 5 s and 8 s in all, against senders that trickle.

--- a/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
@@ -17,7 +17,6 @@
 
 // As in store_reader.
 constexpr base::duration idle_check_interval = 100ms;
-constexpr base::duration call_timeout = 1100ms;
 constexpr base::duration backoff_step = 100ms;
 constexpr base::duration idle_backoff = 1s;
 constexpr std::uint32_t max_backoff_steps = 4;
@@ -188,7 +187,7 @@
         {store_address,
          one.address,
          bytes,
-         call_timeout,
+         store_reader::call_limits,
          [this, number = one.number, as_of = this->document.revision](
              bool whole) {
              this->readers[number].calling = false;
--- a/src/greengagedrum/entry/fleet_test/simulated_links.cpp
+++ b/src/greengagedrum/entry/fleet_test/simulated_links.cpp
@@ -8,6 +8,18 @@
 namespace greengagedrum::entry::fleet_test
 {
 
+namespace
+{
+
+// Bytes of a transfer arrive in every step, or never.
+base::duration time_limit_of(const simulated_transfer& one)
+{
+    return std::isfinite(one.bytes_left) ? one.limits.total
+                                         : one.limits.silence;
+}
+
+} // namespace
+
 void simulated_links::start(simulated_transfer transfer, base::instant now)
 {
     transfer.started_at = now;
@@ -45,7 +57,8 @@
         this->transfers.begin(),
         this->transfers.end(),
         [&](const simulated_transfer& one) {
-            return one.bytes_left > 0 && now - one.started_at < one.time_limit;
+            return one.bytes_left > 0 &&
+                   now - one.started_at < time_limit_of(one);
         });
     const std::vector<simulated_transfer> ended(
         std::make_move_iterator(first_ended),
@@ -62,7 +75,7 @@
     });
     for (simulated_transfer& one : this->transfers) {
         if (one.from == address)
-            one.time_limit = base::duration(0);
+            one.limits = {};
     }
 }
 
--- a/src/greengagedrum/entry/fleet_test/simulated_links.hpp
+++ b/src/greengagedrum/entry/fleet_test/simulated_links.hpp
@@ -4,6 +4,7 @@
 
 #include <greengagedrum/base/time.hpp>
 #include <greengagedrum/gossip/message.hpp>
+#include <greengagedrum/relay/http_get.hpp>
 
 #include <functional>
 #include <vector>
@@ -18,7 +19,7 @@
     gossip::ipv4_address from = store_address;
     gossip::ipv4_address to = 0;
     double bytes_left = 0; // infinite: the sender does not answer
-    base::duration time_limit{0};
+    relay::answer_limits limits;
     std::function<void(bool whole)> on_end;
     base::instant started_at;
 };
@@ -35,7 +36,7 @@
     void start(simulated_transfer transfer, base::instant now);
 
     // Moves bytes for `length`, then ends transfers that are whole or have
-    // exceeded their time limit.
+    // exceeded a time limit.
     void step(base::instant now, base::duration length);
 
     // The process at that address has ended: its transfers fail.
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
@@ -117,9 +117,9 @@
     };
     out.fetch = [this, &one](const base::ip_endpoint& of,
                              const std::string& target,
-                             base::duration time_limit,
+                             const relay::answer_limits& limits,
                              relay::http_get::answer on_answer) {
-        this->fetch(one, of, target, time_limit, std::move(on_answer));
+        this->fetch(one, of, target, limits, std::move(on_answer));
     };
     return out;
 }
@@ -127,7 +127,7 @@
 void virtual_fleet::fetch(const node& asking,
                           const base::ip_endpoint& of,
                           const std::string& target,
-                          base::duration time_limit,
+                          const relay::answer_limits& limits,
                           relay::http_get::answer on_answer)
 {
     if (!this->owner_hooks.answer_query)
@@ -149,7 +149,7 @@
         {from,
          asking.address,
          bytes,
-         time_limit,
+         limits,
          [this, body, on_answer = std::move(on_answer)](bool whole) {
              if (whole)
                  return on_answer(relay::fetched{relay::status_ok, body});
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
@@ -115,7 +115,7 @@
     void fetch(const node& asking,
                const base::ip_endpoint& of,
                const std::string& target,
-               base::duration time_limit,
+               const relay::answer_limits& limits,
                relay::http_get::answer on_answer);
     void send(gossip::ipv4_address from,
               gossip::ipv4_address to,
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -21,7 +21,9 @@
 constexpr base::duration max_watch_delay = std::chrono::milliseconds(800);
 
 constexpr base::duration fetch_interval = std::chrono::milliseconds(250);
-constexpr base::duration fetch_timeout = std::chrono::milliseconds(400);
+// A transfer takes as long as its size and the links require.
+constexpr relay::answer_limits fetch_limits{std::chrono::milliseconds(400),
+                                            std::chrono::seconds(5)};
 
 // Interval of the liveness check; nothing that depends on it is needed sooner.
 constexpr base::duration check_interval = std::chrono::milliseconds(20);
@@ -316,7 +318,7 @@
     this->transport.fetch(
         to,
         item_query_target(query),
-        fetch_timeout,
+        fetch_limits,
         [this, to](tl::expected<relay::fetched, std::string> got) {
             this->fetching = false;
             const base::instant ended_at = this->state.clock();
--- a/src/greengagedrum/entry/peer_socket.cpp
+++ b/src/greengagedrum/entry/peer_socket.cpp
@@ -28,9 +28,9 @@
     };
     out.fetch = [this](const base::ip_endpoint& of,
                        const std::string& target,
-                       base::duration bound,
+                       const relay::answer_limits& limits,
                        relay::http_get::answer on_answer) {
-        this->client->ask(of, target, bound, std::move(on_answer));
+        this->client->ask(of, target, limits, std::move(on_answer));
     };
     return out;
 }
--- a/src/greengagedrum/entry/peer_transport.hpp
+++ b/src/greengagedrum/entry/peer_transport.hpp
@@ -21,10 +21,10 @@
     // Calls peer_protocol::on_timer after `after`; replaces an earlier timer.
     std::function<void(base::duration after)> start_timer;
 
-    // HTTP GET on a peer's control address with a time limit; one at a time.
+    // HTTP GET on a peer's control address; one at a time.
     std::function<void(const base::ip_endpoint& of,
                        const std::string& target,
-                       base::duration bound,
+                       const relay::answer_limits& limits,
                        relay::http_get::answer on_answer)>
         fetch;
 };
--- a/src/greengagedrum/entry/store_reader.cpp
+++ b/src/greengagedrum/entry/store_reader.cpp
@@ -22,10 +22,6 @@
 // The store answers a watch within this time even if nothing changed.
 constexpr auto watch_timeout = std::chrono::milliseconds(500);
 
-// The store answers within milliseconds, so an answer that takes longer than
-// this counts as lost.
-constexpr auto call_timeout = std::chrono::milliseconds(1100);
-
 // The delay after a failure grows by one step per failure, so that many entries
 // together leave the store room to recover.
 constexpr auto backoff_step = std::chrono::milliseconds(100);
@@ -91,7 +87,7 @@
     this->client->ask(
         this->store,
         platform::range_target("", this->last_key),
-        call_timeout,
+        call_limits,
         [this](tl::expected<relay::fetched, std::string> response) {
             this->call_in_progress = false;
             if (!response)
@@ -141,7 +137,7 @@
     this->client->ask(
         this->store,
         platform::watch_target("", this->last_revision, watch_timeout),
-        call_timeout,
+        call_limits,
         [this](tl::expected<relay::fetched, std::string> response) {
             this->call_in_progress = false;
             if (!response)
--- a/src/greengagedrum/entry/store_reader.hpp
+++ b/src/greengagedrum/entry/store_reader.hpp
@@ -41,6 +41,12 @@
                  const base::ip_endpoint& store,
                  store_events events);
 
+    // The store begins to answer within milliseconds, so a longer silence
+    // counts as a lost answer. A page of about a megabyte takes seconds on a
+    // slow link.
+    static constexpr relay::answer_limits call_limits{
+        std::chrono::milliseconds(1100), std::chrono::seconds(8)};
+
     // The pause between two watches if changes must be in force within `bound`.
     static base::duration poll_interval_for(base::duration bound);
     void set_update_bound(base::duration bound)
--- a/src/greengagedrum/relay/http_get.cpp
+++ b/src/greengagedrum/relay/http_get.cpp
@@ -1,5 +1,7 @@
 #include <greengagedrum/relay/http_get.hpp>
 
+#include <algorithm>
+
 namespace greengagedrum::relay
 {
 
@@ -10,7 +12,7 @@
 
 void http_get::ask(const base::ip_endpoint& address,
                    const std::string& target,
-                   base::duration bound,
+                   const answer_limits& limits,
                    answer told)
 {
     if (this->tell || address != this->server)
@@ -22,20 +24,36 @@
                  " HTTP/1.1\r\nHost: " + base::to_string(address) + "\r\n\r\n";
     this->body.clear();
     this->reader = std::make_unique<answer_reader>(false);
-    this->timer.expires_after(bound);
+    this->limits = limits;
+    this->asked_at = std::chrono::steady_clock::now();
+    this->received_at = this->asked_at;
+    this->start_timer();
+    if (this->connected)
+        this->write();
+    else
+        this->connect();
+}
+
+void http_get::start_timer()
+{
+    this->timer.expires_at(this->gives_up_at());
     this->timer.async_wait([self = this->shared_from_this(),
                             question = this->number](error_code fault) {
         if (fault || question != self->number || !self->tell)
             return;
-        // The connection may have gone silent for good: never used again.
+        if (std::chrono::steady_clock::now() < self->gives_up_at())
+            return self->start_timer(); // bytes have arrived since
         const std::string why = self->timeout_text();
+        // The connection may have gone silent for good: never used again.
         self->disconnect();
         self->finish(tl::unexpected(why));
     });
-    if (this->connected)
-        this->write();
-    else
-        this->connect();
+}
+
+asio::steady_timer::time_point http_get::gives_up_at() const
+{
+    return std::min(this->received_at + this->limits.silence,
+                    this->asked_at + this->limits.total);
 }
 
 std::string http_get::timeout_text() const
@@ -112,8 +130,10 @@
         this->disconnect();
         return this->finish(tl::unexpected(std::string(too_large)));
     }
-    if (!this->reader->done())
+    if (!this->reader->done()) {
+        this->received_at = std::chrono::steady_clock::now();
         return this->read(this->number);
+    }
     const auto connection =
         find_header(this->reader->head().headers, "Connection");
     if ((connection && lists_token(*connection, "close")) ||
--- a/src/greengagedrum/relay/http_get.hpp
+++ b/src/greengagedrum/relay/http_get.hpp
@@ -28,6 +28,13 @@
 inline constexpr std::size_t fetched_bytes_most = 16U << 20U;
 inline constexpr std::string_view too_large = "answer too large";
 
+// Time limits of an answer. An answer that goes on arriving is worth waiting
+// for: giving it up would cost the link the same bytes again.
+struct answer_limits {
+    base::duration silence{0}; // without any byte of it
+    base::duration total{0};
+};
+
 class http_get : public std::enable_shared_from_this<http_get>
 {
 public:
@@ -36,11 +43,10 @@
 
     explicit http_get(asio::io_context& context);
 
-    // `bound`: from now to the whole answer. A question still under way is
-    // dropped without an answer.
+    // A question still under way is dropped without an answer.
     void ask(const base::ip_endpoint& server,
              const std::string& target,
-             base::duration bound,
+             const answer_limits& limits,
              answer tell);
 
     void stop();
@@ -52,11 +58,16 @@
     void on_read(error_code fault, std::size_t count);
     void finish(tl::expected<fetched, std::string> result);
     void disconnect();
+    void start_timer();
+    asio::steady_timer::time_point gives_up_at() const;
     std::string timeout_text() const;
 
     asio::io_context& context;
     tcp::socket socket;
-    asio::steady_timer timer;
+    asio::steady_timer timer; // until the answer has taken too long
+    answer_limits limits;
+    asio::steady_timer::time_point asked_at;
+    asio::steady_timer::time_point received_at; // the newest bytes
     base::ip_endpoint server;
     std::string text;
     std::array<char, read_bytes> arrived{};
