Entry: a large configuration spreads from several entries at once

Same cause: all members of a data centre ask their dispatcher for a large change in the same moment, and the last one has it when the sum of all transfers has passed through one link. With 73 members on 10 Mbit/s that is 1.4 s for 25 KB each, after the dispatcher's own reading.

An entry that asks says who it is. A dispatcher lets each entry that holds the configuration, itself first, serve three others at a time, and refers the rest to one of these or to a later try; a transfer counts until the member reports the revision, which it does at once, or for 500 ms. Answers under 8 KB and those to entries that hold the newest configuration are never deferred.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -254,14 +254,12 @@
     return {503, "text/plain", "not ready\n"};
 }
 
-relay::small_answer entry::answer_control(std::string_view target) const
+relay::small_answer entry::answer_control(std::string_view target)
 {
     const auto query = parse_item_query(target);
     if (!query)
         return {503, "text/plain", "unknown target\n"};
-    return {200,
-            "application/octet-stream",
-            answer_item_query(*query, this->state.cluster, this->incarnation)};
+    return {200, "application/octet-stream", this->peers->answer(*query)};
 }
 
 std::string entry::metrics_text() const
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -60,7 +60,7 @@
     void on_store_answered();
     void apply_bounds();
     void apply_slow_start_limits();
-    relay::small_answer answer_control(std::string_view target) const;
+    relay::small_answer answer_control(std::string_view target);
     relay::small_answer answer_readiness() const;
     std::string metrics_text() const;
     bool ready() const;
--- a/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
@@ -74,7 +74,7 @@
     out.events = [this](node& one) { return this->events_of(one); };
     out.after_step = [this](node& one) { this->read_store(one); };
     out.answer_query = [](node& one, const item_query& query) {
-        return answer_item_query(query, one.state.cluster, one.incarnation);
+        return one.protocol->answer(query);
     };
     out.store_fails = [this](const node& one) {
         return this->readers[one.number].failures > 0;
--- a/src/greengagedrum/entry/fleet_test/configuration_fleet_test.cpp
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet_test.cpp
@@ -55,4 +55,22 @@
     CHECK(simulate(plan_of(295, 0.33)).late == 0);
 }
 
+// A document near the largest value that a store takes.
+TEST_CASE("change_of_the_largest_configuration_is_in_force_in_time")
+{
+    configuration_plan plan = plan_of(69, 0.33);
+    plan.routes_added = 4500;
+    CHECK(simulate(plan).late == 0);
+}
+
+// The entry that members follow dies while a change is on its way.
+TEST_CASE("change_is_in_force_in_time_though_dispatchers_die")
+{
+    for (const double killed_at : {6.2, 9.3}) {
+        configuration_plan plan = plan_of(69, 0.33);
+        plan.killed_at = {killed_at};
+        CHECK(simulate(plan).late == 0);
+    }
+}
+
 } // namespace greengagedrum::entry::fleet_test
--- a/src/greengagedrum/entry/item_query.cpp
+++ b/src/greengagedrum/entry/item_query.cpp
@@ -12,6 +12,7 @@
 constexpr std::string_view after_path = "/items?after=";
 constexpr std::string_view life_parameter = "&life=";
 constexpr std::string_view held_parameter = "&held=";
+constexpr std::string_view asking_parameter = "&by=";
 
 // Removes `name` and the number that follows from the start of `text`.
 std::optional<std::uint64_t> take_number(std::string_view& text,
@@ -40,6 +41,8 @@
     if (query.held_configuration)
         out.append(held_parameter)
             .append(std::to_string(*query.held_configuration));
+    if (query.asking)
+        out.append(asking_parameter).append(std::to_string(*query.asking));
     return out;
 }
 
@@ -58,6 +61,8 @@
         out.incarnation = base::incarnation{*incarnation};
     }
     out.held_configuration = take_number(target, held_parameter);
+    if (const auto asking = take_number(target, asking_parameter))
+        out.asking = static_cast<gossip::ipv4_address>(*asking);
     return out;
 }
 
--- a/src/greengagedrum/entry/item_query.hpp
+++ b/src/greengagedrum/entry/item_query.hpp
@@ -20,6 +20,8 @@
     // The answer may be compressed, against the configuration item of this
     // revision, which the asking entry holds; 0: it holds none.
     std::optional<std::uint64_t> held_configuration;
+    // The asking entry, if it can be referred to another one.
+    std::optional<gossip::ipv4_address> asking;
 };
 
 // The HTTP request target of a query, and its parser; empty if `target` is
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -1,6 +1,5 @@
 #include <greengagedrum/entry/peer_protocol.hpp>
 #include <greengagedrum/entry/store_reader.hpp>
-#include <greengagedrum/entry/to_milliseconds.hpp>
 
 #include <algorithm>
 
@@ -20,11 +19,6 @@
 // message up to 200 ms more.
 constexpr base::duration max_watch_delay = std::chrono::milliseconds(800);
 
-constexpr base::duration fetch_interval = std::chrono::milliseconds(250);
-// A transfer takes as long as its size and the links require.
-constexpr relay::answer_limits fetch_limits{std::chrono::milliseconds(400),
-                                            std::chrono::seconds(5)};
-
 // Interval of the liveness check; nothing that depends on it is needed sooner.
 constexpr base::duration check_interval = std::chrono::milliseconds(20);
 
@@ -285,75 +279,4 @@
         this->fetch_if_outdated(now);
 }
 
-void peer_protocol::fetch_if_outdated(base::instant now)
-{
-    if (this->fetching || now - this->fetch_started_at < fetch_interval)
-        return;
-    const auto source =
-        this->table.newest_store_source(now, ++this->source_rotation);
-    if (!source ||
-        (source->store_revision <= this->state.cluster.store_revision() &&
-         source->change_revision <= this->state.cluster.last_change_revision()))
-        return;
-    this->fetch_items(source->address,
-                      {std::min(this->state.cluster.last_change_revision(),
-                                this->state.cluster.configuration_revision()),
-                       std::nullopt,
-                       std::nullopt},
-                      now);
-}
-
-void peer_protocol::fetch_items(gossip::ipv4_address of,
-                                item_query query,
-                                base::instant now)
-{
-    query.held_configuration =
-        this->reference_failed
-            ? 0
-            : this->state.cluster.newest_configuration().revision;
-    this->fetching = true;
-    this->fetch_started_at = now;
-    const base::ip_endpoint to{relay::asio::ip::address_v4(of).to_string(),
-                               this->own_settings.control_address.port};
-    this->transport.fetch(
-        to,
-        item_query_target(query),
-        fetch_limits,
-        [this, to](tl::expected<relay::fetched, std::string> got) {
-            this->fetching = false;
-            const base::instant ended_at = this->state.clock();
-            const double after_ms =
-                to_milliseconds(ended_at - this->fetch_started_at);
-            if (got && got->status == relay::status_ok) {
-                const auto items = gossip::decode_items(
-                    got->body, [this](std::uint64_t revision) {
-                        return this->state.cluster.configuration_at(revision);
-                    });
-                this->reference_failed = !items;
-                if (items) {
-                    this->synced_position = {items->incarnation,
-                                             items->change_count};
-                    this->state.log.write(ended_at,
-                                          "peers",
-                                          "peer_gave_items",
-                                          {{"peer", to.ip},
-                                           {"items", items->items.size()},
-                                           {"complete", items->complete},
-                                           {"bytes", got->body.size()},
-                                           {"after_ms", after_ms}});
-                    return this->events.items_received(*items);
-                }
-            }
-            this->state.log.write(
-                ended_at,
-                "peers",
-                "peer_gave_no_items",
-                {{"peer", to.ip},
-                 {"after_ms", after_ms},
-                 {"why",
-                  got ? std::string("unexpected status or undecodable items")
-                      : got.error()}});
-        });
-}
-
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -13,6 +13,7 @@
 #include <greengagedrum/entry/peer_transport.hpp>
 #include <greengagedrum/entry/request_handler.hpp>
 #include <greengagedrum/entry/settings.hpp>
+#include <greengagedrum/entry/transfer_sources.hpp>
 #include <greengagedrum/gossip/dispatcher_election.hpp>
 #include <greengagedrum/gossip/gossip_schedule.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
@@ -85,6 +86,9 @@
         this->own_store_answer_at = this->state.clock();
     }
 
+    // The body of the answer to a peer's query: items, or a referral.
+    std::string answer(const item_query& query);
+
     void apply_settings(const settings& given);
 
     std::size_t live_peers() const;
@@ -139,6 +143,13 @@
     void fetch_if_outdated(base::instant now);
     void
     fetch_items(gossip::ipv4_address of, item_query query, base::instant now);
+    void on_fetched(gossip::ipv4_address from, const relay::fetched& got);
+    void on_items(const gossip::item_transfer& items);
+    void on_referral(gossip::ipv4_address from,
+                     const gossip::transfer_referral& referral);
+    void log_failed_fetch(gossip::ipv4_address from, const std::string& why);
+    item_query newer_items_query() const;
+    std::vector<gossip::ipv4_address> configuration_holders() const;
 
     settings own_settings;
     base::incarnation incarnation;
@@ -172,6 +183,7 @@
     struct member {
         gossip::ipv4_address address = 0;
         base::instant heard_at;
+        std::uint64_t configuration_revision = 0;
     };
 
     gossip::dispatcher_election election;
@@ -205,6 +217,7 @@
     // entries.
     std::optional<limit_handover> received_limits;
     std::unordered_map<base::slot_id, member> members;
+    transfer_sources sources;
     // Other dispatchers whose usage the limiter counts.
     std::unordered_map<base::slot_id, gossip::ipv4_address> counted_dispatchers;
     struct entry_counts {
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -109,7 +109,10 @@
         this->answer_dispatcher_query(received, now);
         return;
     }
-    this->members[slot] = {received.address, now};
+    this->members[slot] = {
+        received.address, now, received.configuration_revision};
+    this->sources.on_revision(received.address,
+                              received.configuration_revision);
     this->state.limiter.forget_peer(slot);
     this->events.report_received(slot, received);
     this->send_replies();
@@ -187,7 +190,9 @@
             ? this->synced_position.changes
             : 0;
     this->fetch_items(
-        received.address, {known, received.incarnation, std::nullopt}, now);
+        received.address,
+        {known, received.incarnation, std::nullopt, this->table.address()},
+        now);
 }
 
 // Failure guarded against: the store rejects the dispatcher, or hangs. Then a
--- a/src/greengagedrum/entry/test/item_query_test.cpp
+++ b/src/greengagedrum/entry/test/item_query_test.cpp
@@ -33,7 +33,7 @@
     answer(std::optional<std::uint64_t> held) const
     {
         return gossip::decode_items(
-            answer_item_query({0, own, held}, this->cluster, own),
+            answer_item_query({0, own, held, std::nullopt}, this->cluster, own),
             [this](std::uint64_t revision) {
                 return this->cluster.configuration_at(revision);
             });
@@ -45,15 +45,16 @@
 TEST_CASE("query_written_as_a_target_is_read_back")
 {
     for (const item_query& query :
-         {item_query{5, std::nullopt, std::nullopt},
-          item_query{5, base::incarnation{7}, std::nullopt},
-          item_query{5, std::nullopt, 9},
-          item_query{5, base::incarnation{7}, 0}}) {
+         {item_query{5, std::nullopt, std::nullopt, std::nullopt},
+          item_query{5, base::incarnation{7}, std::nullopt, std::nullopt},
+          item_query{5, std::nullopt, 9, std::nullopt},
+          item_query{5, base::incarnation{7}, 0, 0x0a000005}}) {
         const auto read = parse_item_query(item_query_target(query));
         REQUIRE(read);
         CHECK(read->position == query.position);
         CHECK(read->incarnation == query.incarnation);
         CHECK(read->held_configuration == query.held_configuration);
+        CHECK(read->asking == query.asking);
     }
 }
 
@@ -68,8 +69,8 @@
 TEST_CASE_FIXTURE(query_fixture, "query_of_an_earlier_build_gets_plain_items")
 {
     this->write(1, 3);
-    const std::string sent =
-        answer_item_query({0, own, std::nullopt}, this->cluster, own);
+    const std::string sent = answer_item_query(
+        {0, own, std::nullopt, std::nullopt}, this->cluster, own);
     CHECK(sent.find("\"routes\"") != std::string::npos);
     CHECK(gossip::decode_items(sent));
 }
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -1415,7 +1415,9 @@
     VT_LIFE = 12,
     VT_CHANGES = 14,
     VT_PACKED = 16,
-    VT_REFERENCE = 18
+    VT_REFERENCE = 18,
+    VT_DEFERRED = 20,
+    VT_ASK_INSTEAD = 22
   };
   uint64_t store_revision() const {
     return GetField<uint64_t>(VT_STORE_REVISION, 0);
@@ -1441,6 +1443,12 @@
   uint64_t reference() const {
     return GetField<uint64_t>(VT_REFERENCE, 0);
   }
+  bool deferred() const {
+    return GetField<uint8_t>(VT_DEFERRED, 0) != 0;
+  }
+  uint32_t ask_instead() const {
+    return GetField<uint32_t>(VT_ASK_INSTEAD, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_STORE_REVISION, 8) &&
@@ -1454,6 +1462,8 @@
            VerifyOffset(verifier, VT_PACKED) &&
            verifier.VerifyVector(packed()) &&
            VerifyField<uint64_t>(verifier, VT_REFERENCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DEFERRED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ASK_INSTEAD, 4) &&
            verifier.EndTable();
   }
 };
@@ -1486,6 +1496,12 @@
   void add_reference(uint64_t reference) {
     fbb_.AddElement<uint64_t>(Items::VT_REFERENCE, reference, 0);
   }
+  void add_deferred(bool deferred) {
+    fbb_.AddElement<uint8_t>(Items::VT_DEFERRED, static_cast<uint8_t>(deferred), 0);
+  }
+  void add_ask_instead(uint32_t ask_instead) {
+    fbb_.AddElement<uint32_t>(Items::VT_ASK_INSTEAD, ask_instead, 0);
+  }
   explicit ItemsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1506,15 +1522,19 @@
     uint64_t life = 0,
     uint64_t changes = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed = 0,
-    uint64_t reference = 0) {
+    uint64_t reference = 0,
+    bool deferred = false,
+    uint32_t ask_instead = 0) {
   ItemsBuilder builder_(_fbb);
   builder_.add_reference(reference);
   builder_.add_changes(changes);
   builder_.add_life(life);
   builder_.add_change_revision(change_revision);
   builder_.add_store_revision(store_revision);
+  builder_.add_ask_instead(ask_instead);
   builder_.add_packed(packed);
   builder_.add_items(items);
+  builder_.add_deferred(deferred);
   builder_.add_whole(whole);
   return builder_.Finish();
 }
@@ -1528,7 +1548,9 @@
     uint64_t life = 0,
     uint64_t changes = 0,
     const std::vector<uint8_t> *packed = nullptr,
-    uint64_t reference = 0) {
+    uint64_t reference = 0,
+    bool deferred = false,
+    uint32_t ask_instead = 0) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<greengagedrum::gossip::wire::Item>>(*items) : 0;
   auto packed__ = packed ? _fbb.CreateVector<uint8_t>(*packed) : 0;
   return greengagedrum::gossip::wire::CreateItems(
@@ -1540,7 +1562,9 @@
       life,
       changes,
       packed__,
-      reference);
+      reference,
+      deferred,
+      ask_instead);
 }
 
 inline const greengagedrum::gossip::wire::Message *GetMessage(const void *buf) {
--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -296,6 +296,16 @@
     return bytes_of(builder);
 }
 
+std::string encode(const transfer_referral& sent)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    wire::ItemsBuilder items(builder);
+    items.add_deferred(true);
+    items.add_ask_instead(sent.ask_instead);
+    builder.Finish(items.Finish());
+    return bytes_of(builder);
+}
+
 std::string encode_compressed(const item_transfer& sent,
                               const reference_document& reference)
 {
@@ -341,11 +351,19 @@
 
 } // namespace
 
+std::optional<transfer_referral> decode_referral(std::string_view bytes)
+{
+    const wire::Items* root = verified_items(bytes);
+    if (root == nullptr || !root->deferred())
+        return std::nullopt;
+    return transfer_referral{root->ask_instead()};
+}
+
 std::optional<item_transfer>
 decode_items(std::string_view bytes, const reference_lookup& find_reference)
 {
     const wire::Items* root = verified_items(bytes);
-    if (root == nullptr)
+    if (root == nullptr || root->deferred())
         return std::nullopt;
     if (root->packed() == nullptr)
         return transfer_of(*root);
--- a/src/greengagedrum/gossip/message.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -87,6 +87,12 @@
     routing::store_item_list items;
 };
 
+// An answer in place of items: the sender is busy with other transfers.
+struct transfer_referral {
+    // The entry to ask instead; 0: the sender itself, later.
+    ipv4_address ask_instead = 0;
+};
+
 // A configuration that both sides of a transfer hold: transfers are compressed
 // against it. Revision 0: none.
 struct reference_document {
@@ -101,11 +107,14 @@
 
 std::string encode(const message& sent);
 std::string encode(const item_transfer& sent);
+std::string encode(const transfer_referral& sent);
 std::string encode_compressed(const item_transfer& sent,
                               const reference_document& reference);
 
 // Empty if the bytes are not a valid message.
 std::optional<message> decode_message(std::string_view bytes);
+// Empty if the bytes are not a referral.
+std::optional<transfer_referral> decode_referral(std::string_view bytes);
 // Finds the configuration of a revision; none if it is not held.
 using reference_lookup =
     std::function<reference_document(std::uint64_t revision)>;
--- a/src/greengagedrum/gossip/peer_table.hpp
+++ b/src/greengagedrum/gossip/peer_table.hpp
@@ -42,6 +42,9 @@
     {
     }
 
+    // Of the entry that the table belongs to.
+    ipv4_address address() const { return this->own_address; }
+
     void add_seed(ipv4_address address);
 
     peer_update on_message(const message& received, base::instant now);
