--- a/fuzz/peer_words.cpp
+++ b/fuzz/peer_words.cpp
@@ -23,8 +23,11 @@
         table.select_recipients(gossip::recipient_group::other_data_centres,
                                 now);
     }
+    gossip::decode_referral(text);
     if (const auto items = gossip::decode_items(text))
-        require(gossip::decode_items(gossip::encode(*items)).has_value(),
+        require(gossip::decode_items(gossip::encode(*items)).has_value() &&
+                    gossip::decode_items(gossip::encode_compressed(*items, {}))
+                        .has_value(),
                 "items that were read can be passed on");
     return 0;
 }
--- a/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
@@ -1,5 +1,6 @@
 #include <greengagedrum/entry/fleet_test/configuration_fleet.hpp>
 #include <greengagedrum/entry/store_reader.hpp>
+#include <greengagedrum/entry/test/generated_configuration.hpp>
 #include <greengagedrum/placement/mix.hpp>
 #include <greengagedrum/platform/documents.hpp>
 
@@ -25,33 +26,6 @@
 constexpr double base64_expansion = 4.0 / 3;
 constexpr double bytes_of_other_changes = 2000;
 
-std::string random_name(std::uint64_t seed, std::uint64_t number)
-{
-    constexpr std::size_t letters = 8;
-    constexpr std::uint64_t alphabet = 26;
-    std::uint64_t draw = placement::mix(seed, number);
-    std::string out;
-    for (std::size_t each = 0; each < letters; ++each, draw /= alphabet)
-        out += static_cast<char>('a' + draw % alphabet);
-    return out;
-}
-
-std::string route_text(std::uint64_t number)
-{
-    const std::string name = random_name(1, number);
-    return R"({"name": ")" + name + R"(", "hostname": ")" +
-           random_name(2, number % 20) + R"(.example", "prefix": "/)" + name +
-           "/" + random_name(3, number) +
-           R"(/", "routeType": "idempotent", "timeoutMs": 3000, )"
-           R"("targetLatencyMs": 500, "maxAttempts": 2, "service": "models"})";
-}
-
-std::string workspace_text(std::uint64_t number, std::uint64_t key)
-{
-    return R"({"name": "workspace-)" + std::to_string(number) +
-           R"(", "apiKeys": [")" + random_name(4 + key, number) + R"("]})";
-}
-
 } // namespace
 
 configuration_fleet::configuration_fleet(const configuration_plan& plan)
@@ -123,19 +97,8 @@
 void configuration_fleet::write_configuration()
 {
     const auto version = static_cast<std::int64_t>(this->changes.size()) + 1;
-    std::string text =
-        R"({"version": )" + std::to_string(version) + R"(, "routes": [)";
-    for (std::size_t each = 0; each < this->routes; ++each)
-        text += (each > 0 ? ", " : "") + route_text(each);
-    text += R"(], "services": [{"name": "models"}], "tenants": [)";
-    for (std::size_t each = 0; each < this->plan.workspaces; ++each) {
-        const std::uint64_t key =
-            each == this->changes.size() % this->plan.workspaces
-                ? this->changes.size()
-                : 0;
-        text += (each > 0 ? ", " : "") + workspace_text(each, key);
-    }
-    this->document.value = text + "]}";
+    this->document.value = test::configuration_text(
+        version, this->routes, this->plan.workspaces, this->changes.size());
     this->document.revision += 3;
     this->changes.push_back({this->fleet.time(), version});
 }
