--- a/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
@@ -29,7 +29,7 @@
 } // namespace
 
 configuration_fleet::configuration_fleet(const configuration_plan& plan)
-    : plan(plan), readers(plan.entries), behind(plan.entries),
+    : plan(plan), readers(plan.entries), changes_in_force(plan.entries),
       requests(plan.entries), routes(plan.routes), fleet(plan, this->hooks())
 {
     this->document.key = platform::configuration_key;
@@ -43,7 +43,7 @@
     out.configure = [this](node& one) {
         this->readers[one.number] = {};
         this->requests[one.number] = {};
-        this->behind[one.number] = this->changes.size();
+        this->changes_in_force[one.number] = this->changes.size();
     };
     out.events = [this](node& one) { return this->events_of(one); };
     out.after_step = [this](node& one) { this->read_store(one); };
@@ -204,7 +204,7 @@
         node* one = this->fleet.at(number);
         if (one == nullptr)
             continue;
-        std::size_t& in_force = this->behind[number];
+        std::size_t& in_force = this->changes_in_force[number];
         const std::int64_t version = one->state.cluster.configuration_version();
         while (in_force < this->changes.size()) {
             const change& next = this->changes[in_force];
--- a/src/greengagedrum/entry/fleet_test/configuration_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet.hpp
@@ -67,8 +67,8 @@
     void record_delays();
 
     configuration_plan plan;
-    std::vector<reader> readers;     // by entry
-    std::vector<std::size_t> behind; // by entry: changes in force so far
+    std::vector<reader> readers;                          // by entry
+    std::vector<std::size_t> changes_in_force;            // by entry
     std::vector<dispatch::member_request_table> requests; // by entry
     routing::store_item document;
     std::vector<change> changes;
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -144,7 +144,6 @@
     void
     fetch_items(gossip::ipv4_address of, item_query query, base::instant now);
     void on_fetched(gossip::ipv4_address from, const relay::fetched& got);
-    void on_items(const gossip::item_transfer& items);
     void on_referral(gossip::ipv4_address from,
                      const gossip::transfer_referral& referral);
     void log_failed_fetch(gossip::ipv4_address from, const std::string& why);
