Relay: the log of a send says how its body was framed

A send that ended well and one whose upstream closed inside an event looked the same in the log. send_answered and send_failed now have `framing` (length, chunked, until_close, none) and `unfinished_bytes`, the bytes of a stream after its last whole event. No decision changes.

--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -103,6 +103,7 @@
 {
     this->send_number = send_number;
     this->answer = relay::answer_head();
+    this->framing = relay::body_framing::none;
     this->buffered_body.clear();
     this->splitter = relay::event_splitter();
     this->streaming = false;
@@ -142,6 +143,7 @@
 void exchange::on_head()
 {
     this->answer = this->call->head();
+    this->framing = this->call->framing();
     if (!this->request.stream || !is_event_stream(this->answer))
         return;
     const std::string fault = this->head_error();
@@ -257,6 +259,8 @@
     this->events.on_send_ended(send_outcome{this->send_number,
                                             this->answer.status,
                                             this->event_count,
+                                            this->framing,
+                                            this->splitter.rest_size(),
                                             std::move(error)});
 }
 
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -32,7 +32,9 @@
     std::uint32_t send_number = 0;
     unsigned status = 0; // HTTP status; 0: no response
     std::uint32_t event_count = 0;
-    std::string error; // empty: complete response
+    relay::body_framing framing = relay::body_framing::none;
+    std::size_t unfinished_bytes = 0; // of a stream, after its last whole event
+    std::string error;                // empty: complete response
 };
 
 class exchange : public std::enable_shared_from_this<exchange>
@@ -93,6 +95,7 @@
     std::shared_ptr<relay::upstream_call> call;
     std::uint32_t send_number = 0;
     relay::answer_head answer; // of the current or last send
+    relay::body_framing framing = relay::body_framing::none;
     std::string buffered_body;
     relay::event_splitter splitter;
     bool streaming = false;
--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -156,8 +156,10 @@
     if (found == this->requests.end())
         return;
     found->second.http_exchange->stop_send();
-    this->log_send_outcome(action.request,
-                           {action.send, 0, 0, "cancelled by the scheduler"});
+    send_outcome cancelled;
+    cancelled.send_number = action.send;
+    cancelled.error = "cancelled by the scheduler";
+    this->log_send_outcome(action.request, cancelled);
 }
 
 void request_handler::execute_action(const traffic::deliver_answer& action)
@@ -290,6 +292,8 @@
          {"ran_ms", to_milliseconds(now - request.last_sent_at)},
          {"status", outcome.status},
          {"events", outcome.event_count},
+         {"framing", to_string(outcome.framing)},
+         {"unfinished_bytes", outcome.unfinished_bytes},
          {"why", outcome.error}});
 }
 
--- a/src/greengagedrum/relay/event_splitter.hpp
+++ b/src/greengagedrum/relay/event_splitter.hpp
@@ -2,6 +2,7 @@
 // comes in, and keeps their bytes as they are.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,6 +26,7 @@
 
     // Bytes after the last whole event.
     std::string take_rest();
+    std::size_t rest_size() const { return this->pending.size(); }
 
 private:
     std::string pending;
--- a/src/greengagedrum/relay/message_reader.cpp
+++ b/src/greengagedrum/relay/message_reader.cpp
@@ -312,6 +312,33 @@
     return this->inner->head;
 }
 
+std::string_view to_string(body_framing value)
+{
+    switch (value) {
+    case body_framing::none:
+        return "none";
+    case body_framing::length:
+        return "length";
+    case body_framing::chunked:
+        return "chunked";
+    case body_framing::until_close:
+        return "until_close";
+    }
+    return "unknown";
+}
+
+body_framing answer_reader::framing() const
+{
+    if (!this->head_done())
+        return body_framing::none;
+    if (this->inner->need_eof())
+        return body_framing::until_close;
+    if (this->inner->chunked())
+        return body_framing::chunked;
+    return this->inner->content_length() ? body_framing::length
+                                         : body_framing::none;
+}
+
 std::string answer_reader::take_body()
 {
     return std::exchange(this->inner->body, {});
--- a/src/greengagedrum/relay/message_reader.hpp
+++ b/src/greengagedrum/relay/message_reader.hpp
@@ -15,6 +15,7 @@
 #include <tl/expected.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -63,6 +64,16 @@
     std::unique_ptr<parser> inner;
 };
 
+// How the end of an answer's body is found.
+enum class body_framing : std::uint8_t {
+    none, // there is no body, or its head has not been read
+    length,
+    chunked,
+    until_close, // neither a length nor chunks
+};
+
+std::string_view to_string(body_framing value);
+
 class answer_reader
 {
 public:
@@ -81,6 +92,7 @@
     bool head_done() const;
     bool done() const;
     const answer_head& head() const;
+    body_framing framing() const;
 
     // Body bytes since the last call.
     std::string take_body();
--- a/src/greengagedrum/relay/upstream_call.hpp
+++ b/src/greengagedrum/relay/upstream_call.hpp
@@ -45,6 +45,7 @@
     void stop();
 
     const answer_head& head() const { return this->reader.head(); }
+    body_framing framing() const { return this->reader.framing(); }
 
     // Holds back reading while the caller can't take more.
     void pause(bool held);
