--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -241,7 +241,8 @@
     return out;
 }
 
-std::string entry_fixture::send_raw(const std::string& bytes) const
+std::string entry_fixture::send_raw(const std::string& bytes,
+                                    relay::error_code* end) const
 {
     relay::asio::io_context context;
     relay::tcp::socket socket(context);
@@ -256,6 +257,8 @@
             socket.read_some(relay::asio::buffer(piece), fault);
         out.append(piece.data(), count);
     }
+    if (end != nullptr)
+        *end = fault;
     return out;
 }
 
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -70,7 +70,9 @@
 
     httplib::Client client() const;
     // Returns everything that the caller is sent until its connection closes.
-    std::string send_raw(const std::string& bytes) const;
+    // `end`: how it closed.
+    std::string send_raw(const std::string& bytes,
+                         relay::error_code* end = nullptr) const;
 
     std::vector<httplib::Request> received_requests() const;
 
