Relay: a stream closed inside an event is broken off

Cause: a stream with neither length nor chunks ends where its connection ends. An upstream that crashes inside an event may have its connection closed in order; exchange took that for the end of the stream and sent what was left after the last whole event, then the last chunk.

Now such a stream is whole only after an event. A rest counts as a connection that was lost: the stream is resumed after its last whole event, or sent again where nothing was passed on and it may run again, or the caller's connection is reset, and the upstream counts as one that broke off. No byte of the rest is passed on. A stream without a single event counts as broken off too, unless it was resumed and may have nothing left. The same check holds for buffered bodies of that type, whatever the status. Where the upstream gave a length or chunks, the body is passed on as it came.

For that an event has to be known as whole: lines end with LF, CRLF or CR, and a CR that may be half of a CRLF is no end. Types are compared without case and parameters; on a streaming route a 200 without a type counts as a stream.

--- a/fuzz/answer_bytes.cpp
+++ b/fuzz/answer_bytes.cpp
@@ -5,12 +5,16 @@
 
 #include "require.hpp"
 
+#include <algorithm>
+
 namespace
 {
 
 using namespace greengagedrum;
 using fuzz::require;
 
+constexpr std::size_t most_cuts = 256; // bytes, which bounds the time of a run
+
 std::string body_of(std::string_view text, std::size_t piece, bool& done)
 {
     relay::answer_reader reader(false);
@@ -40,6 +44,16 @@
     return out + "|" + splitter.take_rest();
 }
 
+// True when the stream cut after `size` bytes is taken for whole.
+bool whole_at(std::string_view text, std::size_t size)
+{
+    relay::event_splitter splitter;
+    splitter.feed(text.substr(0, size));
+    while (splitter.next()) {
+    }
+    return splitter.rest_size() == 0;
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
@@ -54,5 +68,10 @@
         require(torn_done && whole == torn, "torn bytes hold the same answer");
     require(events_of(text, size + 1) == events_of(text, 1),
             "torn bytes hold the same events");
+    for (std::size_t cut = 1; cut <= std::min(text.size(), most_cuts); ++cut) {
+        const bool line_ended = text[cut - 1] == '\n' || text[cut - 1] == '\r';
+        if (!line_ended)
+            require(!whole_at(text, cut), "a cut inside a line is no end");
+    }
     return 0;
 }
--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -13,16 +13,11 @@
 constexpr std::size_t unsent_high_water = 256U << 10U;
 constexpr std::size_t unsent_low_water = 32U << 10U;
 
+constexpr std::string_view closed_inside_event = "closed inside an event";
+
 constexpr unsigned first_redirect = 300;
 constexpr unsigned first_server_error = 500;
 
-bool is_event_stream(const relay::answer_head& head)
-{
-    const auto type = relay::find_header(head.headers, "Content-Type");
-    return head.status == relay::status_ok && type &&
-           type->starts_with("text/event-stream");
-}
-
 traffic::interruption_cause break_cause_of(relay::call_fault what)
 {
     return what == relay::call_fault::malformed
@@ -144,7 +139,8 @@
 {
     this->answer = this->call->head();
     this->framing = this->call->framing();
-    if (!this->request.stream || !is_event_stream(this->answer))
+    if (!this->request.stream || this->answer.status != relay::status_ok ||
+        !this->is_event_stream())
         return;
     const std::string fault = this->head_error();
     if (!fault.empty()) {
@@ -205,6 +201,9 @@
 {
     this->call.reset();
     if (this->streaming) {
+        if (this->ends_inside_event())
+            return this->on_broken(traffic::interruption_cause::connection_lost,
+                                   std::string(closed_inside_event));
         this->report_outcome({});
         this->events.on_event(traffic::answer_received{
             this->request.id, this->send_number, true});
@@ -213,6 +212,32 @@
     this->classify_answer();
 }
 
+bool exchange::is_event_stream() const
+{
+    const auto type = relay::find_header(this->answer.headers, "Content-Type");
+    if (!type)
+        return this->request.stream && this->answer.status == relay::status_ok;
+    return relay::same_name(relay::media_type(*type), "text/event-stream");
+}
+
+bool exchange::ends_inside_event() const
+{
+    if (this->framing != relay::body_framing::until_close ||
+        !this->is_event_stream())
+        return false;
+    if (!this->streaming) {
+        relay::event_splitter whole;
+        whole.feed(this->buffered_body);
+        while (whole.next()) {
+        }
+        return whole.rest_size() > 0;
+    }
+    const bool resumed =
+        !this->last_event_id.empty() || this->request.marks.resume_after;
+    return this->splitter.rest_size() > 0 ||
+           (this->event_count == 0 && !resumed);
+}
+
 void exchange::classify_answer()
 {
     const platform::answer_marks marks =
@@ -238,6 +263,9 @@
     const std::string fault = this->head_error();
     if (!fault.empty())
         return this->on_broken(traffic::interruption_cause::malformed, fault);
+    if (this->ends_inside_event())
+        return this->on_broken(traffic::interruption_cause::connection_lost,
+                               std::string(closed_inside_event));
     this->report_outcome({});
     this->events.on_event(
         traffic::answer_received{this->request.id,
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -83,6 +83,10 @@
     void on_broken(traffic::interruption_cause cause, const std::string& error);
     void forward_events();
     void classify_answer();
+    bool is_event_stream() const;
+    // An upstream that crashes inside an event may close its connection in
+    // order. Where nothing else frames the body, that looks like its end.
+    bool ends_inside_event() const;
     // Empty if the response head can belong to this request.
     std::string head_error() const;
     std::string caller_response_head() const;
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -44,6 +44,7 @@
     std::vector<base::ip_endpoint> seeds{};
     // Servers of the test that replace the fixture's upstream.
     std::vector<int> upstream_ports{};
+    double retry_slack = 0; // retries that need not be earned
 };
 
 class entry_fixture
--- a/src/greengagedrum/entry/test/unfinished_answer_test.cpp
+++ b/src/greengagedrum/entry/test/unfinished_answer_test.cpp
@@ -154,6 +154,7 @@
     const raw_upstream second(respond);
     fixture_options options;
     options.upstream_ports = {first.port(), second.port()};
+    options.retry_slack = 10;
     const entry_fixture fixture(options);
     const auto response = fixture.client().Post(
         "/stream/", entry_fixture::headers(), "", "text/plain");
@@ -172,6 +173,7 @@
     const raw_upstream second(respond);
     fixture_options options;
     options.upstream_ports = {first.port(), second.port()};
+    options.retry_slack = 10;
     const entry_fixture fixture(options);
     const auto response = fixture.client().Post(
         "/stream/", entry_fixture::headers(), "", "text/plain");
--- a/src/greengagedrum/relay/event_splitter.cpp
+++ b/src/greengagedrum/relay/event_splitter.cpp
@@ -9,40 +9,80 @@
 namespace
 {
 
+constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
+
+enum class line_end : std::uint8_t {
+    feed,
+    return_feed,
+    lone_return,
+    open_return, // the last byte received: a line feed may follow
+};
+
+struct line {
+    std::string_view text;
+    line_end end = line_end::feed;
+
+    std::size_t size() const
+    {
+        return this->text.size() + (this->end == line_end::return_feed ? 2 : 1);
+    }
+};
+
+// The first line, without its end; empty optional where no end was received.
+std::optional<line> first_line(std::string_view text)
+{
+    const std::size_t at = text.find_first_of("\r\n");
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    line out{text.substr(0, at)};
+    if (text[at] == '\n')
+        return out;
+    if (at + 1 == text.size())
+        out.end = line_end::open_return;
+    else if (text[at + 1] == '\n')
+        out.end = line_end::return_feed;
+    else
+        out.end = line_end::lone_return;
+    return out;
+}
+
 // One past the empty line that ends the first event; npos: it is not whole.
 std::size_t end_of_first(std::string_view text)
 {
-    std::size_t line = 0;
-    while (true) {
-        const std::size_t feed = text.find('\n', line);
-        if (feed == std::string_view::npos)
-            return feed;
-        std::size_t length = feed - line;
-        if (length > 0 && text[feed - 1] == '\r')
-            length -= 1;
-        if (length == 0)
-            return feed + 1;
-        line = feed + 1;
+    std::size_t begin = 0;
+    bool lone_returns = false;
+    while (const auto next = first_line(text.substr(begin))) {
+        if (next->text.empty()) {
+            // Where the line before ended with a lone carriage return, so does
+            // this one; else its line feed belongs to the event.
+            if (lone_returns && next->end != line_end::feed)
+                return begin + 1;
+            if (next->end == line_end::open_return)
+                break;
+            return begin + next->size();
+        }
+        if (next->end == line_end::open_return)
+            break;
+        lone_returns = next->end == line_end::lone_return;
+        begin += next->size();
     }
+    return std::string_view::npos;
 }
 
 std::string id_of(std::string_view bytes)
 {
     std::string id;
-    while (!bytes.empty()) {
-        const std::size_t feed = bytes.find('\n');
-        std::string_view line = bytes.substr(0, feed);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        if (line.starts_with("id:")) {
-            line.remove_prefix(3);
-            if (line.starts_with(' '))
-                line.remove_prefix(1);
-            id = line;
-        }
-        if (feed == std::string_view::npos)
-            break;
-        bytes.remove_prefix(feed + 1);
+    if (bytes.starts_with(byte_order_mark))
+        bytes.remove_prefix(byte_order_mark.size());
+    while (const auto next = first_line(bytes)) {
+        bytes.remove_prefix(next->size());
+        std::string_view field = next->text;
+        if (!field.starts_with("id:"))
+            continue;
+        field.remove_prefix(3);
+        if (field.starts_with(' '))
+            field.remove_prefix(1);
+        id = field;
     }
     return id;
 }
--- a/src/greengagedrum/relay/event_splitter.hpp
+++ b/src/greengagedrum/relay/event_splitter.hpp
@@ -1,5 +1,7 @@
 // Cuts a stream of server-sent events into whole events, whatever pieces it
-// comes in, and keeps their bytes as they are.
+// comes in, and keeps their bytes as they are. A line ends with a line feed, a
+// carriage return or both; an event ends with an empty line. A carriage return
+// that may be the first half of a line's end is not yet one.
 #pragma once
 
 #include <cstddef>
--- a/src/greengagedrum/relay/message_head.cpp
+++ b/src/greengagedrum/relay/message_head.cpp
@@ -64,6 +64,11 @@
         }));
 }
 
+std::string_view media_type(std::string_view content_type)
+{
+    return trimmed(content_type.substr(0, content_type.find(';')));
+}
+
 bool lists_token(std::string_view list, std::string_view token)
 {
     while (!list.empty()) {
--- a/src/greengagedrum/relay/message_head.hpp
+++ b/src/greengagedrum/relay/message_head.hpp
@@ -38,6 +38,9 @@
                                             std::string_view name);
 std::size_t count_headers(const std::vector<header>& in, std::string_view name);
 
+// A content type without its parameters.
+std::string_view media_type(std::string_view content_type);
+
 // True when a comma-separated list holds the token.
 bool lists_token(std::string_view list, std::string_view token);
 
--- a/src/greengagedrum/relay/test/message_reader_test.cpp
+++ b/src/greengagedrum/relay/test/message_reader_test.cpp
@@ -4,6 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <iterator>
+#include <set>
+#include <vector>
+
 namespace greengagedrum::relay
 {
 
@@ -180,6 +184,62 @@
     CHECK_FALSE(event_number(""));
 }
 
+TEST_CASE("stream_cut_anywhere_is_whole_only_after_an_event")
+{
+    // A comment, a byte order mark, a character of three bytes.
+    const std::vector<std::vector<std::string>> events = {
+        {"\xEF\xBB\xBF: begins"},
+        {"id: 1", "data: \xE2\x82\xAC", "data"},
+        {": alive"},
+        {"weight: 3", "id:2", "data: b"}};
+    for (const std::string_view line_end : {"\n", "\r\n", "\r"}) {
+        std::string stream;
+        std::set<std::size_t> ends = {0};
+        for (const auto& lines : events) {
+            for (const std::string& text : lines)
+                stream.append(text).append(line_end);
+            stream += line_end;
+            ends.insert(stream.size());
+        }
+        for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+            CAPTURE(line_end);
+            CAPTURE(cut);
+            event_splitter splitter;
+            std::string passed;
+            for (const char byte : stream.substr(0, cut)) {
+                splitter.feed(std::string_view(&byte, 1));
+                while (const auto one = splitter.next())
+                    passed += one->bytes;
+            }
+            const std::size_t last_end = *std::prev(ends.upper_bound(cut));
+            CHECK(passed == stream.substr(0, last_end));
+            CHECK((splitter.rest_size() == 0) == ends.contains(cut));
+        }
+    }
+}
+
+TEST_CASE("id_is_read_whatever_ends_its_line")
+{
+    for (const std::string_view line_end : {"\n", "\r\n", "\r"}) {
+        event_splitter splitter;
+        splitter.feed("\xEF\xBB\xBFid: 7");
+        splitter.feed(line_end);
+        splitter.feed("data: a");
+        splitter.feed(line_end);
+        splitter.feed(line_end);
+        const auto first = splitter.next();
+        REQUIRE(first);
+        CHECK(first->id == "7");
+    }
+}
+
+TEST_CASE("media_type_is_read_without_its_parameters")
+{
+    CHECK(media_type("text/event-stream") == "text/event-stream");
+    CHECK(media_type(" text/event-stream ; charset=utf-8") ==
+          "text/event-stream");
+}
+
 TEST_CASE("headers_of_one_connection_are_known_by_name_and_by_listing")
 {
     const std::vector<header> in = {{"Connection", "close, X-Mine"}};
