Relay: a reset during a write is not the end of an answer

Where the upstream answers before it has read a long request and its connection is then reset, the pending write reports the reset, which clears the socket's error; the read after it sees an orderly close, and a part of the answer passes as whole.

An answer with length or chunks is done before the end of the connection and isn't affected.

--- /dev/null
+++ b/src/greengagedrum/relay/test/upstream_call_test.cpp
@@ -0,0 +1,93 @@
+// How one request to an upstream ends when its connection breaks.
+#include <greengagedrum/relay/upstream_call.hpp>
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+namespace greengagedrum::relay
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// More than the kernel's buffers hold, so that writing is still under way.
+constexpr std::size_t long_body = 32U << 20U; // bytes
+
+const std::string unframed_answer = "HTTP/1.1 200 OK\r\n\r\npart of it";
+
+// Accepts one connection, answers before it has read the request, then resets
+// the connection.
+class resetting_server
+{
+public:
+    resetting_server()
+        : acceptor(this->context,
+                   tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        this->thread = std::thread([this] { this->serve(); });
+    }
+    ~resetting_server() { this->thread.join(); }
+
+    base::ip_endpoint address() const
+    {
+        return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+    }
+
+private:
+    void serve()
+    {
+        tcp::socket connection = this->acceptor.accept();
+        asio::write(connection, asio::buffer(unframed_answer));
+        // The caller has read the answer and waits to write on.
+        std::this_thread::sleep_for(100ms);
+        connection.set_option(asio::socket_base::linger(true, 0));
+    }
+
+    asio::io_context context;
+    tcp::acceptor acceptor;
+    std::thread thread;
+};
+
+struct upstream_call_fixture {
+    asio::io_context context;
+    resetting_server server;
+    bool whole = false;
+    bool broken = false;
+
+    upstream_events events()
+    {
+        upstream_events out;
+        out.not_connected = [] {};
+        out.head = [] {};
+        out.body = [](std::string_view) {};
+        out.done = [this] { this->whole = true; };
+        out.broken = [this](call_fault, const std::string&) {
+            this->broken = true;
+        };
+        return out;
+    }
+};
+
+} // namespace
+
+// The failed write takes the socket's error, and the read then sees an end.
+TEST_CASE_FIXTURE(upstream_call_fixture,
+                  "answer_without_length_reset_during_a_write_is_not_whole")
+{
+    const auto call =
+        std::make_shared<upstream_call>(this->context, this->events(), false);
+    call->start(
+        this->server.address(),
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(long_body) +
+            "\r\n\r\n" + std::string(long_body, 'x'));
+    this->context.run_for(2s);
+    CHECK(this->broken);
+    CHECK_FALSE(this->whole);
+}
+
+} // namespace greengagedrum::relay
--- a/src/greengagedrum/relay/upstream_call.cpp
+++ b/src/greengagedrum/relay/upstream_call.cpp
@@ -58,9 +58,10 @@
     asio::async_write(
         this->socket,
         asio::buffer(this->text),
-        [self = this->shared_from_this()](error_code, std::size_t) {
-            // A fault shows on the read as well; an upstream may
-            // have answered before it closed.
+        [self = this->shared_from_this()](error_code fault, std::size_t) {
+            // The answer may have come before. A reset that the write has
+            // reported shows as an orderly close on the read.
+            self->write_failed = static_cast<bool>(fault);
         });
 }
 
@@ -81,7 +82,7 @@
 void upstream_call::on_read(error_code fault, std::size_t count)
 {
     if (fault == asio::error::eof) {
-        if (!this->reader.finish_at_close())
+        if (this->write_failed || !this->reader.finish_at_close())
             return this->fail(call_fault::connection_lost, "closed early");
         return this->take();
     }
--- a/src/greengagedrum/relay/upstream_call.hpp
+++ b/src/greengagedrum/relay/upstream_call.hpp
@@ -70,6 +70,7 @@
     bool reads = false;
     bool over = false;
     bool connected = false;
+    bool write_failed = false;
 };
 
 } // namespace greengagedrum::relay
