Relay: no chunk follows the response to a HEAD

A HEAD on a streaming route was answered as a stream: after the head came the last chunk, five bytes that the caller would read as its next response. Found while looking at ends of streams. A response without a body isn't forwarded as a stream any more. response_to_head_on_a_streaming_route_has_no_body failed before (162 bytes, the head ends at 157) and passes.

--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -139,8 +139,9 @@
 {
     this->answer = this->call->head();
     this->framing = this->call->framing();
-    if (!this->request.stream || this->answer.status != relay::status_ok ||
-        !this->is_event_stream())
+    const bool has_body = this->framing != relay::body_framing::none;
+    if (!this->request.stream || !has_body ||
+        this->answer.status != relay::status_ok || !this->is_event_stream())
         return;
     const std::string fault = this->head_error();
     if (!fault.empty()) {
