--- /dev/null
+++ b/src/greengagedrum/entry/test/cut_off_entry_test.cpp
@@ -0,0 +1,100 @@
+// An entry that can't connect to any upstream, while a peer can.
+#include <greengagedrum/entry/test/entry_fixture.hpp>
+#include <greengagedrum/entry/test/raw_upstream.hpp>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+namespace asio = relay::asio;
+using relay::tcp;
+
+// Ports that refuse connections as long as the object lives.
+class refusing_ports
+{
+public:
+    explicit refusing_ports(std::size_t count)
+    {
+        for (std::size_t each = 0; each < count; ++each)
+            this->sockets.emplace_back(
+                this->context,
+                tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    }
+
+    std::vector<int> numbers() const
+    {
+        std::vector<int> out;
+        for (const tcp::socket& one : this->sockets)
+            out.push_back(one.local_endpoint().port());
+        return out;
+    }
+
+private:
+    asio::io_context context;
+    std::vector<tcp::socket> sockets; // bound and not listening
+};
+
+std::uint16_t free_peer_port()
+{
+    asio::io_context context;
+    const tcp::acceptor probe(
+        context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return probe.local_endpoint().port();
+}
+
+// The same upstreams at both entries; only the second one reaches them.
+struct cut_off_fixture {
+    static constexpr std::size_t upstream_count = 3;
+
+    explicit cut_off_fixture(raw_upstream::responder respond)
+        : upstream(std::move(respond)), cut_off(options_of("127.0.0.2")),
+          reaching(options_of("127.0.0.3"))
+    {
+        // Until the entries have heard from each other.
+        std::this_thread::sleep_for(1s);
+    }
+
+    fixture_options options_of(const std::string& ip) const
+    {
+        fixture_options out;
+        out.ip = ip;
+        out.peer_port = this->peer_port;
+        out.seeds = {{"127.0.0.2", 1}, {"127.0.0.3", 1}};
+        out.upstream_ports =
+            ip == "127.0.0.2"
+                ? this->closed.numbers()
+                : std::vector<int>(upstream_count, this->upstream.port());
+        return out;
+    }
+
+    refusing_ports closed{upstream_count};
+    std::uint16_t peer_port = free_peer_port();
+    raw_upstream upstream;
+    entry_fixture cut_off;
+    entry_fixture reaching;
+};
+
+std::string plain_answer(const std::string& /* head */)
+{
+    return "Content-Length: 2\r\n\r\nok";
+}
+
+} // namespace
+
+TEST_CASE("request_at_an_entry_cut_off_from_upstreams_is_served_by_a_peer")
+{
+    const cut_off_fixture test(plain_answer);
+    for (int count = 0; count < 5; ++count) {
+        const auto response = test.cut_off.client().Post(
+            "/once/", entry_fixture::headers(), "body", "text/plain");
+        REQUIRE(response);
+        CHECK(response->status == 200);
+        CHECK(response->body == "ok");
+    }
+    CHECK(test.upstream.request_count() == 5);
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -67,9 +67,9 @@
 settings settings_for(int store_port, const fixture_options& options)
 {
     settings out;
-    out.instance = "entry-1";
+    out.instance = "entry-" + options.ip;
     out.data_centre = "hall";
-    out.ip = "127.0.0.1";
+    out.ip = options.ip;
     out.caller_address = out.readiness_address = out.control_address =
         out.metrics_address = {"127.0.0.1", 0};
     out.store_address = {"127.0.0.1", static_cast<std::uint16_t>(store_port)};
--- a/src/greengagedrum/entry/test/raw_upstream.cpp
+++ b/src/greengagedrum/entry/test/raw_upstream.cpp
@@ -85,6 +85,7 @@
         if (fault)
             return;
     }
+    this->requests += 1;
     const std::string bytes =
         "HTTP/1.1 200 OK\r\nX-Response-Signature: signed\r\nX-Attempt-Id: " +
         header_value(head, "X-Attempt-Id") + "\r\n" + this->respond(head);
--- a/src/greengagedrum/entry/test/raw_upstream.hpp
+++ b/src/greengagedrum/entry/test/raw_upstream.hpp
@@ -25,6 +25,7 @@
     raw_upstream& operator=(const raw_upstream&) = delete;
 
     int port() const { return this->listening_port; }
+    int request_count() const { return this->requests; }
 
 private:
     void serve();
@@ -35,6 +36,7 @@
     int listening_port = 0;
     responder respond;
     std::atomic<bool> stopping{false};
+    std::atomic<int> requests{0}; // received whole
     std::thread thread;
 };
 
