Entry: requests at a cut-off entry go by way of a peer

Cause: an entry had no notion that its own path is broken and no other way. All 326 sends of six entries failed to connect, none of the others'.

An entry that fails to connect to two upstreams of a service, and to none between, takes itself for cut off (entry/peer_paths). Its sends then go through a peer: the peer connects to the upstream and passes bytes (relay/tunnel*); verdicts, limits, retries, slots and cancelling stay where the request was taken. The request is sent only once the peer is connected, so "not run" stays true; a peer that is lost later is a lost connection. One hop at most, only to peers in data centres where the request may go, closes and resets are passed on as they are. Connect checks each 250 ms end it.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -70,8 +70,14 @@
     this->last_store_answer = this->state.clock();
     this->last_tick = this->state.clock();
     this->total_suspended = suspended_time();
-    this->handler = std::make_unique<request_handler>(
-        this->context, initial_settings.caller_address, this->state);
+    this->paths = std::make_unique<peer_paths>(initial_settings.instance,
+                                               initial_settings.ip,
+                                               this->make_path_events());
+    this->handler =
+        std::make_unique<request_handler>(this->context,
+                                          initial_settings.caller_address,
+                                          this->state,
+                                          *this->paths);
     this->handler->on_load_changed = [this] {
         if (this->peers)
             this->peers->schedule_gossip();
@@ -89,6 +95,7 @@
             this->peers->on_message(bytes, from);
         },
         [this] { this->peers->on_timer(); });
+    this->listen_for_tunnels();
     store_events store_callbacks;
     store_callbacks.items_received =
         [this](const routing::store_item_list& items,
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -5,12 +5,14 @@
 // a wake-up per event.
 #pragma once
 
+#include <greengagedrum/entry/peer_paths.hpp>
 #include <greengagedrum/entry/peer_protocol.hpp>
 #include <greengagedrum/entry/peer_socket.hpp>
 #include <greengagedrum/entry/request_handler.hpp>
 #include <greengagedrum/entry/settings.hpp>
 #include <greengagedrum/entry/store_reader.hpp>
 #include <greengagedrum/relay/small_server.hpp>
+#include <greengagedrum/relay/tunnel_server.hpp>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -43,6 +45,10 @@
 
 private:
     peer_events make_peer_events();
+    peer_paths::owner make_path_events();
+    relay::tunnel_server::owner make_tunnel_events();
+    void listen_for_tunnels();
+    std::string service_name(base::upstream_class_id service) const;
     void on_signal(int number);
     void begin_stop(int number);
     void check_stop();
@@ -73,7 +79,9 @@
     base::incarnation incarnation;
     relay::asio::steady_timer timer;
     boost::asio::signal_set signals;
+    std::unique_ptr<peer_paths> paths;
     std::unique_ptr<request_handler> handler;
+    std::unique_ptr<relay::tunnel_server> tunnels; // null: the port is taken
     std::unique_ptr<peer_socket> peer_datagram_socket;
     std::unique_ptr<peer_protocol> peers;
     std::unique_ptr<store_reader> store;
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -258,7 +258,8 @@
     }
     const bool done = !this->accepting_connections &&
                       this->handler->in_flight() == 0 &&
-                      this->handler->open_connections() == 0;
+                      this->handler->open_connections() == 0 &&
+                      (!this->tunnels || this->tunnels->active() == 0);
     if (done || passed >= this->own_settings.bounds.stop_timeout - stop_margin)
         this->context.stop();
 }
--- /dev/null
+++ b/src/greengagedrum/entry/entry_paths.cpp
@@ -0,0 +1,86 @@
+// The entry's part in requests that go through a peer, at either end.
+#include <greengagedrum/entry/entry.hpp>
+#include <greengagedrum/logs/write.hpp>
+
+namespace greengagedrum::entry
+{
+
+std::string entry::service_name(base::upstream_class_id service) const
+{
+    if (!this->state.cluster.routes())
+        return {};
+    for (const routing::service& one :
+         this->state.cluster.routes()->config().services) {
+        if (one.id == service)
+            return one.name;
+    }
+    return {};
+}
+
+peer_paths::owner entry::make_path_events()
+{
+    peer_paths::owner out;
+    out.clock = this->state.clock;
+    out.live_peers = [this] {
+        return this->peers ? this->peers->serving_peers()
+                           : std::vector<reachable_peer>();
+    };
+    out.on_change = [this](base::upstream_class_id service, bool cut_off) {
+        logs::write(cut_off ? logs::level::warning : logs::level::info,
+                    "paths",
+                    cut_off ? "upstreams_cut_off" : "upstreams_reached",
+                    {{"service", this->service_name(service)}});
+    };
+    return out;
+}
+
+relay::tunnel_server::owner entry::make_tunnel_events()
+{
+    relay::tunnel_server::owner out;
+    out.is_peer = [this](const std::string& ip) {
+        return this->peers->knows_entry(ip);
+    };
+    out.find_upstream =
+        [this](base::upstream_id id) -> std::optional<base::ip_endpoint> {
+        const routing::published_upstream* found =
+            this->state.cluster.upstreams().find_usable(id);
+        if (this->state.stopping || found == nullptr ||
+            this->paths->is_cut_off(found->service))
+            return std::nullopt;
+        return found->address;
+    };
+    out.on_outcome = [this](const relay::tunnel_outcome& outcome) {
+        const relay::tunnel::totals totals =
+            outcome.totals.value_or(relay::tunnel::totals());
+        this->state.log.write(this->state.clock(),
+                              "paths",
+                              outcome.totals ? "tunnel_ended" : "tunnel_asked",
+                              {{"request", outcome.asked.request},
+                               {"peer", outcome.peer},
+                               {"instance", outcome.asked.instance},
+                               {"verdict", to_string(outcome.verdict)},
+                               {"bytes_to_upstream", totals.to_upstream},
+                               {"bytes_to_peer", totals.to_peer},
+                               {"why", totals.error}});
+    };
+    return out;
+}
+
+// Without the port this entry still serves; its peers choose another one.
+void entry::listen_for_tunnels()
+{
+    const base::ip_endpoint address{this->own_settings.ip,
+                                    this->own_settings.peer_port};
+    try {
+        this->tunnels = std::make_unique<relay::tunnel_server>(
+            this->context, address, this->make_tunnel_events());
+    } catch (const boost::system::system_error& error) {
+        logs::write(
+            logs::level::error,
+            "paths",
+            "tunnel_port_unavailable",
+            {{"address", base::to_string(address)}, {"why", error.what()}});
+    }
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -1,7 +1,5 @@
 #include <greengagedrum/entry/exchange.hpp>
 
-#include <algorithm>
-
 namespace greengagedrum::entry
 {
 
@@ -35,11 +33,12 @@
 } // namespace
 
 exchange::exchange(relay::asio::io_context& context,
+                   peer_paths& paths,
                    relay::caller_ptr caller,
                    request_info request,
                    owner_events events)
-    : context(context), caller(std::move(caller)), request(std::move(request)),
-      events(std::move(events))
+    : context(context), paths(paths), caller(std::move(caller)),
+      request(std::move(request)), events(std::move(events))
 {
 }
 
@@ -77,11 +76,10 @@
 {
     relay::upstream_events out;
     const auto self = this->shared_from_this();
+    out.connected = [self] { self->on_direct_connect(true); };
     out.not_connected = [self] {
         self->call.reset();
-        self->report_outcome("connection failed");
-        self->events.on_event(
-            traffic::connect_failed{self->request.id, self->send_number});
+        self->on_direct_connect(false);
     };
     out.head = [self] { self->on_head(); };
     out.body = [self](std::string_view bytes) { self->on_body(bytes); };
@@ -92,30 +90,15 @@
     return out;
 }
 
-void exchange::send(std::uint32_t send_number,
-                    const routing::published_upstream& to,
-                    base::duration time_left)
-{
-    this->send_number = send_number;
-    this->answer = relay::answer_head();
-    this->framing = relay::body_framing::none;
-    this->buffered_body.clear();
-    this->splitter = relay::event_splitter();
-    this->streaming = false;
-    this->event_count = 0;
-    this->reading_paused = false;
-    this->call = std::make_shared<relay::upstream_call>(
-        this->context,
-        this->make_call_events(),
-        this->caller->head().method == "HEAD");
-    this->call->start(to.address, this->request_text(to, time_left));
-}
-
 void exchange::stop_send()
 {
+    if (this->tunnel)
+        this->tunnel->stop();
+    this->tunnel.reset();
     if (this->call)
         this->call->stop();
     this->call.reset();
+    this->peer.reset();
 }
 
 std::string exchange::head_error() const
@@ -283,14 +266,16 @@
         this->request.id, this->send_number, cause});
 }
 
-void exchange::report_outcome(std::string error) const
+void exchange::report_outcome(std::string error)
 {
     this->events.on_send_ended(send_outcome{this->send_number,
                                             this->answer.status,
                                             this->event_count,
                                             this->framing,
                                             this->splitter.rest_size(),
-                                            std::move(error)});
+                                            std::move(error),
+                                            this->peer.address()});
+    this->peer.reset();
 }
 
 std::string exchange::caller_response_head() const
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -3,9 +3,11 @@
 // request.
 #pragma once
 
+#include <greengagedrum/entry/peer_paths.hpp>
 #include <greengagedrum/platform/headers.hpp>
 #include <greengagedrum/relay/caller_connection.hpp>
 #include <greengagedrum/relay/event_splitter.hpp>
+#include <greengagedrum/relay/tunnel_client.hpp>
 #include <greengagedrum/relay/upstream_call.hpp>
 #include <greengagedrum/routing/upstream_directory.hpp>
 #include <greengagedrum/traffic/messages.hpp>
@@ -13,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace greengagedrum::entry
 {
@@ -25,6 +28,8 @@
     std::string route;
     bool stream = false;
     bool repeatable = false;
+    // Where the request may go, by way of a peer too.
+    routing::data_centre_constraint allowed_data_centres{};
 };
 
 // The outcome of one send, for the log.
@@ -35,6 +40,7 @@
     relay::body_framing framing = relay::body_framing::none;
     std::size_t unfinished_bytes = 0; // of a stream, after its last whole event
     std::string error;                // empty: complete response
+    std::string via;                  // the peer's address; empty: direct
 };
 
 class exchange : public std::enable_shared_from_this<exchange>
@@ -46,6 +52,7 @@
     };
 
     exchange(relay::asio::io_context& context,
+             peer_paths& paths,
              relay::caller_ptr caller,
              request_info request,
              owner_events events);
@@ -77,6 +84,15 @@
     std::string request_text(const routing::published_upstream& to,
                              base::duration time_left) const;
     relay::upstream_events make_call_events();
+    void make_call();
+    std::string text_now() const;
+    void send_directly();
+    void on_direct_connect(bool connected);
+    // Tries peers one after the other, a few at most.
+    void send_by_peer();
+    void on_tunnel(const base::ip_endpoint& peer,
+                   relay::tunnel_client::result result);
+    void report_not_connected();
     void on_head();
     void on_body(std::string_view bytes);
     void on_done();
@@ -90,13 +106,20 @@
     // Empty if the response head can belong to this request.
     std::string head_error() const;
     std::string caller_response_head() const;
-    void report_outcome(std::string error) const;
+    void report_outcome(std::string error);
 
     relay::asio::io_context& context;
+    peer_paths& paths;
     relay::caller_ptr caller;
     request_info request;
     owner_events events;
     std::shared_ptr<relay::upstream_call> call;
+    std::shared_ptr<relay::tunnel_client> tunnel; // until it is connected
+    peer_paths::lease peer;                       // in use by the send
+    std::vector<base::ip_endpoint> tried_peers;   // by the send
+    routing::published_upstream target;           // of the send
+    base::instant sent_at;
+    base::instant deadline;
     std::uint32_t send_number = 0;
     relay::answer_head answer; // of the current or last send
     relay::body_framing framing = relay::body_framing::none;
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -28,6 +28,9 @@
     return static_cast<std::uint32_t>(thousandths * given.processors);
 }
 
+// Entries listed by others that were seen this recently may take requests.
+constexpr base::duration listed_entry_max_age = std::chrono::seconds(5);
+
 } // namespace
 
 peer_protocol::peer_protocol(const settings& given,
@@ -65,6 +68,41 @@
     return this->table.live_count(this->state.clock());
 }
 
+std::vector<reachable_peer> peer_protocol::serving_peers() const
+{
+    const base::instant now = this->state.clock();
+    std::map<gossip::ipv4_address, base::data_centre_id> found;
+    for (const gossip::located_entry& one : this->table.serving_peers(now))
+        found[one.address] = one.data_centre;
+    // In a large fleet, most entries are known only from lists.
+    if (this->uses_dispatchers)
+        for (const gossip::located_entry& one :
+             this->election.seen_within(listed_entry_max_age, now))
+            found.try_emplace(one.address, one.data_centre);
+    const base::data_centre_id own(this->own_settings.data_centre);
+    std::vector<reachable_peer> out;
+    for (const auto& [address, data_centre] : found)
+        out.push_back({{relay::asio::ip::address_v4(address).to_string(),
+                        this->own_settings.peer_port},
+                       data_centre,
+                       data_centre == own});
+    return out;
+}
+
+bool peer_protocol::knows_entry(const std::string& ip) const
+{
+    relay::error_code fault;
+    const auto address = relay::asio::ip::make_address_v4(ip, fault);
+    if (fault)
+        return false;
+    const auto seen =
+        this->election.seen_within(base::duration::max(), this->state.clock());
+    return this->table.contains(address.to_uint()) ||
+           std::any_of(seen.begin(), seen.end(), [&](const auto& one) {
+               return one.address == address.to_uint();
+           });
+}
+
 std::size_t peer_protocol::recently_live_peers() const
 {
     return this->table.recently_live_count(this->state.clock());
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <greengagedrum/entry/item_query.hpp>
+#include <greengagedrum/entry/peer_paths.hpp>
 #include <greengagedrum/entry/peer_transport.hpp>
 #include <greengagedrum/entry/request_handler.hpp>
 #include <greengagedrum/entry/settings.hpp>
@@ -92,6 +93,11 @@
     void apply_settings(const settings& given);
 
     std::size_t live_peers() const;
+    // Entries that may take this entry's requests, with the port at which they
+    // do.
+    std::vector<reachable_peer> serving_peers() const;
+    // Whether that address is known as an entry's.
+    bool knows_entry(const std::string& ip) const;
     std::size_t recently_live_peers() const;
 
 private:
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -1,6 +1,7 @@
 #include <greengagedrum/entry/request_handler.hpp>
 #include <greengagedrum/entry/to_milliseconds.hpp>
 #include <greengagedrum/placement/seconds.hpp>
+#include <greengagedrum/relay/connect_check.hpp>
 #include <greengagedrum/relay/small_server.hpp>
 
 #include <algorithm>
@@ -43,9 +44,10 @@
 
 request_handler::request_handler(relay::asio::io_context& context,
                                  const base::ip_endpoint& address,
-                                 shared_state& state)
+                                 shared_state& state,
+                                 peer_paths& paths)
     : context(context), acceptor(relay::listen_on(context, address)),
-      state(state), random_engine(std::random_device{}())
+      state(state), paths(paths), random_engine(std::random_device{}())
 {
     this->events.request = [this](const relay::caller_ptr& from,
                                   base::duration waited) {
@@ -170,6 +172,7 @@
     out.info.route = route.name;
     out.info.stream = route.stream;
     out.info.repeatable = route.retry != routing::retry_policy::at_most_once;
+    out.info.allowed_data_centres = facts.allowed_data_centres;
     out.series = {"", tier_of(facts.priority), route.name};
     if (owner == nullptr)
         return;
@@ -277,7 +280,7 @@
         this->log_send_outcome(id, outcome);
     };
     return std::make_shared<exchange>(
-        this->context, from, std::move(info), std::move(owner));
+        this->context, this->paths, from, std::move(info), std::move(owner));
 }
 
 void request_handler::on_caller_left(const relay::caller_ptr& from)
@@ -321,8 +324,33 @@
     this->processing_events = false;
 }
 
+// Notices the end of a cut: connects to the upstreams of a service in turn.
+void request_handler::check_paths()
+{
+    for (const base::upstream_class_id service :
+         this->paths.services_to_check()) {
+        std::vector<base::ip_endpoint> addresses;
+        this->state.cluster.upstreams().for_each_usable(
+            [&](const routing::published_upstream& one) {
+                if (one.service == service)
+                    addresses.push_back(one.address);
+            });
+        if (addresses.empty())
+            continue;
+        const base::instant begun = this->state.clock();
+        const auto check = std::make_shared<relay::connect_check>(
+            this->context, [this, service, begun](bool accepts) {
+                if (accepts)
+                    this->paths.on_connected(service, begun);
+            });
+        check->start(addresses[this->next_path_check++ % addresses.size()],
+                     base::duration(0));
+    }
+}
+
 void request_handler::tick()
 {
+    this->check_paths();
     this->processing_events = true;
     traffic::actions actions;
     this->state.scheduler.tick(this->state.clock(), actions);
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -52,7 +52,8 @@
 public:
     request_handler(relay::asio::io_context& context,
                     const base::ip_endpoint& address,
-                    shared_state& state);
+                    shared_state& state,
+                    peer_paths& paths);
 
     // Called when state has changed and at regular intervals.
     void tick();
@@ -166,6 +167,7 @@
     void add_member_request(base::request_id id,
                             const dispatch::slot_request& request);
     void charge_queued_requests();
+    void check_paths();
     void refuse_queued_request(base::request_id id, base::duration retry_after);
     void log_over_limit(base::workspace_id workspace,
                         double cost,
@@ -179,6 +181,7 @@
     relay::asio::io_context& context;
     relay::tcp::acceptor acceptor;
     shared_state& state;
+    peer_paths& paths;
     relay::caller_events events;
     std::unordered_set<relay::caller_ptr> callers;
     std::unordered_map<base::request_id, active_request> requests;
@@ -188,6 +191,7 @@
     dispatch::member_request_table members;
     dispatch::send_status_log send_statuses;
     std::uint64_t next_request = 1;
+    std::size_t next_path_check = 0;
     std::mt19937_64 random_engine;
     bool processing_events = false; // new events go to pending_events
     std::vector<traffic::event> pending_events;
--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -294,6 +294,7 @@
          {"events", outcome.event_count},
          {"framing", to_string(outcome.framing)},
          {"unfinished_bytes", outcome.unfinished_bytes},
+         {"via", outcome.via},
          {"why", outcome.error}});
 }
 
--- a/src/greengagedrum/entry/test/cut_off_entry_test.cpp
+++ b/src/greengagedrum/entry/test/cut_off_entry_test.cpp
@@ -2,6 +2,9 @@
 #include <greengagedrum/entry/test/entry_fixture.hpp>
 #include <greengagedrum/entry/test/raw_upstream.hpp>
 
+#include <atomic>
+#include <thread>
+
 namespace greengagedrum::entry
 {
 
@@ -51,7 +54,7 @@
 
     explicit cut_off_fixture(raw_upstream::responder respond)
         : upstream(std::move(respond)), cut_off(options_of("127.0.0.2")),
-          reaching(options_of("127.0.0.3"))
+          reaching(std::make_unique<entry_fixture>(options_of("127.0.0.3")))
     {
         // Until the entries have heard from each other.
         std::this_thread::sleep_for(1s);
@@ -74,7 +77,7 @@
     std::uint16_t peer_port = free_peer_port();
     raw_upstream upstream;
     entry_fixture cut_off;
-    entry_fixture reaching;
+    std::unique_ptr<entry_fixture> reaching;
 };
 
 std::string plain_answer(const std::string& /* head */)
@@ -97,4 +100,46 @@
     CHECK(test.upstream.request_count() == 5);
 }
 
+TEST_CASE("stream_through_a_peer_is_whole_only_after_an_event")
+{
+    std::atomic<bool> whole{true};
+    const cut_off_fixture test([&](const std::string&) {
+        return std::string("Content-Type: text/event-stream\r\n\r\n"
+                           "id: 1\ndata: 7\n\n") +
+               (whole ? "" : "id: 2\nda");
+    });
+    const auto ask = [&] {
+        return test.cut_off.client().Post(
+            "/stream/", entry_fixture::headers(), "", "text/plain");
+    };
+    const auto response = ask();
+    REQUIRE(response);
+    CHECK(response->body == "id: 1\ndata: 7\n\n");
+    whole = false;
+    CHECK_FALSE(ask());
+}
+
+// The request may have run: it is not sent a second way.
+TEST_CASE("request_whose_peer_is_lost_is_not_sent_again")
+{
+    std::atomic<bool> running{false};
+    cut_off_fixture test([&](const std::string&) {
+        running = true;
+        // Longer than the peer waits for requests in progress.
+        std::this_thread::sleep_for(1500ms);
+        return plain_answer({});
+    });
+    std::thread loss([&] {
+        while (!running)
+            std::this_thread::sleep_for(1ms);
+        test.reaching.reset();
+    });
+    const auto response = test.cut_off.client().Post(
+        "/once/", entry_fixture::headers(), "body", "text/plain");
+    loss.join();
+    REQUIRE(response);
+    CHECK(response->status == 502);
+    CHECK(test.upstream.request_count() == 1);
+}
+
 } // namespace greengagedrum::entry
--- /dev/null
+++ b/src/greengagedrum/entry/test/peer_paths_test.cpp
@@ -0,0 +1,148 @@
+// When an entry takes itself for cut off, and which peers it then uses.
+#include <greengagedrum/entry/peer_paths.hpp>
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const base::upstream_class_id engines("engines");
+const base::upstream_class_id services("services");
+const base::data_centre_id hall("hall");
+const base::data_centre_id yard("yard");
+const routing::data_centre_constraint anywhere;
+
+base::upstream_id upstream(int number)
+{
+    return base::upstream_id("i-" + std::to_string(number));
+}
+
+struct paths_fixture {
+    base::instant now{1h};
+    std::vector<reachable_peer> live;
+    int changes = 0;
+    peer_paths paths{
+        "entry-1",
+        "10.0.0.1",
+        {[this] { return this->now; },
+         [this] { return this->live; },
+         [this](base::upstream_class_id, bool) { this->changes += 1; }}};
+
+    paths_fixture()
+    {
+        for (int each = 2; each < 6; ++each)
+            this->live.push_back(
+                {{"10.0.0." + std::to_string(each), 7600}, hall, true});
+        this->live.push_back({{"10.0.1.1", 7600}, yard, false});
+    }
+
+    void fail(int number, base::upstream_class_id service = engines)
+    {
+        this->paths.on_connect_failed(service, upstream(number), this->now);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(paths_fixture, "one_upstream_out_of_reach_is_not_a_cut")
+{
+    for (int tries = 0; tries < 5; ++tries)
+        this->fail(1);
+    CHECK_FALSE(this->paths.is_cut_off(engines));
+}
+
+TEST_CASE_FIXTURE(paths_fixture, "two_upstreams_out_of_reach_are_a_cut")
+{
+    this->fail(1);
+    this->fail(2);
+    CHECK(this->paths.is_cut_off(engines));
+    CHECK_FALSE(this->paths.is_cut_off(services));
+    this->fail(9, services); // its only upstream
+    CHECK(this->paths.is_cut_off(services));
+}
+
+TEST_CASE_FIXTURE(paths_fixture, "connect_between_two_failures_refutes_a_cut")
+{
+    this->fail(1);
+    this->now += 10ms;
+    this->paths.on_connected(engines, this->now);
+    this->fail(2);
+    CHECK_FALSE(this->paths.is_cut_off(engines));
+}
+
+TEST_CASE_FIXTURE(paths_fixture, "cut_ends_with_a_connect_begun_after_it")
+{
+    this->fail(1);
+    this->fail(2);
+    this->paths.on_connected(engines, this->now - 50ms);
+    CHECK(this->paths.is_cut_off(engines));
+    CHECK(this->paths.services_to_check().empty());
+    this->now += 300ms;
+    CHECK(this->paths.services_to_check().size() == 1);
+    this->paths.on_connected(engines, this->now);
+    CHECK_FALSE(this->paths.is_cut_off(engines));
+    CHECK(this->changes == 2);
+}
+
+TEST_CASE_FIXTURE(paths_fixture,
+                  "sends_spread_over_near_peers_then_farther_ones")
+{
+    std::vector<peer_paths::lease> leases;
+    std::set<std::string> used;
+    for (int each = 0; each < 4; ++each) {
+        const auto chosen = this->paths.choose_peer(anywhere, {});
+        REQUIRE(chosen);
+        used.insert(chosen->ip);
+        leases.push_back(this->paths.use_peer(*chosen));
+    }
+    CHECK(used.size() == 4);
+    CHECK_FALSE(used.contains("10.0.1.1"));
+    for (int each = 0; each < 16; ++each)
+        leases.push_back(
+            this->paths.use_peer(*this->paths.choose_peer(anywhere, {})));
+    leases.clear();
+    CHECK(this->paths.choose_peer(anywhere, {})->ip != "10.0.1.1");
+}
+
+TEST_CASE_FIXTURE(paths_fixture,
+                  "peer_that_could_not_help_is_left_alone_a_while")
+{
+    const auto first = this->paths.choose_peer(anywhere, {});
+    REQUIRE(first);
+    this->paths.on_peer_failed(*first, relay::tunnel_failure::rejected);
+    CHECK(this->paths.choose_peer(anywhere, {}) != first);
+    this->now += 1100ms;
+    CHECK(this->paths.choose_peer(anywhere, {}) == first);
+}
+
+// It connected others lately, so that the upstream is at fault.
+TEST_CASE_FIXTURE(paths_fixture, "peer_that_reaches_others_is_used_again")
+{
+    const auto first = this->paths.choose_peer(anywhere, {});
+    REQUIRE(first);
+    this->paths.on_peer_connected(*first);
+    this->paths.on_peer_failed(*first,
+                               relay::tunnel_failure::upstream_unreachable);
+    CHECK(this->paths.choose_peer(anywhere, {}) == first);
+}
+
+TEST_CASE_FIXTURE(paths_fixture, "request_goes_only_to_peers_where_it_may")
+{
+    routing::data_centre_constraint only_yard;
+    only_yard.restricted = true;
+    only_yard.data_centres = {yard};
+    const auto chosen = this->paths.choose_peer(only_yard, {});
+    REQUIRE(chosen);
+    CHECK(chosen->ip == "10.0.1.1");
+    const std::vector<base::ip_endpoint> tried{*chosen};
+    CHECK_FALSE(this->paths.choose_peer(only_yard, tried));
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/gossip/dispatcher_election.cpp
+++ b/src/greengagedrum/gossip/dispatcher_election.cpp
@@ -52,6 +52,18 @@
 
 } // namespace
 
+std::vector<located_entry>
+dispatcher_election::seen_within(base::duration max_age,
+                                 base::instant now) const
+{
+    std::vector<located_entry> out;
+    for (const auto& [address, one] : this->other_entries) {
+        if (!one.stopping && now - one.last_seen_at <= max_age)
+            out.push_back({address, one.data_centre});
+    }
+    return out;
+}
+
 // The entry with the most processor share ranks first; the lowest address
 // breaks ties.
 bool dispatcher_election::outranks_self(ipv4_address address) const
--- a/src/greengagedrum/gossip/dispatcher_election.hpp
+++ b/src/greengagedrum/gossip/dispatcher_election.hpp
@@ -55,6 +55,10 @@
     // Sets whether this entry is a dispatcher.
     void set_dispatching(bool dispatching) { this->dispatching = dispatching; }
 
+    // Entries seen by this one, or by one that listed them, within `max_age`.
+    std::vector<located_entry> seen_within(base::duration max_age,
+                                           base::instant now) const;
+
     // The dispatcher of this entry; empty if it dispatches its own requests.
     std::optional<ipv4_address> dispatcher(base::instant now);
 
--- a/src/greengagedrum/gossip/message.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -25,6 +25,11 @@
 // An IPv4 address in host byte order: 10.1.0.25 is 0x0a010019.
 using ipv4_address = std::uint32_t;
 
+struct located_entry {
+    ipv4_address address = 0;
+    base::data_centre_id data_centre;
+};
+
 struct known_entry {
     ipv4_address address = 0;
     base::duration age{0}; // since the last message from it
--- a/src/greengagedrum/gossip/peer_table.cpp
+++ b/src/greengagedrum/gossip/peer_table.cpp
@@ -77,6 +77,16 @@
     return was_live ? peer_update::none : peer_update::found;
 }
 
+std::vector<located_entry> peer_table::serving_peers(base::instant now) const
+{
+    std::vector<located_entry> out;
+    for (const auto& [address, one] : this->peers) {
+        if (is_live(one, now) && !one.stopping)
+            out.push_back({address, one.data_centre});
+    }
+    return out;
+}
+
 std::vector<ipv4_address> peer_table::select_recipients(recipient_group group,
                                                         base::instant now)
 {
--- a/src/greengagedrum/gossip/peer_table.hpp
+++ b/src/greengagedrum/gossip/peer_table.hpp
@@ -67,6 +67,13 @@
     std::vector<std::string> take_newly_silent(base::instant now);
 
     std::size_t live_count(base::instant now) const;
+    // Live peers that do not stop.
+    std::vector<located_entry> serving_peers(base::instant now) const;
+    // Whether the address is that of a seed, a peer or an entry listed by one.
+    bool contains(ipv4_address address) const
+    {
+        return this->peers.contains(address);
+    }
     // Number of seeds and listed peers from which no message has come yet.
     std::size_t never_heard_count() const;
     bool has_never_heard_seed() const;
--- a/src/greengagedrum/relay/upstream_call.cpp
+++ b/src/greengagedrum/relay/upstream_call.cpp
@@ -47,6 +47,21 @@
         this->stop();
         return tell();
     }
+    this->events.connected();
+    if (!this->over)
+        this->begin();
+}
+
+void upstream_call::start_on(tcp::socket connection, std::string request)
+{
+    this->text = std::move(request);
+    this->socket = std::move(connection);
+    this->connected = true;
+    this->begin();
+}
+
+void upstream_call::begin()
+{
     error_code ignored; // without it the connection is slower, no more
     this->socket.set_option(tcp::no_delay(true), ignored);
     this->write();
--- a/src/greengagedrum/relay/upstream_call.hpp
+++ b/src/greengagedrum/relay/upstream_call.hpp
@@ -24,6 +24,7 @@
 };
 
 struct upstream_events {
+    std::function<void()> connected = [] {};
     std::function<void()> not_connected; // nothing was written
     std::function<void()> head;
     std::function<void(std::string_view)> body;
@@ -40,6 +41,8 @@
 
     // `text`: the whole request.
     void start(const base::ip_endpoint& address, std::string text);
+    // The same over a connection to the upstream that was made elsewhere.
+    void start_on(tcp::socket connection, std::string text);
 
     // Breaks it off; no event follows.
     void stop();
@@ -52,6 +55,7 @@
 
 private:
     void on_connected(error_code fault);
+    void begin();
     void write();
     void read();
     void on_read(error_code fault, std::size_t count);
