Relay: a tunnel ends without its peer

A peer without power neither takes bytes nor closes, so a tunnel would have kept a slot among the 128 of its entry until TCP gave up. It now ends 2 s after the upstream's end, and by a reset after 30 s in which the peer took nothing. A request whose caller left while a peer was being asked is given up: nothing of it was sent. tunnel_ends_though_the_peer_never_closes fails without the timer, by reading: no other event ends it.

--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -321,7 +321,8 @@
 {
     const bool leave_running =
         !this->request.repeatable && !this->request.stream;
-    if (!leave_running)
+    // Nothing of the request was sent as long as a peer is not connected.
+    if (!leave_running || this->tunnel)
         return this->stop_send();
     // The upstream call keeps this object alive until it ends; its events are
     // dropped.
--- a/src/greengagedrum/relay/test/tunnel_test.cpp
+++ b/src/greengagedrum/relay/test/tunnel_test.cpp
@@ -139,6 +139,17 @@
     CHECK(this->server.active() == 0);
 }
 
+// The peer has lost power.
+TEST_CASE_FIXTURE(tunnel_fixture, "tunnel_ends_though_the_peer_never_closes")
+{
+    this->connect();
+    this->upstream.close();
+    this->run();
+    CHECK(this->server.active() == 1);
+    this->context.run_for(2s);
+    CHECK(this->server.active() == 0);
+}
+
 TEST_CASE_FIXTURE(tunnel_fixture, "upstream_that_refuses_is_reported")
 {
     this->upstream_acceptor.close();
--- a/src/greengagedrum/relay/tunnel.cpp
+++ b/src/greengagedrum/relay/tunnel.cpp
@@ -5,11 +5,22 @@
 namespace greengagedrum::relay
 {
 
+namespace
+{
+
+// A caller may read slowly; a peer without power takes nothing any more.
+constexpr std::chrono::seconds write_timeout{30};
+
+// Until the peer closes after the last byte of an answer.
+constexpr std::chrono::seconds close_timeout{2};
+
+} // namespace
+
 tunnel::tunnel(tcp::socket peer,
                tcp::socket upstream,
                std::function<void(const totals&)> ended)
     : peer(std::move(peer)), upstream(std::move(upstream)),
-      ended(std::move(ended))
+      timer(this->peer.get_executor()), ended(std::move(ended))
 {
 }
 
@@ -31,6 +42,16 @@
     this->end("aborted", true);
 }
 
+void tunnel::start_timer(std::chrono::seconds within, bool reset_peer)
+{
+    this->timer.expires_after(within);
+    this->timer.async_wait(
+        [self = this->shared_from_this(), reset_peer](error_code fault) {
+            if (!fault)
+                self->end("no progress", reset_peer);
+        });
+}
+
 void tunnel::read_peer()
 {
     this->peer.async_read_some(
@@ -82,12 +103,15 @@
 
 void tunnel::write_peer(std::size_t count)
 {
+    // A part of the answer must not look whole.
+    this->start_timer(write_timeout, true);
     asio::async_write(this->peer,
                       asio::buffer(this->from_upstream, count),
                       [self = this->shared_from_this()](error_code fault,
                                                         std::size_t written) {
                           if (self->over)
                               return;
+                          self->timer.cancel();
                           self->count.to_peer += written;
                           if (fault)
                               return self->end(fault.message(), false);
@@ -105,6 +129,7 @@
         return this->end("reset during a write", true);
     error_code ignored; // the peer may have closed first
     this->peer.shutdown(tcp::socket::shutdown_send, ignored);
+    this->start_timer(close_timeout, false);
 }
 
 void tunnel::end(const std::string& error, bool reset_peer)
@@ -112,6 +137,7 @@
     if (this->over)
         return;
     this->over = true;
+    this->timer.cancel();
     this->count.error = error;
     error_code ignored; // closed either way
     if (reset_peer)
--- a/src/greengagedrum/relay/tunnel.hpp
+++ b/src/greengagedrum/relay/tunnel.hpp
@@ -5,7 +5,7 @@
 // slower end holds back the faster one. The ends of the connections are passed
 // on as they are: a close of the upstream as a close, a reset as a reset, since
 // the end of a body may be told by nothing else. The peer's end, however it
-// comes, ends the request.
+// comes, ends the request; so does a peer that takes nothing for a long time.
 #pragma once
 
 #include <greengagedrum/relay/asio.hpp>
@@ -44,10 +44,13 @@
     void read_upstream();
     void write_peer(std::size_t count);
     void on_upstream_end(error_code fault);
+    // Ends the tunnel unless a write or an end follows in time.
+    void start_timer(std::chrono::seconds within, bool reset_peer);
     void end(const std::string& error, bool reset_peer);
 
     tcp::socket peer;
     tcp::socket upstream;
+    asio::steady_timer timer;
     std::function<void(const totals&)> ended;
     std::array<char, read_bytes> from_peer{};
     std::array<char, read_bytes> from_upstream{};
