Relay: the end of a peer does not look like the end of an answer

The peer's socket now resets on close; only after the upstream's own close, passed on as such, does it close in order.

--- a/src/greengagedrum/relay/test/tunnel_test.cpp
+++ b/src/greengagedrum/relay/test/tunnel_test.cpp
@@ -35,17 +35,21 @@
     base::ip_endpoint address = free_address(this->context);
     bool peer_known = true;
     std::vector<tunnel_outcome> outcomes;
-    tunnel_server server{
+    std::optional<tunnel_server> server{
+        std::in_place,
         this->context,
         this->address,
-        {[this](const std::string&) { return this->peer_known; },
-         [this](base::upstream_id id) -> std::optional<base::ip_endpoint> {
-             if (id != known_upstream)
-                 return std::nullopt;
-             return base::ip_endpoint{
-                 loopback, this->upstream_acceptor.local_endpoint().port()};
-         },
-         [this](const tunnel_outcome& one) { this->outcomes.push_back(one); }}};
+        tunnel_server::owner{
+            [this](const std::string&) { return this->peer_known; },
+            [this](base::upstream_id id) -> std::optional<base::ip_endpoint> {
+                if (id != known_upstream)
+                    return std::nullopt;
+                return base::ip_endpoint{
+                    loopback, this->upstream_acceptor.local_endpoint().port()};
+            },
+            [this](const tunnel_outcome& one) {
+                this->outcomes.push_back(one);
+            }}};
     std::optional<tcp::socket> peer; // the asking end of the tunnel
     std::optional<tunnel_failure> failure;
     tcp::socket upstream{this->context};
@@ -136,7 +140,20 @@
     this->run();
     error_code end;
     CHECK(read_all(this->upstream, end).empty());
-    CHECK(this->server.active() == 0);
+    CHECK(this->server->active() == 0);
+}
+
+// A close would end an answer that nothing else frames.
+TEST_CASE_FIXTURE(tunnel_fixture, "server_that_ends_resets_its_tunnels")
+{
+    this->connect();
+    asio::write(this->upstream, asio::buffer(std::string("part")));
+    this->run();
+    this->server.reset();
+    this->run();
+    error_code end;
+    read_all(*this->peer, end);
+    CHECK(end == asio::error::connection_reset);
 }
 
 // The peer has lost power.
@@ -145,9 +162,9 @@
     this->connect();
     this->upstream.close();
     this->run();
-    CHECK(this->server.active() == 1);
+    CHECK(this->server->active() == 1);
     this->context.run_for(2s);
-    CHECK(this->server.active() == 0);
+    CHECK(this->server->active() == 0);
 }
 
 TEST_CASE_FIXTURE(tunnel_fixture, "upstream_that_refuses_is_reported")
@@ -186,7 +203,7 @@
     this->run();
     error_code end;
     CHECK(read_all(stranger, end).empty());
-    CHECK(this->server.active() == 0);
+    CHECK(this->server->active() == 0);
 }
 
 TEST_CASE("tunnel_frames_are_read_as_written")
--- a/src/greengagedrum/relay/tunnel.cpp
+++ b/src/greengagedrum/relay/tunnel.cpp
@@ -29,6 +29,9 @@
     error_code ignored; // without it the connection is slower, no more
     this->peer.set_option(tcp::no_delay(true), ignored);
     this->upstream.set_option(tcp::no_delay(true), ignored);
+    // Whatever ends the tunnel but a close of the upstream, the end of this
+    // process included, must not look like the end of an answer.
+    this->peer.set_option(asio::socket_base::linger(true, 0), ignored);
     this->read_upstream();
     if (first.empty())
         return this->read_peer();
@@ -39,17 +42,16 @@
 
 void tunnel::abort()
 {
-    this->end("aborted", true);
+    this->end("aborted");
 }
 
-void tunnel::start_timer(std::chrono::seconds within, bool reset_peer)
+void tunnel::start_timer(std::chrono::seconds within)
 {
     this->timer.expires_after(within);
-    this->timer.async_wait(
-        [self = this->shared_from_this(), reset_peer](error_code fault) {
-            if (!fault)
-                self->end("no progress", reset_peer);
-        });
+    this->timer.async_wait([self = this->shared_from_this()](error_code fault) {
+        if (!fault)
+            self->end("no progress");
+    });
 }
 
 void tunnel::read_peer()
@@ -62,8 +64,7 @@
             // The request is over or was given up.
             if (fault)
                 return self->end(fault == asio::error::eof ? std::string()
-                                                           : fault.message(),
-                                 false);
+                                                           : fault.message());
             self->write_upstream(count);
         });
 }
@@ -103,8 +104,7 @@
 
 void tunnel::write_peer(std::size_t count)
 {
-    // A part of the answer must not look whole.
-    this->start_timer(write_timeout, true);
+    this->start_timer(write_timeout);
     asio::async_write(this->peer,
                       asio::buffer(this->from_upstream, count),
                       [self = this->shared_from_this()](error_code fault,
@@ -114,7 +114,7 @@
                           self->timer.cancel();
                           self->count.to_peer += written;
                           if (fault)
-                              return self->end(fault.message(), false);
+                              return self->end(fault.message());
                           self->read_upstream();
                       });
 }
@@ -124,15 +124,16 @@
 void tunnel::on_upstream_end(error_code fault)
 {
     if (fault != asio::error::eof)
-        return this->end(fault.message(), true);
+        return this->end(fault.message());
     if (this->upstream_write_failed)
-        return this->end("reset during a write", true);
+        return this->end("reset during a write");
     error_code ignored; // the peer may have closed first
     this->peer.shutdown(tcp::socket::shutdown_send, ignored);
-    this->start_timer(close_timeout, false);
+    this->peer.set_option(asio::socket_base::linger(false, 0), ignored);
+    this->start_timer(close_timeout);
 }
 
-void tunnel::end(const std::string& error, bool reset_peer)
+void tunnel::end(const std::string& error)
 {
     if (this->over)
         return;
@@ -140,8 +141,6 @@
     this->timer.cancel();
     this->count.error = error;
     error_code ignored; // closed either way
-    if (reset_peer)
-        this->peer.set_option(asio::socket_base::linger(true, 0), ignored);
     this->peer.close(ignored);
     this->upstream.close(ignored);
     const auto tell = std::exchange(this->ended, nullptr);
--- a/src/greengagedrum/relay/tunnel.hpp
+++ b/src/greengagedrum/relay/tunnel.hpp
@@ -45,8 +45,8 @@
     void write_peer(std::size_t count);
     void on_upstream_end(error_code fault);
     // Ends the tunnel unless a write or an end follows in time.
-    void start_timer(std::chrono::seconds within, bool reset_peer);
-    void end(const std::string& error, bool reset_peer);
+    void start_timer(std::chrono::seconds within);
+    void end(const std::string& error);
 
     tcp::socket peer;
     tcp::socket upstream;
--- a/src/greengagedrum/relay/tunnel_server.cpp
+++ b/src/greengagedrum/relay/tunnel_server.cpp
@@ -1,6 +1,8 @@
 #include <greengagedrum/relay/small_server.hpp>
 #include <greengagedrum/relay/tunnel_server.hpp>
 
+#include <vector>
+
 namespace greengagedrum::relay
 {
 
@@ -41,6 +43,13 @@
         this->read();
     }
 
+    void abort()
+    {
+        if (const auto passing = this->passing.lock())
+            passing->abort();
+        this->end();
+    }
+
 private:
     void start_timer(std::chrono::milliseconds after)
     {
@@ -127,7 +136,7 @@
         this->server.events.on_outcome(this->outcome);
         if (fault || this->outcome.verdict != tunnel_verdict::connected)
             return this->end();
-        const auto passing = std::make_shared<tunnel>(
+        const auto fresh = std::make_shared<tunnel>(
             std::move(this->peer),
             std::move(this->upstream),
             [self = this->shared_from_this()](const tunnel::totals& totals) {
@@ -135,7 +144,8 @@
                 self->server.events.on_outcome(self->outcome);
                 self->end();
             });
-        passing->start(std::move(this->inbox));
+        this->passing = fresh;
+        fresh->start(std::move(this->inbox));
     }
 
     void end()
@@ -158,6 +168,7 @@
     std::string inbox;
     std::string text; // the reply
     tunnel_outcome outcome;
+    std::weak_ptr<tunnel> passing;
     bool connecting = false;
     bool over = false;
 };
@@ -171,7 +182,14 @@
     this->accept();
 }
 
-tunnel_server::~tunnel_server() = default;
+tunnel_server::~tunnel_server()
+{
+    // A socket that is destroyed while open closes in order.
+    const std::vector<connection_ptr> all(this->connections.begin(),
+                                          this->connections.end());
+    for (const connection_ptr& one : all)
+        one->abort();
+}
 
 void tunnel_server::accept()
 {
