Relay: a response to a HEAD has no body, whatever its length says

The response to a HEAD on a streaming route was still followed by the last chunk where it had a length or chunks of its own: the reader's framing ignored that no body follows. The test has both cases now; they failed before (162 bytes, the head ends at 157) and pass.

--- a/src/greengagedrum/entry/test/unfinished_answer_test.cpp
+++ b/src/greengagedrum/entry/test/unfinished_answer_test.cpp
@@ -184,14 +184,17 @@
 // Bytes after the head would be read as the next response.
 TEST_CASE("response_to_head_on_a_streaming_route_has_no_body")
 {
-    const raw_upstream_fixture test(unframed_stream);
-    const std::string response = test.fixture.send_raw(
-        "HEAD /stream/ HTTP/1.1\r\nHost: hall.example\r\nApi-Key: key-1\r\n"
-        "X-Attempt-Id: 0123456789abcdef\r\nX-Deadline-Ms: 2000\r\n"
-        "Connection: close\r\n\r\n");
-    CHECK(response.starts_with("HTTP/1.1 200"));
-    CHECK(response.ends_with("\r\n\r\n"));
-    CHECK(response.find("\r\n\r\n") == response.size() - 4);
+    for (const std::string framing :
+         {"", "Content-Length: 40\r\n", "Transfer-Encoding: chunked\r\n"}) {
+        CAPTURE(framing);
+        const raw_upstream_fixture test(framing + unframed_stream);
+        const std::string response = test.fixture.send_raw(
+            "HEAD /stream/ HTTP/1.1\r\nHost: hall.example\r\nApi-Key: "
+            "key-1\r\nX-Attempt-Id: 0123456789abcdef\r\nX-Deadline-Ms: "
+            "2000\r\nConnection: close\r\n\r\n");
+        CHECK(response.starts_with("HTTP/1.1 200"));
+        CHECK(response.find("\r\n\r\n") == response.size() - 4);
+    }
 }
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/relay/message_reader.cpp
+++ b/src/greengagedrum/relay/message_reader.cpp
@@ -329,7 +329,7 @@
 
 body_framing answer_reader::framing() const
 {
-    if (!this->head_done())
+    if (!this->head_done() || this->to_head)
         return body_framing::none;
     if (this->inner->need_eof())
         return body_framing::until_close;
