Entry: a peer that can't help one service is asked for others

What a peer has done is kept by service now. peer_that_could_not_help_serves_other_services would not compile before: a service had no part in the choice.

--- a/src/greengagedrum/entry/exchange_sending.cpp
+++ b/src/greengagedrum/entry/exchange_sending.cpp
@@ -65,7 +65,8 @@
     constexpr std::size_t peers_most = 3;
     const auto next =
         this->tried_peers.size() < peers_most
-            ? this->paths.choose_peer(this->request.allowed_data_centres,
+            ? this->paths.choose_peer(this->target.service,
+                                      this->request.allowed_data_centres,
                                       this->tried_peers)
             : std::nullopt;
     if (!next)
@@ -90,10 +91,10 @@
     this->tunnel.reset();
     if (const auto* why = std::get_if<relay::tunnel_failure>(&result)) {
         this->peer.reset();
-        this->paths.on_peer_failed(used, *why);
+        this->paths.on_peer_failed(used, this->target.service, *why);
         return this->send_by_peer();
     }
-    this->paths.on_peer_connected(used);
+    this->paths.on_peer_connected(used, this->target.service);
     this->make_call();
     this->call->start_on(std::move(std::get<relay::tcp::socket>(result)),
                          this->text_now());
--- a/src/greengagedrum/entry/peer_paths.cpp
+++ b/src/greengagedrum/entry/peer_paths.cpp
@@ -110,19 +110,27 @@
     return out;
 }
 
+bool peer_paths::is_avoided(const peer_state& peer,
+                            base::upstream_class_id service) const
+{
+    const auto found = peer.services.find(service);
+    return found != peer.services.end() &&
+           this->now() < found->second.avoided_until;
+}
+
 std::optional<base::ip_endpoint>
-peer_paths::choose_peer(const routing::data_centre_constraint& allowed,
+peer_paths::choose_peer(base::upstream_class_id service,
+                        const routing::data_centre_constraint& allowed,
                         std::span<const base::ip_endpoint> tried) const
 {
     // So many sends more are worth a peer in the own data centre.
     constexpr std::size_t distance_worth = 4;
-    const base::instant now = this->now();
     std::optional<base::ip_endpoint> best;
     std::tuple<std::size_t, std::size_t> best_cost;
     for (const reachable_peer& one : this->events.live_peers()) {
         const auto known = this->peers.find(one.address.ip);
-        const bool avoided =
-            known != this->peers.end() && now < known->second.avoided_until;
+        const bool avoided = known != this->peers.end() &&
+                             this->is_avoided(known->second, service);
         const bool used_before =
             std::find(tried.begin(), tried.end(), one.address) != tried.end();
         if (avoided || used_before || !allowed.allows(one.data_centre))
@@ -145,19 +153,21 @@
     return {this->peers[address.ip].users, address.ip};
 }
 
-void peer_paths::on_peer_connected(const base::ip_endpoint& address)
+void peer_paths::on_peer_connected(const base::ip_endpoint& address,
+                                   base::upstream_class_id service)
 {
-    this->peers[address.ip].connected_at = this->now();
+    this->peers[address.ip].services[service].connected_at = this->now();
 }
 
 void peer_paths::on_peer_failed(const base::ip_endpoint& address,
+                                base::upstream_class_id service,
                                 relay::tunnel_failure why)
 {
-    peer_state& peer = this->peers[address.ip];
+    peer_service_state& state = this->peers[address.ip].services[service];
     const base::instant now = this->now();
-    const bool trusted = now - peer.connected_at <= peer_trust;
+    const bool trusted = now - state.connected_at <= peer_trust;
     if (why != relay::tunnel_failure::upstream_unreachable || !trusted)
-        peer.avoided_until = now + peer_pause;
+        state.avoided_until = now + peer_pause;
 }
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/peer_paths.hpp
+++ b/src/greengagedrum/entry/peer_paths.hpp
@@ -84,11 +84,14 @@
     std::vector<base::upstream_class_id> services_to_check();
 
     std::optional<base::ip_endpoint>
-    choose_peer(const routing::data_centre_constraint& allowed,
+    choose_peer(base::upstream_class_id service,
+                const routing::data_centre_constraint& allowed,
                 std::span<const base::ip_endpoint> tried) const;
     lease use_peer(const base::ip_endpoint& address);
-    void on_peer_connected(const base::ip_endpoint& address);
+    void on_peer_connected(const base::ip_endpoint& address,
+                           base::upstream_class_id service);
     void on_peer_failed(const base::ip_endpoint& address,
+                        base::upstream_class_id service,
                         relay::tunnel_failure why);
 
 private:
@@ -104,12 +107,19 @@
         bool cut_off = false;
     };
 
-    struct peer_state {
-        std::shared_ptr<std::size_t> users = std::make_shared<std::size_t>(0);
+    // What a peer has done for sends to one service.
+    struct peer_service_state {
         base::instant avoided_until;
         base::instant connected_at;
     };
 
+    struct peer_state {
+        std::shared_ptr<std::size_t> users = std::make_shared<std::size_t>(0);
+        std::map<base::upstream_class_id, peer_service_state> services;
+    };
+
+    bool is_avoided(const peer_state& peer,
+                    base::upstream_class_id service) const;
     bool fails_elsewhere(base::upstream_class_id service) const;
 
     std::string own_instance;
--- a/src/greengagedrum/entry/test/peer_paths_test.cpp
+++ b/src/greengagedrum/entry/test/peer_paths_test.cpp
@@ -97,7 +97,7 @@
     std::vector<peer_paths::lease> leases;
     std::set<std::string> used;
     for (int each = 0; each < 4; ++each) {
-        const auto chosen = this->paths.choose_peer(anywhere, {});
+        const auto chosen = this->paths.choose_peer(engines, anywhere, {});
         REQUIRE(chosen);
         used.insert(chosen->ip);
         leases.push_back(this->paths.use_peer(*chosen));
@@ -105,32 +105,45 @@
     CHECK(used.size() == 4);
     CHECK_FALSE(used.contains("10.0.1.1"));
     for (int each = 0; each < 16; ++each)
-        leases.push_back(
-            this->paths.use_peer(*this->paths.choose_peer(anywhere, {})));
+        leases.push_back(this->paths.use_peer(
+            *this->paths.choose_peer(engines, anywhere, {})));
     leases.clear();
-    CHECK(this->paths.choose_peer(anywhere, {})->ip != "10.0.1.1");
+    CHECK(this->paths.choose_peer(engines, anywhere, {})->ip != "10.0.1.1");
 }
 
 TEST_CASE_FIXTURE(paths_fixture,
                   "peer_that_could_not_help_is_left_alone_a_while")
 {
-    const auto first = this->paths.choose_peer(anywhere, {});
+    const auto first = this->paths.choose_peer(engines, anywhere, {});
     REQUIRE(first);
-    this->paths.on_peer_failed(*first, relay::tunnel_failure::rejected);
-    CHECK(this->paths.choose_peer(anywhere, {}) != first);
+    this->paths.on_peer_failed(
+        *first, engines, relay::tunnel_failure::rejected);
+    CHECK(this->paths.choose_peer(engines, anywhere, {}) != first);
     this->now += 1100ms;
-    CHECK(this->paths.choose_peer(anywhere, {}) == first);
+    CHECK(this->paths.choose_peer(engines, anywhere, {}) == first);
+}
+
+// It is cut off from the upstreams of that service only.
+TEST_CASE_FIXTURE(paths_fixture,
+                  "peer_that_could_not_help_serves_other_services")
+{
+    const auto first = this->paths.choose_peer(engines, anywhere, {});
+    REQUIRE(first);
+    this->paths.on_peer_failed(
+        *first, engines, relay::tunnel_failure::rejected);
+    CHECK(this->paths.choose_peer(engines, anywhere, {}) != first);
+    CHECK(this->paths.choose_peer(services, anywhere, {}) == first);
 }
 
 // It connected others lately, so that the upstream is at fault.
 TEST_CASE_FIXTURE(paths_fixture, "peer_that_reaches_others_is_used_again")
 {
-    const auto first = this->paths.choose_peer(anywhere, {});
+    const auto first = this->paths.choose_peer(engines, anywhere, {});
     REQUIRE(first);
-    this->paths.on_peer_connected(*first);
-    this->paths.on_peer_failed(*first,
-                               relay::tunnel_failure::upstream_unreachable);
-    CHECK(this->paths.choose_peer(anywhere, {}) == first);
+    this->paths.on_peer_connected(*first, engines);
+    this->paths.on_peer_failed(
+        *first, engines, relay::tunnel_failure::upstream_unreachable);
+    CHECK(this->paths.choose_peer(engines, anywhere, {}) == first);
 }
 
 TEST_CASE_FIXTURE(paths_fixture, "request_goes_only_to_peers_where_it_may")
@@ -138,11 +151,11 @@
     routing::data_centre_constraint only_yard;
     only_yard.restricted = true;
     only_yard.data_centres = {yard};
-    const auto chosen = this->paths.choose_peer(only_yard, {});
+    const auto chosen = this->paths.choose_peer(engines, only_yard, {});
     REQUIRE(chosen);
     CHECK(chosen->ip == "10.0.1.1");
     const std::vector<base::ip_endpoint> tried{*chosen};
-    CHECK_FALSE(this->paths.choose_peer(only_yard, tried));
+    CHECK_FALSE(this->paths.choose_peer(engines, only_yard, tried));
 }
 
 } // namespace greengagedrum::entry
