--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -70,18 +70,7 @@
     this->last_store_answer = this->state.clock();
     this->last_tick = this->state.clock();
     this->total_suspended = suspended_time();
-    this->paths = std::make_unique<peer_paths>(initial_settings.instance,
-                                               initial_settings.ip,
-                                               this->make_path_events());
-    this->handler =
-        std::make_unique<request_handler>(this->context,
-                                          initial_settings.caller_address,
-                                          this->state,
-                                          *this->paths);
-    this->handler->on_load_changed = [this] {
-        if (this->peers)
-            this->peers->schedule_gossip();
-    };
+    this->make_request_handler();
     this->peer_datagram_socket = std::make_unique<peer_socket>(
         this->context, initial_settings.ip, initial_settings.peer_port);
     this->peers = std::make_unique<peer_protocol>(
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -48,6 +48,7 @@
     peer_paths::owner make_path_events();
     relay::tunnel_server::owner make_tunnel_events();
     void listen_for_tunnels();
+    void make_request_handler();
     std::string service_name(base::upstream_class_id service) const;
     void on_signal(int number);
     void begin_stop(int number);
--- a/src/greengagedrum/entry/entry_paths.cpp
+++ b/src/greengagedrum/entry/entry_paths.cpp
@@ -83,4 +83,20 @@
     }
 }
 
+void entry::make_request_handler()
+{
+    this->paths = std::make_unique<peer_paths>(this->own_settings.instance,
+                                               this->own_settings.ip,
+                                               this->make_path_events());
+    this->handler =
+        std::make_unique<request_handler>(this->context,
+                                          this->own_settings.caller_address,
+                                          this->state,
+                                          *this->paths);
+    this->handler->on_load_changed = [this] {
+        if (this->peers)
+            this->peers->schedule_gossip();
+    };
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -81,6 +81,7 @@
             found.try_emplace(one.address, one.data_centre);
     const base::data_centre_id own(this->own_settings.data_centre);
     std::vector<reachable_peer> out;
+    out.reserve(found.size());
     for (const auto& [address, data_centre] : found)
         out.push_back({{relay::asio::ip::address_v4(address).to_string(),
                         this->own_settings.peer_port},
