--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -1,5 +1,3 @@
-#include <greengagedrum/placement/mix.hpp>
-#include <greengagedrum/placement/seconds.hpp>
 #include <greengagedrum/traffic/upstream_pool.hpp>
 
 #include <algorithm>
@@ -8,8 +6,6 @@
 namespace greengagedrum::traffic
 {
 
-using placement::seconds_of;
-
 namespace
 {
 
@@ -27,15 +23,6 @@
 // Bounds how late a silent peer is noticed. Each check iterates over all peers.
 constexpr base::duration silence_check_interval = std::chrono::milliseconds(50);
 
-// A peer that freed a slot knows so at once and refills it from its own queue.
-// Its report takes up to the gossip interval plus the message delay. The other
-// entries then take turns, so that one slot isn't used by all that learn of it:
-// without turns, entries with queues put 6 to 12 requests on engines of 5
-// slots.
-constexpr base::duration message_delay = std::chrono::milliseconds(4);
-// Length of one turn, in which some of the other entries learn of the slot.
-constexpr base::duration turn_step = std::chrono::milliseconds(5);
-
 } // namespace
 
 upstream_pool::upstream* upstream_pool::find(base::upstream_id id)
@@ -153,75 +140,6 @@
     }
 }
 
-void upstream_pool::reserve_freed_slots(base::upstream_id id,
-                                        upstream& one,
-                                        std::uint32_t before,
-                                        base::instant now)
-{
-    std::erase_if(one.reserved_until,
-                  [&](base::instant until) { return until <= now; });
-    const base::instant until =
-        now + this->reservation + this->turn_delay(id.value);
-    for (std::uint32_t freed = one.peer_requests; freed < before; ++freed)
-        one.reserved_until.push_back(until);
-    // Slots that were taken again are no longer reserved.
-    for (std::uint32_t taken = before;
-         taken < one.peer_requests && !one.reserved_until.empty();
-         ++taken)
-        one.reserved_until.erase(one.reserved_until.begin());
-}
-
-base::duration upstream_pool::turn_delay(std::uint64_t lot) const
-{
-    const std::uint64_t turn =
-        placement::mix(this->identity.salt, lot) % (this->waiting_peers + 1);
-    return turn_step * static_cast<std::int64_t>(turn);
-}
-
-// Failure guarded against: two dozen engines come back at once while all
-// entries have queues. Each entry filled every engine on its own, with up to 35
-// requests on engines of 5 slots.
-void upstream_pool::reserve_new_slots(base::upstream_id id,
-                                      upstream& one,
-                                      base::instant now)
-{
-    if (this->waiting_peers == 0)
-        return;
-    for (std::uint64_t place = 0; place < one.slots; ++place)
-        one.reserved_until.push_back(
-            now + this->turn_delay(placement::mix(id.value, place)));
-}
-
-void upstream_pool::set_gossip_interval(base::duration gap)
-{
-    this->reservation = gap + message_delay;
-}
-
-std::uint32_t upstream_pool::free_slots(const upstream& one,
-                                        base::instant now) const
-{
-    const auto awaited = static_cast<std::uint32_t>(
-        std::count_if(one.reserved_until.begin(),
-                      one.reserved_until.end(),
-                      [&](base::instant until) { return until > now; }));
-    const std::uint32_t taken = one.own_requests + one.peer_requests + awaited;
-    const std::uint32_t open = one.slots - std::min(one.slots, taken);
-    return now < one.cold_until ? std::min(open, this->cold_allowance(one, now))
-                                : open;
-}
-
-// Number of requests that this entry may send to a cold upstream now.
-std::uint32_t upstream_pool::cold_allowance(const upstream& one,
-                                            base::instant now) const
-{
-    const std::uint32_t all = this->services.at(one.service).cold_rate;
-    if (all == 0)
-        return one.slots;
-    const std::uint32_t part =
-        this->is_near(one) ? this->cold_share.share_of(all) : 0;
-    return part - std::min(part, one.recent.count(now));
-}
-
 void upstream_pool::on_peer_lost(base::slot_id peer)
 {
     const auto found = this->peer_loads.find(peer);
@@ -329,61 +247,6 @@
         own->outliers.probe_inconclusive();
 }
 
-std::uint32_t upstream_pool::total_slots(base::upstream_class_id service) const
-{
-    const auto found = this->services.find(service);
-    if (found == this->services.end())
-        return 0;
-    std::uint32_t sum = 0;
-    for (const base::upstream_id id : found->second.members) {
-        const upstream& one = this->upstreams.at(id);
-        if (!one.outliers.suspected())
-            sum += one.slots;
-    }
-    return sum;
-}
-
-std::uint32_t upstream_pool::total_free_slots(base::upstream_class_id service,
-                                              base::instant now) const
-{
-    const auto found = this->services.find(service);
-    if (found == this->services.end())
-        return 0;
-    std::uint32_t sum = 0;
-    for (const base::upstream_id id : found->second.members) {
-        const upstream& one = this->upstreams.at(id);
-        if (!one.outliers.suspected())
-            sum += this->free_slots(one, now);
-    }
-    return sum;
-}
-
-bool upstream_pool::any_free_slot(base::upstream_class_id service,
-                                  base::instant now) const
-{
-    const auto found = this->services.find(service);
-    if (found == this->services.end())
-        return false;
-    return std::any_of(found->second.members.begin(),
-                       found->second.members.end(),
-                       [&](base::upstream_id id) {
-                           return this->free_slots(this->upstreams.at(id),
-                                                   now) > 0;
-                       });
-}
-
-std::uint32_t
-upstream_pool::peer_used_slots(base::upstream_class_id service) const
-{
-    const auto found = this->services.find(service);
-    if (found == this->services.end())
-        return 0;
-    std::uint32_t sum = 0;
-    for (const base::upstream_id id : found->second.members)
-        sum += this->upstreams.at(id).peer_requests;
-    return sum;
-}
-
 std::vector<upstream_load> upstream_pool::own_load(base::instant now) const
 {
     std::vector<upstream_load> out;
