Incarnations: a process restarted within a second is the later one

Cause: an incarnation was the Unix second in the upper bits and 24 random bits below. Of two processes of a slot that start within the same second, the later one has the lower number half of the time. Its peers then take it for a process that is over and close its links (outranked), for as long as it runs: it gets no documents from them and, while the platform is down, serves nobody. A process that a supervisor restarts at once is hit in the same way.

Change: the low bits are the fraction of the second. The seconds stay where they were, so processes of earlier and later builds are in the right order, in both directions of an upgrade. Both faces used a function of their own of the same kind; both use the new one. The entry of the railway face compares incarnations for equality only, and was not affected.

What remains: a clock that is set back between two starts of a slot has the same effect until it has caught up; this was so before.

--- a/src/greengagedrum/base/ids.hpp
+++ b/src/greengagedrum/base/ids.hpp
@@ -41,9 +41,9 @@
 using upstream_class_id =
     name_id<struct upstream_class_tag>; // a group of equivalent upstreams
 
-// The incarnation of an entry process. `value` is drawn at start: Unix seconds
-// in the upper 40 bits and random bits below, so that a later process has a
-// higher value.
+// The incarnation of an entry process. `value` is the time of its start since
+// the Unix epoch, in units of 2^-24 s, so that a later process has a higher
+// value.
 struct incarnation {
     std::uint64_t value = 0;
     auto operator<=>(const incarnation&) const = default;
--- a/src/greengagedrum/daemon/daemon.cpp
+++ b/src/greengagedrum/daemon/daemon.cpp
@@ -1,3 +1,4 @@
+#include <greengagedrum/base/incarnation_started_at.hpp>
 #include <greengagedrum/callers/context.hpp>
 #include <greengagedrum/callers/routes.hpp>
 #include <greengagedrum/daemon/admin_routes.hpp>
@@ -18,8 +19,6 @@
 
 #include <unistd.h>
 
-#include <random>
-
 namespace greengagedrum::daemon
 {
 
@@ -30,16 +29,10 @@
 constexpr std::chrono::milliseconds last_writes(2000);
 constexpr std::size_t measurements_max = 8192; // waiting for the collector
 
-base::incarnation draw_incarnation()
+base::incarnation new_incarnation()
 {
-    constexpr unsigned random_bits = 24;
-    const auto since_epoch =
-        std::chrono::system_clock::now().time_since_epoch();
-    const auto seconds =
-        std::chrono::duration_cast<std::chrono::seconds>(since_epoch).count();
-    const std::uint64_t low =
-        std::random_device{}() & ((1U << random_bits) - 1);
-    return {(static_cast<std::uint64_t>(seconds) << random_bits) | low};
+    return base::incarnation_started_at(
+        std::chrono::system_clock::now().time_since_epoch());
 }
 
 } // namespace
@@ -47,7 +40,7 @@
 // Members end in the opposite order: callers first, decisions last.
 struct daemon::parts {
     explicit parts(const settings::daemon_settings& given)
-        : settings(given), life(draw_incarnation()),
+        : settings(given), life(new_incarnation()),
           tickets(ticket_key_prefix + given.peer_key, previous_key(given)),
           collector(given.metric_series_max, measurements_max),
           events(given.decision_ring), pool(pool_of(given)),
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -1,3 +1,4 @@
+#include <greengagedrum/base/incarnation_started_at.hpp>
 #include <greengagedrum/entry/entry.hpp>
 #include <greengagedrum/entry/quarantine_endpoint.hpp>
 #include <greengagedrum/entry/suspension.hpp>
@@ -7,7 +8,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <random>
 
 namespace greengagedrum::entry
 {
@@ -25,10 +25,8 @@
 
 base::incarnation new_incarnation()
 {
-    constexpr unsigned random_bits = 24;
-    std::random_device device;
-    const auto seconds = static_cast<std::uint64_t>(std::time(nullptr));
-    return {(seconds << random_bits) | (device() & ((1U << random_bits) - 1))};
+    return base::incarnation_started_at(
+        std::chrono::system_clock::now().time_since_epoch());
 }
 
 traffic::retry_budget_settings retry_bounds_of(const bounds& from)
