Traffic: a rate limit that an upstream announces is kept by all entries

Cause: no code read the header. Class: a bound on what all entries together send to one upstream, like connections_max and slow start.

Change: a response's limit becomes an event of the scheduler. traffic::announced_limits keeps the newest one of each upstream; gossip carries what an entry, or a dispatcher's members, read within the last two seconds. An entry's part is a rate, counted in upstream_pool::free_slots beside the slots and the slow start.

Retries, probes and resumed streams go through the same function. What a peer reports is not passed on, so a limit can't be renewed from entry to entry.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -282,6 +282,9 @@
         static_cast<double>(this->state.scheduler.crash_suspects()
                                 .list_quarantined(now)
                                 .size()));
+    set(telemetry::gauge::upstreams_rate_limited,
+        static_cast<double>(
+            this->state.scheduler.announced_limits().count(now)));
     set(telemetry::gauge::log_lines_dropped,
         static_cast<double>(logs::dropped_lines() +
                             this->state.log.suppressed_lines()));
--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -122,6 +122,7 @@
 {
     this->answer = this->call->head();
     this->framing = this->call->framing();
+    this->report_rate_limit();
     const bool has_body = this->framing != relay::body_framing::none;
     if (!this->request.stream || !has_body ||
         this->answer.status != relay::status_ok || !this->is_event_stream())
@@ -134,6 +135,19 @@
     this->streaming = true;
 }
 
+void exchange::report_rate_limit()
+{
+    const platform::answer_marks marks =
+        platform::read_answer_marks(this->answer);
+    if (marks.attempt != this->request.marks.attempt ||
+        this->answer.status == platform::misdirected_status)
+        return;
+    if (marks.rate_limit_invalid)
+        return this->events.on_invalid_limit(this->target.name);
+    this->events.on_event(traffic::rate_limit_read{
+        this->target.id, marks.rate_limit.value_or(0)});
+}
+
 void exchange::on_body(std::string_view bytes)
 {
     if (!this->streaming) {
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -49,6 +49,8 @@
     struct owner_events {
         std::function<void(const traffic::event&)> on_event;
         std::function<void(const send_outcome&)> on_send_ended;
+        // A response announces a rate limit that can't be read.
+        std::function<void(const std::string& upstream)> on_invalid_limit;
     };
 
     exchange(relay::asio::io_context& context,
@@ -94,6 +96,7 @@
                    relay::tunnel_client::result result);
     void report_not_connected();
     void on_head();
+    void report_rate_limit();
     void on_body(std::string_view bytes);
     void on_done();
     void on_broken(traffic::interruption_cause cause, const std::string& error);
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -134,6 +134,7 @@
              {"config_revision", message->configuration_revision},
              {"store_revision", message->store_revision}});
     this->merge_suspects(*message, now);
+    this->merge_rate_limits(*message, now);
     this->peer_store_answer_at =
         std::max(this->peer_store_answer_at, now - message->store_age);
     switch (message->kind) {
@@ -257,6 +258,7 @@
     out.upstream_loads = this->state.scheduler.own_load(now);
     out.queue_reports = this->state.scheduler.own_queue_reports(now);
     out.workspace_usage = this->state.limiter.own_usage(now);
+    out.rate_limits = this->state.scheduler.announced_limits().recent(now);
     out.known_entries = this->table.select_known_entries(recipients, now);
     out.suspects = this->suspects_to_send(
         recipients == gossip::recipient_group::own_data_centre
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -108,6 +108,7 @@
     gossip::message make_load_message(gossip::recipient_group recipients);
 
     void merge_suspects(const gossip::message& received, base::instant now);
+    void merge_rate_limits(const gossip::message& received, base::instant now);
     std::vector<quarantine::suspect_report>
     suspects_to_send(base::instant& sent_all_at, base::instant now);
     void on_load(const gossip::message& received, base::instant now);
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -2,6 +2,7 @@
 // messages received from the others.
 #include <greengagedrum/entry/crash_suspect_log.hpp>
 #include <greengagedrum/entry/peer_protocol.hpp>
+#include <greengagedrum/entry/rate_limit_log.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -69,6 +70,21 @@
         log_crash_suspect(this->state, one, received.instance);
 }
 
+// A dispatcher passes on what its members have read, but not what peers report.
+void peer_protocol::merge_rate_limits(const gossip::message& received,
+                                      base::instant now)
+{
+    const bool of_member = received.kind == gossip::message_kind::report &&
+                           this->uses_dispatchers && !this->state.delegating;
+    const auto source = of_member ? traffic::limit_source::own_group
+                                  : traffic::limit_source::peer;
+    for (const traffic::announced_limit& one : received.rate_limits) {
+        if (this->state.scheduler.announced_limits().record(one, source, now))
+            log_rate_limit(
+                this->state, {one.upstream, one.per_second}, received.instance);
+    }
+}
+
 void peer_protocol::on_load(const gossip::message& received, base::instant now)
 {
     const base::slot_id slot(received.instance);
--- a/src/greengagedrum/entry/peer_sending.cpp
+++ b/src/greengagedrum/entry/peer_sending.cpp
@@ -110,6 +110,7 @@
     out.upstream_loads = this->state.scheduler.own_load(now);
     out.report = this->events.make_report();
     out.suspects = this->suspects_to_send(this->near_suspects_sent_at, now);
+    out.rate_limits = this->state.scheduler.announced_limits().recent(now);
     this->reported_at = now;
     this->unanswered_report = out.sequence;
     this->election.on_probe_sent(*this->dispatcher, now);
@@ -175,12 +176,15 @@
         this->election.standby_entries(now);
     const auto suspects =
         this->suspects_to_send(this->member_suspects_sent_at, now);
+    const auto rate_limits =
+        this->state.scheduler.announced_limits().recent(now);
     for (const auto& [slot, one] : this->members) {
         if (now - one.heard_at > member_max_silence)
             continue;
         gossip::message out = this->make_message(gossip::message_kind::reply);
         out.known_entries = known;
         out.suspects = suspects;
+        out.rate_limits = rate_limits;
         out.reply = this->events.make_reply(slot);
         if (std::find(standby.begin(), standby.end(), one.address) !=
             standby.end())
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -279,6 +279,12 @@
     owner.on_send_ended = [this, id](const send_outcome& outcome) {
         this->log_send_outcome(id, outcome);
     };
+    owner.on_invalid_limit = [this](const std::string& upstream) {
+        this->state.log.write(this->state.clock(),
+                              "exchange",
+                              "rate_limit_unreadable",
+                              {{"upstream", upstream}});
+    };
     return std::make_shared<exchange>(
         this->context, this->paths, from, std::move(info), std::move(owner));
 }
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -158,6 +158,7 @@
     void execute_action(const traffic::end_request& action);
     void execute_action(const traffic::check_upstream& action);
     void execute_action(const traffic::suspicion_changed& change);
+    void execute_action(const traffic::rate_limit_changed& change);
     void execute_action(const quarantine::quarantine_state_change& change);
     void grant_slot(const traffic::send_request& action);
     void deny_slot(const traffic::end_request& action);
--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -1,6 +1,7 @@
 // The part of request_handler that passes events to the scheduler and executes
 // the actions it returns.
 #include <greengagedrum/entry/crash_suspect_log.hpp>
+#include <greengagedrum/entry/rate_limit_log.hpp>
 #include <greengagedrum/entry/request_handler.hpp>
 #include <greengagedrum/entry/to_milliseconds.hpp>
 #include <greengagedrum/relay/connect_check.hpp>
@@ -218,6 +219,11 @@
          {"bad_share", change.failure_rate}});
 }
 
+void request_handler::execute_action(const traffic::rate_limit_changed& change)
+{
+    log_rate_limit(this->state, change, "own");
+}
+
 void request_handler::execute_action(
     const quarantine::quarantine_state_change& change)
 {
--- a/src/greengagedrum/entry/test/announced_limit_test.cpp
+++ b/src/greengagedrum/entry/test/announced_limit_test.cpp
@@ -30,7 +30,8 @@
                 const std::lock_guard guard(this->arrivals_mutex);
                 this->arrivals.push_back(test_clock::now());
             }
-            response.set_header("Server-Limit", "2.0");
+            if (this->announcing)
+                response.set_header("Server-Limit", "2.0");
             write_signed_answer(request, response, "answer");
         });
     }
@@ -45,6 +46,19 @@
         }
     }
 
+    std::atomic<bool> announcing{true};
+
+    // Arrivals within the window that has just ended.
+    std::size_t latest_arrivals() const
+    {
+        const std::lock_guard guard(this->arrivals_mutex);
+        const auto begin = test_clock::now() - window;
+        return static_cast<std::size_t>(std::count_if(
+            this->arrivals.begin(), this->arrivals.end(), [&](auto at) {
+                return at >= begin;
+            }));
+    }
+
     // The most arrivals in any window that begins after the settling time.
     std::size_t most_in_a_window() const
     {
@@ -80,4 +94,15 @@
           overshoot * limit_per_second * 4 + slack);
 }
 
+TEST_CASE_FIXTURE(announced_limit_fixture,
+                  "limited_upstream_gets_what_it_announces_until_it_ends")
+{
+    this->send_requests_for(settling_time + window + 500ms);
+    CHECK(this->latest_arrivals() >= 5); // 8 are allowed
+    this->announcing = false;
+    this->send_requests_for(1s); // reads the end
+    this->send_requests_for(window);
+    CHECK(this->latest_arrivals() >= 30); // of 40
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -50,6 +50,8 @@
 
 struct Crash;
 
+struct RateLimit;
+
 struct Message;
 struct MessageBuilder;
 
@@ -467,6 +469,40 @@
 };
 FLATBUFFERS_STRUCT_END(Crash, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RateLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  double per_second_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  RateLimit()
+      : upstream_(0),
+        per_second_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  RateLimit(uint64_t _upstream, double _per_second, uint32_t _age_ms)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        per_second_(flatbuffers::EndianScalar(_per_second)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  double per_second() const {
+    return flatbuffers::EndianScalar(per_second_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RateLimit, 24);
+
 struct Wanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef WantedBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -923,7 +959,8 @@
     VT_LIVED_FOR_MS = 58,
     VT_SERVING = 60,
     VT_SUSPECTS = 62,
-    VT_CRASHES = 64
+    VT_CRASHES = 64,
+    VT_RATE_LIMITS = 66
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1015,6 +1052,9 @@
   const flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *> *crashes() const {
     return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *> *>(VT_CRASHES);
   }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *rate_limits() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *>(VT_RATE_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -1062,6 +1102,8 @@
            verifier.VerifyVector(suspects()) &&
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
+           VerifyOffset(verifier, VT_RATE_LIMITS) &&
+           verifier.VerifyVector(rate_limits()) &&
            verifier.EndTable();
   }
 };
@@ -1160,6 +1202,9 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes) {
     fbb_.AddOffset(Message::VT_CRASHES, crashes);
   }
+  void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits) {
+    fbb_.AddOffset(Message::VT_RATE_LIMITS, rate_limits);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1202,7 +1247,8 @@
     uint32_t lived_for_ms = 0,
     bool serving = false,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *>> suspects = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits = 0) {
   MessageBuilder builder_(_fbb);
   builder_.add_digest(digest);
   builder_.add_changes(changes);
@@ -1211,6 +1257,7 @@
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_rate_limits(rate_limits);
   builder_.add_crashes(crashes);
   builder_.add_suspects(suspects);
   builder_.add_lived_for_ms(lived_for_ms);
@@ -1268,7 +1315,8 @@
     uint32_t lived_for_ms = 0,
     bool serving = false,
     const std::vector<greengagedrum::gossip::wire::Suspect> *suspects = nullptr,
-    const std::vector<greengagedrum::gossip::wire::Crash> *crashes = nullptr) {
+    const std::vector<greengagedrum::gossip::wire::Crash> *crashes = nullptr,
+    const std::vector<greengagedrum::gossip::wire::RateLimit> *rate_limits = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1282,6 +1330,7 @@
   auto standings__ = standings ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Standing>(*standings) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Suspect>(*suspects) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Crash>(*crashes) : 0;
+  auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::RateLimit>(*rate_limits) : 0;
   return greengagedrum::gossip::wire::CreateMessage(
       _fbb,
       life,
@@ -1313,7 +1362,8 @@
       lived_for_ms,
       serving,
       suspects__,
-      crashes__);
+      crashes__,
+      rate_limits__);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -2,6 +2,7 @@
 #include <greengagedrum/gossip/dispatch_codec.hpp>
 #include <greengagedrum/gossip/gossip_generated.h>
 #include <greengagedrum/gossip/message.hpp>
+#include <greengagedrum/gossip/rate_limit_codec.hpp>
 #include <greengagedrum/gossip/suspect_codec.hpp>
 
 #include <algorithm>
@@ -196,6 +197,7 @@
     if (sent.kind == message_kind::reply)
         reply = write_reply(builder, sent.reply);
     const suspect_offsets suspects = write_suspects(builder, sent.suspects);
+    const auto rate_limits = write_rate_limits(builder, sent.rate_limits);
     const auto root =
         wire::CreateMessage(builder,
                             sent.incarnation.value,
@@ -227,7 +229,8 @@
                             milliseconds_of(sent.uptime),
                             sent.dispatching,
                             suspects.suspects,
-                            suspects.crashes);
+                            suspects.crashes,
+                            rate_limits);
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -269,6 +272,7 @@
     if (const auto* report = root->report())
         out.report = read_report(*report);
     out.suspects = read_suspects(*root);
+    out.rate_limits = read_rate_limits(*root);
     out.report.sequence = out.sequence;
     if (const auto* reply = root->reply())
         out.reply = read_reply(*reply);
--- a/src/greengagedrum/gossip/message.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -80,6 +80,8 @@
     dispatch::member_report report;
     dispatch::dispatcher_reply reply;
     std::vector<quarantine::suspect_report> suspects;
+    // What the sender's entries have recently read in upstreams' responses.
+    std::vector<traffic::announced_limit> rate_limits;
 };
 
 // Items of the store that one entry sends to another.
--- a/src/greengagedrum/platform/headers.cpp
+++ b/src/greengagedrum/platform/headers.cpp
@@ -22,6 +22,7 @@
 constexpr std::string_view upstream_header = "X-Target-Instance";
 constexpr std::string_view signature_header = "X-Response-Signature";
 constexpr std::string_view not_run_header = "X-Not-Executed";
+constexpr std::string_view rate_limit_header = "Server-Limit";
 
 constexpr std::array<std::string_view, 9> own_headers = {
     key_header,
@@ -148,6 +149,24 @@
         add_header(head, resume_header, marks.resume_after);
 }
 
+namespace
+{
+
+void read_rate_limit(const relay::answer_head& head, answer_marks& out)
+{
+    const auto text = relay::find_header(head.headers, rate_limit_header);
+    if (!text)
+        return;
+    const bool once =
+        relay::count_headers(head.headers, rate_limit_header) == 1;
+    const auto value = once ? number_from(*text) : std::nullopt;
+    out.rate_limit_invalid = !value || *value <= 0;
+    if (!out.rate_limit_invalid)
+        out.rate_limit = value;
+}
+
+} // namespace
+
 answer_marks read_answer_marks(const relay::answer_head& head)
 {
     answer_marks out;
@@ -155,6 +174,7 @@
     out.has_signature =
         relay::find_header(head.headers, signature_header).has_value();
     out.not_run = relay::find_header(head.headers, not_run_header).has_value();
+    read_rate_limit(head, out);
     return out;
 }
 
--- a/src/greengagedrum/platform/headers.hpp
+++ b/src/greengagedrum/platform/headers.hpp
@@ -53,6 +53,11 @@
     std::string attempt;
     bool has_signature = false; // made by an upstream
     bool not_run = false;       // the upstream promises that it did not run it
+    // Requests a second that the upstream accepts from all entries together.
+    // Empty: not announced.
+    std::optional<double> rate_limit;
+    // Announced more than once, or not as a positive number.
+    bool rate_limit_invalid = false;
 };
 
 answer_marks read_answer_marks(const relay::answer_head& head);
--- a/src/greengagedrum/platform/test/platform_test.cpp
+++ b/src/greengagedrum/platform/test/platform_test.cpp
@@ -325,4 +325,28 @@
                   "X-Tenant: gate\r\nLast-Event-Id: 12\r\n");
 }
 
+TEST_CASE("announced_rate_limit_read_once_and_positive_only")
+{
+    const auto marks_of = [](std::vector<relay::header> headers) {
+        relay::answer_head head;
+        head.headers = std::move(headers);
+        return read_answer_marks(head);
+    };
+    CHECK(marks_of({{"server-limit", "1.8"}}).rate_limit == 1.8);
+    CHECK_FALSE(marks_of({{"server-limit", "1.8"}}).rate_limit_invalid);
+    CHECK_FALSE(marks_of({}).rate_limit);
+    CHECK_FALSE(marks_of({}).rate_limit_invalid);
+    for (const char* text :
+         {"", "0", "-1", "many", "1.8/s", "inf", "nan", "1e400"}) {
+        CAPTURE(text);
+        const answer_marks marks = marks_of({{"Server-Limit", text}});
+        CHECK_FALSE(marks.rate_limit);
+        CHECK(marks.rate_limit_invalid);
+    }
+    const answer_marks twice =
+        marks_of({{"Server-Limit", "2"}, {"Server-Limit", "3"}});
+    CHECK_FALSE(twice.rate_limit);
+    CHECK(twice.rate_limit_invalid);
+}
+
 } // namespace greengagedrum::platform
--- a/src/greengagedrum/telemetry/messages.hpp
+++ b/src/greengagedrum/telemetry/messages.hpp
@@ -95,9 +95,10 @@
     log_lines_dropped,    // since the start
     stopping,             // 1 while a graceful stop is under way
     requests_quarantined, // different ones that crashed upstreams
-    data_centres_evacuated
+    data_centres_evacuated,
+    upstreams_rate_limited // announce a limit in their responses
 };
-inline constexpr std::size_t gauge_count = 12;
+inline constexpr std::size_t gauge_count = 13;
 
 struct gauge_set {
     gauge what = gauge::config_age_seconds;
--- a/src/greengagedrum/telemetry/metric_descriptions.cpp
+++ b/src/greengagedrum/telemetry/metric_descriptions.cpp
@@ -56,6 +56,8 @@
      "Different requests that are not sent, since upstreams crashed by them."},
     {"greengagedrum_data_centres_evacuated",
      "Data centres whose upstreams get no new requests."},
+    {"greengagedrum_upstreams_rate_limited",
+     "Upstreams whose responses announce a rate limit."},
 }};
 
 } // namespace
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -133,6 +133,12 @@
     base::verdict verdict;
 };
 
+// The head of an upstream's response arrived.
+struct rate_limit_read {
+    base::upstream_id upstream;
+    double per_second = 0; // requests; 0: it announces no limit
+};
+
 using event = std::variant<request_arrived,
                            caller_left,
                            connect_failed,
@@ -142,7 +148,8 @@
                            answer_interrupted,
                            upstream_checked,
                            slot_granted,
-                           slot_denied>;
+                           slot_denied,
+                           rate_limit_read>;
 
 // The figures that led to the choice of an upstream, for the log.
 struct choice_record {
@@ -197,12 +204,20 @@
     double failure_rate = 0; // share of failures among its recent requests
 };
 
+// The limit that an upstream announces has begun, changed or ended; for the
+// log.
+struct rate_limit_changed {
+    base::upstream_id upstream;
+    double per_second = 0; // requests; 0: it has ended
+};
+
 using action = std::variant<send_request,
                             cancel_send,
                             deliver_answer,
                             end_request,
                             check_upstream,
                             suspicion_changed,
+                            rate_limit_changed,
                             quarantine::quarantine_state_change>;
 
 using actions = std::vector<action>;
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -266,6 +266,17 @@
     this->fail(*item, base::reason::upstream_failed);
 }
 
+void scheduler::on(const rate_limit_read& what)
+{
+    const bool changed = this->pool.announced_limits().record(
+        {what.upstream, what.per_second, base::duration(0)},
+        limit_source::own_group,
+        this->now);
+    if (changed)
+        this->out->push_back(
+            rate_limit_changed{what.upstream, what.per_second});
+}
+
 void scheduler::on(const caller_left& what)
 {
     const auto found = this->requests.find(what.request);
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -136,6 +136,16 @@
         return this->suspects;
     }
 
+    // The rate limits that upstreams announce.
+    traffic::announced_limits& announced_limits()
+    {
+        return this->pool.announced_limits();
+    }
+    const traffic::announced_limits& announced_limits() const
+    {
+        return this->pool.announced_limits();
+    }
+
     std::size_t in_flight() const { return this->requests.size(); }
     std::size_t waiting() const;
     const scheduler_counters& counters() const { return this->count; }
@@ -174,6 +184,7 @@
     void on(const upstream_checked& what);
     void on(const slot_granted& what);
     void on(const slot_denied& what);
+    void on(const rate_limit_read& what);
 
     request* find_active_send(base::request_id id, std::uint32_t send);
     request* find_queued(base::request_id id, std::uint32_t send);
--- a/src/greengagedrum/traffic/upstream_choice.cpp
+++ b/src/greengagedrum/traffic/upstream_choice.cpp
@@ -216,7 +216,7 @@
             (!any_will_do || one.outliers.unreachable()))
             continue;
         const suitability suits = this->suits(one, all, query, now);
-        const std::uint32_t open = this->free_slots(one, now);
+        const std::uint32_t open = this->free_slots(id, one, now);
         if (open == 0) {
             if (!probe)
                 out.best_full = std::max(out.best_full, suits);
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -182,6 +182,7 @@
     own->own_pending_prefill += prompt_tokens;
     if (this->services[own->service].cold_rate > 0)
         own->recent.add(now);
+    this->limits.on_sent(where.upstream, now);
     if (!where.probe)
         return;
     own->outliers.probe_sent();
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -10,6 +10,7 @@
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
 #include <greengagedrum/routing/upstream_directory.hpp>
+#include <greengagedrum/traffic/announced_limits.hpp>
 #include <greengagedrum/traffic/inter_event_time.hpp>
 #include <greengagedrum/traffic/messages.hpp>
 #include <greengagedrum/traffic/outlier_detector.hpp>
@@ -107,10 +108,19 @@
     {
         this->services[service].cold_rate = sends;
     }
-    // Sets this entry's share of that rate at upstreams of the own data centre.
+    // Sets this entry's share of that rate, and of the limits that upstreams
+    // announce, at upstreams of the own data centre.
     void set_slow_start_share(const slow_start_share& share)
     {
         this->cold_share = share;
+        this->limits.set_share(share);
+    }
+
+    // The rate limits that upstreams announce.
+    traffic::announced_limits& announced_limits() { return this->limits; }
+    const traffic::announced_limits& announced_limits() const
+    {
+        return this->limits;
     }
 
     // Nothing when no suitable upstream has a free slot.
@@ -258,7 +268,9 @@
     void
     reserve_new_slots(base::upstream_id id, upstream& one, base::instant now);
     base::duration turn_delay(std::uint64_t lot) const;
-    std::uint32_t free_slots(const upstream& one, base::instant now) const;
+    std::uint32_t free_slots(base::upstream_id id,
+                             const upstream& one,
+                             base::instant now) const;
     std::uint32_t cold_allowance(const upstream& one, base::instant now) const;
     bool is_near(const upstream& one) const;
     std::size_t healthy_nearby(const service_state& all) const;
@@ -291,6 +303,7 @@
     std::unordered_map<base::upstream_class_id, service_state> services;
     std::unordered_map<base::slot_id, peer_load> peer_loads;
     base::instant silence_checked_at;
+    traffic::announced_limits limits;
     traffic::reachability reach;
 };
 
--- a/src/greengagedrum/traffic/upstream_slots.cpp
+++ b/src/greengagedrum/traffic/upstream_slots.cpp
@@ -65,7 +65,8 @@
     this->reservation = gap + message_delay;
 }
 
-std::uint32_t upstream_pool::free_slots(const upstream& one,
+std::uint32_t upstream_pool::free_slots(base::upstream_id id,
+                                        const upstream& one,
                                         base::instant now) const
 {
     const auto awaited = static_cast<std::uint32_t>(
@@ -73,9 +74,14 @@
                       one.reserved_until.end(),
                       [&](base::instant until) { return until > now; }));
     const std::uint32_t taken = one.own_requests + one.peer_requests + awaited;
-    const std::uint32_t open = one.slots - std::min(one.slots, taken);
-    return now < one.cold_until ? std::min(open, this->cold_allowance(one, now))
-                                : open;
+    std::uint32_t open = one.slots - std::min(one.slots, taken);
+    if (now < one.cold_until)
+        open = std::min(open, this->cold_allowance(one, now));
+    if (this->limits.limit_of(id, now) > 0)
+        open = this->is_near(one)
+                   ? std::min(open, this->limits.allowance(id, now))
+                   : 0;
+    return open;
 }
 
 // Number of requests that this entry may send to a cold upstream now.
@@ -114,7 +120,7 @@
     for (const base::upstream_id id : found->second.members) {
         const upstream& one = this->upstreams.at(id);
         if (!one.outliers.suspected())
-            sum += this->free_slots(one, now);
+            sum += this->free_slots(id, one, now);
     }
     return sum;
 }
@@ -128,8 +134,8 @@
     return std::any_of(found->second.members.begin(),
                        found->second.members.end(),
                        [&](base::upstream_id id) {
-                           return this->free_slots(this->upstreams.at(id),
-                                                   now) > 0;
+                           return this->free_slots(
+                                      id, this->upstreams.at(id), now) > 0;
                        });
 }
 
