Entry: the use of a peer is called peer_use

Cause: peer_paths::lease counts how many sends go through a peer; a lease, in this field, is a right that ends by time.

Change: renamed, in code and test. No behaviour changes.

--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -118,7 +118,7 @@
     owner_events events;
     std::shared_ptr<relay::upstream_call> call;
     std::shared_ptr<relay::tunnel_client> tunnel; // until it is connected
-    peer_paths::lease peer;                       // in use by the send
+    peer_paths::peer_use peer;                    // in use by the send
     std::vector<base::ip_endpoint> tried_peers;   // by the send
     routing::published_upstream target;           // of the send
     base::instant sent_at;
--- a/src/greengagedrum/entry/peer_paths.cpp
+++ b/src/greengagedrum/entry/peer_paths.cpp
@@ -25,14 +25,14 @@
 
 } // namespace
 
-peer_paths::lease::lease(std::shared_ptr<std::size_t> counted,
-                         std::string address)
+peer_paths::peer_use::peer_use(std::shared_ptr<std::size_t> counted,
+                               std::string address)
     : users(std::move(counted)), ip(std::move(address))
 {
     *this->users += 1;
 }
 
-peer_paths::lease& peer_paths::lease::operator=(lease&& from) noexcept
+peer_paths::peer_use& peer_paths::peer_use::operator=(peer_use&& from) noexcept
 {
     this->reset();
     this->users = std::move(from.users);
@@ -40,7 +40,7 @@
     return *this;
 }
 
-void peer_paths::lease::reset()
+void peer_paths::peer_use::reset()
 {
     if (this->users)
         *this->users -= 1;
@@ -148,7 +148,7 @@
     return best;
 }
 
-peer_paths::lease peer_paths::use_peer(const base::ip_endpoint& address)
+peer_paths::peer_use peer_paths::use_peer(const base::ip_endpoint& address)
 {
     return {this->peers[address.ip].users, address.ip};
 }
--- a/src/greengagedrum/entry/peer_paths.hpp
+++ b/src/greengagedrum/entry/peer_paths.hpp
@@ -42,16 +42,16 @@
     };
 
     // Counts one send that uses a peer, for as long as it lives.
-    class lease
+    class peer_use
     {
     public:
-        lease() = default;
-        lease(std::shared_ptr<std::size_t> users, std::string address);
-        ~lease() { this->reset(); }
-        lease(lease&& from) noexcept = default;
-        lease& operator=(lease&& from) noexcept;
-        lease(const lease&) = delete;
-        lease& operator=(const lease&) = delete;
+        peer_use() = default;
+        peer_use(std::shared_ptr<std::size_t> users, std::string address);
+        ~peer_use() { this->reset(); }
+        peer_use(peer_use&& from) noexcept = default;
+        peer_use& operator=(peer_use&& from) noexcept;
+        peer_use(const peer_use&) = delete;
+        peer_use& operator=(const peer_use&) = delete;
 
         void reset();
         // Empty while no peer is used.
@@ -87,7 +87,7 @@
     choose_peer(base::upstream_class_id service,
                 const routing::data_centre_constraint& allowed,
                 std::span<const base::ip_endpoint> tried) const;
-    lease use_peer(const base::ip_endpoint& address);
+    peer_use use_peer(const base::ip_endpoint& address);
     void on_peer_connected(const base::ip_endpoint& address,
                            base::upstream_class_id service);
     void on_peer_failed(const base::ip_endpoint& address,
--- a/src/greengagedrum/entry/test/peer_paths_test.cpp
+++ b/src/greengagedrum/entry/test/peer_paths_test.cpp
@@ -94,20 +94,20 @@
 TEST_CASE_FIXTURE(paths_fixture,
                   "sends_spread_over_near_peers_then_farther_ones")
 {
-    std::vector<peer_paths::lease> leases;
+    std::vector<peer_paths::peer_use> uses;
     std::set<std::string> used;
     for (int each = 0; each < 4; ++each) {
         const auto chosen = this->paths.choose_peer(engines, anywhere, {});
         REQUIRE(chosen);
         used.insert(chosen->ip);
-        leases.push_back(this->paths.use_peer(*chosen));
+        uses.push_back(this->paths.use_peer(*chosen));
     }
     CHECK(used.size() == 4);
     CHECK_FALSE(used.contains("10.0.1.1"));
     for (int each = 0; each < 16; ++each)
-        leases.push_back(this->paths.use_peer(
+        uses.push_back(this->paths.use_peer(
             *this->paths.choose_peer(engines, anywhere, {})));
-    leases.clear();
+    uses.clear();
     CHECK(this->paths.choose_peer(engines, anywhere, {})->ip != "10.0.1.1");
 }
 
