Settings: memory, link and descriptors of an instance, and regions

Read by the parts that follow. The memory limit is set only where the platform has slow readers, so that other deployments are served as before. test-platform and test-routing pass.

--- a/src/greengagedrum/entry/settings.cpp
+++ b/src/greengagedrum/entry/settings.cpp
@@ -44,7 +44,10 @@
         << "metrics = " << base::to_string(values.metrics_address) << '\n'
         << "peer_port = " << values.peer_port << '\n'
         << "store = " << base::to_string(values.store_address) << '\n'
-        << "processors = " << values.processors << '\n';
+        << "processors = " << values.processors << '\n'
+        << "memory_bytes = " << values.memory_bytes << '\n'
+        << "link_bytes_per_second = " << values.link_bytes_per_second << '\n'
+        << "max_descriptors = " << values.max_descriptors << '\n';
     for (const base::ip_endpoint& seed : values.seeds)
         out << "seed = " << base::to_string(seed) << '\n';
     for (const auto& [data_centre, region] : values.regions)
--- a/src/greengagedrum/entry/settings.hpp
+++ b/src/greengagedrum/entry/settings.hpp
@@ -56,6 +56,11 @@
     std::vector<base::ip_endpoint> seeds;
     base::ip_endpoint store_address;
     double processors = 1; // in cores; entries with the most become dispatchers
+    // The memory that the process may use; 0: no limit is kept. Set where
+    // callers and upstreams may read slowly.
+    std::uint64_t memory_bytes = 0;
+    double link_bytes_per_second = 0;  // in each direction; 0: unknown
+    std::uint64_t max_descriptors = 0; // 0: unknown
     entry::bounds bounds;
 };
 
--- a/src/greengagedrum/platform/settings_file.cpp
+++ b/src/greengagedrum/platform/settings_file.cpp
@@ -2,6 +2,7 @@
 
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 #include <limits>
@@ -94,6 +95,15 @@
         return out;
     }
 
+    bool lists(std::string_view path, std::string_view name)
+    {
+        const toml::array* list = this->table.at_path(path).as_array();
+        return list != nullptr &&
+               std::any_of(list->begin(), list->end(), [&](const auto& one) {
+                   return one.template value_or<std::string>("") == name;
+               });
+    }
+
     std::uint16_t first_port(std::string_view path)
     {
         const toml::array* range = this->table.at_path(path).as_array();
@@ -113,6 +123,24 @@
 
 constexpr double second = 1e6;
 constexpr double millisecond = 1e3;
+constexpr double megabyte = 1e6;
+constexpr double bits_per_byte = 8;
+
+// Where the platform has callers and upstreams that may read slowly, what a
+// process holds for them counts towards its memory.
+constexpr std::string_view slow_readers = "pressure";
+
+void read_limits(field_reader& from, entry::settings& out)
+{
+    out.processors = from.number("limits.cpuQuota", out.processors);
+    out.link_bytes_per_second =
+        from.number("limits.linkMbps", 0) * megabyte / bits_per_byte;
+    out.max_descriptors =
+        static_cast<std::uint64_t>(from.number("limits.maxFds", 0));
+    if (from.lists("contracts", slow_readers))
+        out.memory_bytes = static_cast<std::uint64_t>(
+            from.number("limits.memoryMb", 0) * megabyte);
+}
 
 entry::bounds read_bounds(field_reader& from)
 {
@@ -163,7 +191,7 @@
     out.peer_port = from.first_port("internalPortRange");
     out.seeds = from.endpoints("seedNodes");
     out.store_address = from.endpoint("platform.address");
-    out.processors = from.number("limits.cpuQuota", out.processors);
+    read_limits(from, out);
     out.bounds = read_bounds(from);
     if (!faults.empty())
         return tl::unexpected(faults);
--- a/src/greengagedrum/platform/test/platform_test.cpp
+++ b/src/greengagedrum/platform/test/platform_test.cpp
@@ -84,6 +84,22 @@
     CHECK(read->bounds.evacuation_delay == 5s);
 }
 
+// A memory limit would change how deployments without slow readers are served.
+TEST_CASE("memory_limit_is_read_only_where_readers_may_be_slow")
+{
+    const std::string limits = "[limits]\ncpuQuota = 0.12\nmemoryMb = 160\n"
+                               "maxFds = 4100\nlinkMbps = 10.0\n";
+    const auto plain = read_settings(settings_text + limits);
+    REQUIRE(plain);
+    CHECK(plain->memory_bytes == 0);
+    CHECK(plain->max_descriptors == 4100);
+    CHECK(plain->link_bytes_per_second == 1.25e6);
+    const auto slow = read_settings("contracts = [\"base\", \"pressure\"]\n" +
+                                    std::string(settings_text) + limits);
+    REQUIRE(slow);
+    CHECK(slow->memory_bytes == 160'000'000);
+}
+
 TEST_CASE("settings_with_many_faults_name_them_all")
 {
     const auto read = read_settings("nodeName = \"x\"\nip = \"10.1.0.25\"\n"
--- a/src/greengagedrum/routing/data_centre_constraint.hpp
+++ b/src/greengagedrum/routing/data_centre_constraint.hpp
@@ -17,6 +17,14 @@
 // Names of data centres, with the names of their regions.
 using region_map = std::map<std::string, std::string>;
 
+// Whether the data centres lie in more than one region.
+bool spans_regions(const region_map& regions);
+
+// False if the region of one of the data centres isn't known.
+bool same_region(const region_map& regions,
+                 base::data_centre_id one,
+                 base::data_centre_id other);
+
 struct data_centre_constraint {
     bool restricted = false; // if false, all data centres are allowed
     std::vector<base::data_centre_id> data_centres;
--- a/src/greengagedrum/routing/test/routing_test.cpp
+++ b/src/greengagedrum/routing/test/routing_test.cpp
@@ -269,6 +269,20 @@
     CHECK(directory.update(upstream_at("i-1", 6)) == upstream_change::joined);
 }
 
+// A data centre whose region isn't listed would count as near.
+TEST_CASE("region_of_unlisted_data_centre_is_no_region")
+{
+    const region_map regions = {
+        {"hall", "west"}, {"yard", "west"}, {"quay", "east"}};
+    const base::data_centre_id hall("hall");
+    CHECK(spans_regions(regions));
+    CHECK_FALSE(spans_regions({{"hall", "west"}, {"yard", "west"}}));
+    CHECK_FALSE(spans_regions({}));
+    CHECK(same_region(regions, hall, base::data_centre_id("yard")));
+    CHECK_FALSE(same_region(regions, hall, base::data_centre_id("quay")));
+    CHECK_FALSE(same_region(regions, hall, base::data_centre_id("pier")));
+}
+
 // If both the route and the workspace name regions, both restrict.
 TEST_CASE("regions_of_route_and_workspace_both_restrict")
 {
