Entry: a start does not fill the link between two regions

Callers saw 404 on new routes and requests in a region that they may not reach, with 300 entries in two regions: half of the entries had a change of the configuration 10 s late, the last one 18 s. Cause, from logs of one data centre: each entry that starts lists the store, 7 pages of some 170 KB, over 60 Mbit/s that 150 entries share. A read without a byte for 1.1 s was given up and begun at the first page again, 54 of 54 entries of the data centre lost the store, and transfers between dispatchers (400 ms) waited behind these bytes.

In a deployment of several regions an entry that starts waits for its dispatcher's items; a dispatcher follows one whose connects to the store take less than half as long while that one has recent answers; a listing goes on at the page that failed. Deployments of one region are as before.

--- a/src/greengagedrum/entry/cluster_state.cpp
+++ b/src/greengagedrum/entry/cluster_state.cpp
@@ -77,9 +77,16 @@
             this->apply_item({key, {}, as_of, true}, now, out);
     }
     this->revision = std::max(this->revision, as_of);
+    this->listed = this->listed || (complete && as_of > 0);
     return out;
 }
 
+void cluster_state::confirm_listing(std::uint64_t as_of)
+{
+    this->revision = std::max(this->revision, as_of);
+    this->listed = this->listed || as_of > 0;
+}
+
 cluster_changes cluster_state::apply(const gossip::item_transfer& transfer,
                                      base::instant now)
 {
--- a/src/greengagedrum/entry/cluster_state.hpp
+++ b/src/greengagedrum/entry/cluster_state.hpp
@@ -76,6 +76,10 @@
     }
 
     std::uint64_t store_revision() const { return this->revision; }
+    // Whether all items as of some revision are known.
+    bool has_listing() const { return this->listed; }
+    // The state equals that of a peer which knows all items as of `as_of`.
+    void confirm_listing(std::uint64_t as_of);
     // The highest revision of an item that changed the state. A store that lost
     // its history for a while may deliver a change with a lower revision later.
     std::uint64_t last_change_revision() const { return this->last_change; }
@@ -132,6 +136,7 @@
     routing::route_table_ptr table;
     routing::upstream_directory directory;
     std::uint64_t revision = 0;
+    bool listed = false;
     std::uint64_t last_change = 0;
     std::uint64_t applied_changes = 0;
     // For each item that changed the state: its change number.
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -103,9 +103,13 @@
     store_callbacks.peer_reads_store = [this] {
         return this->peers->peer_reads_store();
     };
+    store_callbacks.awaits_listing = [this] {
+        return this->peers->awaits_listing();
+    };
     this->store = std::make_unique<store_reader>(this->context,
                                                  initial_settings.store_address,
                                                  std::move(store_callbacks));
+    this->store->set_resuming(this->several_regions());
     this->store->set_update_bound(
         initial_settings.bounds.shortest_update_delay());
     this->readiness_server = std::make_unique<relay::small_server>(
@@ -147,6 +151,12 @@
             this->state.cluster.apply(transfer, this->state.clock()), "peer");
         this->end_pause("peer");
         this->store->skip_to_revision(this->state.cluster.store_revision());
+        if (transfer.complete && transfer.store_revision > 0 &&
+            this->several_regions())
+            this->store->adopt_listing(transfer.store_revision);
+    };
+    out.listing_received = [this](std::uint64_t as_of) {
+        this->store->adopt_listing(as_of);
     };
     out.delegation_started = [this] { this->handler->start_delegating(); };
     out.delegation_ended = [this](std::size_t unheard,
@@ -203,6 +213,11 @@
                 {{"unfinished", this->handler->in_flight()}});
 }
 
+bool entry::several_regions() const
+{
+    return routing::spans_regions(this->own_settings.regions);
+}
+
 void entry::apply_bounds()
 {
     this->state.limiter.set_tolerance(
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -66,6 +66,8 @@
     void on_store_failed(const std::string& why);
     void on_store_answered();
     void apply_bounds();
+    bool several_regions() const;
+    void measure_store_connect(base::instant now);
     void apply_slow_start_limits();
     relay::small_answer answer_control(std::string_view target);
     relay::small_answer answer_readiness() const;
@@ -93,6 +95,7 @@
     base::instant last_tick;
     base::instant last_timeout_check;
     base::instant last_settings_check;
+    std::optional<base::instant> store_measured_at;
     // Total time the machine was suspended, as of the last tick.
     base::duration total_suspended{0};
     std::optional<base::instant> pause_detected_at;
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -3,6 +3,7 @@
 #include <greengagedrum/entry/entry.hpp>
 #include <greengagedrum/entry/suspension.hpp>
 #include <greengagedrum/logs/write.hpp>
+#include <greengagedrum/relay/connect_check.hpp>
 
 #include <csignal>
 
@@ -19,6 +20,7 @@
 constexpr auto idle_tick = std::chrono::milliseconds(50);
 constexpr base::duration sweep_period = std::chrono::milliseconds(100);
 constexpr base::duration settings_period = std::chrono::seconds(1);
+constexpr base::duration store_measure_interval = std::chrono::seconds(3);
 
 // A turn of the event loop takes milliseconds. A tick that is this late means
 // that the process was frozen, and that its state is outdated by as much.
@@ -150,6 +152,7 @@
     this->apply_changes(this->state.cluster.expire(now), "lapse");
     this->handler->tick();
     this->peers->tick(this->store->failing());
+    this->measure_store_connect(now);
     if (now - this->last_timeout_check >= sweep_period) {
         this->last_timeout_check = now;
         this->readiness_server->check_time(now);
@@ -202,6 +205,21 @@
     this->handler->tick();
 }
 
+void entry::measure_store_connect(base::instant now)
+{
+    if (!this->peers->measures_store() ||
+        (this->store_measured_at &&
+         now - *this->store_measured_at < store_measure_interval))
+        return;
+    this->store_measured_at = now;
+    const auto check = std::make_shared<relay::connect_check>(
+        this->context, [this, now](bool accepted) {
+            if (accepted)
+                this->peers->record_store_connect(this->state.clock() - now);
+        });
+    check->start(this->own_settings.store_address, base::duration(0));
+}
+
 void entry::check_settings()
 {
     const auto changed = this->load_settings();
--- a/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
@@ -63,10 +63,15 @@
     out.items_received = [this, &entry](const gossip::item_transfer& transfer) {
         entry.state.cluster.apply(transfer, this->fleet.time());
         reader& own = this->readers[entry.number];
-        if (own.known_revision > 0)
+        const bool listing = transfer.complete && this->plan.regions > 1;
+        if (own.known_revision > 0 || listing)
             own.known_revision = std::max(own.known_revision,
                                           entry.state.cluster.store_revision());
     };
+    out.listing_received = [this, &entry](std::uint64_t as_of) {
+        this->readers[entry.number].known_revision =
+            std::max(this->readers[entry.number].known_revision, as_of);
+    };
     out.delegation_started = [&entry] { entry.state.delegating = true; };
     out.delegation_ended = [&entry](std::size_t, const limit_handover*) {
         entry.state.delegating = false;
@@ -136,39 +141,74 @@
         own.next_call_at = now + idle_check_interval;
         return;
     }
+    if (own.known_revision == 0 && one.protocol->awaits_listing()) {
+        own.next_call_at = now + idle_check_interval;
+        return;
+    }
     this->result.store_calls += 1;
     if (this->is_rejected(one.number))
         return this->on_call_failed(one);
     own.calling = true;
-    const bool changed = own.known_revision < this->document.revision;
-    const double bytes =
-        bytes_of_other_changes +
-        (changed ? static_cast<double>(this->document.value.size()) *
-                       base64_expansion
-                 : 0);
     this->fleet.transfers().start(
         {store_address,
          one.address,
-         bytes,
+         this->answer_bytes(own),
          store_reader::call_limits,
          [this, number = one.number, as_of = this->document.revision](
              bool whole) {
              this->readers[number].calling = false;
-             if (whole)
-                 this->on_store_answer(number, as_of);
-             else
+             if (!whole)
                  this->on_call_failed(*this->fleet.at(number));
+             else if (this->is_listing(this->readers[number]))
+                 this->on_page(number);
+             else
+                 this->on_store_answer(number, as_of);
          },
          now},
         now);
 }
 
+bool configuration_fleet::is_listing(const reader& own) const
+{
+    return own.known_revision == 0 &&
+           own.pages_read + 1 < this->plan.listing_pages;
+}
+
+double configuration_fleet::answer_bytes(const reader& own) const
+{
+    const bool listing =
+        own.known_revision == 0 && this->plan.listing_pages > 0;
+    const bool document = listing
+                              ? own.pages_read == 0
+                              : own.known_revision < this->document.revision;
+    return (listing ? this->plan.page_bytes : bytes_of_other_changes) +
+           (document ? static_cast<double>(this->document.value.size()) *
+                           base64_expansion
+                     : 0);
+}
+
+// The configuration is on the first page and in force before the others are
+// read.
+void configuration_fleet::on_page(std::size_t number)
+{
+    reader& own = this->readers[number];
+    if (own.known_revision > 0)
+        return;
+    own.failures = 0;
+    own.pages_read += 1;
+    if (own.pages_read == 1)
+        this->fleet.at(number)->state.cluster.apply(
+            {this->document}, 0, false, this->fleet.time());
+}
+
 void configuration_fleet::on_call_failed(node& one)
 {
     reader& own = this->readers[one.number];
     const base::instant now = this->fleet.time();
     one.state.cluster.on_store_failed(now);
     own.failures = std::min(own.failures + 1, max_backoff_steps);
+    if (this->plan.regions == 1)
+        own.pages_read = 0;
     own.next_call_at =
         now + (own.known_revision > 0 && one.protocol->peer_reads_store()
                    ? idle_backoff
@@ -210,7 +250,7 @@
             const change& next = this->changes[in_force];
             const base::duration delay = now - next.written_at;
             const bool over =
-                delay > virtual_fleet::entry_bounds().configuration_delay;
+                std::chrono::duration<double>(delay).count() > this->plan.bound;
             if (version < next.version && !over)
                 break;
             this->result.slowest =
@@ -223,15 +263,30 @@
     }
 }
 
+void configuration_fleet::record_recovery()
+{
+    if (this->fleet.seconds() < this->plan.all_killed_at || this->recovered)
+        return;
+    this->result.recovery = this->fleet.seconds() - this->plan.all_killed_at;
+    for (std::size_t number = 0; number < this->fleet.size(); ++number) {
+        const node* one = this->fleet.at(number);
+        if (one == nullptr || one->state.cluster.routes() == nullptr)
+            return;
+    }
+    this->recovered = true;
+}
+
 configuration_result configuration_fleet::simulate()
 {
     while (this->fleet.seconds() < this->plan.seconds) {
         this->fleet.step();
         this->apply_due_changes();
         this->record_delays();
+        this->record_recovery();
     }
     this->result.document_bytes = this->document.value.size();
     this->result.failed_transfers = this->fleet.failed_fetches();
+    this->result.bytes_between_regions = this->fleet.bytes_between_regions();
     return this->result;
 }
 
--- a/src/greengagedrum/entry/fleet_test/configuration_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet.hpp
@@ -18,6 +18,11 @@
     double routes_added_at = 6; // seconds
     // Seconds at which one workspace gets another key.
     std::vector<double> changes_at;
+    // Pages of the first listing, after the document on the first one; 0: the
+    // document is all that the store holds.
+    std::size_t listing_pages = 0;
+    double page_bytes = 170e3;
+    double bound = 2;          // seconds until a change is in force
     double rejected_share = 0; // of the entries, by the store
     double rejected_from = 4;  // seconds
 };
@@ -31,6 +36,9 @@
     std::uint64_t failed_transfers = 0; // from peers
     std::uint64_t store_calls = 0;
     std::size_t document_bytes = 0; // of the last configuration
+    // From the kill of all entries until all have a configuration again.
+    double recovery = 0; // seconds; the time that was left if never
+    std::uint64_t bytes_between_regions = 0;
 };
 
 class configuration_fleet
@@ -48,6 +56,7 @@
         base::instant next_call_at;
         std::uint64_t known_revision = 0; // 0: nothing was read yet
         std::uint32_t failures = 0;
+        std::size_t pages_read = 0; // of the listing in progress
         bool calling = false;
     };
 
@@ -62,9 +71,13 @@
     void apply_due_changes();
     bool is_rejected(std::size_t number) const;
     void read_store(node& one);
+    bool is_listing(const reader& own) const;
+    double answer_bytes(const reader& own) const;
+    void on_page(std::size_t number);
     void on_call_failed(node& one);
     void on_store_answer(std::size_t number, std::uint64_t as_of);
     void record_delays();
+    void record_recovery();
 
     configuration_plan plan;
     std::vector<reader> readers;                          // by entry
@@ -75,6 +88,7 @@
     std::size_t routes = 0;
     std::size_t next_change = 0;
     configuration_result result;
+    bool recovered = false; // since all entries were killed
     virtual_fleet fleet;
 };
 
--- a/src/greengagedrum/entry/fleet_test/fault_injection.cpp
+++ b/src/greengagedrum/entry/fleet_test/fault_injection.cpp
@@ -21,6 +21,10 @@
                                    gossip::ipv4_address to) const
 {
     const double at = this->seconds();
+    if (at >= this->plan.regions_apart_from &&
+        at < this->plan.regions_apart_from + this->plan.regions_apart_for &&
+        this->region_of(from) != this->region_of(to))
+        return true;
     if (at < this->plan.cut_from ||
         at >= this->plan.cut_from + this->plan.cut_for)
         return false;
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
@@ -17,6 +17,7 @@
 constexpr base::duration tick_interval = 20ms;
 constexpr base::duration near_latency = 500us;
 constexpr base::duration far_latency = 1400us;
+constexpr base::duration region_latency = 12ms;
 constexpr std::size_t seeds = 3;
 
 } // namespace
@@ -35,7 +36,11 @@
 virtual_fleet::virtual_fleet(const fault_plan& plan, hooks owner)
     : plan(plan), owner_hooks(std::move(owner)), started_at(1h), now(1h),
       nodes(plan.entries), restart_at(plan.entries), sent_bytes(plan.entries),
-      links(plan.link_bytes_per_second)
+      links(plan.link_bytes_per_second,
+            {[this](gossip::ipv4_address address) {
+                 return this->region_of(address);
+             },
+             plan.region_bytes_per_second})
 {
 }
 
@@ -57,6 +62,19 @@
     return *std::max_element(this->sent_bytes.begin(), this->sent_bytes.end());
 }
 
+std::uint64_t virtual_fleet::bytes_between_regions() const
+{
+    return this->region_datagram_bytes + this->links.bytes_between_regions();
+}
+
+std::size_t virtual_fleet::region_of(gossip::ipv4_address address) const
+{
+    if (address == store_address)
+        return 0;
+    return (address - first_address) % this->plan.data_centres %
+           this->plan.regions;
+}
+
 virtual_fleet::node* virtual_fleet::serving(std::size_t number)
 {
     node* one = this->nodes[number].get();
@@ -78,6 +96,11 @@
     };
     out.ip = address_of(number);
     out.peer_port = 1;
+    for (std::size_t one = 0;
+         this->plan.regions > 1 && one < this->plan.data_centres;
+         ++one)
+        out.regions["centre-" + std::to_string(one)] =
+            "region-" + std::to_string(one % this->plan.regions);
     for (std::size_t seed = 0; seed < seeds; ++seed)
         out.seeds.push_back({address_of(seed * 7 % this->plan.entries), 1});
     // The first entry of each data centre is the strongest, and at first its
@@ -102,6 +125,8 @@
                                         this->owner_hooks.events(fresh),
                                         this->transport_of(fresh));
     fresh.protocol->record_store_answer();
+    fresh.protocol->record_store_connect(
+        2 * this->latency(fresh.address, store_address));
     fresh.protocol->schedule_gossip();
 }
 
@@ -171,18 +196,36 @@
         placement::mix(this->plan.seed, this->next_datagram++) % parts;
     if (static_cast<double>(draw) < this->plan.lost_share * parts)
         return;
+    if (this->region_of(from) != this->region_of(to))
+        this->region_datagram_bytes += bytes.size();
+    this->queue_of(from, to).push_back(
+        {this->now + this->latency(from, to), from, to, std::string(bytes)});
+}
+
+std::deque<virtual_fleet::datagram>&
+virtual_fleet::queue_of(gossip::ipv4_address from, gossip::ipv4_address to)
+{
+    if (this->region_of(from) != this->region_of(to))
+        return this->region_queue;
+    const bool is_near = (from - first_address) % this->plan.data_centres ==
+                         (to - first_address) % this->plan.data_centres;
+    return is_near ? this->near_queue : this->far_queue;
+}
+
+base::duration virtual_fleet::latency(gossip::ipv4_address from,
+                                      gossip::ipv4_address to) const
+{
+    if (this->region_of(from) != this->region_of(to))
+        return region_latency + this->links.queueing_delay(from, to);
     const bool is_near = (from - first_address) % this->plan.data_centres ==
                          (to - first_address) % this->plan.data_centres;
-    std::deque<datagram>& queue = is_near ? this->near_queue : this->far_queue;
-    queue.push_back({this->now + (is_near ? near_latency : far_latency),
-                     from,
-                     to,
-                     std::string(bytes)});
+    return is_near ? near_latency : far_latency;
 }
 
 void virtual_fleet::deliver()
 {
-    for (std::deque<datagram>* queue : {&this->near_queue, &this->far_queue}) {
+    for (std::deque<datagram>* queue :
+         {&this->near_queue, &this->far_queue, &this->region_queue}) {
         while (!queue->empty() && queue->front().arrives <= this->now) {
             const datagram one = std::move(queue->front());
             queue->pop_front();
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
@@ -39,6 +39,14 @@
     // All but the first `remaining_entries` are removed for good.
     double shrinks_at = 1e9;
     std::size_t remaining_entries = 0;
+    // Data centre N is in region N modulo this number; the store is in region
+    // 0.
+    std::size_t regions = 1;
+    // Of the link between two regions, in each direction.
+    double region_bytes_per_second = 7.5e6;
+    // The regions are partitioned from each other.
+    double regions_apart_from = 1e9;
+    double regions_apart_for = 8;
     double lost_share = 0;                 // share of all datagrams
     double link_bytes_per_second = 1.25e6; // of each entry, for transfers
     std::uint64_t seed = 1;
@@ -100,6 +108,9 @@
     double seconds() const;
     // Sent by the busiest entry over the whole run.
     std::uint64_t busiest_bytes() const;
+    // Sent to other regions over the whole run, in datagrams and transfers.
+    std::uint64_t bytes_between_regions() const;
+    std::size_t region_of(gossip::ipv4_address address) const;
 
 private:
     struct datagram {
@@ -120,6 +131,10 @@
     void send(gossip::ipv4_address from,
               gossip::ipv4_address to,
               std::string_view bytes);
+    std::deque<datagram>& queue_of(gossip::ipv4_address from,
+                                   gossip::ipv4_address to);
+    base::duration latency(gossip::ipv4_address from,
+                           gossip::ipv4_address to) const;
     bool is_partitioned(gossip::ipv4_address from,
                         gossip::ipv4_address to) const;
     void deliver();
@@ -137,6 +152,8 @@
     std::vector<base::instant> restart_at;
     std::deque<datagram> near_queue; // within a data centre
     std::deque<datagram> far_queue;
+    std::deque<datagram> region_queue; // between regions
+    std::uint64_t region_datagram_bytes = 0;
     std::vector<std::uint64_t> sent_bytes; // by entry number
     simulated_links links;
     std::uint64_t failures = 0; // of fetches
--- a/src/greengagedrum/entry/item_fetching.cpp
+++ b/src/greengagedrum/entry/item_fetching.cpp
@@ -15,6 +15,9 @@
 // A transfer takes as long as its size and the links require.
 constexpr relay::answer_limits fetch_limits{std::chrono::milliseconds(400),
                                             std::chrono::seconds(5)};
+// Where bytes may wait for the link between two regions.
+constexpr relay::answer_limits far_fetch_limits{std::chrono::milliseconds(1000),
+                                                std::chrono::seconds(5)};
 
 // Answers below this size are sent at once, whoever else is being served.
 constexpr std::size_t large_answer_bytes = 8U << 10U;
@@ -45,6 +48,8 @@
 
 item_query peer_protocol::newer_items_query() const
 {
+    if (this->several_regions && !this->state.cluster.has_listing())
+        return {0, std::nullopt, std::nullopt, std::nullopt};
     return {std::min(this->state.cluster.last_change_revision(),
                      this->state.cluster.configuration_revision()),
             std::nullopt,
@@ -65,7 +70,8 @@
     this->transport.fetch(
         {text_of(of), this->own_settings.control_address.port},
         item_query_target(query),
-        fetch_limits,
+        this->several_regions && !this->dispatcher ? far_fetch_limits
+                                                   : fetch_limits,
         [this, of](tl::expected<relay::fetched, std::string> got) {
             this->fetching = false;
             if (!got)
@@ -100,6 +106,7 @@
          {"bytes", got.body.size()},
          {"after_ms", to_milliseconds(now - this->fetch_started_at)}});
     this->synced_position = {items->incarnation, items->change_count};
+    this->items_received_at = now;
     this->events.items_received(*items);
     // The dispatcher counts the transfer as running until this entry reports
     // the configuration.
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -58,6 +58,8 @@
 void peer_protocol::apply_settings(const settings& given)
 {
     this->own_settings = given;
+    this->several_regions = routing::spans_regions(given.regions);
+    this->duty.set_max_age(this->store_answer_max_age() + far_message_delay);
     for (const base::ip_endpoint& one : given.seeds)
         this->table.add_seed(
             relay::asio::ip::make_address_v4(one.ip).to_uint());
@@ -124,6 +126,8 @@
     if (update == gossip::peer_update::outdated)
         return;
     this->election.on_message(*message, now);
+    if (this->several_regions)
+        this->duty.on_message(*message, now);
     if (update != gossip::peer_update::none)
         this->state.log.write(
             now,
@@ -161,8 +165,8 @@
     }
     if (update != gossip::peer_update::none)
         this->update_role(now);
-    if (this->uses_dispatchers && this->dispatcher == message->address)
-        return this->sync_with_dispatcher(*message, now);
+    if (this->uses_dispatchers && this->followed_entry(now) == message->address)
+        return this->sync_with_followed(*message, now);
     if (message->configuration_revision >
             this->state.cluster.configuration_revision() ||
         message->change_revision > this->state.cluster.last_change_revision())
@@ -191,7 +195,7 @@
         this->own_settings.bounds.shortest_update_delay() *
         peer_reliance_parts / all_parts;
     if (this->uses_dispatchers)
-        return this->dispatcher_reads_store(bound, now);
+        return this->followed_reads_store(bound, now);
     return now - this->own_store_answer_at < bound &&
            now - this->peer_store_answer_at <= this->store_answer_max_age() &&
            this->table.has_store_reader_in_data_centre(now);
@@ -244,7 +248,9 @@
     out.change_revision = this->state.cluster.last_change_revision();
     out.change_count = this->state.cluster.change_count();
     out.state_digest = this->state.cluster.content_digest();
-    out.store_age = now - this->own_store_answer_at;
+    out.store_age = this->own_store_age(now);
+    if (this->several_regions)
+        out.store_latency = this->duty.latency().value_or(base::duration(0));
     return out;
 }
 
@@ -303,6 +309,7 @@
         return;
     this->checked_at = now;
     this->update_role(now);
+    this->update_followed(now);
     for (const std::string& peer : this->table.take_newly_silent(now)) {
         this->state.log.write(now, "peers", "peer_silent", {{"peer", peer}});
         this->state.scheduler.on_peer_lost(base::slot_id(peer));
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -14,6 +14,7 @@
 #include <greengagedrum/entry/peer_transport.hpp>
 #include <greengagedrum/entry/request_handler.hpp>
 #include <greengagedrum/entry/settings.hpp>
+#include <greengagedrum/entry/store_duty.hpp>
 #include <greengagedrum/entry/transfer_sources.hpp>
 #include <greengagedrum/gossip/dispatcher_election.hpp>
 #include <greengagedrum/gossip/gossip_schedule.hpp>
@@ -32,6 +33,9 @@
     std::function<void()> peer_load_changed;
     // A peer sent configuration items of the store.
     std::function<void(const gossip::item_transfer&)> items_received;
+    // All items of the store as of this revision have come from peers.
+    std::function<void(std::uint64_t as_of)> listing_received =
+        [](std::uint64_t /* as_of */) {};
     // Another entry dispatches this entry's requests from now on.
     std::function<void()> delegation_started;
     // This entry dispatches its own requests again. `unheard`: entries and data
@@ -82,6 +86,17 @@
     // True if a peer is responsible for reading the store for this entry and
     // its recent messages show that it does.
     bool peer_reads_store() const;
+
+    // True while another entry is expected to pass on the first listing of the
+    // store. Only in deployments of several regions.
+    bool awaits_listing() const;
+
+    // Whether this entry is to measure how far the store is.
+    bool measures_store() const;
+    void record_store_connect(base::duration took)
+    {
+        this->duty.record_connect(took);
+    }
     void record_store_answer()
     {
         this->own_store_answer_at = this->state.clock();
@@ -101,6 +116,10 @@
     std::size_t recently_live_peers() const;
 
 private:
+    // Messages between regions are sent less often, and may be lost.
+    static constexpr base::duration far_message_delay =
+        std::chrono::milliseconds(1000);
+
     void send_due();
     void send_load(gossip::recipient_group recipients);
     void set_timer();
@@ -116,16 +135,19 @@
     void on_reply(const gossip::message& received, base::instant now);
     void answer_dispatcher_query(const gossip::message& received,
                                  base::instant now);
-    void sync_with_dispatcher(const gossip::message& received,
-                              base::instant now);
-    void fetch_from_dispatcher(const gossip::message& received,
-                               base::instant now);
+    void sync_with_followed(const gossip::message& received, base::instant now);
+    void fetch_from_followed(const gossip::message& received,
+                             base::instant now);
     void on_limits(const gossip::message& received, base::instant now);
     std::size_t unheard_in_data_centre(base::instant now) const;
     std::size_t members_reporting(base::instant now) const;
     double unreported_share(base::instant now) const;
     base::duration store_answer_max_age() const;
-    bool dispatcher_reads_store(base::duration bound, base::instant now) const;
+    bool followed_reads_store(base::duration bound, base::instant now) const;
+    std::optional<gossip::ipv4_address> followed_entry(base::instant now) const;
+    void update_followed(base::instant now);
+    base::duration own_store_age(base::instant now) const;
+    bool is_standby(base::instant now) const;
     bool is_serving_members() const;
     void update_role(base::instant now);
     void set_role(bool delegating, base::instant now);
@@ -208,7 +230,14 @@
     base::instant dispatching_since;                // this entry itself
     // What this entry has received from the peer queried last.
     change_position synced_position;
-    std::uint64_t dispatcher_digest = 0;
+    std::uint64_t followed_digest = 0;
+    // Newest answer of the store that the state of this entry reflects, known
+    // from the entry that it follows.
+    base::instant followed_answer_at;
+    std::optional<gossip::ipv4_address> followed; // as logged
+    base::instant items_received_at;
+    store_duty duty;
+    bool several_regions = false;
     base::instant reported_at;
     std::uint64_t unanswered_report = 0; // sequence number; 0: none
     base::instant heartbeat_at;
--- a/src/greengagedrum/entry/store_reader.cpp
+++ b/src/greengagedrum/entry/store_reader.cpp
@@ -48,7 +48,10 @@
 
 void store_reader::start()
 {
-    this->start_call();
+    if (this->is_idle())
+        this->schedule_next_call(idle_check_interval);
+    else
+        this->start_call();
 }
 
 void store_reader::poll_now()
@@ -63,6 +66,13 @@
         this->last_revision = std::max(this->last_revision, as_of);
 }
 
+void store_reader::adopt_listing(std::uint64_t as_of)
+{
+    this->pages.clear();
+    this->last_key.clear();
+    this->last_revision = std::max(this->last_revision, as_of);
+}
+
 void store_reader::stop()
 {
     this->stopped = true;
@@ -91,11 +101,22 @@
         [this](tl::expected<relay::fetched, std::string> response) {
             this->call_in_progress = false;
             if (!response)
-                return this->on_failure(response.error());
+                return this->on_page_failed(response.error());
             this->on_page(*response);
         });
 }
 
+void store_reader::on_page_failed(const std::string& why)
+{
+    if (!this->resumes_listings)
+        return this->on_failure(why);
+    auto read_so_far = std::exchange(this->pages, {});
+    auto next_after = std::exchange(this->last_key, {});
+    this->on_failure(why);
+    this->pages = std::move(read_so_far);
+    this->last_key = std::move(next_after);
+}
+
 void store_reader::on_page(const relay::fetched& response)
 {
     if (response.status != relay::status_ok)
@@ -103,6 +124,11 @@
     auto page = platform::read_store_answer(response.body);
     if (!page)
         return this->on_failure("unreadable page");
+    if (this->last_revision > 0) { // a listing was adopted meanwhile
+        this->failures = 0;
+        this->events.page_received(page->items);
+        return this->schedule_next_call(this->poll_interval);
+    }
     this->pages_revision = this->last_key.empty()
                                ? page->as_of
                                : std::min(this->pages_revision, page->as_of);
@@ -205,8 +231,9 @@
 // store was unreachable decides how expired leases are treated.
 bool store_reader::is_idle() const
 {
-    return this->last_revision > 0 && !this->failing() &&
-           this->events.peer_reads_store();
+    if (this->last_revision == 0)
+        return this->events.awaits_listing();
+    return !this->failing() && this->events.peer_reads_store();
 }
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/store_reader.hpp
+++ b/src/greengagedrum/entry/store_reader.hpp
@@ -32,6 +32,9 @@
     std::function<void()> call_answered;
     // True while another entry reads the store for this one.
     std::function<bool()> peer_reads_store;
+    // True while the first listing is left to another entry, which passes it
+    // on.
+    std::function<bool()> awaits_listing = [] { return false; };
 };
 
 class store_reader
@@ -62,6 +65,13 @@
     // All items up to this revision were received from a peer.
     void skip_to_revision(std::uint64_t as_of);
 
+    // A peer has passed on a complete listing as of this revision.
+    void adopt_listing(std::uint64_t as_of);
+
+    // Whether an interrupted listing goes on at the page that failed instead of
+    // beginning again, which would fill a narrow link with the same pages.
+    void set_resuming(bool resumes) { this->resumes_listings = resumes; }
+
     // True if the last call failed.
     bool failing() const { return this->failures > 0; }
 
@@ -72,6 +82,7 @@
     void request_page();
     void request_watch();
     void on_page(const relay::fetched& response);
+    void on_page_failed(const std::string& why);
     void on_watch(const relay::fetched& response);
     void on_partial_page(routing::store_item_list& items);
     void on_watch_failed(const std::string& why);
@@ -90,6 +101,7 @@
     std::uint64_t last_revision = 0; // 0: all items are to be read
     std::uint32_t failures = 0;
     bool call_in_progress = false;
+    bool resumes_listings = false;
     bool stopped = false;
 };
 
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -960,7 +960,8 @@
     VT_SERVING = 60,
     VT_SUSPECTS = 62,
     VT_CRASHES = 64,
-    VT_RATE_LIMITS = 66
+    VT_RATE_LIMITS = 66,
+    VT_STORE_LATENCY_US = 68
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1055,6 +1056,9 @@
   const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *>(VT_RATE_LIMITS);
   }
+  uint32_t store_latency_us() const {
+    return GetField<uint32_t>(VT_STORE_LATENCY_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -1104,6 +1108,7 @@
            verifier.VerifyVector(crashes()) &&
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
+           VerifyField<uint32_t>(verifier, VT_STORE_LATENCY_US, 4) &&
            verifier.EndTable();
   }
 };
@@ -1205,6 +1210,9 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits) {
     fbb_.AddOffset(Message::VT_RATE_LIMITS, rate_limits);
   }
+  void add_store_latency_us(uint32_t store_latency_us) {
+    fbb_.AddElement<uint32_t>(Message::VT_STORE_LATENCY_US, store_latency_us, 0);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1248,7 +1256,8 @@
     bool serving = false,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *>> suspects = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits = 0,
+    uint32_t store_latency_us = 0) {
   MessageBuilder builder_(_fbb);
   builder_.add_digest(digest);
   builder_.add_changes(changes);
@@ -1257,6 +1266,7 @@
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_store_latency_us(store_latency_us);
   builder_.add_rate_limits(rate_limits);
   builder_.add_crashes(crashes);
   builder_.add_suspects(suspects);
@@ -1316,7 +1326,8 @@
     bool serving = false,
     const std::vector<greengagedrum::gossip::wire::Suspect> *suspects = nullptr,
     const std::vector<greengagedrum::gossip::wire::Crash> *crashes = nullptr,
-    const std::vector<greengagedrum::gossip::wire::RateLimit> *rate_limits = nullptr) {
+    const std::vector<greengagedrum::gossip::wire::RateLimit> *rate_limits = nullptr,
+    uint32_t store_latency_us = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1363,7 +1374,8 @@
       serving,
       suspects__,
       crashes__,
-      rate_limits__);
+      rate_limits__,
+      store_latency_us);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -198,39 +198,40 @@
         reply = write_reply(builder, sent.reply);
     const suspect_offsets suspects = write_suspects(builder, sent.suspects);
     const auto rate_limits = write_rate_limits(builder, sent.rate_limits);
-    const auto root =
-        wire::CreateMessage(builder,
-                            sent.incarnation.value,
-                            sent.sequence,
-                            builder.CreateString(sent.instance),
-                            builder.CreateString(sent.data_centre),
-                            sent.address,
-                            sent.stopping,
-                            sent.configuration_revision,
-                            sent.store_revision,
-                            builder.CreateVectorOfStructs(uses),
-                            builder.CreateVectorOfStructs(workspace_uses),
-                            builder.CreateVectorOfStructs(known),
-                            builder.CreateVector(gaps),
-                            builder.CreateVectorOfStructs(waiting),
-                            sent.change_revision,
-                            milliseconds_of(sent.store_age),
-                            builder.CreateVector(workspace_waiting),
-                            builder.CreateVector(workspace_recent),
-                            builder.CreateVector(workspace_recent_of_all),
-                            sent.cpu_millicores,
-                            builder.CreateVectorOfStructs(standings),
-                            static_cast<std::uint8_t>(sent.kind),
-                            sent.delegating,
-                            sent.change_count,
-                            sent.state_digest,
-                            report,
-                            reply,
-                            milliseconds_of(sent.uptime),
-                            sent.dispatching,
-                            suspects.suspects,
-                            suspects.crashes,
-                            rate_limits);
+    const auto root = wire::CreateMessage(
+        builder,
+        sent.incarnation.value,
+        sent.sequence,
+        builder.CreateString(sent.instance),
+        builder.CreateString(sent.data_centre),
+        sent.address,
+        sent.stopping,
+        sent.configuration_revision,
+        sent.store_revision,
+        builder.CreateVectorOfStructs(uses),
+        builder.CreateVectorOfStructs(workspace_uses),
+        builder.CreateVectorOfStructs(known),
+        builder.CreateVector(gaps),
+        builder.CreateVectorOfStructs(waiting),
+        sent.change_revision,
+        milliseconds_of(sent.store_age),
+        builder.CreateVector(workspace_waiting),
+        builder.CreateVector(workspace_recent),
+        builder.CreateVector(workspace_recent_of_all),
+        sent.cpu_millicores,
+        builder.CreateVectorOfStructs(standings),
+        static_cast<std::uint8_t>(sent.kind),
+        sent.delegating,
+        sent.change_count,
+        sent.state_digest,
+        report,
+        reply,
+        milliseconds_of(sent.uptime),
+        sent.dispatching,
+        suspects.suspects,
+        suspects.crashes,
+        rate_limits,
+        static_cast<std::uint32_t>(sent.store_latency.count()));
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -273,6 +274,7 @@
         out.report = read_report(*report);
     out.suspects = read_suspects(*root);
     out.rate_limits = read_rate_limits(*root);
+    out.store_latency = base::duration(root->store_latency_us());
     out.report.sequence = out.sequence;
     if (const auto* reply = root->reply())
         out.reply = read_reply(*reply);
--- a/src/greengagedrum/gossip/message.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -70,6 +70,8 @@
     // The store's own revision also advances with reports that change neither.
     std::uint64_t change_revision = 0;
     base::duration store_age{0}; // since the store's last answer to the sender
+    // Shortest connect of the sender to the store; 0: unknown.
+    base::duration store_latency{0};
     std::vector<traffic::upstream_load> upstream_loads;
     std::vector<traffic::queue_report> queue_reports;
     std::vector<quota::workspace_usage> workspace_usage;
--- a/src/greengagedrum/gossip/test/gossip_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -55,6 +55,7 @@
     sent.configuration_revision = 5;
     sent.change_revision = 11;
     sent.store_age = 120ms;
+    sent.store_latency = 24ms;
     sent.store_revision = 12;
     sent.upstream_loads = {{base::upstream_id("i-1"), 3, 4000, 55ms}};
     sent.queue_reports = {{base::upstream_class_id("models"), {1, 2, 3, 4}}};
@@ -74,6 +75,7 @@
     CHECK(read->configuration_revision == 5);
     CHECK(read->change_revision == 11);
     CHECK(read->store_age == 120ms);
+    CHECK(read->store_latency == 24ms);
     CHECK(read->store_revision == 12);
     REQUIRE(read->upstream_loads.size() == 1);
     CHECK(read->upstream_loads[0].upstream == base::upstream_id("i-1"));
