--- a/src/greengagedrum/entry/store_reader.cpp
+++ b/src/greengagedrum/entry/store_reader.cpp
@@ -120,7 +120,8 @@
 void store_reader::on_page(const relay::fetched& response)
 {
     if (response.status != relay::status_ok)
-        return this->on_failure("status " + std::to_string(response.status));
+        return this->on_page_failed("status " +
+                                    std::to_string(response.status));
     auto page = platform::read_store_answer(response.body);
     if (!page)
         return this->on_failure("unreadable page");
--- a/src/greengagedrum/entry/test/store_reader_test.cpp
+++ b/src/greengagedrum/entry/test/store_reader_test.cpp
@@ -34,9 +34,11 @@
     {
         this->store.start();
         store_events callbacks;
-        callbacks.items_received = [this](const routing::store_item_list&,
-                                          std::uint64_t,
-                                          bool) { this->listings += 1; };
+        callbacks.items_received =
+            [this](const routing::store_item_list& items, std::uint64_t, bool) {
+                this->listings += 1;
+                this->listed_items = items.size();
+            };
         callbacks.page_received =
             [this](const routing::store_item_list& items) {
                 this->partial_pages += 1;
@@ -47,11 +49,13 @@
         };
         callbacks.call_answered = [] {};
         callbacks.peer_reads_store = [] { return false; };
+        callbacks.awaits_listing = [this] { return this->awaiting; };
         this->reader = std::make_unique<store_reader>(
             this->context,
             base::ip_endpoint{"127.0.0.1",
                               static_cast<std::uint16_t>(this->store.port)},
             std::move(callbacks));
+        this->reader->set_resuming(this->resuming);
         this->reader->start();
     }
 
@@ -67,7 +71,11 @@
     int listings = 0;
     int partial_pages = 0;
     int failures = 0;
+    std::size_t listed_items = 0;
+    bool awaiting = false;
+    bool resuming = false;
     std::atomic<int> range_calls{0};
+    std::atomic<int> first_page_calls{0};
 };
 
 } // namespace
@@ -136,4 +144,61 @@
     CHECK(this->listings > 0);
 }
 
+// A listing that begins again at each lost answer fills a narrow link with the
+// same pages.
+TEST_CASE_FIXTURE(reader_fixture,
+                  "interrupted_listing_goes_on_at_the_page_that_failed")
+{
+    this->store.server.Get(
+        "/kv-range",
+        [this](const httplib::Request& request, httplib::Response& response) {
+            if (!request.has_param("after")) {
+                this->first_page_calls += 1;
+                response.set_content(config_page, json_type);
+                return;
+            }
+            // The store answers the second page only at the third try.
+            if (++this->range_calls < 3) {
+                response.status = 503;
+                return;
+            }
+            response.set_content(
+                R"({"entries": [{"key": "servers/a", "value": "e30=",)"
+                R"( "revision": 1}], "hasMore": false, "at": 2})",
+                json_type);
+        });
+    this->resuming = true;
+    this->start();
+    this->run_until([this] { return this->listings > 0; });
+    CHECK(this->listed_items == 2);
+    CHECK(this->first_page_calls == 1);
+}
+
+// An entry that lists the store although a peer passes the listing on.
+TEST_CASE_FIXTURE(reader_fixture, "adopted_listing_is_followed_by_a_watch")
+{
+    std::atomic<int> watch_calls{0};
+    this->store.server.Get(
+        "/kv-range",
+        [this](const httplib::Request&, httplib::Response& response) {
+            this->range_calls += 1;
+            response.set_content(last_page, json_type);
+        });
+    this->store.server.Get(
+        "/kv-watch",
+        [&watch_calls](const httplib::Request& request,
+                       httplib::Response& response) {
+            watch_calls += request.get_param_value("after") == "7" ? 1 : 0;
+            response.set_content(R"({"events": [], "at": 7})", json_type);
+        });
+    this->awaiting = true;
+    this->start();
+    this->context.run_for(250ms);
+    CHECK(this->range_calls == 0);
+    this->reader->adopt_listing(7);
+    this->run_until([&] { return watch_calls > 0; });
+    CHECK(watch_calls > 0);
+    CHECK(this->range_calls == 0);
+}
+
 } // namespace greengagedrum::entry
