Gossip: messages between regions are fewer and compressed

Cause: dispatchers sent their complete load to those of every other data centre each 100 ms, fleets below 33 entries sent from each entry to each entry, and each member queried the seeds of the other region twice a second.

Bytes of gossip and transfers between regions are counted.

--- a/src/greengagedrum/entry/item_fetching.cpp
+++ b/src/greengagedrum/entry/item_fetching.cpp
@@ -77,6 +77,9 @@
 void peer_protocol::on_fetched(gossip::ipv4_address from,
                                const relay::fetched& got)
 {
+    if (this->election.is_in_other_region(from))
+        this->state.metrics.add(telemetry::process_count{
+            telemetry::counter::region_transfer_bytes, got.body.size()});
     if (got.status != relay::status_ok)
         return this->log_failed_fetch(from,
                                       "status " + std::to_string(got.status));
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -58,6 +58,11 @@
 void peer_protocol::apply_settings(const settings& given)
 {
     this->own_settings = given;
+    this->regions = routing::region_distances(
+        base::data_centre_id(given.data_centre), given.regions);
+    this->table.set_regions(this->regions);
+    this->election.set_regions(this->regions);
+    this->schedule.set_spans_regions(this->regions.spans_regions());
     for (const base::ip_endpoint& one : given.seeds)
         this->table.add_seed(
             relay::asio::ip::make_address_v4(one.ip).to_uint());
@@ -245,6 +250,7 @@
     out.change_count = this->state.cluster.change_count();
     out.state_digest = this->state.cluster.content_digest();
     out.store_age = now - this->own_store_answer_at;
+    out.accepts_compressed = this->regions.spans_regions();
     return out;
 }
 
@@ -261,10 +267,7 @@
     out.rate_limits = this->state.scheduler.announced_limits().recent(now);
     out.known_entries = this->table.select_known_entries(recipients, now);
     out.suspects = this->suspects_to_send(
-        recipients == gossip::recipient_group::own_data_centre
-            ? this->near_suspects_sent_at
-            : this->far_suspects_sent_at,
-        now);
+        this->suspects_sent_at.at(static_cast<std::size_t>(recipients)), now);
     return out;
 }
 
@@ -275,7 +278,8 @@
         return this->send_due_with_dispatchers(now);
     for (const gossip::recipient_group recipients :
          {gossip::recipient_group::own_data_centre,
-          gossip::recipient_group::other_data_centres}) {
+          gossip::recipient_group::other_data_centres,
+          gossip::recipient_group::other_regions}) {
         if (this->schedule.is_due(recipients, now))
             this->send_load(recipients);
     }
@@ -289,10 +293,32 @@
         this->table.select_recipients(recipients, now);
     if (to_tell.empty())
         return;
-    const std::string bytes =
-        gossip::encode(this->make_load_message(recipients));
-    for (const gossip::ipv4_address address : to_tell)
-        this->transport.send(bytes, address);
+    this->send_load_to(to_tell, this->make_load_message(recipients));
+}
+
+void peer_protocol::send_load_to(
+    const std::vector<gossip::ipv4_address>& recipients,
+    const gossip::message& load)
+{
+    std::string plain;
+    std::string compressed;
+    for (const gossip::ipv4_address address : recipients) {
+        const bool compress = this->election.uses_region_interval(address);
+        std::string& bytes = compress ? compressed : plain;
+        if (bytes.empty())
+            bytes = compress ? gossip::encode_compressed(load)
+                             : gossip::encode(load);
+        this->send_datagram(bytes, address);
+    }
+}
+
+void peer_protocol::send_datagram(std::string_view bytes,
+                                  gossip::ipv4_address to)
+{
+    if (this->election.is_in_other_region(to))
+        this->state.metrics.add(telemetry::process_count{
+            telemetry::counter::region_gossip_bytes, bytes.size()});
+    this->transport.send(bytes, to);
 }
 
 void peer_protocol::tick(bool store_fails)
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -19,6 +19,7 @@
 #include <greengagedrum/gossip/gossip_schedule.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
 
+#include <array>
 #include <functional>
 #include <optional>
 #include <string>
@@ -103,6 +104,9 @@
 private:
     void send_due();
     void send_load(gossip::recipient_group recipients);
+    void send_datagram(std::string_view bytes, gossip::ipv4_address to);
+    void send_load_to(const std::vector<gossip::ipv4_address>& recipients,
+                      const gossip::message& load);
     void set_timer();
     gossip::message make_message(gossip::message_kind kind);
     gossip::message make_load_message(gossip::recipient_group recipients);
@@ -142,7 +146,10 @@
     void send_to_members(base::instant now);
     void hand_over_limits(base::instant now);
     void send_replies();
-    void send_to_other_data_centres(base::instant now);
+    void send_to_dispatchers(gossip::recipient_group recipients,
+                             base::instant now);
+    bool is_query_due(gossip::ipv4_address silent_seed,
+                      bool to_other_regions) const;
     void query_silent(base::instant now);
     void send_dispatcher_query(const std::vector<gossip::ipv4_address>& targets,
                                base::instant now);
@@ -163,6 +170,7 @@
     peer_events events;
     peer_transport transport;
     gossip::peer_table table;
+    routing::region_distances regions;
     std::uint64_t sequence = 0;
     gossip::gossip_schedule schedule;
     std::optional<base::instant> timer_due_at; // of the transport's timer
@@ -176,8 +184,7 @@
     // The last answer could not be decompressed: the next one has no reference.
     bool reference_failed = false;
     // When unchanged crash suspects were last sent.
-    base::instant near_suspects_sent_at;
-    base::instant far_suspects_sent_at;
+    std::array<base::instant, gossip::recipient_group_count> suspects_sent_at{};
     base::instant member_suspects_sent_at;
 
     // A position in the change history of one incarnation of a peer.
@@ -213,6 +220,7 @@
     std::uint64_t unanswered_report = 0; // sequence number; 0: none
     base::instant heartbeat_at;
     base::instant query_sent_at;
+    base::instant region_query_sent_at; // to seeds of other regions
     std::size_t next_to_query = 0;
     std::uint32_t role_notices_left =
         // Messages still to be sent to other data centres to announce that this
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -101,13 +101,18 @@
         return;
     if (this->uses_dispatchers)
         this->counted_dispatchers[slot] = received.address;
+    const bool across_regions =
+        this->election.uses_region_interval(received.address);
     this->state.scheduler.on_peer_report(
         slot, received.upstream_loads, received.queue_reports, now);
     this->state.limiter.on_peer_report(slot,
                                        received.incarnation,
                                        received.workspace_usage,
                                        received.stopping,
-                                       now);
+                                       now,
+                                       across_regions
+                                           ? gossip::region_liveness_timeout
+                                           : quota::silence_timeout);
     if (this->state.scheduler.waiting() > 0)
         this->events.peer_load_changed();
 }
@@ -183,7 +188,7 @@
         this->make_message(gossip::message_kind::dispatcher_query_reply);
     out.known_entries = this->election.select_known_entries(
         base::data_centre_id(received.data_centre), now);
-    this->transport.send(gossip::encode(out), received.address);
+    this->send_datagram(gossip::encode(out), received.address);
 }
 
 // A dispatcher reads the store for its members and passes every change on to
--- a/src/greengagedrum/entry/peer_sending.cpp
+++ b/src/greengagedrum/entry/peer_sending.cpp
@@ -17,6 +17,10 @@
 constexpr base::duration query_interval = std::chrono::milliseconds(500);
 constexpr std::size_t queries_at_once = 4;
 
+// The same for seeds of other regions: the dispatchers there are sent to
+// anyway, and after a long partition any seed is enough to find them again.
+constexpr base::duration region_query_interval = std::chrono::seconds(5);
+
 // Interval of messages that repeat unchanged crash suspects.
 constexpr base::duration suspects_interval = std::chrono::milliseconds(250);
 
@@ -61,7 +65,7 @@
     gossip::message out = this->make_message(gossip::message_kind::reply);
     out.delegating = true;
     out.workspace_usage = this->state.limiter.window_usage(now);
-    this->transport.send(gossip::encode(out), *this->dispatcher);
+    this->send_datagram(gossip::encode(out), *this->dispatcher);
 }
 
 void peer_protocol::send_due_with_dispatchers(base::instant now)
@@ -87,11 +91,14 @@
         this->probe_silent(now);
     const bool sends_far =
         !this->state.delegating || this->role_notices_left > 0;
-    if (sends_far &&
-        this->schedule.is_due(recipient_group::other_data_centres, now))
-        this->send_to_other_data_centres(now);
-    else if (this->state.delegating)
-        this->schedule.on_sent(recipient_group::other_data_centres, now);
+    for (const recipient_group recipients :
+         {recipient_group::other_data_centres,
+          recipient_group::other_regions}) {
+        if (sends_far && this->schedule.is_due(recipients, now))
+            this->send_to_dispatchers(recipients, now);
+        else if (this->state.delegating)
+            this->schedule.on_sent(recipients, now);
+    }
 }
 
 // Failure guarded against: a report is lost, and with it a new request, or the
@@ -109,12 +116,15 @@
     gossip::message out = this->make_message(gossip::message_kind::report);
     out.upstream_loads = this->state.scheduler.own_load(now);
     out.report = this->events.make_report();
-    out.suspects = this->suspects_to_send(this->near_suspects_sent_at, now);
+    out.suspects = this->suspects_to_send(
+        this->suspects_sent_at.at(
+            static_cast<std::size_t>(gossip::recipient_group::own_data_centre)),
+        now);
     out.rate_limits = this->state.scheduler.announced_limits().recent(now);
     this->reported_at = now;
     this->unanswered_report = out.sequence;
     this->election.on_probe_sent(*this->dispatcher, now);
-    this->transport.send(gossip::encode(out), *this->dispatcher);
+    this->send_datagram(gossip::encode(out), *this->dispatcher);
 }
 
 // Candidates that rank before the present dispatcher are sent a complete
@@ -132,7 +142,7 @@
         const std::string bytes = gossip::encode(out);
         for (const gossip::ipv4_address address : targets) {
             this->election.on_probe_sent(address, now);
-            this->transport.send(bytes, address);
+            this->send_datagram(bytes, address);
         }
     }
     if (now - this->query_sent_at >= query_interval)
@@ -143,6 +153,13 @@
 {
     this->query_sent_at = now;
     std::vector<gossip::ipv4_address> targets = this->table.silent_seeds(now);
+    const bool to_regions =
+        now - this->region_query_sent_at >= region_query_interval;
+    if (to_regions)
+        this->region_query_sent_at = now;
+    std::erase_if(targets, [&](gossip::ipv4_address address) {
+        return !this->is_query_due(address, to_regions);
+    });
     if (!this->state.delegating) {
         const std::vector<gossip::ipv4_address> silent =
             this->election.silent_in_data_centre(now);
@@ -155,6 +172,19 @@
         this->send_dispatcher_query(targets, now);
 }
 
+// Failure guarded against: members hear only their dispatcher, so their seeds
+// count as silent, and each member sent a query to each seed of another region
+// every 500 ms. Once a member has a dispatcher it leaves these seeds to it.
+bool peer_protocol::is_query_due(gossip::ipv4_address silent_seed,
+                                 bool to_other_regions) const
+{
+    if (!this->election.was_heard_from_other_region(silent_seed))
+        return true;
+    if (this->state.delegating)
+        return !this->dispatcher;
+    return to_other_regions;
+}
+
 void peer_protocol::send_dispatcher_query(
     const std::vector<gossip::ipv4_address>& targets, base::instant now)
 {
@@ -164,7 +194,7 @@
         base::data_centre_id(this->own_settings.data_centre), now);
     const std::string bytes = gossip::encode(out);
     for (const gossip::ipv4_address address : targets)
-        this->transport.send(bytes, address);
+        this->send_datagram(bytes, address);
 }
 
 void peer_protocol::send_to_members(base::instant now)
@@ -189,7 +219,7 @@
         if (std::find(standby.begin(), standby.end(), one.address) !=
             standby.end())
             out.workspace_usage = this->state.limiter.window_usage(now);
-        this->transport.send(gossip::encode(out), one.address);
+        this->send_datagram(gossip::encode(out), one.address);
     }
 }
 
@@ -202,28 +232,36 @@
         gossip::message out = this->make_message(gossip::message_kind::reply);
         out.reply = this->events.make_reply(slot);
         if (found != this->members.end())
-            this->transport.send(gossip::encode(out), found->second.address);
+            this->send_datagram(gossip::encode(out), found->second.address);
     }
 }
 
-void peer_protocol::send_to_other_data_centres(base::instant now)
+// The notices of an entry that no longer dispatches go to all at once.
+void peer_protocol::send_to_dispatchers(gossip::recipient_group recipients,
+                                        base::instant now)
 {
-    this->schedule.on_sent(gossip::recipient_group::other_data_centres, now);
-    if (this->state.delegating)
-        this->role_notices_left -= 1;
-    const std::vector<gossip::ipv4_address> far =
+    this->schedule.on_sent(recipients, now);
+    std::vector<gossip::ipv4_address> far =
         this->election.remote_dispatcher_candidates(now);
+    if (this->state.delegating) {
+        if (recipients == gossip::recipient_group::other_regions)
+            return;
+        this->role_notices_left -= 1;
+    } else {
+        const bool to_regions =
+            recipients == gossip::recipient_group::other_regions;
+        std::erase_if(far, [&](gossip::ipv4_address address) {
+            return this->election.uses_region_interval(address) != to_regions;
+        });
+    }
     if (far.empty())
         return;
-    gossip::message out =
-        this->make_load_message(gossip::recipient_group::other_data_centres);
+    gossip::message out = this->make_load_message(recipients);
     out.known_entries = this->election.select_known_entries(
         base::data_centre_id(this->own_settings.data_centre), now);
-    const std::string bytes = gossip::encode(out);
-    for (const gossip::ipv4_address address : far) {
+    for (const gossip::ipv4_address address : far)
         this->election.on_probe_sent(address, now);
-        this->transport.send(bytes, address);
-    }
+    this->send_load_to(far, out);
 }
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/gossip/compression.cpp
+++ b/src/greengagedrum/gossip/compression.cpp
@@ -3,6 +3,7 @@
 #include <zstd.h>
 
 #include <algorithm>
+#include <array>
 #include <bit>
 #include <memory>
 
@@ -48,6 +49,14 @@
     return out;
 }
 
+bool is_compressed(std::string_view bytes)
+{
+    constexpr std::array<char, 4> frame_start = {
+        '\x28', '\xb5', '\x2f', '\xfd'};
+    return bytes.substr(0, frame_start.size()) ==
+           std::string_view(frame_start.data(), frame_start.size());
+}
+
 std::optional<std::string> decompress(std::string_view bytes,
                                       std::string_view reference,
                                       std::size_t max_bytes)
--- a/src/greengagedrum/gossip/compression.hpp
+++ b/src/greengagedrum/gossip/compression.hpp
@@ -14,6 +14,10 @@
 
 std::string compress(std::string_view bytes, std::string_view reference);
 
+// Whether the bytes begin like the result of compress(). A FlatBuffers message
+// never does: its first four bytes are an offset within the message.
+bool is_compressed(std::string_view bytes);
+
 // Empty if the bytes are malformed, were compressed with another reference, or
 // hold more than `max_bytes`.
 std::optional<std::string> decompress(std::string_view bytes,
--- a/src/greengagedrum/gossip/dispatcher_election.cpp
+++ b/src/greengagedrum/gossip/dispatcher_election.cpp
@@ -1,4 +1,5 @@
 #include <greengagedrum/gossip/dispatcher_election.hpp>
+#include <greengagedrum/gossip/gossip_schedule.hpp>
 
 #include <algorithm>
 #include <set>
@@ -15,6 +16,12 @@
 constexpr std::size_t dispatchers_used_from = 33;
 constexpr std::size_t dispatchers_used_down_to = 25;
 
+// The same in a deployment of several regions, where a full mesh sends from
+// each entry to each entry of the other regions. With 30 entries in two regions
+// these are 450 pairs, and 18 with dispatchers in six data centres.
+constexpr std::size_t region_dispatchers_used_from = 9;
+constexpr std::size_t region_dispatchers_used_down_to = 7;
+
 // A dispatcher sends to each member ten times a second, so the timeout covers
 // three messages in a row. A process that has used up its processor quota
 // pauses for up to 100 ms.
@@ -77,7 +84,39 @@
 
 bool dispatcher_election::is_live(const candidate& other, base::instant now)
 {
-    return other.received_at && now - *other.received_at <= liveness_timeout;
+    return other.received_at &&
+           now - *other.received_at <= other.liveness_timeout;
+}
+
+base::duration
+dispatcher_election::liveness_timeout_of(const candidate& other) const
+{
+    const bool across_regions =
+        other.accepts_compressed &&
+        this->regions.to(other.data_centre) == routing::distance::other_region;
+    return across_regions ? region_liveness_timeout : liveness_timeout;
+}
+
+bool dispatcher_election::is_in_other_region(ipv4_address address) const
+{
+    const auto found = this->other_entries.find(address);
+    return found != this->other_entries.end() &&
+           !found->second.data_centre.empty() &&
+           this->regions.to(found->second.data_centre) ==
+               routing::distance::other_region;
+}
+
+bool dispatcher_election::was_heard_from_other_region(
+    ipv4_address address) const
+{
+    return this->is_in_other_region(address) &&
+           this->other_entries.at(address).received_at;
+}
+
+bool dispatcher_election::uses_region_interval(ipv4_address address) const
+{
+    return this->is_in_other_region(address) &&
+           this->other_entries.at(address).accepts_compressed;
 }
 
 // Live, and dispatching requests: its own and those of its members, if any.
@@ -97,6 +136,8 @@
     sender.last_seen_at = now;
     sender.started_at = now - received.uptime;
     sender.received_at = now;
+    sender.accepts_compressed = received.accepts_compressed;
+    sender.liveness_timeout = this->liveness_timeout_of(sender);
     sender.probed_at.reset();
     sender.skipped_until = now;
     sender.stopping = received.stopping;
@@ -149,9 +190,13 @@
 bool dispatcher_election::uses_dispatchers(base::instant now)
 {
     const std::size_t count = this->entry_count(now);
-    this->dispatchers_in_use = this->dispatchers_in_use
-                                   ? count >= dispatchers_used_down_to
-                                   : count >= dispatchers_used_from;
+    const bool spans = this->regions.spans_regions();
+    const std::size_t from =
+        spans ? region_dispatchers_used_from : dispatchers_used_from;
+    const std::size_t down_to =
+        spans ? region_dispatchers_used_down_to : dispatchers_used_down_to;
+    this->dispatchers_in_use =
+        count >= (this->dispatchers_in_use ? down_to : from);
     return this->dispatchers_in_use;
 }
 
@@ -356,7 +401,9 @@
          this->ranked_candidates(recipient_data_centre, now)) {
         if (out.size() == max_listed_by_rank)
             break;
-        if (now - this->other_entries.at(address).last_seen_at <= probe_timeout)
+        const candidate& other = this->other_entries.at(address);
+        if (now - other.last_seen_at <=
+            std::max(probe_timeout, other.liveness_timeout))
             list_entry(address);
     }
     const std::size_t max_count = out.size() + max_listed_in_rotation;
--- a/src/greengagedrum/gossip/dispatcher_election.hpp
+++ b/src/greengagedrum/gossip/dispatcher_election.hpp
@@ -20,6 +20,7 @@
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
 #include <greengagedrum/gossip/message.hpp>
+#include <greengagedrum/routing/regions.hpp>
 
 #include <cstdint>
 #include <map>
@@ -42,6 +43,11 @@
     {
     }
 
+    void set_regions(const routing::region_distances& distances)
+    {
+        this->regions = distances;
+    }
+
     void on_message(const message& received, base::instant now);
     // A probe was sent to that entry, which has to answer.
     void on_probe_sent(ipv4_address address, base::instant now);
@@ -70,6 +76,14 @@
     // there that may be the dispatcher.
     std::vector<ipv4_address> remote_dispatcher_candidates(base::instant now);
 
+    // Whether that entry is known to be in another region.
+    bool is_in_other_region(ipv4_address address) const;
+    // Whether messages have come from it and it is in another region.
+    bool was_heard_from_other_region(ipv4_address address) const;
+    // Whether messages between that entry and this one are sent at the interval
+    // for other regions, and may be compressed: it said that it does likewise.
+    bool uses_region_interval(ipv4_address address) const;
+
     // Entries of the own data centre that are not live.
     std::vector<ipv4_address> silent_in_data_centre(base::instant now) const;
 
@@ -107,6 +121,8 @@
         base::instant last_seen_at; // by this entry or by one that listed it
         base::instant started_at;   // of its process
         std::optional<base::instant> received_at;
+        base::duration liveness_timeout{0};
+        bool accepts_compressed = false;
         // When the probe that awaits an answer was sent; empty if there is
         // none.
         std::optional<base::instant> probed_at;
@@ -137,8 +153,11 @@
                            base::instant now,
                            std::vector<ipv4_address>& out);
 
+    base::duration liveness_timeout_of(const candidate& other) const;
+
     ipv4_address own_address;
     base::data_centre_id data_centre;
+    routing::region_distances regions;
     std::uint32_t cpu_millicores; // thousandths of a processor
     base::instant started;
     bool dispatching = false;
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -960,7 +960,8 @@
     VT_SERVING = 60,
     VT_SUSPECTS = 62,
     VT_CRASHES = 64,
-    VT_RATE_LIMITS = 66
+    VT_RATE_LIMITS = 66,
+    VT_READS_PACKED = 68
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1055,6 +1056,9 @@
   const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *>(VT_RATE_LIMITS);
   }
+  bool reads_packed() const {
+    return GetField<uint8_t>(VT_READS_PACKED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -1104,6 +1108,7 @@
            verifier.VerifyVector(crashes()) &&
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
+           VerifyField<uint8_t>(verifier, VT_READS_PACKED, 1) &&
            verifier.EndTable();
   }
 };
@@ -1205,6 +1210,9 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits) {
     fbb_.AddOffset(Message::VT_RATE_LIMITS, rate_limits);
   }
+  void add_reads_packed(bool reads_packed) {
+    fbb_.AddElement<uint8_t>(Message::VT_READS_PACKED, static_cast<uint8_t>(reads_packed), 0);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1248,7 +1256,8 @@
     bool serving = false,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *>> suspects = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits = 0,
+    bool reads_packed = false) {
   MessageBuilder builder_(_fbb);
   builder_.add_digest(digest);
   builder_.add_changes(changes);
@@ -1277,6 +1286,7 @@
   builder_.add_address(address);
   builder_.add_data_centre(data_centre);
   builder_.add_instance(instance);
+  builder_.add_reads_packed(reads_packed);
   builder_.add_serving(serving);
   builder_.add_delegating(delegating);
   builder_.add_kind(kind);
@@ -1316,7 +1326,8 @@
     bool serving = false,
     const std::vector<greengagedrum::gossip::wire::Suspect> *suspects = nullptr,
     const std::vector<greengagedrum::gossip::wire::Crash> *crashes = nullptr,
-    const std::vector<greengagedrum::gossip::wire::RateLimit> *rate_limits = nullptr) {
+    const std::vector<greengagedrum::gossip::wire::RateLimit> *rate_limits = nullptr,
+    bool reads_packed = false) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1363,7 +1374,8 @@
       serving,
       suspects__,
       crashes__,
-      rate_limits__);
+      rate_limits__,
+      reads_packed);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/gossip_schedule.cpp
+++ b/src/greengagedrum/gossip/gossip_schedule.cpp
@@ -66,10 +66,18 @@
 const gossip_schedule::group_state&
 gossip_schedule::state_of(recipient_group group) const
 {
+    if (group == recipient_group::other_regions)
+        return this->other_regions;
     return group == recipient_group::own_data_centre ? this->own_data_centre
                                                      : this->other_data_centres;
 }
 
+base::duration gossip_schedule::heartbeat_of(recipient_group group) const
+{
+    return group == recipient_group::other_regions ? region_interval
+                                                   : this->heartbeat_interval;
+}
+
 base::duration gossip_schedule::interval(recipient_group group) const
 {
     return this->state_of(group).interval;
@@ -79,30 +87,35 @@
 {
     this->own_data_centre.change_pending = true;
     this->other_data_centres.change_pending = true;
+    this->other_regions.change_pending = this->spans_regions;
 }
 
 void gossip_schedule::on_sent(recipient_group group, base::instant now)
 {
-    group_state& state = group == recipient_group::own_data_centre
-                             ? this->own_data_centre
-                             : this->other_data_centres;
+    group_state& state =
+        group == recipient_group::other_regions     ? this->other_regions
+        : group == recipient_group::own_data_centre ? this->own_data_centre
+                                                    : this->other_data_centres;
     state.change_pending = false;
     state.sent_at = now;
 }
 
 bool gossip_schedule::is_due(recipient_group group, base::instant now) const
 {
+    if (group == recipient_group::other_regions && !this->spans_regions)
+        return false;
     const group_state& state = this->state_of(group);
     const base::duration elapsed = now - state.sent_at;
-    return elapsed >= this->heartbeat_interval ||
+    return elapsed >= this->heartbeat_of(group) ||
            (state.change_pending && elapsed >= state.interval);
 }
 
 std::optional<base::instant> gossip_schedule::next_due() const
 {
     std::optional<base::instant> earliest;
-    for (const group_state* group :
-         {&this->own_data_centre, &this->other_data_centres}) {
+    for (const group_state* group : {&this->own_data_centre,
+                                     &this->other_data_centres,
+                                     &this->other_regions}) {
         if (!group->change_pending)
             continue;
         const base::instant due = group->sent_at + group->interval;
--- a/src/greengagedrum/gossip/message.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -82,6 +82,9 @@
     std::vector<quarantine::suspect_report> suspects;
     // What the sender's entries have recently read in upstreams' responses.
     std::vector<traffic::announced_limit> rate_limits;
+    // The sender reads compressed messages, and sends to entries of other
+    // regions at the longer interval. False for entries of earlier versions.
+    bool accepts_compressed = false;
 };
 
 // Items of the store that one entry sends to another.
@@ -113,12 +116,14 @@
 }
 
 std::string encode(const message& sent);
+// Compressed if that makes it shorter. Only for entries that accept it.
+std::string encode_compressed(const message& sent);
 std::string encode(const item_transfer& sent);
 std::string encode(const transfer_referral& sent);
 std::string encode_compressed(const item_transfer& sent,
                               const reference_document& reference);
 
-// Empty if the bytes are not a valid message.
+// Reads compressed messages too. Empty if the bytes are not a valid message.
 std::optional<message> decode_message(std::string_view bytes);
 // Empty if the bytes are not a referral.
 std::optional<transfer_referral> decode_referral(std::string_view bytes);
--- a/src/greengagedrum/gossip/peer_table.cpp
+++ b/src/greengagedrum/gossip/peer_table.cpp
@@ -10,7 +10,7 @@
 {
 
 // A live entry sends at least five times a second; seven messages in a row are
-// not lost by chance.
+// not lost by chance. From another region the timeout covers three messages.
 constexpr base::duration liveness_timeout = std::chrono::milliseconds(1500);
 
 // After a network partition an entry is counted for so long as one that may
@@ -59,6 +59,9 @@
     known_peer.instance = received.instance;
     known_peer.in_own_data_centre = received.data_centre == this->data_centre;
     known_peer.data_centre = base::data_centre_id(received.data_centre);
+    known_peer.across_regions = received.accepts_compressed &&
+                                this->regions.to(known_peer.data_centre) ==
+                                    routing::distance::other_region;
     known_peer.cpu_millicores = received.cpu_millicores;
     known_peer.incarnation = received.incarnation;
     known_peer.sequence = received.sequence;
@@ -87,16 +90,24 @@
     return out;
 }
 
+recipient_group peer_table::group_of(const peer& known_peer, base::instant now)
+{
+    if (!is_live(known_peer, now))
+        return recipient_group::other_data_centres;
+    if (known_peer.in_own_data_centre)
+        return recipient_group::own_data_centre;
+    return known_peer.across_regions ? recipient_group::other_regions
+                                     : recipient_group::other_data_centres;
+}
+
 std::vector<ipv4_address> peer_table::select_recipients(recipient_group group,
                                                         base::instant now)
 {
-    const bool to_own_data_centre = group == recipient_group::own_data_centre;
     std::vector<ipv4_address> out;
     for (auto& [address, known_peer] : this->peers) {
-        const bool live = is_live(known_peer, now);
-        if ((live && known_peer.in_own_data_centre) != to_own_data_centre)
+        if (group_of(known_peer, now) != group)
             continue;
-        if (!live) {
+        if (!is_live(known_peer, now)) {
             if (now - known_peer.probed_at < probe_interval)
                 continue;
             known_peer.probed_at = now;
@@ -126,9 +137,8 @@
                                                           base::instant now)
 {
     std::vector<known_entry> out;
-    base::instant& last_shared_at = group == recipient_group::own_data_centre
-                                        ? this->shared_with_own_data_centre_at
-                                        : this->shared_with_others_at;
+    base::instant& last_shared_at =
+        this->shared_at.at(static_cast<std::size_t>(group));
     if (now - last_shared_at < share_interval)
         return out;
     last_shared_at = now;
--- a/src/greengagedrum/gossip/peer_table.hpp
+++ b/src/greengagedrum/gossip/peer_table.hpp
@@ -8,7 +8,10 @@
 #pragma once
 
 #include <greengagedrum/gossip/message.hpp>
+#include <greengagedrum/routing/regions.hpp>
 
+#include <array>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,11 +28,14 @@
     outdated   // older than a message already applied
 };
 
-// The peers that a message goes to.
+// The peers that a message goes to. A peer of another region that is of an
+// earlier version, or silent, counts among the other data centres.
 enum class recipient_group : std::uint8_t {
     own_data_centre,
     other_data_centres,
+    other_regions,
 };
+inline constexpr std::size_t recipient_group_count = 3;
 
 class peer_table
 {
@@ -42,6 +48,11 @@
     {
     }
 
+    void set_regions(const routing::region_distances& distances)
+    {
+        this->regions = distances;
+    }
+
     // Of the entry that the table belongs to.
     ipv4_address address() const { return this->own_address; }
 
@@ -113,6 +124,8 @@
         base::data_centre_id data_centre;
         std::uint32_t cpu_millicores = 0;
         bool in_own_data_centre = false;
+        // In another region, and sent to at the interval for these.
+        bool across_regions = false;
         base::incarnation incarnation;
         std::uint64_t sequence = 0;
         std::optional<base::instant>
@@ -128,6 +141,7 @@
     };
 
     static bool is_live(const peer& known_peer, base::instant now);
+    static recipient_group group_of(const peer& known_peer, base::instant now);
 
     ipv4_address own_address;
     std::string data_centre;
@@ -135,8 +149,8 @@
     std::map<ipv4_address, peer> peers;
     ipv4_address next_address_to_share = 0;
     // When known entries were last listed to each group.
-    base::instant shared_with_own_data_centre_at;
-    base::instant shared_with_others_at;
+    std::array<base::instant, recipient_group_count> shared_at{};
+    routing::region_distances regions;
 };
 
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/test/gossip_schedule_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_schedule_test.cpp
@@ -64,4 +64,29 @@
     CHECK(this->schedule.is_due(other_data_centres, this->now + 200ms));
 }
 
+// Failure guarded against: a change pending for regions that don't exist makes
+// the timer expire at once, again and again.
+TEST_CASE_FIXTURE(schedule_fixture,
+                  "single_region_nothing_due_to_other_regions")
+{
+    this->schedule.on_change();
+    this->schedule.on_sent(own_data_centre, this->now);
+    this->schedule.on_sent(other_data_centres, this->now);
+    CHECK_FALSE(this->schedule.next_due());
+    CHECK_FALSE(
+        this->schedule.is_due(recipient_group::other_regions, this->now + 1h));
+}
+
+TEST_CASE_FIXTURE(schedule_fixture, "several_regions_change_due_after_400_ms")
+{
+    constexpr auto regions = recipient_group::other_regions;
+    this->schedule.set_spans_regions(true);
+    this->schedule.set_dispatcher_intervals();
+    this->schedule.on_sent(regions, this->now);
+    this->schedule.on_change();
+    CHECK_FALSE(this->schedule.is_due(regions, this->now + 399ms));
+    CHECK(this->schedule.is_due(regions, this->now + 400ms));
+    CHECK(this->schedule.is_due(other_data_centres, this->now + 100ms));
+}
+
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/test/gossip_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -1,4 +1,5 @@
 // Tests the encoding of gossip messages, and the peer table.
+#include <greengagedrum/gossip/compression.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
 
 #include <doctest/doctest.h>
@@ -47,6 +48,26 @@
 
 } // namespace
 
+TEST_CASE_FIXTURE(peers_fixture, "peer_of_other_region_sent_to_as_its_group")
+{
+    this->table.set_regions(
+        {base::data_centre_id("hall"), {{"hall", "a"}, {"moor", "b"}}});
+    message sent = message_from(other, 7, 1);
+    sent.data_centre = "moor";
+    sent.accepts_compressed = true;
+    this->table.on_message(sent, this->now);
+    const auto count = [&](recipient_group group) {
+        return this->table.select_recipients(group, this->now).size();
+    };
+    CHECK(count(recipient_group::other_regions) == 1);
+    CHECK(count(recipient_group::other_data_centres) == 0);
+    this->now += 1450ms;
+    CHECK(this->table.live_count(this->now) == 1);
+    this->now += 100ms; // silent: probed with the other data centres
+    CHECK(count(recipient_group::other_regions) == 0);
+    CHECK(count(recipient_group::other_data_centres) == 1);
+}
+
 TEST_CASE("message_encoded_decodes_to_same_fields")
 {
     message sent = message_from(seed, 7, 9);
@@ -90,6 +111,43 @@
     CHECK(read->known_entries.at(0).age == 250ms);
 }
 
+// A load message of a large fleet between regions.
+TEST_CASE("large_message_compressed_decodes_to_same_fields")
+{
+    message sent = message_from(seed, 7, 9);
+    sent.accepts_compressed = true;
+    for (std::uint32_t each = 0; each < 200; ++each)
+        sent.workspace_usage.push_back(
+            {base::workspace_id("w-" + std::to_string(each)),
+             each,
+             0,
+             each,
+             {each, 0, 0, 0}});
+    const std::string plain = encode(sent);
+    const std::string compressed = encode_compressed(sent);
+    CHECK(compressed.size() < plain.size() * 2 / 3);
+    CHECK(is_compressed(compressed));
+    CHECK_FALSE(is_compressed(plain));
+    const auto read = decode_message(compressed);
+    REQUIRE(read);
+    CHECK(read->accepts_compressed);
+    CHECK(read->sequence == 9);
+    CHECK(read->workspace_usage.size() == 200);
+    CHECK(encode(*read) == plain);
+    CHECK_FALSE(decode_message(compressed.substr(0, compressed.size() - 5)));
+}
+
+// Failure guarded against: bytes on the wire change where nothing spans
+// regions.
+TEST_CASE("small_message_stays_plain_and_has_no_new_field")
+{
+    message sent = message_from(seed, 7, 9);
+    const std::string without = encode(sent);
+    CHECK(encode_compressed(sent) == without);
+    sent.accepts_compressed = true;
+    CHECK(encode(sent).size() > without.size());
+}
+
 // Messages between members and dispatchers, field by field.
 TEST_CASE("report_and_reply_encoded_decode_to_same_fields")
 {
--- a/src/greengagedrum/quota/peer_usage.cpp
+++ b/src/greengagedrum/quota/peer_usage.cpp
@@ -14,7 +14,8 @@
                                    base::incarnation incarnation,
                                    std::span<const workspace_usage> usage,
                                    bool stopping,
-                                   base::instant now)
+                                   base::instant now,
+                                   base::duration silent_after)
 {
     const auto [found, first_heard] = this->peers.try_emplace(peer);
     peer_state& state = found->second;
@@ -27,7 +28,7 @@
     state.incarnation = incarnation;
     state.reported_at = now;
     const bool silent_until_now =
-        this->silent_peer_shares.on_heard(peer, stopping, now);
+        this->silent_peer_shares.on_heard(peer, stopping, now, silent_after);
     const bool returned =
         std::exchange(state.forgotten, false) || silent_until_now;
     // A peer's report of usage before this process started is merged once, when
--- a/src/greengagedrum/quota/silent_peers.cpp
+++ b/src/greengagedrum/quota/silent_peers.cpp
@@ -8,10 +8,6 @@
 namespace
 {
 
-// Entries report at least every 200 ms, so a peer that is silent for this long
-// has ended, or two of its messages in a row were lost.
-constexpr base::duration silence_timeout = std::chrono::milliseconds(450);
-
 // How long a share stays reserved for a silent peer. A peer that is lost for
 // good is never heard again, and its share must not be lost with it. Partitions
 // up to 12 s were tested; this is more than twice as long.
@@ -40,9 +36,11 @@
 
 bool silent_peers::on_heard(base::slot_id peer,
                             bool stopping,
-                            base::instant now)
+                            base::instant now,
+                            base::duration silent_after)
 {
     peer_state& state = this->peers[peer];
+    state.silent_after = silent_after;
     const bool was_silent = state.silent;
     state.heard_at = now;
     state.stopping = stopping;
@@ -101,7 +99,7 @@
 {
     std::vector<base::slot_id> out;
     for (auto& [id, peer] : this->peers) {
-        if (peer.silent || now - peer.heard_at <= silence_timeout)
+        if (peer.silent || now - peer.heard_at <= peer.silent_after)
             continue;
         this->mark_silent(peer, limits, now);
         out.push_back(id);
--- a/src/greengagedrum/quota/silent_peers.hpp
+++ b/src/greengagedrum/quota/silent_peers.hpp
@@ -26,6 +26,12 @@
     base::instant since;
 };
 
+// Entries report at least every 200 ms, so a peer that is silent for this long
+// has ended, or two of its messages in a row were lost. Peers of other regions
+// have a timeout of their own.
+inline constexpr base::duration silence_timeout =
+    std::chrono::milliseconds(450);
+
 class silent_peers
 {
 public:
@@ -41,7 +47,10 @@
                       base::instant now);
 
     // Returns true if the peer was silent until now; its reserved shares end.
-    bool on_heard(base::slot_id peer, bool stopping, base::instant now);
+    bool on_heard(base::slot_id peer,
+                  bool stopping,
+                  base::instant now,
+                  base::duration silent_after = silence_timeout);
     // A new process, which has used nothing yet, replaces the peer.
     void on_restart(base::slot_id peer);
 
@@ -69,6 +78,7 @@
 private:
     struct peer_state {
         base::instant heard_at;
+        base::duration silent_after = silence_timeout;
         bool stopping = false;
         bool silent = false;
         std::unordered_map<base::workspace_id, decaying_rate> rates;
--- a/src/greengagedrum/quota/test/usage_limiter_test.cpp
+++ b/src/greengagedrum/quota/test/usage_limiter_test.cpp
@@ -366,4 +366,23 @@
     }
 }
 
+// Failure guarded against: a peer that reports every 400 ms, from another
+// region, is taken for partitioned between its reports, and a share is reserved
+// for it.
+TEST_CASE_FIXTURE(limiter_fixture, "peer_of_other_region_silent_after_its_time")
+{
+    this->own.on_peer_report(base::slot_id("peer"),
+                             base::incarnation{2},
+                             {},
+                             false,
+                             this->now,
+                             1450ms);
+    const auto share_after = [&](base::duration silence) {
+        this->own.update_silent_peers(this->now + silence);
+        return this->own.status_of(planning, this->now + silence).silent_share;
+    };
+    CHECK(share_after(1450ms) == 0);
+    CHECK(share_after(1451ms) > 0);
+}
+
 } // namespace greengagedrum::quota
--- a/src/greengagedrum/quota/usage_limiter.hpp
+++ b/src/greengagedrum/quota/usage_limiter.hpp
@@ -103,11 +103,14 @@
                         double cost,
                         base::instant now);
 
+    // `silent_after`: the time without a report after which a share is reserved
+    // for the peer.
     void on_peer_report(base::slot_id peer,
                         base::incarnation incarnation,
                         std::span<const workspace_usage> usage,
                         bool stopping,
-                        base::instant now);
+                        base::instant now,
+                        base::duration silent_after = silence_timeout);
 
     // The peer admits nothing by itself any more, since another entry counts
     // for it. No share is reserved for it. Its counted usage stays known for a
--- a/src/greengagedrum/routing/test/routing_test.cpp
+++ b/src/greengagedrum/routing/test/routing_test.cpp
@@ -1,5 +1,6 @@
 // Lookup of routes, workspaces and upstreams.
 #include <greengagedrum/routing/data_centre_constraint.hpp>
+#include <greengagedrum/routing/regions.hpp>
 #include <greengagedrum/routing/route_table.hpp>
 #include <greengagedrum/routing/upstream_directory.hpp>
 
@@ -315,4 +316,33 @@
                     .allows(base::data_centre_id("new")));
 }
 
+TEST_CASE("several_regions_data_centres_at_three_distances")
+{
+    const region_distances distances(
+        base::data_centre_id("hall"),
+        {{"hall", "west"}, {"yard", "west"}, {"quay", "east"}});
+    const auto to = [&](const char* name) {
+        return distances.to(base::data_centre_id(name));
+    };
+    CHECK(distances.spans_regions());
+    CHECK(to("hall") == distance::own_data_centre);
+    CHECK(to("yard") == distance::own_region);
+    CHECK(to("quay") == distance::other_region);
+    CHECK(to("new") == distance::other_region);
+}
+
+// Deployments of one region, or without regions, know two distances.
+TEST_CASE("single_region_no_data_centre_in_another_region")
+{
+    const base::data_centre_id hall("hall");
+    for (const region_map& regions :
+         {region_map(), region_map{{"hall", "west"}, {"yard", "west"}}}) {
+        const region_distances distances(hall, regions);
+        CHECK_FALSE(distances.spans_regions());
+        CHECK(distances.to(hall) == distance::own_data_centre);
+        CHECK(distances.to(base::data_centre_id("new")) ==
+              distance::own_region);
+    }
+}
+
 } // namespace greengagedrum::routing
--- a/src/greengagedrum/telemetry/messages.hpp
+++ b/src/greengagedrum/telemetry/messages.hpp
@@ -73,9 +73,14 @@
     peer_frames_bad, // refused frames; each closes its link
     peer_bytes_sent,
     peer_bytes_received,
-    engine_orders // wanted states given to engines
+    engine_orders, // wanted states given to engines
+    // Bytes that this entry moved between its region and others.
+    region_gossip_bytes,   // datagrams sent
+    region_transfer_bytes, // configuration items received
+    region_request_bytes,  // requests and their responses, both directions
+    region_tunnel_bytes    // the same by way of a peer there
 };
-inline constexpr std::size_t counter_count = 10;
+inline constexpr std::size_t counter_count = 14;
 
 struct process_count {
     counter what = counter::ring_full;
--- a/src/greengagedrum/telemetry/metric_descriptions.cpp
+++ b/src/greengagedrum/telemetry/metric_descriptions.cpp
@@ -36,6 +36,15 @@
     {"greengagedrum_peer_sent_bytes_total", "Bytes sent to peers."},
     {"greengagedrum_peer_received_bytes_total", "Bytes received from peers."},
     {"greengagedrum_engine_orders_total", "Wanted states given to engines."},
+    {"greengagedrum_region_gossip_bytes_total",
+     "Bytes of datagrams sent to entries of other regions."},
+    {"greengagedrum_region_transfer_bytes_total",
+     "Bytes of configuration items received from entries of other regions."},
+    {"greengagedrum_region_request_bytes_total",
+     "Bytes of requests to upstreams of other regions, and of the responses."},
+    {"greengagedrum_region_tunnel_bytes_total",
+     "Bytes of requests sent by way of peers of other regions, and of the "
+     "responses."},
 }};
 
 constexpr std::array<metric_description, gauge_count> gauges = {{
