--- a/src/greengagedrum/gossip/dispatcher_election.cpp
+++ b/src/greengagedrum/gossip/dispatcher_election.cpp
@@ -1,5 +1,4 @@
 #include <greengagedrum/gossip/dispatcher_election.hpp>
-#include <greengagedrum/gossip/gossip_schedule.hpp>
 
 #include <algorithm>
 #include <set>
@@ -10,23 +9,6 @@
 namespace
 {
 
-// Fleet sizes at which dispatchers start and stop dispatching for all. Up to
-// some thirty entries, the messages of a full mesh are fewer than those that a
-// dispatcher relays.
-constexpr std::size_t dispatchers_used_from = 33;
-constexpr std::size_t dispatchers_used_down_to = 25;
-
-// The same in a deployment of several regions, where a full mesh sends from
-// each entry to each entry of the other regions. With 30 entries in two regions
-// these are 450 pairs, and 18 with dispatchers in six data centres.
-constexpr std::size_t region_dispatchers_used_from = 9;
-constexpr std::size_t region_dispatchers_used_down_to = 7;
-
-// A dispatcher sends to each member ten times a second, so the timeout covers
-// three messages in a row. A process that has used up its processor quota
-// pauses for up to 100 ms.
-constexpr base::duration liveness_timeout = std::chrono::milliseconds(350);
-
 // Time after which an entry has seen a whole window of the limits and knows how
 // fast upstreams are.
 constexpr base::duration warm_up_time = std::chrono::seconds(10);
@@ -88,37 +70,6 @@
            now - *other.received_at <= other.liveness_timeout;
 }
 
-base::duration
-dispatcher_election::liveness_timeout_of(const candidate& other) const
-{
-    const bool across_regions =
-        other.accepts_compressed &&
-        this->regions.to(other.data_centre) == routing::distance::other_region;
-    return across_regions ? region_liveness_timeout : liveness_timeout;
-}
-
-bool dispatcher_election::is_in_other_region(ipv4_address address) const
-{
-    const auto found = this->other_entries.find(address);
-    return found != this->other_entries.end() &&
-           !found->second.data_centre.empty() &&
-           this->regions.to(found->second.data_centre) ==
-               routing::distance::other_region;
-}
-
-bool dispatcher_election::was_heard_from_other_region(
-    ipv4_address address) const
-{
-    return this->is_in_other_region(address) &&
-           this->other_entries.at(address).received_at;
-}
-
-bool dispatcher_election::uses_region_interval(ipv4_address address) const
-{
-    return this->is_in_other_region(address) &&
-           this->other_entries.at(address).accepts_compressed;
-}
-
 // Live, and dispatching requests: its own and those of its members, if any.
 bool dispatcher_election::is_dispatching(const candidate& other,
                                          base::instant now)
@@ -187,19 +138,6 @@
                    }));
 }
 
-bool dispatcher_election::uses_dispatchers(base::instant now)
-{
-    const std::size_t count = this->entry_count(now);
-    const bool spans = this->regions.spans_regions();
-    const std::size_t from =
-        spans ? region_dispatchers_used_from : dispatchers_used_from;
-    const std::size_t down_to =
-        spans ? region_dispatchers_used_down_to : dispatchers_used_down_to;
-    this->dispatchers_in_use =
-        count >= (this->dispatchers_in_use ? down_to : from);
-    return this->dispatchers_in_use;
-}
-
 std::vector<ipv4_address>
 dispatcher_election::ranked_candidates(base::data_centre_id in_data_centre,
                                        base::instant now) const
--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -17,12 +17,6 @@
 // A transfer that would take more memory than this is not decompressed.
 constexpr std::size_t max_transfer_bytes = 16U << 20U;
 
-// A datagram holds at most 64 KiB, and a message compresses to about half.
-constexpr std::size_t max_message_bytes = 1U << 20U;
-
-// Shorter messages hold little but the sender's description of itself.
-constexpr std::size_t compressed_from = 256;
-
 std::uint32_t milliseconds_of(base::duration value)
 {
     constexpr std::int64_t max_count = 3'600'000;
@@ -242,22 +236,10 @@
     return bytes_of(builder);
 }
 
-std::string encode_compressed(const message& sent)
-{
-    std::string plain = encode(sent);
-    if (plain.size() < compressed_from)
-        return plain;
-    std::string packed = compress(plain, {});
-    return packed.empty() || packed.size() >= plain.size() ? plain : packed;
-}
-
 std::optional<message> decode_message(std::string_view bytes)
 {
-    if (is_compressed(bytes)) {
-        const auto plain = decompress(bytes, {}, max_message_bytes);
-        return plain && !is_compressed(*plain) ? decode_message(*plain)
-                                               : std::nullopt;
-    }
+    if (is_compressed(bytes))
+        return decode_compressed_message(bytes);
     flatbuffers::Verifier verifier(unsigned_bytes(bytes), bytes.size());
     if (!verifier.VerifyBuffer<wire::Message>(nullptr))
         return std::nullopt;
--- a/src/greengagedrum/gossip/message.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -118,6 +118,7 @@
 std::string encode(const message& sent);
 // Compressed if that makes it shorter. Only for entries that accept it.
 std::string encode_compressed(const message& sent);
+std::optional<message> decode_compressed_message(std::string_view bytes);
 std::string encode(const item_transfer& sent);
 std::string encode(const transfer_referral& sent);
 std::string encode_compressed(const item_transfer& sent,
