--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -961,7 +961,8 @@
     VT_SUSPECTS = 62,
     VT_CRASHES = 64,
     VT_RATE_LIMITS = 66,
-    VT_READS_PACKED = 68
+    VT_STORE_LATENCY_US = 68,
+    VT_READS_PACKED = 70
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1056,6 +1057,9 @@
   const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *>(VT_RATE_LIMITS);
   }
+  uint32_t store_latency_us() const {
+    return GetField<uint32_t>(VT_STORE_LATENCY_US, 0);
+  }
   bool reads_packed() const {
     return GetField<uint8_t>(VT_READS_PACKED, 0) != 0;
   }
@@ -1108,6 +1112,7 @@
            verifier.VerifyVector(crashes()) &&
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
+           VerifyField<uint32_t>(verifier, VT_STORE_LATENCY_US, 4) &&
            VerifyField<uint8_t>(verifier, VT_READS_PACKED, 1) &&
            verifier.EndTable();
   }
@@ -1210,6 +1215,9 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits) {
     fbb_.AddOffset(Message::VT_RATE_LIMITS, rate_limits);
   }
+  void add_store_latency_us(uint32_t store_latency_us) {
+    fbb_.AddElement<uint32_t>(Message::VT_STORE_LATENCY_US, store_latency_us, 0);
+  }
   void add_reads_packed(bool reads_packed) {
     fbb_.AddElement<uint8_t>(Message::VT_READS_PACKED, static_cast<uint8_t>(reads_packed), 0);
   }
@@ -1257,6 +1265,7 @@
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *>> suspects = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits = 0,
+    uint32_t store_latency_us = 0,
     bool reads_packed = false) {
   MessageBuilder builder_(_fbb);
   builder_.add_digest(digest);
@@ -1266,6 +1275,7 @@
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_store_latency_us(store_latency_us);
   builder_.add_rate_limits(rate_limits);
   builder_.add_crashes(crashes);
   builder_.add_suspects(suspects);
@@ -1327,6 +1337,7 @@
     const std::vector<greengagedrum::gossip::wire::Suspect> *suspects = nullptr,
     const std::vector<greengagedrum::gossip::wire::Crash> *crashes = nullptr,
     const std::vector<greengagedrum::gossip::wire::RateLimit> *rate_limits = nullptr,
+    uint32_t store_latency_us = 0,
     bool reads_packed = false) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
@@ -1375,6 +1386,7 @@
       suspects__,
       crashes__,
       rate_limits__,
+      store_latency_us,
       reads_packed);
 }
 
