--- a/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet.cpp
@@ -94,6 +94,29 @@
     known.limit = {limit, limit, true, 0};
     config.workspaces.push_back(known);
     one.state.limiter.set_limits(config, this->fleet.time());
+    this->occupy_upstreams(one);
+}
+
+// Makes load messages as large as they are in front of that many upstreams.
+void limited_fleet::occupy_upstreams(node& one) const
+{
+    const base::upstream_class_id service("engines");
+    for (std::size_t number = 0; number < this->plan.upstreams; ++number) {
+        routing::published_upstream upstream;
+        upstream.name = "engine-" + std::to_string(number);
+        upstream.id = base::upstream_id(upstream.name);
+        upstream.service = service;
+        upstream.slots = 1;
+        one.state.scheduler.upstream_joined(upstream, this->fleet.time());
+        traffic::request_facts facts;
+        facts.service = service;
+        facts.latency_objective = facts.time_left = 1h;
+        traffic::actions ignored;
+        one.state.scheduler.step(
+            traffic::request_arrived{base::request_id{number + 1}, facts},
+            this->fleet.time(),
+            ignored);
+    }
 }
 
 peer_events limited_fleet::events_of(node& process)
@@ -156,6 +179,8 @@
         at.protocol->schedule_gossip();
         return;
     }
+    if (this->plan.upstreams > 0)
+        at.protocol->schedule_gossip();
     if (at.state.limiter.try_acquire(
             busy_workspace, cost, 0, this->fleet.time())) {
         this->result.refused += 1;
@@ -306,6 +331,8 @@
         const node* one = this->fleet.at(number);
         if (one == nullptr)
             continue;
+        this->result.counted_gossip_bytes +=
+            one->state.metrics.of(telemetry::counter::region_gossip_bytes);
         this->result.reserved_for_absent = std::max(
             this->result.reserved_for_absent,
             one->state.limiter.status_of(busy_workspace, this->fleet.time())
@@ -317,6 +344,7 @@
     }
     this->result.admitted_share /=
         this->limit() * (this->plan.seconds - roles_settled);
+    this->result.bytes_across_regions = this->fleet.bytes_between_regions();
     this->result.busiest_bytes = static_cast<std::uint64_t>(
         static_cast<double>(this->fleet.busiest_bytes()) / this->plan.seconds);
     return this->result;
--- a/src/greengagedrum/entry/fleet_test/limited_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/limited_fleet.hpp
@@ -17,6 +17,8 @@
 struct fleet_plan : fault_plan {
     double demand = 0.55;  // share of the limit's rate
     double requests = 100; // per second, all entries
+    // Upstreams, each with one running request of each entry that dispatches.
+    std::size_t upstreams = 0;
 };
 
 // Draws a random plan with any fault except the loss of all entries, because
@@ -38,6 +40,10 @@
     double reserved_for_absent = 0;
     std::uint32_t dispatcher_changes = 0; // after the first two seconds
     std::uint64_t busiest_bytes = 0;      // of one entry, per second on average
+    // Over the whole run: datagrams between regions, and gossip as the entries
+    // count it.
+    std::uint64_t bytes_across_regions = 0;
+    std::uint64_t counted_gossip_bytes = 0;
 };
 
 class limited_fleet
@@ -71,6 +77,7 @@
     peer_events events_of(node& process);
     double limit() const; // per second; the burst is as large
     void configure(node& one);
+    void occupy_upstreams(node& one) const;
     double draw();
     void generate_requests();
     void on_request(node& at, double cost);
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
@@ -97,7 +97,8 @@
     out.ip = address_of(number);
     out.peer_port = 1;
     for (std::size_t one = 0;
-         this->plan.regions > 1 && one < this->plan.data_centres;
+         this->plan.regions > 1 && this->plan.regions_in_settings &&
+         one < this->plan.data_centres;
          ++one)
         out.regions["centre-" + std::to_string(one)] =
             "region-" + std::to_string(one % this->plan.regions);
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
@@ -42,6 +42,7 @@
     // Data centre N is in region N modulo this number; the store is in region
     // 0.
     std::size_t regions = 1;
+    bool regions_in_settings = true; // or the entries don't know of them
     // Of the link between two regions, in each direction.
     double region_bytes_per_second = 7.5e6;
     // The regions are partitioned from each other.
