--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -58,6 +58,11 @@
 void peer_protocol::apply_settings(const settings& given)
 {
     this->own_settings = given;
+    this->regions = routing::region_distances(
+        base::data_centre_id(given.data_centre), given.regions);
+    this->table.set_regions(this->regions);
+    this->election.set_regions(this->regions);
+    this->schedule.set_spans_regions(this->regions.spans_regions());
     this->several_regions = routing::spans_regions(given.regions);
     this->duty.set_max_age(this->store_answer_max_age() + far_message_delay);
     for (const base::ip_endpoint& one : given.seeds)
@@ -85,13 +90,34 @@
     std::vector<reachable_peer> out;
     out.reserve(found.size());
     for (const auto& [address, data_centre] : found)
-        out.push_back({{relay::asio::ip::address_v4(address).to_string(),
-                        this->own_settings.peer_port},
-                       data_centre,
-                       data_centre == own});
+        out.push_back(
+            {{relay::asio::ip::address_v4(address).to_string(),
+              this->own_settings.peer_port},
+             data_centre,
+             data_centre == own,
+             this->regions.to(data_centre) == routing::distance::other_region});
     return out;
 }
 
+void peer_protocol::count_request_bytes(base::data_centre_id upstream,
+                                        const std::string& peer,
+                                        std::uint64_t bytes)
+{
+    if (!this->regions.spans_regions())
+        return;
+    const bool crosses =
+        this->regions.to(upstream) == routing::distance::other_region;
+    relay::error_code fault;
+    const auto address = relay::asio::ip::make_address_v4(peer, fault);
+    const bool peer_crosses =
+        !fault && this->election.is_in_other_region(address.to_uint());
+    if (crosses || peer_crosses)
+        this->state.metrics.add(telemetry::process_count{
+            peer.empty() ? telemetry::counter::region_request_bytes
+                         : telemetry::counter::region_tunnel_bytes,
+            bytes});
+}
+
 bool peer_protocol::knows_entry(const std::string& ip) const
 {
     relay::error_code fault;
@@ -251,6 +277,7 @@
     out.store_age = this->own_store_age(now);
     if (this->several_regions)
         out.store_latency = this->duty.latency().value_or(base::duration(0));
+    out.accepts_compressed = this->regions.spans_regions();
     return out;
 }
 
@@ -267,10 +294,7 @@
     out.rate_limits = this->state.scheduler.announced_limits().recent(now);
     out.known_entries = this->table.select_known_entries(recipients, now);
     out.suspects = this->suspects_to_send(
-        recipients == gossip::recipient_group::own_data_centre
-            ? this->near_suspects_sent_at
-            : this->far_suspects_sent_at,
-        now);
+        this->suspects_sent_at.at(static_cast<std::size_t>(recipients)), now);
     return out;
 }
 
@@ -281,7 +305,8 @@
         return this->send_due_with_dispatchers(now);
     for (const gossip::recipient_group recipients :
          {gossip::recipient_group::own_data_centre,
-          gossip::recipient_group::other_data_centres}) {
+          gossip::recipient_group::other_data_centres,
+          gossip::recipient_group::other_regions}) {
         if (this->schedule.is_due(recipients, now))
             this->send_load(recipients);
     }
@@ -295,10 +320,32 @@
         this->table.select_recipients(recipients, now);
     if (to_tell.empty())
         return;
-    const std::string bytes =
-        gossip::encode(this->make_load_message(recipients));
-    for (const gossip::ipv4_address address : to_tell)
-        this->transport.send(bytes, address);
+    this->send_load_to(to_tell, this->make_load_message(recipients));
+}
+
+void peer_protocol::send_load_to(
+    const std::vector<gossip::ipv4_address>& recipients,
+    const gossip::message& load)
+{
+    std::string plain;
+    std::string compressed;
+    for (const gossip::ipv4_address address : recipients) {
+        const bool compress = this->election.uses_region_interval(address);
+        std::string& bytes = compress ? compressed : plain;
+        if (bytes.empty())
+            bytes = compress ? gossip::encode_compressed(load)
+                             : gossip::encode(load);
+        this->send_datagram(bytes, address);
+    }
+}
+
+void peer_protocol::send_datagram(std::string_view bytes,
+                                  gossip::ipv4_address to)
+{
+    if (this->election.is_in_other_region(to))
+        this->state.metrics.add(telemetry::process_count{
+            telemetry::counter::region_gossip_bytes, bytes.size()});
+    this->transport.send(bytes, to);
 }
 
 void peer_protocol::tick(bool store_fails)
--- a/src/greengagedrum/gossip/dispatcher_election.cpp
+++ b/src/greengagedrum/gossip/dispatcher_election.cpp
@@ -9,17 +9,6 @@
 namespace
 {
 
-// Fleet sizes at which dispatchers start and stop dispatching for all. Up to
-// some thirty entries, the messages of a full mesh are fewer than those that a
-// dispatcher relays.
-constexpr std::size_t dispatchers_used_from = 33;
-constexpr std::size_t dispatchers_used_down_to = 25;
-
-// A dispatcher sends to each member ten times a second, so the timeout covers
-// three messages in a row. A process that has used up its processor quota
-// pauses for up to 100 ms.
-constexpr base::duration liveness_timeout = std::chrono::milliseconds(350);
-
 // Time after which an entry has seen a whole window of the limits and knows how
 // fast upstreams are.
 constexpr base::duration warm_up_time = std::chrono::seconds(10);
@@ -77,7 +66,8 @@
 
 bool dispatcher_election::is_live(const candidate& other, base::instant now)
 {
-    return other.received_at && now - *other.received_at <= liveness_timeout;
+    return other.received_at &&
+           now - *other.received_at <= other.liveness_timeout;
 }
 
 // Live, and dispatching requests: its own and those of its members, if any.
@@ -97,6 +87,8 @@
     sender.last_seen_at = now;
     sender.started_at = now - received.uptime;
     sender.received_at = now;
+    sender.accepts_compressed = received.accepts_compressed;
+    sender.liveness_timeout = this->liveness_timeout_of(sender);
     sender.probed_at.reset();
     sender.skipped_until = now;
     sender.stopping = received.stopping;
@@ -146,15 +138,6 @@
                    }));
 }
 
-bool dispatcher_election::uses_dispatchers(base::instant now)
-{
-    const std::size_t count = this->entry_count(now);
-    this->dispatchers_in_use = this->dispatchers_in_use
-                                   ? count >= dispatchers_used_down_to
-                                   : count >= dispatchers_used_from;
-    return this->dispatchers_in_use;
-}
-
 std::vector<ipv4_address>
 dispatcher_election::ranked_candidates(base::data_centre_id in_data_centre,
                                        base::instant now) const
@@ -356,7 +339,9 @@
          this->ranked_candidates(recipient_data_centre, now)) {
         if (out.size() == max_listed_by_rank)
             break;
-        if (now - this->other_entries.at(address).last_seen_at <= probe_timeout)
+        const candidate& other = this->other_entries.at(address);
+        if (now - other.last_seen_at <=
+            std::max(probe_timeout, other.liveness_timeout))
             list_entry(address);
     }
     const std::size_t max_count = out.size() + max_listed_in_rotation;
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -961,7 +961,8 @@
     VT_SUSPECTS = 62,
     VT_CRASHES = 64,
     VT_RATE_LIMITS = 66,
-    VT_STORE_LATENCY_US = 68
+    VT_STORE_LATENCY_US = 68,
+    VT_READS_PACKED = 70
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1059,6 +1060,9 @@
   uint32_t store_latency_us() const {
     return GetField<uint32_t>(VT_STORE_LATENCY_US, 0);
   }
+  bool reads_packed() const {
+    return GetField<uint8_t>(VT_READS_PACKED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -1109,6 +1113,7 @@
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
            VerifyField<uint32_t>(verifier, VT_STORE_LATENCY_US, 4) &&
+           VerifyField<uint8_t>(verifier, VT_READS_PACKED, 1) &&
            verifier.EndTable();
   }
 };
@@ -1213,6 +1218,9 @@
   void add_store_latency_us(uint32_t store_latency_us) {
     fbb_.AddElement<uint32_t>(Message::VT_STORE_LATENCY_US, store_latency_us, 0);
   }
+  void add_reads_packed(bool reads_packed) {
+    fbb_.AddElement<uint8_t>(Message::VT_READS_PACKED, static_cast<uint8_t>(reads_packed), 0);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1257,7 +1265,8 @@
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *>> suspects = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits = 0,
-    uint32_t store_latency_us = 0) {
+    uint32_t store_latency_us = 0,
+    bool reads_packed = false) {
   MessageBuilder builder_(_fbb);
   builder_.add_digest(digest);
   builder_.add_changes(changes);
@@ -1287,6 +1296,7 @@
   builder_.add_address(address);
   builder_.add_data_centre(data_centre);
   builder_.add_instance(instance);
+  builder_.add_reads_packed(reads_packed);
   builder_.add_serving(serving);
   builder_.add_delegating(delegating);
   builder_.add_kind(kind);
@@ -1327,7 +1337,8 @@
     const std::vector<greengagedrum::gossip::wire::Suspect> *suspects = nullptr,
     const std::vector<greengagedrum::gossip::wire::Crash> *crashes = nullptr,
     const std::vector<greengagedrum::gossip::wire::RateLimit> *rate_limits = nullptr,
-    uint32_t store_latency_us = 0) {
+    uint32_t store_latency_us = 0,
+    bool reads_packed = false) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1375,7 +1386,8 @@
       suspects__,
       crashes__,
       rate_limits__,
-      store_latency_us);
+      store_latency_us,
+      reads_packed);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -231,13 +231,16 @@
         suspects.suspects,
         suspects.crashes,
         rate_limits,
-        static_cast<std::uint32_t>(sent.store_latency.count()));
+        static_cast<std::uint32_t>(sent.store_latency.count()),
+        sent.accepts_compressed);
     builder.Finish(root);
     return bytes_of(builder);
 }
 
 std::optional<message> decode_message(std::string_view bytes)
 {
+    if (is_compressed(bytes))
+        return decode_compressed_message(bytes);
     flatbuffers::Verifier verifier(unsigned_bytes(bytes), bytes.size());
     if (!verifier.VerifyBuffer<wire::Message>(nullptr))
         return std::nullopt;
@@ -275,6 +278,7 @@
     out.suspects = read_suspects(*root);
     out.rate_limits = read_rate_limits(*root);
     out.store_latency = base::duration(root->store_latency_us());
+    out.accepts_compressed = root->reads_packed();
     out.report.sequence = out.sequence;
     if (const auto* reply = root->reply())
         out.reply = read_reply(*reply);
