--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -34,6 +34,15 @@
     return {from.retry_ratio, from.retry_slack, from.retry_window};
 }
 
+// Null where the platform limits no memory.
+std::shared_ptr<memory::account> account_for(const settings& values)
+{
+    if (values.memory_bytes == 0)
+        return nullptr;
+    return std::make_shared<memory::account>(
+        memory::levels_of(values.memory_bytes));
+}
+
 std::function<base::instant()>
 loop_clock(std::chrono::steady_clock::time_point started_at)
 {
@@ -60,9 +69,11 @@
             telemetry::registry(max_metric_series),
             false,
             false,
-            initial_settings.regions},
+            initial_settings.regions,
+            account_for(initial_settings)},
       incarnation(new_incarnation()), timer(this->context),
-      signals(this->context, SIGTERM, SIGINT, SIGHUP)
+      signals(this->context, SIGTERM, SIGINT, SIGHUP),
+      tunnel_room(this->state.memory, memory::kind::tunnels)
 {
     this->apply_bounds();
     this->last_store_answer = this->state.clock();
@@ -289,6 +300,16 @@
         static_cast<double>(logs::dropped_lines() +
                             this->state.log.suppressed_lines()));
     set(telemetry::gauge::stopping, this->state.stopping ? 1 : 0);
+    if (this->state.memory) {
+        const memory::account& held = *this->state.memory;
+        set(telemetry::gauge::memory_capacity,
+            static_cast<double>(held.levels().capacity));
+        constexpr auto first =
+            static_cast<std::size_t>(telemetry::gauge::memory_request_bodies);
+        for (std::size_t at = 0; at < memory::kind_count; ++at)
+            set(static_cast<telemetry::gauge>(first + at),
+                static_cast<double>(held.held(static_cast<memory::kind>(at))));
+    }
     return telemetry::prometheus_text(registry);
 }
 
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -80,6 +80,7 @@
     base::incarnation incarnation;
     relay::asio::steady_timer timer;
     boost::asio::signal_set signals;
+    memory::reservation tunnel_room;
     std::unique_ptr<peer_paths> paths;
     std::unique_ptr<request_handler> handler;
     std::unique_ptr<relay::tunnel_server> tunnels; // null: the port is taken
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -148,6 +148,9 @@
     this->detect_pause(now);
     this->last_tick = now;
     this->apply_changes(this->state.cluster.expire(now), "lapse");
+    if (this->tunnels)
+        this->tunnel_room.resize(this->tunnels->active() *
+                                 sizeof(relay::tunnel));
     this->handler->tick();
     this->peers->tick(this->store->failing());
     if (now - this->last_timeout_check >= sweep_period) {
--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -18,9 +18,15 @@
 
 traffic::interruption_cause break_cause_of(relay::call_fault what)
 {
-    return what == relay::call_fault::malformed
-               ? traffic::interruption_cause::malformed
-               : traffic::interruption_cause::connection_lost;
+    switch (what) {
+    case relay::call_fault::malformed:
+        return traffic::interruption_cause::malformed;
+    case relay::call_fault::write_stalled:
+        return traffic::interruption_cause::write_stalled;
+    case relay::call_fault::connection_lost:
+        break;
+    }
+    return traffic::interruption_cause::connection_lost;
 }
 
 unsigned status_code_of(const base::verdict& verdict)
@@ -40,7 +46,12 @@
     : context(context), paths(paths), caller(std::move(caller)),
       request(std::move(request)),
       body(std::make_shared<const std::string>(this->caller->take_body())),
-      events(std::move(events))
+      events(std::move(events)),
+      body_room(this->caller->take_body_reservation()),
+      response_room(this->events.memory,
+                    memory::kind::responses,
+                    this->caller->classified().workspace),
+      call_room(this->events.memory, memory::kind::connections)
 {
 }
 
@@ -82,6 +93,9 @@
         self->call.reset();
         self->on_direct_connect(false);
     };
+    out.written = [self] {
+        self->body_room.set_kind(memory::kind::request_bodies);
+    };
     out.head = [self] { self->on_head(); };
     out.body = [self](std::string_view bytes) { self->on_body(bytes); };
     out.done = [self] { self->on_done(); };
@@ -99,6 +113,7 @@
     if (this->call)
         this->call->stop();
     this->call.reset();
+    this->call_room.resize(0);
     this->peer.reset();
 }
 
@@ -151,12 +166,19 @@
 
 void exchange::on_body(std::string_view bytes)
 {
+    if (this->discarding)
+        return;
     if (!this->streaming) {
+        if (this->buffered_body.empty())
+            this->response_began = this->paths.now();
         this->buffered_body += bytes;
-        return;
+        this->response_room.resize(this->buffered_body.capacity());
+        return this->keep_to_memory();
     }
     this->splitter.feed(bytes);
     this->forward_events();
+    this->response_room.resize(this->splitter.rest_size());
+    this->keep_to_memory();
 }
 
 void exchange::forward_events()
@@ -179,7 +201,7 @@
     if (!this->caller->pieces_begun())
         this->caller->begin_pieces(this->caller_response_head());
     this->caller->send_piece(pieces);
-    if (this->caller->unsent() > unsent_high_water) {
+    if (!this->events.memory && this->caller->unsent() > unsent_high_water) {
         this->reading_paused = true;
         this->call->pause(true);
     }
@@ -189,8 +211,12 @@
 
 void exchange::resume_reading()
 {
-    if (!this->reading_paused || !this->call ||
-        this->caller->unsent() > unsent_low_water)
+    if (!this->reading_paused || !this->call)
+        return;
+    const bool held_back = this->events.memory
+                               ? this->events.memory->must_end_response()
+                               : this->caller->unsent() > unsent_low_water;
+    if (held_back)
         return;
     this->reading_paused = false;
     this->call->pause(false);
@@ -199,6 +225,7 @@
 void exchange::on_done()
 {
     this->call.reset();
+    this->call_room.resize(0);
     if (this->streaming) {
         if (this->ends_inside_event())
             return this->on_broken(traffic::interruption_cause::connection_lost,
@@ -276,6 +303,7 @@
                          const std::string& error)
 {
     this->call.reset();
+    this->call_room.resize(0);
     this->report_outcome(error);
     this->events.on_event(traffic::answer_interrupted{
         this->request.id, this->send_number, cause});
@@ -339,6 +367,13 @@
     // Nothing of the request was sent as long as a peer is not connected.
     if (!leave_running || this->tunnel)
         return this->stop_send();
+    if (this->events.memory) {
+        this->discarding = true;
+        this->buffered_body = {};
+        this->response_room.resize(0);
+        if (this->reading_paused && this->call)
+            this->call->pause(false);
+    }
     // The upstream call keeps this object alive until it ends; its events are
     // dropped.
     this->events.on_event = [](const traffic::event&) {};
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <greengagedrum/entry/peer_paths.hpp>
+#include <greengagedrum/memory/reservation.hpp>
+#include <greengagedrum/memory/unread_response.hpp>
 #include <greengagedrum/platform/headers.hpp>
 #include <greengagedrum/relay/caller_connection.hpp>
 #include <greengagedrum/relay/event_splitter.hpp>
@@ -51,6 +53,8 @@
         std::function<void(const send_outcome&)> on_send_ended;
         // A response announces a rate limit that can't be read.
         std::function<void(const std::string& upstream)> on_invalid_limit;
+        // Null: the memory of the process is not limited.
+        std::shared_ptr<memory::account> memory{};
     };
 
     exchange(relay::asio::io_context& context,
@@ -78,6 +82,11 @@
     // what was sent.
     void resume_reading();
 
+    // Bytes of the request's body.
+    std::uint64_t body_bytes() const { return this->body->size(); }
+    // Of the response, not yet read by the caller.
+    memory::unread_response unread(base::instant now) const;
+
     const request_info& info() const { return this->request; }
     unsigned status() const { return this->answer.status; }
     const relay::caller_ptr& caller_connection() const { return this->caller; }
@@ -101,6 +110,8 @@
     void on_done();
     void on_broken(traffic::interruption_cause cause, const std::string& error);
     void forward_events();
+    // Stops reading from the upstream while there is no room for the response.
+    void keep_to_memory();
     void classify_answer();
     bool is_event_stream() const;
     // An upstream that crashes inside an event may close its connection in
@@ -133,6 +144,11 @@
     std::uint32_t event_count = 0;
     std::string last_event_id; // of the last event sent to the caller
     bool reading_paused = false;
+    bool discarding = false; // the response, since its caller has left
+    memory::reservation body_room;
+    memory::reservation response_room;
+    memory::reservation call_room;
+    base::instant response_began;
 };
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/exchange_sending.cpp
+++ b/src/greengagedrum/entry/exchange_sending.cpp
@@ -7,6 +7,15 @@
 namespace greengagedrum::entry
 {
 
+namespace
+{
+
+// An upstream that takes no byte of a request for so long will not run it in
+// time, while the request holds its memory and a slot.
+constexpr base::duration write_timeout = std::chrono::seconds(2);
+
+} // namespace
+
 void exchange::send(std::uint32_t send_number,
                     const routing::published_upstream& to,
                     base::duration time_left)
@@ -14,7 +23,8 @@
     this->send_number = send_number;
     this->answer = relay::answer_head();
     this->framing = relay::body_framing::none;
-    this->buffered_body.clear();
+    this->buffered_body = {};
+    this->response_room.resize(0);
     this->splitter = relay::event_splitter();
     this->streaming = false;
     this->event_count = 0;
@@ -34,6 +44,11 @@
         this->context,
         this->make_call_events(),
         this->caller->head().method == "HEAD");
+    if (!this->events.memory)
+        return;
+    this->call->set_write_timeout(write_timeout);
+    this->call_room.resize(sizeof(relay::upstream_call));
+    this->body_room.set_kind(memory::kind::unsent_to_upstreams);
 }
 
 relay::outgoing_request exchange::request_now() const
--- a/src/greengagedrum/entry/limit_counting.cpp
+++ b/src/greengagedrum/entry/limit_counting.cpp
@@ -27,15 +27,17 @@
         over_limit.emplace_back(id, *retry_after);
     }
     for (const auto& [id, retry_after] : over_limit)
-        this->refuse_queued_request(id, retry_after);
+        this->refuse_queued_request(
+            id, base::reason::limit_reached, retry_after);
 }
 
 void request_handler::refuse_queued_request(base::request_id id,
+                                            base::reason why,
                                             base::duration retry_after)
 {
     this->submit_event(traffic::caller_left{id});
-    this->execute_action(traffic::end_request{
-        id, base::not_run(base::reason::limit_reached, retry_after)});
+    this->execute_action(
+        traffic::end_request{id, base::not_run(why, retry_after)});
 }
 
 void request_handler::refund_cost(const active_request& request)
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -66,6 +66,7 @@
         this->callers.erase(from);
     };
     this->events.clock = this->state.clock;
+    this->limit_memory();
     this->accept();
 }
 
@@ -279,6 +280,7 @@
     owner.on_send_ended = [this, id](const send_outcome& outcome) {
         this->log_send_outcome(id, outcome);
     };
+    owner.memory = this->state.memory;
     owner.on_invalid_limit = [this](const std::string& upstream) {
         this->state.log.write(this->state.clock(),
                               "exchange",
@@ -369,6 +371,7 @@
     const relay::caller_bounds limits = this->bounds();
     for (const relay::caller_ptr& one : connections)
         one->check_time(now, limits);
+    this->keep_to_memory();
     for (auto& [id, request] : this->requests)
         request.http_exchange->resume_reading();
 }
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -35,6 +35,8 @@
     // requests and counts them against the workspaces' limits.
     bool delegating = false;
     routing::region_map regions{};
+    // Null: the memory of the process is not limited.
+    std::shared_ptr<memory::account> memory{};
 };
 
 // The limit state that a dispatcher hands over to the entries next in line for
@@ -169,7 +171,9 @@
                             const dispatch::slot_request& request);
     void charge_queued_requests();
     void check_paths();
-    void refuse_queued_request(base::request_id id, base::duration retry_after);
+    void refuse_queued_request(base::request_id id,
+                               base::reason why,
+                               base::duration retry_after);
     void log_over_limit(base::workspace_id workspace,
                         double cost,
                         std::uint32_t priority,
@@ -179,6 +183,20 @@
     void finish(base::request_id id, const base::verdict* failed);
     relay::caller_bounds bounds() const;
 
+    // Only where the memory of the process is limited.
+    void limit_memory();
+    relay::body_class classify(const relay::request_head& head) const;
+    void keep_to_memory();
+    void reject_for_memory();
+    void end_unread_responses();
+    void end_response(const relay::caller_ptr& to,
+                      const memory::unread_response& unread);
+    void retry_bodies();
+    void log_rejected(const std::string& request,
+                      std::uint32_t priority,
+                      std::uint64_t bytes,
+                      std::string_view why);
+
     relay::asio::io_context& context;
     relay::tcp::acceptor acceptor;
     shared_state& state;
--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -78,6 +78,7 @@
     out.bounds.retry_slack = options.retry_slack;
     out.peer_port = options.peer_port;
     out.seeds = options.seeds;
+    out.memory_bytes = options.memory_bytes;
     return out;
 }
 
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -46,6 +46,7 @@
     std::vector<int> upstream_ports{};
     double retry_slack = 0; // retries that need not be earned
     std::string ip = "127.0.0.1";
+    std::uint64_t memory_bytes = 0; // 0: not limited
 };
 
 class entry_fixture
--- a/src/greengagedrum/memory/rejection_order.hpp
+++ b/src/greengagedrum/memory/rejection_order.hpp
@@ -5,8 +5,8 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <span>
+#include <vector>
 
 namespace greengagedrum::memory
 {
@@ -16,8 +16,8 @@
     std::uint64_t bytes = 0;
 };
 
-// The index of the one to reject; none if no one holds more than `least`.
-std::optional<std::size_t> first_to_reject(std::span<const rejectable> from,
-                                           std::uint64_t least);
+// The indices of those that hold more than `least`, the first to reject first.
+std::vector<std::size_t> rejection_order(std::span<const rejectable> from,
+                                         std::uint64_t least);
 
 } // namespace greengagedrum::memory
--- a/src/greengagedrum/memory/test/account_test.cpp
+++ b/src/greengagedrum/memory/test/account_test.cpp
@@ -107,9 +107,8 @@
 {
     const std::array<rejectable, 5> all = {
         {{0, 9'000}, {2, 50}, {2, 300}, {1, 8'000}, {3, 10}}};
-    CHECK(first_to_reject(all, 20) == 2);
-    CHECK(first_to_reject(std::span(all).first(2), 100) == 0);
-    CHECK_FALSE(first_to_reject(all, 10'000));
+    CHECK(rejection_order(all, 20) == std::vector<std::size_t>{2, 1, 3, 0});
+    CHECK(rejection_order(all, 10'000).empty());
 }
 
 TEST_CASE("ended_response_has_most_unread_bytes_for_longest")
--- a/src/greengagedrum/relay/caller_connection.cpp
+++ b/src/greengagedrum/relay/caller_connection.cpp
@@ -12,6 +12,11 @@
 // holds the caller back.
 constexpr std::size_t ahead_most = 256U << 10U;
 
+// The same, and what is read at once, where memory is limited: each of some
+// 1,800 connections has these buffers.
+constexpr std::size_t limited_ahead_most = 16U << 10U;
+constexpr std::size_t limited_read_bytes = 4U << 10U;
+
 // After its last answer a connection is read until the caller closes it, for
 // so long at most. Closed with bytes unread it would be reset, and the answer
 // could be lost with it.
@@ -84,8 +89,11 @@
                                      const caller_events& events,
                                      const caller_bounds& bounds)
     : socket(std::move(socket)), events(events), bounds(bounds.read),
-      since(events.clock())
+      arrived(events.memory ? limited_read_bytes : read_bytes),
+      since(events.clock()), buffers(events.memory, memory::kind::connections),
+      unsent_room(events.memory, memory::kind::responses)
 {
+    this->buffers.resize(sizeof(*this) + this->arrived.size());
     this->begin_request();
 }
 
@@ -101,13 +109,20 @@
     this->reader = std::make_unique<request_reader>(this->bounds);
     this->since = this->events.clock();
     this->continue_sent = false;
+    this->is_classified = false;
+}
+
+std::size_t caller_connection::ahead_bound() const
+{
+    return this->events.memory ? limited_ahead_most : ahead_most;
 }
 
 // ---- Reading --------------------------------------------------------------
 
 void caller_connection::read()
 {
-    if (this->reads || this->closed || this->inbox.size() >= ahead_most)
+    if (this->reads || this->closed || this->waits ||
+        this->inbox.size() >= this->ahead_bound())
         return;
     this->reads = true;
     this->socket.async_read_some(
@@ -130,6 +145,7 @@
     if (!this->lingering) {
         if (this->inbox.empty() && !this->busy && !this->reader->head_done())
             this->since = this->events.clock();
+        this->read_at = this->events.clock();
         this->inbox.append(this->arrived.data(), count);
         this->process();
     }
@@ -144,21 +160,27 @@
         if (!taken)
             return this->refuse(taken.error());
         this->inbox.erase(0, *taken);
+        if (this->events.memory && !this->take_room())
+            return;
         if (this->reader->done()) {
             this->busy = true;
             this->events.request(this->shared_from_this(),
                                  this->events.clock() - this->since);
             continue;
         }
-        if (this->reader->head_done() && this->reader->expects_continue() &&
-            !this->continue_sent) {
-            this->continue_sent = true;
-            this->put("HTTP/1.1 100 Continue\r\n\r\n");
-        }
-        return;
+        return this->send_continue();
     }
 }
 
+void caller_connection::send_continue()
+{
+    if (!this->reader->head_done() || this->reader->done() ||
+        !this->reader->expects_continue() || this->continue_sent)
+        return;
+    this->continue_sent = true;
+    this->put("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
 void caller_connection::refuse(const read_fault& fault)
 {
     this->events.refused(fault);
@@ -226,6 +248,7 @@
 void caller_connection::finish_answer()
 {
     const bool last = this->last_answer();
+    this->release_body();
     this->busy = false;
     this->in_pieces = false;
     if (last) {
@@ -264,7 +287,10 @@
 {
     if (this->closed)
         return;
+    if (this->unsent() == 0)
+        this->taken_at = this->events.clock();
     this->outbox += bytes;
+    this->count_unsent();
     if (!this->writes)
         this->write();
 }
@@ -273,12 +299,19 @@
 {
     this->writing = std::exchange(this->outbox, {});
     this->writes = true;
+    this->taken = 0;
     asio::async_write(
         this->socket,
         asio::buffer(this->writing),
+        [self = this->shared_from_this()](error_code fault, std::size_t count) {
+            self->on_bytes_taken(count);
+            return asio::transfer_all()(fault, count);
+        },
         [self = this->shared_from_this()](error_code fault, std::size_t) {
             self->writes = false;
-            self->writing.clear();
+            self->writing = {};
+            self->taken = 0;
+            self->count_unsent();
             self->on_written(fault);
         });
 }
@@ -342,6 +375,9 @@
     if (this->closed)
         return;
     this->closed = true;
+    this->waits.reset();
+    this->body_room.resize(0);
+    this->outbox = {};
     error_code ignored; // nothing more is to be done with it
     this->socket.close(ignored);
     this->events.closed(this->shared_from_this());
--- a/src/greengagedrum/relay/caller_connection.hpp
+++ b/src/greengagedrum/relay/caller_connection.hpp
@@ -4,18 +4,25 @@
 // It always has a read under way, so that a caller that leaves is noticed
 // while its request is worked on. Requests sent ahead of an answer wait in a
 // bounded buffer.
+//
+// Where the memory of the process is limited, a body is read once there is room
+// for the whole of it. Without that, many bodies read in part could fill the
+// memory, and none of them could be finished. While a body waits, nothing is
+// read, and check_stopped() notices a caller that leaves.
 #pragma once
 
 #include <greengagedrum/base/time.hpp>
+#include <greengagedrum/memory/reservation.hpp>
+#include <greengagedrum/memory/unread_response.hpp>
 #include <greengagedrum/relay/asio.hpp>
 #include <greengagedrum/relay/message_reader.hpp>
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace greengagedrum::relay
 {
@@ -30,6 +37,12 @@
     std::optional<base::duration> retry_after;
 };
 
+// Whose room a body takes, and how urgent it is (lower: more urgent).
+struct body_class {
+    base::workspace_id workspace;
+    std::uint32_t priority = 0;
+};
+
 // What the owner of connections does for them.
 struct caller_events {
     // A whole request was read; `waited` since its first byte.
@@ -40,6 +53,14 @@
     std::function<void(const read_fault&)> refused;
     std::function<void(const caller_ptr&)> closed;
     std::function<base::instant()> clock;
+
+    // Null: the memory of the process is not limited, and what follows unused.
+    std::shared_ptr<memory::account> memory;
+    std::function<body_class(const request_head&)> classify;
+    // A request was rejected before it was read whole; it held `bytes`.
+    std::function<void(
+        const caller_ptr&, const own_answer&, std::uint64_t bytes)>
+        rejected;
 };
 
 struct caller_bounds {
@@ -87,6 +108,26 @@
     // Closes what was too slow or idle for too long.
     void check_time(base::instant now, const caller_bounds& bounds);
 
+    // ---- Only where the memory of the process is limited ----
+
+    // The room of the body that take_body() returns.
+    memory::reservation take_body_reservation();
+    // The body can't be read for want of room since then.
+    std::optional<base::instant> waiting_since() const { return this->waits; }
+    // Reads the body on if there is room by now.
+    void retry_body();
+    const body_class& classified() const { return this->body_kind; }
+    // The room taken by a body that isn't read whole yet.
+    std::uint64_t unfinished_body_bytes() const;
+    // Such a body has room, and no byte of it came for that long.
+    base::duration body_stalled(base::instant now) const;
+    // Rejects a request that isn't read whole yet.
+    void reject(const own_answer& why);
+    // Notices that the caller left while nothing is read from it, and counts
+    // what the kernel holds of this connection.
+    void check_stopped();
+    memory::unread_response unread(base::instant now) const;
+
 private:
     void read();
     void on_read(error_code fault, std::size_t count);
@@ -98,13 +139,20 @@
     void write();
     void on_written(error_code fault);
     bool last_answer() const;
+    std::size_t ahead_bound() const;
+    void send_continue();
+    bool take_room();
+    std::uint64_t room_needed() const;
+    void on_bytes_taken(std::size_t count);
+    void count_unsent();
+    void release_body();
     void linger();
     void close();
 
     tcp::socket socket;
     const caller_events& events;
     read_bounds bounds;
-    std::array<char, read_bytes> arrived{};
+    std::vector<char> arrived;
     std::string inbox;
     std::unique_ptr<request_reader> reader;
     std::string outbox;  // to be written next
@@ -119,6 +167,15 @@
     bool lingering = false; // all is written; waits for the caller to close
     bool closed = false;
     bool continue_sent = false;
+    body_class body_kind;
+    bool is_classified = false;
+    std::optional<base::instant> waits; // for room for the body
+    base::instant read_at;              // the last byte
+    base::instant taken_at;             // the caller last took a byte
+    std::size_t taken = 0;              // of `writing`
+    memory::reservation buffers;
+    memory::reservation body_room;
+    memory::reservation unsent_room;
 };
 
 // The status line and headers of an answer of our own.
--- a/src/greengagedrum/relay/message_reader.cpp
+++ b/src/greengagedrum/relay/message_reader.cpp
@@ -197,6 +197,18 @@
     return this->inner->body;
 }
 
+std::optional<std::uint64_t> request_reader::body_length() const
+{
+    if (this->inner->chunked())
+        return std::nullopt;
+    return this->inner->content_length().value_or(0);
+}
+
+void request_reader::reserve_body(std::size_t bytes)
+{
+    this->inner->body.reserve(bytes);
+}
+
 std::string request_reader::take_body()
 {
     return std::exchange(this->inner->body, {});
--- a/src/greengagedrum/relay/message_reader.hpp
+++ b/src/greengagedrum/relay/message_reader.hpp
@@ -55,6 +55,10 @@
 
     const request_head& head() const;
     const std::string& body() const;
+    // As announced by the head; empty optional for a body in chunks.
+    std::optional<std::uint64_t> body_length() const;
+    // The body is about to grow to that size.
+    void reserve_body(std::size_t bytes);
     // Leaves no body behind.
     std::string take_body();
 
--- a/src/greengagedrum/relay/upstream_call.cpp
+++ b/src/greengagedrum/relay/upstream_call.cpp
@@ -16,8 +16,8 @@
 upstream_call::upstream_call(asio::io_context& context,
                              upstream_events events,
                              bool to_head)
-    : socket(context), connect_bound(context), events(std::move(events)),
-      reader(to_head)
+    : socket(context), connect_bound(context), write_bound(context),
+      events(std::move(events)), reader(to_head)
 {
 }
 
@@ -78,10 +78,33 @@
     asio::async_write(
         this->socket,
         buffers,
+        [self = this->shared_from_this()](error_code fault, std::size_t count) {
+            self->restart_write_timer();
+            return asio::transfer_all()(fault, count);
+        },
         [self = this->shared_from_this()](error_code fault, std::size_t) {
             // The answer may have come before. A reset that the write has
             // reported shows as an orderly close on the read.
             self->write_failed = static_cast<bool>(fault);
+            self->write_ended = true;
+            self->write_bound.cancel();
+            if (!self->over)
+                self->events.written();
+        });
+}
+
+// Called for each part that was taken.
+void upstream_call::restart_write_timer()
+{
+    if (this->write_timeout.count() == 0 || this->over)
+        return;
+    this->write_bound.expires_after(this->write_timeout);
+    this->write_bound.async_wait(
+        [self = this->shared_from_this()](error_code fault) {
+            const bool answered = self->reader.head_done();
+            if (!fault && !self->over && !self->write_ended && !answered)
+                self->fail(call_fault::write_stalled,
+                           "no byte of the request was taken in time");
         });
 }
 
@@ -152,6 +175,7 @@
         return;
     this->over = true;
     this->connect_bound.cancel();
+    this->write_bound.cancel();
     error_code ignored; // nothing more is to be done with it
     this->socket.close(ignored);
     // They hold their owner, which holds this call.
--- a/src/greengagedrum/relay/upstream_call.hpp
+++ b/src/greengagedrum/relay/upstream_call.hpp
@@ -6,6 +6,7 @@
 // hundreds; measured beside a forwarder it cost 0.7 in 100 of what was earned.
 #pragma once
 
+#include <greengagedrum/base/time.hpp>
 #include <greengagedrum/relay/asio.hpp>
 #include <greengagedrum/relay/message_reader.hpp>
 
@@ -20,7 +21,8 @@
 
 enum class call_fault : std::uint8_t {
     connection_lost,
-    malformed, // what came is no answer
+    malformed,     // what came is no answer
+    write_stalled, // no byte of the request was taken for too long
 };
 
 struct outgoing_request {
@@ -31,7 +33,9 @@
 
 struct upstream_events {
     std::function<void()> connected = [] {};
-    std::function<void()> not_connected; // nothing was written
+    std::function<void()> not_connected;   // nothing was written
+    std::function<void()> written = [] {}; // the whole request, or as far as
+                                           // the connection took it
     std::function<void()> head;
     std::function<void(std::string_view)> body;
     std::function<void()> done;                          // the answer is whole
@@ -49,6 +53,13 @@
     // The same over a connection to the upstream that was made elsewhere.
     void start_on(tcp::socket connection, outgoing_request request);
 
+    // Before start: a request of which no byte is taken for that long, with no
+    // response begun, is broken off. Zero: no bound.
+    void set_write_timeout(base::duration timeout)
+    {
+        this->write_timeout = timeout;
+    }
+
     // Breaks it off; no event follows.
     void stop();
 
@@ -62,6 +73,7 @@
     void on_connected(error_code fault);
     void begin();
     void write();
+    void restart_write_timer();
     void read();
     void on_read(error_code fault, std::size_t count);
     void take();
@@ -69,6 +81,8 @@
 
     tcp::socket socket;
     asio::steady_timer connect_bound;
+    asio::steady_timer write_bound;
+    base::duration write_timeout{0};
     upstream_events events;
     outgoing_request request;
     std::array<char, read_bytes> arrived{};
@@ -80,6 +94,7 @@
     bool over = false;
     bool connected = false;
     bool write_failed = false;
+    bool write_ended = false;
 };
 
 } // namespace greengagedrum::relay
--- a/src/greengagedrum/telemetry/messages.hpp
+++ b/src/greengagedrum/telemetry/messages.hpp
@@ -73,9 +73,11 @@
     peer_frames_bad, // refused frames; each closes its link
     peer_bytes_sent,
     peer_bytes_received,
-    engine_orders // wanted states given to engines
+    engine_orders,     // wanted states given to engines
+    memory_rejections, // requests that have not run, rejected for want of room
+    memory_responses_ended // unread responses, ended for want of room
 };
-inline constexpr std::size_t counter_count = 10;
+inline constexpr std::size_t counter_count = 12;
 
 struct process_count {
     counter what = counter::ring_full;
@@ -96,9 +98,18 @@
     stopping,             // 1 while a graceful stop is under way
     requests_quarantined, // different ones that crashed upstreams
     data_centres_evacuated,
-    upstreams_rate_limited // announce a limit in their responses
+    upstreams_rate_limited, // announce a limit in their responses
+    memory_capacity,        // bytes that the account of memory may hold
+    // Bytes held; in the order of memory::kind.
+    memory_request_bodies,
+    memory_unsent_to_upstreams,
+    memory_responses,
+    memory_tunnels,
+    memory_transfers,
+    memory_gossip,
+    memory_connections
 };
-inline constexpr std::size_t gauge_count = 13;
+inline constexpr std::size_t gauge_count = 21;
 
 struct gauge_set {
     gauge what = gauge::config_age_seconds;
--- a/src/greengagedrum/telemetry/metric_descriptions.cpp
+++ b/src/greengagedrum/telemetry/metric_descriptions.cpp
@@ -36,6 +36,10 @@
     {"greengagedrum_peer_sent_bytes_total", "Bytes sent to peers."},
     {"greengagedrum_peer_received_bytes_total", "Bytes received from peers."},
     {"greengagedrum_engine_orders_total", "Wanted states given to engines."},
+    {"greengagedrum_memory_rejections_total",
+     "Requests that have not run, rejected for want of memory."},
+    {"greengagedrum_memory_responses_ended_total",
+     "Unread responses that were ended for want of memory."},
 }};
 
 constexpr std::array<metric_description, gauge_count> gauges = {{
@@ -58,6 +62,20 @@
      "Data centres whose upstreams get no new requests."},
     {"greengagedrum_upstreams_rate_limited",
      "Upstreams whose responses announce a rate limit."},
+    {"greengagedrum_memory_capacity_bytes",
+     "Bytes that may be held in all; 0: not limited."},
+    {"greengagedrum_memory_request_bodies_bytes",
+     "Held: request bodies being read or kept for another send."},
+    {"greengagedrum_memory_unsent_to_upstreams_bytes",
+     "Held: request bodies being written to upstreams."},
+    {"greengagedrum_memory_responses_bytes",
+     "Held: responses not yet read by their callers."},
+    {"greengagedrum_memory_tunnels_bytes", "Held: tunnels of peers."},
+    {"greengagedrum_memory_transfers_bytes",
+     "Held: transfers of the configuration."},
+    {"greengagedrum_memory_gossip_bytes", "Held: messages between entries."},
+    {"greengagedrum_memory_connections_bytes",
+     "Held: buffers of connections, and what stopped ones left unread."},
 }};
 
 } // namespace
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -100,7 +100,8 @@
 
 enum class interruption_cause : std::uint8_t {
     connection_lost,
-    malformed, // the data received is not a valid answer
+    malformed,     // the data received is not a valid answer
+    write_stalled, // the upstream took no byte of the request for too long
 };
 
 // The answer was interrupted or never started. The request may have run.
