--- /dev/null
+++ b/src/greengagedrum/entry/test/memory_fixture.hpp
@@ -0,0 +1,49 @@
+// The part of an entry that serves callers, in one thread, with little memory
+// and an upstream that responds to all requests alike or not at all.
+#pragma once
+
+#include <greengagedrum/entry/request_handler.hpp>
+
+#include <deque>
+#include <string>
+
+namespace greengagedrum::entry
+{
+
+class memory_fixture
+{
+public:
+    memory_fixture();
+
+    // A connection with a receive buffer of a few kilobytes, on which `bytes`
+    // have been written. Nothing is read from it.
+    relay::tcp::socket& call(const std::string& bytes);
+    static std::string head(const std::string& path, std::size_t body_bytes);
+    // Serves until the condition holds; false if it doesn't within two seconds.
+    bool run_until(const std::function<bool()>& condition,
+                   base::duration most = std::chrono::seconds(2));
+    void run_for(base::duration time);
+    // What has arrived at a caller so far.
+    static std::string received(relay::tcp::socket& from);
+    std::uint64_t counted(telemetry::counter what) const
+    {
+        return this->state.metrics.of(what);
+    }
+
+    std::string response; // of the upstream; empty: none
+    std::size_t upstream_requests = 0;
+    relay::asio::io_context context;
+    shared_state state;
+    memory::account& account;
+
+private:
+    void accept();
+
+    peer_paths paths;
+    relay::tcp::acceptor upstream;
+    std::deque<relay::tcp::socket> upstream_connections;
+    std::deque<relay::tcp::socket> callers;
+    request_handler handler;
+};
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/relay/test/upstream_call_test.cpp
+++ b/src/greengagedrum/relay/test/upstream_call_test.cpp
@@ -90,4 +90,62 @@
     CHECK_FALSE(this->whole);
 }
 
+// The request holds its memory and a slot for as long as it is being written.
+TEST_CASE("request_of_which_no_byte_is_taken_is_broken_off_as_stalled")
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::optional<call_fault> fault;
+    upstream_events events;
+    events.not_connected = [] {};
+    events.head = [] {};
+    events.body = [](std::string_view) {};
+    events.done = [] {};
+    events.broken = [&](call_fault what, const std::string&) { fault = what; };
+    const auto call =
+        std::make_shared<upstream_call>(context, std::move(events), false);
+    call->set_write_timeout(200ms);
+    call->start({"127.0.0.1", acceptor.local_endpoint().port()},
+                {"POST / HTTP/1.1\r\nContent-Length: " +
+                     std::to_string(long_body) + "\r\n\r\n",
+                 std::make_shared<const std::string>(long_body, 'x')});
+    tcp::socket upstream = acceptor.accept();
+    context.run_for(2s);
+    CHECK((fault && *fault == call_fault::write_stalled));
+}
+
+// An upstream may respond before it has read the request, and never read it.
+TEST_CASE("stalled_write_of_a_request_with_a_response_begun_goes_on")
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    bool broken = false;
+    bool whole = false;
+    upstream_events events;
+    events.not_connected = [] {};
+    events.head = [] {};
+    events.body = [](std::string_view) {};
+    events.done = [&] { whole = true; };
+    events.broken = [&](call_fault, const std::string&) { broken = true; };
+    const auto call =
+        std::make_shared<upstream_call>(context, std::move(events), false);
+    call->set_write_timeout(50ms);
+    call->start({"127.0.0.1", acceptor.local_endpoint().port()},
+                {"POST / HTTP/1.1\r\nContent-Length: " +
+                     std::to_string(long_body) + "\r\n\r\n",
+                 std::make_shared<const std::string>(long_body, 'x')});
+    tcp::socket upstream = acceptor.accept();
+    asio::write(upstream,
+                asio::buffer(std::string_view(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nha")));
+    context.run_for(300ms);
+    CHECK_FALSE(broken);
+    asio::write(upstream, asio::buffer(std::string_view("lf")));
+    context.restart();
+    context.run_for(1s);
+    CHECK(whole);
+}
+
 } // namespace greengagedrum::relay
