--- a/src/greengagedrum/entry/memory_keeping.cpp
+++ b/src/greengagedrum/entry/memory_keeping.cpp
@@ -25,8 +25,9 @@
 // can try another entry within its deadline.
 constexpr base::duration wait_most = std::chrono::seconds(2);
 
-// A body of which no byte comes for so long gives its room to one that waits.
-constexpr base::duration body_stall_most = std::chrono::seconds(2);
+// A body of which no byte comes for so long gives its room to one that waits;
+// half of `wait_most`, so that the other gets it in time.
+constexpr base::duration body_stall_most = std::chrono::seconds(1);
 
 // While a body has waited for longer than this, a response whose caller has
 // taken nothing for `stall_most` is ended. Callers that don't read would else
