Entry: checks memory every 20 ms; small send buffers to upstreams

All connections were looked at in each tick, which comes every 5 ms while requests wait. The kernel took megabytes of a body that an upstream didn't read, so that writing seemed complete and its time limit had no effect.

--- a/src/greengagedrum/entry/memory_keeping.cpp
+++ b/src/greengagedrum/entry/memory_keeping.cpp
@@ -21,6 +21,9 @@
 
 constexpr base::duration retry_after_rejection = std::chrono::seconds(1);
 
+// All connections are looked at, so not in each tick of 5 ms.
+constexpr base::duration check_period = std::chrono::milliseconds(20);
+
 // A body that waits for room longer than this is rejected, so that its caller
 // can try another entry within its deadline.
 constexpr base::duration wait_most = std::chrono::seconds(2);
@@ -88,8 +91,10 @@
 
 void request_handler::keep_to_memory()
 {
-    if (!this->state.memory)
+    const base::instant now = this->state.clock();
+    if (!this->state.memory || now - this->memory_checked_at < check_period)
         return;
+    this->memory_checked_at = now;
     const std::vector<relay::caller_ptr> connections(this->callers.begin(),
                                                      this->callers.end());
     for (const relay::caller_ptr& one : connections)
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -211,6 +211,7 @@
     dispatch::send_status_log send_statuses;
     std::uint64_t next_request = 1;
     std::size_t next_path_check = 0;
+    base::instant memory_checked_at;
     std::mt19937_64 random_engine;
     bool processing_events = false; // new events go to pending_events
     std::vector<traffic::event> pending_events;
--- a/src/greengagedrum/entry/test/memory_test.cpp
+++ b/src/greengagedrum/entry/test/memory_test.cpp
@@ -115,6 +115,7 @@
     auto& larger = this->call(request("/bulk/", 50'000));
     CHECK(
         this->run_until([&] { return this->state.scheduler.waiting() == 3; }));
+    this->run_for(100ms); // the buffers of connections are counted by then
     // Above the level by less than the larger one.
     memory::reservation filler(this->state.memory, memory::kind::gossip);
     filler.resize(this->account.levels().reject - this->account.held() +
--- a/src/greengagedrum/relay/upstream_call.cpp
+++ b/src/greengagedrum/relay/upstream_call.cpp
@@ -11,6 +11,10 @@
 // repeat the opening packet only after a second.
 constexpr auto connect_most = std::chrono::milliseconds(250);
 
+// Where writing has a time limit. The kernel would else take megabytes of a
+// request that the upstream doesn't read, and writing would seem complete.
+constexpr int timed_send_buffer = 32 << 10;
+
 } // namespace
 
 upstream_call::upstream_call(asio::io_context& context,
@@ -65,6 +69,9 @@
 {
     error_code ignored; // without it the connection is slower, no more
     this->socket.set_option(tcp::no_delay(true), ignored);
+    if (this->write_timeout.count() > 0)
+        this->socket.set_option(
+            asio::socket_base::send_buffer_size(timed_send_buffer), ignored);
     this->write();
     this->read();
 }
