--- a/src/greengagedrum/relay/upstream_call.cpp
+++ b/src/greengagedrum/relay/upstream_call.cpp
@@ -11,13 +11,17 @@
 // repeat the opening packet only after a second.
 constexpr auto connect_most = std::chrono::milliseconds(250);
 
+// Where writing has a time limit. The kernel would else take megabytes of a
+// request that the upstream doesn't read, and writing would seem complete.
+constexpr int timed_send_buffer = 32 << 10;
+
 } // namespace
 
 upstream_call::upstream_call(asio::io_context& context,
                              upstream_events events,
                              bool to_head)
-    : socket(context), connect_bound(context), events(std::move(events)),
-      reader(to_head)
+    : socket(context), connect_bound(context), write_bound(context),
+      events(std::move(events)), reader(to_head)
 {
 }
 
@@ -65,6 +69,9 @@
 {
     error_code ignored; // without it the connection is slower, no more
     this->socket.set_option(tcp::no_delay(true), ignored);
+    if (this->write_timeout.count() > 0)
+        this->socket.set_option(
+            asio::socket_base::send_buffer_size(timed_send_buffer), ignored);
     this->write();
     this->read();
 }
@@ -78,10 +85,33 @@
     asio::async_write(
         this->socket,
         buffers,
+        [self = this->shared_from_this()](error_code fault, std::size_t count) {
+            self->restart_write_timer();
+            return asio::transfer_all()(fault, count);
+        },
         [self = this->shared_from_this()](error_code fault, std::size_t) {
             // The answer may have come before. A reset that the write has
             // reported shows as an orderly close on the read.
             self->write_failed = static_cast<bool>(fault);
+            self->write_ended = true;
+            self->write_bound.cancel();
+            if (!self->over)
+                self->events.written();
+        });
+}
+
+// Called for each part that was taken.
+void upstream_call::restart_write_timer()
+{
+    if (this->write_timeout.count() == 0 || this->over)
+        return;
+    this->write_bound.expires_after(this->write_timeout);
+    this->write_bound.async_wait(
+        [self = this->shared_from_this()](error_code fault) {
+            const bool answered = self->reader.head_done();
+            if (!fault && !self->over && !self->write_ended && !answered)
+                self->fail(call_fault::write_stalled,
+                           "no byte of the request was taken in time");
         });
 }
 
@@ -152,6 +182,7 @@
         return;
     this->over = true;
     this->connect_bound.cancel();
+    this->write_bound.cancel();
     error_code ignored; // nothing more is to be done with it
     this->socket.close(ignored);
     // They hold their owner, which holds this call.
--- a/src/greengagedrum/telemetry/messages.hpp
+++ b/src/greengagedrum/telemetry/messages.hpp
@@ -78,9 +78,11 @@
     region_gossip_bytes,   // datagrams sent
     region_transfer_bytes, // configuration items received
     region_request_bytes,  // requests and their responses, both directions
-    region_tunnel_bytes    // the same by way of a peer there
+    region_tunnel_bytes,   // the same by way of a peer there
+    memory_rejections, // requests that have not run, rejected for want of room
+    memory_responses_ended // unread responses, ended for want of room
 };
-inline constexpr std::size_t counter_count = 14;
+inline constexpr std::size_t counter_count = 16;
 
 struct process_count {
     counter what = counter::ring_full;
@@ -101,9 +103,18 @@
     stopping,             // 1 while a graceful stop is under way
     requests_quarantined, // different ones that crashed upstreams
     data_centres_evacuated,
-    upstreams_rate_limited // announce a limit in their responses
+    upstreams_rate_limited, // announce a limit in their responses
+    memory_capacity,        // bytes that the account of memory may hold
+    // Bytes held; in the order of memory::kind.
+    memory_request_bodies,
+    memory_unsent_to_upstreams,
+    memory_responses,
+    memory_tunnels,
+    memory_transfers,
+    memory_gossip,
+    memory_connections
 };
-inline constexpr std::size_t gauge_count = 13;
+inline constexpr std::size_t gauge_count = 21;
 
 struct gauge_set {
     gauge what = gauge::config_age_seconds;
