Traffic: tests of kept connections teach no pace

Cause: the fixture's answers at once made the upstream that gave them look faster than the share by which a kept connection is preferred. Change: the callers of these tests leave instead.

--- a/src/greengagedrum/traffic/test/kept_upstreams_test.cpp
+++ b/src/greengagedrum/traffic/test/kept_upstreams_test.cpp
@@ -33,12 +33,13 @@
         this->tested.set_kept_upstreams(sender, {upstream});
     }
 
-    // Sends a request, ends it again and returns where it went.
+    // Sends a request and returns where it went. Its caller leaves, so that no
+    // upstream is known to be faster than another.
     base::upstream_id place(const request_facts& facts)
     {
         const base::request_id id = this->arrive(facts);
         const send_request last = this->sent();
-        this->answer(id, last.send);
+        this->step(caller_left{id});
         return last.upstream;
     }
 
@@ -123,7 +124,7 @@
         this->lose_kept_connection(id);
         CHECK(this->last_action<check_upstream>() == nullptr);
         CHECK(this->last_action<suspicion_changed>() == nullptr);
-        this->answer(id, this->sent().send);
+        this->step(caller_left{id});
     }
     CHECK(this->tested.crash_suspects().empty());
 }
