--- a/src/greengagedrum/traffic/upstream_choice.cpp
+++ b/src/greengagedrum/traffic/upstream_choice.cpp
@@ -25,9 +25,12 @@
 constexpr double order_share = 0.04;
 
 // An upstream to which the sender keeps a connection counts as this share
-// faster. It outweighs the order of the entry, but not the distance to another
-// data centre.
-constexpr double kept_share = 0.05;
+// faster. Estimates deviate by more than that, and an upstream where the
+// request would be late or disturb streams never goes first. In a simulated
+// data centre, 0.05 reused a connection for 0.25 of the requests, 0.15 for
+// 0.40. In another data centre, the share must not outweigh the distance.
+constexpr double kept_share = 0.15;
+constexpr double far_kept_share = 0.05;
 
 // Its weight in the random choice, against 1 for one without. Other entries
 // keep connections to other upstreams, so they don't all choose the same one.
@@ -236,8 +239,9 @@
             this->expected_on(one, all, query.prompt_tokens, now);
         const bool kept = std::find(query.kept.begin(), query.kept.end(), id) !=
                           query.kept.end();
+        const double bonus = this->is_near(one) ? kept_share : far_kept_share;
         const double finish =
-            this->distance(id, one) * (kept ? 1 - kept_share : 1) *
+            this->distance(id, one) * (kept ? 1 - bonus : 1) *
             (1 + unreachable_weight * unreachable.at(one.data_centre)) *
             (expected +
              this->output_seconds(one, all, query.output_tokens, now));
