Relay: test of the reuse policy without a captured binding

Cause: clang-tidy rejects a structured binding in doctest's CAPTURE. Change: the pair is captured by member.

--- a/src/greengagedrum/relay/test/reuse_policy_test.cpp
+++ b/src/greengagedrum/relay/test/reuse_policy_test.cpp
@@ -56,10 +56,10 @@
         {"tunnel", [](finished_call& one) { one.through_peer = true; }},
         {"no timeout", [](finished_call& one) { one.idle_timeout.reset(); }},
         {"zero timeout", [](finished_call& one) { one.idle_timeout = 0s; }}};
-    for (const auto& [name, apply] : changes) {
-        CAPTURE(name);
+    for (const auto& one : changes) {
+        CAPTURE(one.first);
         finished_call call = sound_call();
-        apply(call);
+        one.second(call);
         CHECK_FALSE(reuse_policy::time_to_keep(call));
     }
 }
