Gossip: a congested dispatcher hands over to an entry that is not congested

Cause: a dispatcher whose packets wait half a second delays all requests of its data centre. Change: messages carry congested, link_bytes_per_second and known_congested (absent: as before); the election ranks congested entries below all others, and the first live entry that is not congested succeeds a congested dispatcher, which serves until then. No entry announces it yet.

--- a/src/greengagedrum/gossip/dispatcher_election.cpp
+++ b/src/greengagedrum/gossip/dispatcher_election.cpp
@@ -64,15 +64,10 @@
     return out;
 }
 
-// The entry with the most processor share ranks first; the lowest address
-// breaks ties.
 bool dispatcher_election::outranks_self(ipv4_address address) const
 {
-    const std::uint32_t other_millicores =
-        this->other_entries.at(address).cpu_millicores;
-    return other_millicores != this->cpu_millicores
-               ? other_millicores > this->cpu_millicores
-               : address < this->own_address;
+    return this->rank_of(address).is_before(
+        {this->congested, this->cpu_millicores, this->own_address});
 }
 
 bool dispatcher_election::is_live(const candidate& other, base::instant now)
@@ -102,6 +97,7 @@
     sender.stopping = received.stopping;
     sender.delegating = received.delegating;
     sender.dispatches_for_others = received.dispatching;
+    sender.congested = received.congested;
     for (const known_entry& listed : received.known_entries) {
         if (listed.address == this->own_address || listed.data_centre.empty() ||
             listed.age > forget_timeout)
@@ -113,12 +109,15 @@
         // taking it for stopping. Once it ranks first they find no dispatcher
         // and dispatch their own requests.
         if (other.received_at &&
-            other.last_seen_at > *other.received_at + listed_age_error)
+            other.last_seen_at > *other.received_at + listed_age_error) {
             other.stopping = false;
+            other.congested = listed.congested;
+        }
         if (other.received_at)
             continue;
         other.data_centre = listed.data_centre;
         other.cpu_millicores = listed.cpu_millicores;
+        other.congested = listed.congested;
     }
 }
 
@@ -159,27 +158,34 @@
 dispatcher_election::ranked_candidates(base::data_centre_id in_data_centre,
                                        base::instant now) const
 {
-    std::vector<std::pair<std::uint32_t, ipv4_address>> by_rank;
+    std::vector<duty_rank> by_rank;
     for (const auto& [address, other] : this->other_entries) {
         if (other.data_centre == in_data_centre && !other.stopping &&
             now - other.last_seen_at <= forget_timeout)
-            by_rank.emplace_back(other.cpu_millicores, address);
+            by_rank.push_back(this->rank_of(address));
     }
     std::sort(by_rank.begin(), by_rank.end(), [](const auto& a, const auto& b) {
-        return a.first != b.first ? a.first > b.first : a.second < b.second;
+        return a.is_before(b);
     });
     std::vector<ipv4_address> out(by_rank.size());
     std::transform(by_rank.begin(),
                    by_rank.end(),
                    out.begin(),
-                   [](const auto& ranked) { return ranked.second; });
+                   [](const duty_rank& ranked) { return ranked.address; });
     return out;
 }
 
 std::optional<ipv4_address> dispatcher_election::dispatcher(base::instant now)
 {
     const auto first = this->higher_ranked_dispatcher(now);
-    this->current_dispatcher = first ? first : this->incumbent_dispatcher(now);
+    const auto next = first ? first : this->incumbent_dispatcher(now);
+    if (next)
+        this->succeeding = false;
+    else if (this->current_dispatcher &&
+             this->is_established(*this->current_dispatcher, now))
+        this->succeeding =
+            this->is_to_be_succeeded(*this->current_dispatcher, now);
+    this->current_dispatcher = next;
     return this->current_dispatcher;
 }
 
@@ -215,7 +221,11 @@
         const bool has_much_more_share =
             2 * this->cpu_millicores >=
             replacement_share_halves * other_millicores;
-        if (recently_started || !has_much_more_share)
+        const bool replaces =
+            this->congested == this->is_congested(*this->current_dispatcher)
+                ? has_much_more_share
+                : this->is_to_be_succeeded(*this->current_dispatcher, now);
+        if (recently_started || !replaces)
             return this->current_dispatcher;
     }
     if (!recently_started)
@@ -350,7 +360,8 @@
         out.push_back({address,
                        now - other.last_seen_at,
                        other.data_centre,
-                       other.cpu_millicores});
+                       other.cpu_millicores,
+                       other.congested});
     };
     for (const ipv4_address address :
          this->ranked_candidates(recipient_data_centre, now)) {
--- a/src/greengagedrum/gossip/dispatcher_election.hpp
+++ b/src/greengagedrum/gossip/dispatcher_election.hpp
@@ -12,13 +12,17 @@
 // timeout. An entry that has just started leaves an established dispatcher in
 // place for a while, and for good unless its own processor share is much
 // larger, since a change costs callers a pause and the new dispatcher knows
-// little of the upstreams yet. Two entries may elect differently for a moment,
-// and then both dispatch. What they dispatch beyond an upstream's slots waits
-// at the upstream and has no other effect, so the entries need no consensus.
+// little of the upstreams yet. Entries that announce that they are congested
+// rank below all others, and a congested dispatcher leaves its role to the
+// first live entry that is not congested; until that one dispatches, it remains
+// in place. Two entries may elect differently for a moment, and then both
+// dispatch. What they dispatch beyond an upstream's slots waits at the upstream
+// and has no other effect, so the entries need no consensus.
 #pragma once
 
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
+#include <greengagedrum/gossip/duty_rank.hpp>
 #include <greengagedrum/gossip/message.hpp>
 
 #include <cstdint>
@@ -55,6 +59,14 @@
     // Sets whether this entry is a dispatcher.
     void set_dispatching(bool dispatching) { this->dispatching = dispatching; }
 
+    // Sets whether this entry announces that it is congested.
+    void set_congested(bool congested) { this->congested = congested; }
+    // Whether that entry was congested when last heard from or listed.
+    bool is_congested(ipv4_address address) const;
+    // Whether this entry has no dispatcher because it succeeds a congested one,
+    // which still serves. It then need not look for another one first.
+    bool succeeds_congested() const { return this->succeeding; }
+
     // Entries seen by this one, or by one that listed them, within `max_age`.
     std::vector<located_entry> seen_within(base::duration max_age,
                                            base::instant now) const;
@@ -114,11 +126,15 @@
         bool stopping = false;
         bool delegating = false; // it delegates dispatching to another entry
         bool dispatches_for_others = false; // it is a dispatcher
+        bool congested = false;
     };
 
     using candidates = std::map<ipv4_address, candidate>;
 
+    duty_rank rank_of(ipv4_address address) const;
     bool outranks_self(ipv4_address address) const;
+    bool awaits_successor(base::instant now) const;
+    bool is_to_be_succeeded(ipv4_address address, base::instant now) const;
     std::optional<ipv4_address>
     higher_ranked_dispatcher(base::instant now) const;
     std::optional<ipv4_address> incumbent_dispatcher(base::instant now) const;
@@ -142,6 +158,8 @@
     std::uint32_t cpu_millicores; // thousandths of a processor
     base::instant started;
     bool dispatching = false;
+    bool congested = false;
+    bool succeeding = false; // see succeeds_congested
     // Result of the last election.
     std::optional<ipv4_address> current_dispatcher;
     // Start of the search for a dispatcher; empty if one is known.
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -960,7 +960,10 @@
     VT_SERVING = 60,
     VT_SUSPECTS = 62,
     VT_CRASHES = 64,
-    VT_RATE_LIMITS = 66
+    VT_RATE_LIMITS = 66,
+    VT_CONGESTED = 68,
+    VT_LINK_BYTES_PER_SECOND = 70,
+    VT_KNOWN_CONGESTED = 72
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1055,6 +1058,15 @@
   const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *>(VT_RATE_LIMITS);
   }
+  bool congested() const {
+    return GetField<uint8_t>(VT_CONGESTED, 0) != 0;
+  }
+  uint64_t link_bytes_per_second() const {
+    return GetField<uint64_t>(VT_LINK_BYTES_PER_SECOND, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *known_congested() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_KNOWN_CONGESTED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -1104,6 +1116,10 @@
            verifier.VerifyVector(crashes()) &&
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
+           VerifyField<uint8_t>(verifier, VT_CONGESTED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_LINK_BYTES_PER_SECOND, 8) &&
+           VerifyOffset(verifier, VT_KNOWN_CONGESTED) &&
+           verifier.VerifyVector(known_congested()) &&
            verifier.EndTable();
   }
 };
@@ -1205,6 +1221,15 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits) {
     fbb_.AddOffset(Message::VT_RATE_LIMITS, rate_limits);
   }
+  void add_congested(bool congested) {
+    fbb_.AddElement<uint8_t>(Message::VT_CONGESTED, static_cast<uint8_t>(congested), 0);
+  }
+  void add_link_bytes_per_second(uint64_t link_bytes_per_second) {
+    fbb_.AddElement<uint64_t>(Message::VT_LINK_BYTES_PER_SECOND, link_bytes_per_second, 0);
+  }
+  void add_known_congested(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known_congested) {
+    fbb_.AddOffset(Message::VT_KNOWN_CONGESTED, known_congested);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1248,8 +1273,12 @@
     bool serving = false,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *>> suspects = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits = 0,
+    bool congested = false,
+    uint64_t link_bytes_per_second = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known_congested = 0) {
   MessageBuilder builder_(_fbb);
+  builder_.add_link_bytes_per_second(link_bytes_per_second);
   builder_.add_digest(digest);
   builder_.add_changes(changes);
   builder_.add_change_revision(change_revision);
@@ -1257,6 +1286,7 @@
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_known_congested(known_congested);
   builder_.add_rate_limits(rate_limits);
   builder_.add_crashes(crashes);
   builder_.add_suspects(suspects);
@@ -1277,6 +1307,7 @@
   builder_.add_address(address);
   builder_.add_data_centre(data_centre);
   builder_.add_instance(instance);
+  builder_.add_congested(congested);
   builder_.add_serving(serving);
   builder_.add_delegating(delegating);
   builder_.add_kind(kind);
@@ -1316,7 +1347,10 @@
     bool serving = false,
     const std::vector<greengagedrum::gossip::wire::Suspect> *suspects = nullptr,
     const std::vector<greengagedrum::gossip::wire::Crash> *crashes = nullptr,
-    const std::vector<greengagedrum::gossip::wire::RateLimit> *rate_limits = nullptr) {
+    const std::vector<greengagedrum::gossip::wire::RateLimit> *rate_limits = nullptr,
+    bool congested = false,
+    uint64_t link_bytes_per_second = 0,
+    const std::vector<uint8_t> *known_congested = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1331,6 +1365,7 @@
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Suspect>(*suspects) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Crash>(*crashes) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::RateLimit>(*rate_limits) : 0;
+  auto known_congested__ = known_congested ? _fbb.CreateVector<uint8_t>(*known_congested) : 0;
   return greengagedrum::gossip::wire::CreateMessage(
       _fbb,
       life,
@@ -1363,7 +1398,10 @@
       serving,
       suspects__,
       crashes__,
-      rate_limits__);
+      rate_limits__,
+      congested,
+      link_bytes_per_second,
+      known_congested__);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -1,4 +1,5 @@
 #include <greengagedrum/gossip/compression.hpp>
+#include <greengagedrum/gossip/congestion_codec.hpp>
 #include <greengagedrum/gossip/dispatch_codec.hpp>
 #include <greengagedrum/gossip/gossip_generated.h>
 #include <greengagedrum/gossip/message.hpp>
@@ -230,7 +231,10 @@
                             sent.dispatching,
                             suspects.suspects,
                             suspects.crashes,
-                            rate_limits);
+                            rate_limits,
+                            sent.congested,
+                            sent.link_bytes_per_second,
+                            write_known_congestion(builder, sent));
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -263,6 +267,7 @@
     if (const auto* list = root->known())
         out.known_entries = known_entries_of(*list, root->standings());
     out.cpu_millicores = root->strength();
+    read_congestion(*root, out);
     out.uptime = std::chrono::milliseconds(root->lived_for_ms());
     out.kind = kind_of(root->kind());
     out.delegating = root->delegating();
--- a/src/greengagedrum/gossip/message.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -35,6 +35,7 @@
     base::duration age{0}; // since the last message from it
     base::data_centre_id data_centre{};
     std::uint32_t cpu_millicores = 0; // thousandths of a processor
+    bool congested = false;
 };
 
 enum class message_kind : std::uint8_t {
@@ -75,6 +76,9 @@
     std::vector<quota::workspace_usage> workspace_usage;
     std::vector<known_entry> known_entries;
     std::uint32_t cpu_millicores = 0; // thousandths of a processor
+    // See duty_fitness.
+    bool congested = false;
+    std::uint64_t link_bytes_per_second = 0; // 0: unknown
     // Uptime of the sender's process: a lower bound, capped at an hour.
     base::duration uptime{0};
     dispatch::member_report report;
