--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -71,12 +71,11 @@
     this->make_request_handler();
     this->peer_datagram_socket = std::make_unique<peer_socket>(
         this->context, initial_settings.ip, initial_settings.peer_port);
-    this->peers = std::make_unique<peer_protocol>(
-        initial_settings,
-        this->incarnation,
-        this->state,
-        this->make_peer_events(),
-        this->peer_datagram_socket->transport());
+    this->peers = std::make_unique<peer_protocol>(initial_settings,
+                                                  this->incarnation,
+                                                  this->state,
+                                                  this->make_peer_events(),
+                                                  this->make_peer_transport());
     this->peer_datagram_socket->start(
         [this](std::string_view bytes, const std::string& from) {
             this->peers->on_message(bytes, from);
@@ -288,6 +287,7 @@
     set(telemetry::gauge::log_lines_dropped,
         static_cast<double>(logs::dropped_lines() +
                             this->state.log.suppressed_lines()));
+    set(telemetry::gauge::congested, this->peers->is_congested() ? 1 : 0);
     set(telemetry::gauge::stopping, this->state.stopping ? 1 : 0);
     return telemetry::prometheus_text(registry);
 }
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -45,6 +45,7 @@
 
 private:
     peer_events make_peer_events();
+    peer_transport make_peer_transport();
     peer_paths::owner make_path_events();
     relay::tunnel_server::owner make_tunnel_events();
     void listen_for_tunnels();
--- a/src/greengagedrum/entry/entry_paths.cpp
+++ b/src/greengagedrum/entry/entry_paths.cpp
@@ -83,6 +83,21 @@
     }
 }
 
+peer_transport entry::make_peer_transport()
+{
+    if (this->own_settings.assigns_duties_by_load())
+        this->peer_datagram_socket->count_datagrams();
+    peer_transport out = this->peer_datagram_socket->transport();
+    out.observe_queues = [this] {
+        gossip::load_observation observed = this->peer_datagram_socket->queue();
+        if (this->control_server)
+            observed.transfer_bytes_unsent =
+                this->control_server->unsent_bytes();
+        return observed;
+    };
+    return out;
+}
+
 void entry::make_request_handler()
 {
     this->paths = std::make_unique<peer_paths>(this->own_settings.instance,
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -47,6 +47,7 @@
                base::data_centre_id(given.data_centre),
                strength_of(given),
                state.clock()),
+      fitness(given.link_bytes_per_second), ticked_at(state.clock()),
       started_at(state.clock()), running_since(state.clock()),
       counted_at(state.clock()), half_dispatched_since(state.clock()),
       dispatcher_seen_at(state.clock()), dispatching_since(state.clock())
@@ -58,6 +59,7 @@
 void peer_protocol::apply_settings(const settings& given)
 {
     this->own_settings = given;
+    this->duties_by_load = given.assigns_duties_by_load();
     for (const base::ip_endpoint& one : given.seeds)
         this->table.add_seed(
             relay::asio::ip::make_address_v4(one.ip).to_uint());
@@ -237,6 +239,10 @@
     out.address =
         relay::asio::ip::make_address_v4(this->own_settings.ip).to_uint();
     out.cpu_millicores = strength_of(this->own_settings);
+    out.congested = this->congestion_announced;
+    if (this->duties_by_load)
+        out.link_bytes_per_second = static_cast<std::uint64_t>(
+            this->own_settings.link_bytes_per_second);
     out.uptime = now - this->started_at;
     out.stopping = this->state.stopping;
     out.configuration_revision = this->state.cluster.configuration_revision();
@@ -298,6 +304,7 @@
 void peer_protocol::tick(bool store_fails)
 {
     const base::instant now = this->state.clock();
+    this->observe_load(now);
     this->send_due();
     if (now - this->checked_at < check_interval)
         return;
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -16,6 +16,7 @@
 #include <greengagedrum/entry/settings.hpp>
 #include <greengagedrum/entry/transfer_sources.hpp>
 #include <greengagedrum/gossip/dispatcher_election.hpp>
+#include <greengagedrum/gossip/duty_fitness.hpp>
 #include <greengagedrum/gossip/gossip_schedule.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
 
@@ -99,11 +100,18 @@
     // Whether that address is known as an entry's.
     bool knows_entry(const std::string& ip) const;
     std::size_t recently_live_peers() const;
+    // False unless duties are assigned by load.
+    bool is_congested() const
+    {
+        return this->duties_by_load && this->fitness.is_congested();
+    }
 
 private:
     void send_due();
     void send_load(gossip::recipient_group recipients);
     void set_timer();
+    void observe_load(base::instant now);
+    void announce_congestion(bool congested, base::instant now);
     gossip::message make_message(gossip::message_kind kind);
     gossip::message make_load_message(gossip::recipient_group recipients);
 
@@ -193,6 +201,10 @@
     };
 
     gossip::dispatcher_election election;
+    gossip::duty_fitness fitness;
+    bool congestion_announced = false;
+    bool duties_by_load = false; // see settings
+    base::instant ticked_at;
     base::instant started_at;    // start of this process
     base::instant running_since; // start of operation without a pause
     base::instant counted_at;
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -264,7 +264,8 @@
     if (next)
         this->dispatcher_seen_at = now;
     const bool dispatcher_expected =
-        !next && now - this->dispatcher_seen_at < dispatcher_wait &&
+        !next && !this->election.succeeds_congested() &&
+        now - this->dispatcher_seen_at < dispatcher_wait &&
         !this->election.probe_targets(now).empty();
     this->set_role(next.has_value() || dispatcher_expected, now);
     if (this->state.delegating)
--- a/src/greengagedrum/entry/peer_socket.cpp
+++ b/src/greengagedrum/entry/peer_socket.cpp
@@ -1,5 +1,9 @@
 #include <greengagedrum/entry/peer_socket.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace greengagedrum::entry
@@ -64,9 +68,31 @@
 {
     const relay::udp::endpoint receiver(relay::asio::ip::address_v4(to),
                                         this->port);
+    const std::uint64_t unsent_before =
+        this->counting ? this->bytes_unsent() : 0;
     relay::error_code ignored;
     this->socket.send_to(
         relay::asio::buffer(bytes.data(), bytes.size()), receiver, 0, ignored);
+    if (!this->counting)
+        return;
+    // What left in between is not counted as written either.
+    const std::uint64_t unsent = this->bytes_unsent();
+    this->bytes_written += unsent - std::min(unsent, unsent_before);
+}
+
+std::uint64_t peer_socket::bytes_unsent()
+{
+    int count = 0;
+    const int failed = ::ioctl(this->socket.native_handle(), SIOCOUTQ, &count);
+    return failed == 0 && count > 0 ? static_cast<std::uint64_t>(count) : 0;
+}
+
+gossip::load_observation peer_socket::queue()
+{
+    gossip::load_observation out;
+    out.datagram_bytes_written = this->bytes_written;
+    out.datagram_bytes_unsent = this->bytes_unsent();
+    return out;
 }
 
 void peer_socket::start_timer(base::duration after)
--- a/src/greengagedrum/entry/peer_socket.hpp
+++ b/src/greengagedrum/entry/peer_socket.hpp
@@ -26,12 +26,19 @@
     // The result refers to this object and must not outlive it.
     peer_transport transport();
 
+    // Datagrams are counted from now on, for `queue`.
+    void count_datagrams() { this->counting = true; }
+    // The bytes written to the datagram socket, and those that have not left
+    // it, as the kernel charges them: with its overhead.
+    gossip::load_observation queue();
+
     void start(datagram_handler on_datagram, std::function<void()> on_timer);
 
 private:
     void receive();
     void send(std::string_view bytes, gossip::ipv4_address to);
     void start_timer(base::duration after);
+    std::uint64_t bytes_unsent();
 
     relay::udp::socket socket;
     relay::udp::endpoint remote;
@@ -40,6 +47,8 @@
     relay::asio::steady_timer timer;
     std::shared_ptr<relay::http_get> client;
     std::uint16_t port;
+    bool counting = false;
+    std::uint64_t bytes_written = 0; // as the kernel charges them
     datagram_handler on_datagram;
     std::function<void()> on_timer;
 };
--- a/src/greengagedrum/entry/peer_transport.hpp
+++ b/src/greengagedrum/entry/peer_transport.hpp
@@ -4,6 +4,7 @@
 
 #include <greengagedrum/base/ip_address.hpp>
 #include <greengagedrum/base/time.hpp>
+#include <greengagedrum/gossip/duty_fitness.hpp>
 #include <greengagedrum/gossip/message.hpp>
 #include <greengagedrum/relay/http_get.hpp>
 
@@ -27,6 +28,9 @@
                        const relay::answer_limits& limits,
                        relay::http_get::answer on_answer)>
         fetch;
+
+    // The bytes that wait to be sent; empty: not observed.
+    std::function<gossip::load_observation()> observe_queues;
 };
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/relay/caller_connection.cpp
+++ b/src/greengagedrum/relay/caller_connection.cpp
@@ -1,5 +1,9 @@
 #include <greengagedrum/relay/caller_connection.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+#include <algorithm>
 #include <charconv>
 
 namespace greengagedrum::relay
@@ -260,6 +264,16 @@
     return this->outbox.size() + this->writing.size();
 }
 
+std::size_t caller_connection::unsent_on_link()
+{
+    int count = 0;
+    const bool known =
+        !this->closed &&
+        ::ioctl(this->socket.native_handle(), SIOCOUTQNSD, &count) == 0;
+    return std::max(this->unsent(),
+                    known ? static_cast<std::size_t>(std::max(count, 0)) : 0);
+}
+
 void caller_connection::put(std::string_view bytes)
 {
     if (this->closed)
--- a/src/greengagedrum/relay/caller_connection.hpp
+++ b/src/greengagedrum/relay/caller_connection.hpp
@@ -79,6 +79,9 @@
     bool pieces_begun() const { return this->in_pieces; }
     // Bytes that the caller has not taken yet.
     std::size_t unsent() const;
+    // As above, or if they are more, the bytes that the kernel has taken and
+    // not sent once.
+    std::size_t unsent_on_link();
 
     // Answers say that the connection closes, see `close_idle`.
     void set_closing() { this->closing = true; }
--- a/src/greengagedrum/relay/small_server.cpp
+++ b/src/greengagedrum/relay/small_server.cpp
@@ -78,6 +78,14 @@
         one->check_time(now, caller_bounds());
 }
 
+std::size_t small_server::unsent_bytes() const
+{
+    std::size_t out = 0;
+    for (const caller_ptr& one : this->callers)
+        out += one->unsent_on_link();
+    return out;
+}
+
 void small_server::stop()
 {
     error_code ignored; // closed either way
--- a/src/greengagedrum/relay/small_server.hpp
+++ b/src/greengagedrum/relay/small_server.hpp
@@ -40,6 +40,9 @@
 
     void stop();
 
+    // Bytes of answers that have not been sent.
+    std::size_t unsent_bytes() const;
+
 private:
     void accept();
     void on_request(const caller_ptr& from);
--- a/src/greengagedrum/telemetry/messages.hpp
+++ b/src/greengagedrum/telemetry/messages.hpp
@@ -96,9 +96,10 @@
     stopping,             // 1 while a graceful stop is under way
     requests_quarantined, // different ones that crashed upstreams
     data_centres_evacuated,
-    upstreams_rate_limited // announce a limit in their responses
+    upstreams_rate_limited, // announce a limit in their responses
+    congested               // 1 while packets sent wait for half a second
 };
-inline constexpr std::size_t gauge_count = 13;
+inline constexpr std::size_t gauge_count = 14;
 
 struct gauge_set {
     gauge what = gauge::config_age_seconds;
--- a/src/greengagedrum/telemetry/metric_descriptions.cpp
+++ b/src/greengagedrum/telemetry/metric_descriptions.cpp
@@ -58,6 +58,8 @@
      "Data centres whose upstreams get no new requests."},
     {"greengagedrum_upstreams_rate_limited",
      "Upstreams whose responses announce a rate limit."},
+    {"greengagedrum_congested",
+     "1 while packets that the entry sends wait for half a second."},
 }};
 
 } // namespace
