Entry: transfers and tunnels avoid congested entries and small links

Cause: an entry with 10 Mbit/s sent as many large configurations at a time as one with 200 Mbit/s. Change: transfer_sources assigns one transfer per 10 Mbit/s of the holder's link, 1 to 8 (3 where it is unknown, as before), and no congested holder beside others; choose_peer takes congested peers last.

--- a/src/greengagedrum/entry/item_fetching.cpp
+++ b/src/greengagedrum/entry/item_fetching.cpp
@@ -137,15 +137,21 @@
 }
 
 // This entry, and its members that hold the same configuration.
-std::vector<gossip::ipv4_address> peer_protocol::configuration_holders() const
+std::vector<configuration_holder> peer_protocol::configuration_holders() const
 {
     const base::instant now = this->state.clock();
-    std::vector<gossip::ipv4_address> out{this->table.address()};
+    std::vector<configuration_holder> out{
+        {this->table.address(),
+         this->duties_by_load ? static_cast<std::uint64_t>(
+                                    this->own_settings.link_bytes_per_second)
+                              : 0,
+         this->is_congested()}};
     for (const auto& [slot, one] : this->members) {
         if (now - one.heard_at <= holder_max_age &&
             one.configuration_revision ==
                 this->state.cluster.configuration_revision())
-            out.push_back(one.address);
+            out.push_back(
+                {one.address, one.link_bytes_per_second, one.congested});
     }
     return out;
 }
--- a/src/greengagedrum/entry/peer_paths.cpp
+++ b/src/greengagedrum/entry/peer_paths.cpp
@@ -126,7 +126,7 @@
     // So many sends more are worth a peer in the own data centre.
     constexpr std::size_t distance_worth = 4;
     std::optional<base::ip_endpoint> best;
-    std::tuple<std::size_t, std::size_t> best_cost;
+    std::tuple<bool, std::size_t, std::size_t> best_cost;
     for (const reachable_peer& one : this->events.live_peers()) {
         const auto known = this->peers.find(one.address.ip);
         const bool avoided = known != this->peers.end() &&
@@ -138,6 +138,7 @@
         const std::size_t users =
             known == this->peers.end() ? 0 : *known->second.users;
         const std::tuple cost{
+            one.congested,
             users + (one.in_own_data_centre ? 0 : distance_worth),
             std::hash<std::string>{}(this->own_instance + one.address.ip)};
         if (best && cost >= best_cost)
--- a/src/greengagedrum/entry/peer_paths.hpp
+++ b/src/greengagedrum/entry/peer_paths.hpp
@@ -29,6 +29,7 @@
     base::ip_endpoint address;
     base::data_centre_id data_centre;
     bool in_own_data_centre = false;
+    bool congested = false;
 };
 
 class peer_paths
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -88,7 +88,8 @@
         out.push_back({{relay::asio::ip::address_v4(address).to_string(),
                         this->own_settings.peer_port},
                        data_centre,
-                       data_centre == own});
+                       data_centre == own,
+                       this->election.is_congested(address)});
     return out;
 }
 
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -163,7 +163,7 @@
                      const gossip::transfer_referral& referral);
     void log_failed_fetch(gossip::ipv4_address from, const std::string& why);
     item_query newer_items_query() const;
-    std::vector<gossip::ipv4_address> configuration_holders() const;
+    std::vector<configuration_holder> configuration_holders() const;
 
     settings own_settings;
     base::incarnation incarnation;
@@ -198,6 +198,8 @@
         gossip::ipv4_address address = 0;
         base::instant heard_at;
         std::uint64_t configuration_revision = 0;
+        std::uint64_t link_bytes_per_second = 0; // 0: unknown
+        bool congested = false;
     };
 
     gossip::dispatcher_election election;
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -125,8 +125,11 @@
         this->answer_dispatcher_query(received, now);
         return;
     }
-    this->members[slot] = {
-        received.address, now, received.configuration_revision};
+    this->members[slot] = {received.address,
+                           now,
+                           received.configuration_revision,
+                           received.link_bytes_per_second,
+                           received.congested};
     this->sources.on_revision(received.address,
                               received.configuration_revision);
     this->state.limiter.forget_peer(slot);
--- a/src/greengagedrum/entry/test/peer_paths_test.cpp
+++ b/src/greengagedrum/entry/test/peer_paths_test.cpp
@@ -158,4 +158,17 @@
     CHECK_FALSE(this->paths.choose_peer(engines, only_yard, tried));
 }
 
+// Failure guarded against: a request that has lost its own path waits at the
+// link of a congested peer as well.
+TEST_CASE_FIXTURE(paths_fixture, "congested_peer_is_used_only_if_all_are")
+{
+    for (reachable_peer& one : this->live)
+        one.congested = one.in_own_data_centre;
+    const auto chosen = this->paths.choose_peer(engines, anywhere, {});
+    REQUIRE(chosen);
+    CHECK(chosen->ip == "10.0.1.1");
+    CHECK(this->paths.choose_peer(
+        engines, anywhere, std::vector<base::ip_endpoint>{*chosen}));
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/test/transfer_sources_test.cpp
+++ b/src/greengagedrum/entry/test/transfer_sources_test.cpp
@@ -15,11 +15,13 @@
 
 constexpr gossip::ipv4_address own = 1;
 constexpr std::uint64_t revision = 9;
+constexpr std::uint64_t weak_link = 1'250'000;    // 10 Mbit/s
+constexpr std::uint64_t strong_link = 25'000'000; // 200 Mbit/s
 
 struct sources_fixture {
     base::instant now{1h};
     transfer_sources sources;
-    std::vector<gossip::ipv4_address> holders{own};
+    std::vector<configuration_holder> holders{{own}};
 
     std::optional<gossip::ipv4_address> assign(gossip::ipv4_address receiver)
     {
@@ -42,7 +44,7 @@
 
 TEST_CASE_FIXTURE(sources_fixture, "receivers_are_spread_over_all_holders")
 {
-    this->holders = {own, 2, 3};
+    this->holders = {{own}, {2}, {3}};
     std::vector<int> served(4);
     for (gossip::ipv4_address receiver = 10; receiver < 19; ++receiver)
         served[this->assign(receiver).value()] += 1;
@@ -54,11 +56,11 @@
 TEST_CASE_FIXTURE(sources_fixture,
                   "receiver_that_asks_again_gets_another_holder")
 {
-    this->holders = {own, 2};
+    this->holders = {{own}, {2}};
     CHECK(this->assign(10) == own);
     CHECK(this->assign(11) == 2);
     CHECK(this->assign(11) == own);
-    this->holders = {own};
+    this->holders = {{own}};
     CHECK(this->assign(10) == own);
 }
 
@@ -74,4 +76,34 @@
     CHECK(this->assign(13) == own);
 }
 
+// Failure guarded against: a small entry serves as many as a large one, and its
+// link delays all of them and its own packets.
+TEST_CASE_FIXTURE(sources_fixture, "entry_with_larger_link_serves_more")
+{
+    this->holders = {{own, weak_link}, {2, strong_link}};
+    std::vector<int> served(3);
+    for (gossip::ipv4_address receiver = 10; receiver < 19; ++receiver)
+        served[this->assign(receiver).value()] += 1;
+    CHECK(served == std::vector<int>{0, 1, 8});
+    CHECK_FALSE(this->assign(19));
+}
+
+TEST_CASE_FIXTURE(sources_fixture, "congested_entry_serves_none_beside_others")
+{
+    this->holders = {{own, strong_link, true}, {2, weak_link}};
+    CHECK(this->assign(10) == 2);
+    CHECK_FALSE(this->assign(11));
+}
+
+// If the only others are congested too, or asking, the configuration still has
+// to arrive.
+TEST_CASE_FIXTURE(sources_fixture,
+                  "congested_entry_serves_if_all_are_congested")
+{
+    this->holders = {{own, strong_link, true}, {2, weak_link, true}};
+    CHECK(this->assign(10) == own);
+    this->holders = {{own, strong_link, true}, {11, weak_link}};
+    CHECK(this->assign(11) == own);
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/transfer_sources.hpp
+++ b/src/greengagedrum/entry/transfer_sources.hpp
@@ -4,7 +4,8 @@
 // among all of them, and the last one would have the configuration no sooner
 // than the sum of all transfers takes. Each entry that has it serves a few
 // others at a time instead, so the number of those that have it multiplies with
-// each round.
+// each round. How many it serves depends on its link, where that is known; an
+// entry that is congested serves none while there are others.
 #pragma once
 
 #include <greengagedrum/base/time.hpp>
@@ -17,6 +18,13 @@
 namespace greengagedrum::entry
 {
 
+// An entry that has the configuration.
+struct configuration_holder {
+    gossip::ipv4_address address = 0;
+    std::uint64_t link_bytes_per_second = 0; // 0: unknown
+    bool congested = false;
+};
+
 class transfer_sources
 {
 public:
@@ -24,7 +32,7 @@
     // `receiver`; empty: all are busy. The first holder is this entry itself.
     std::optional<gossip::ipv4_address>
     assign(gossip::ipv4_address receiver,
-           std::span<const gossip::ipv4_address> holders,
+           std::span<const configuration_holder> holders,
            std::uint64_t revision,
            base::instant now);
 
@@ -38,6 +46,8 @@
         base::instant started_at;
     };
 
+    std::size_t load_of(gossip::ipv4_address sender) const;
+
     std::unordered_map<gossip::ipv4_address, transfer> transfers; // by receiver
 };
 
