Entry: the next entry takes over 0.15 s after a silent higher-ranked one

Cause: when the two strong entries of a data centre were lost together, the next one waited until both had left its probes unanswered, and all members dispatched for themselves meanwhile. Change: where duties go by load, an entry waits 150 ms for each successor that ranks above it and was listed live within a second, and not for the lost dispatcher; after a pause of its own it waits for an answer.

--- a/src/greengagedrum/entry/peer_fitness.cpp
+++ b/src/greengagedrum/entry/peer_fitness.cpp
@@ -14,6 +14,11 @@
 // The longest interval of ticks; a tick after a longer time is late.
 constexpr base::duration max_tick_interval = std::chrono::milliseconds(50);
 
+// A pause in which the messages of several heartbeats arrived unread, and the
+// time until others have been heard from again.
+constexpr base::duration noticeable_pause = std::chrono::milliseconds(150);
+constexpr base::duration catch_up_time = std::chrono::milliseconds(500);
+
 // A dispatcher does not announce a congestion that began within this time after
 // it took over: each change costs callers a pause, and a data centre whose
 // entries congest one after the other would change all the time.
@@ -31,6 +36,8 @@
                                             : gossip::load_observation();
     observed.lateness =
         std::max(since - max_tick_interval, base::duration::zero());
+    if (observed.lateness >= noticeable_pause)
+        this->late_tick_at = now;
     if (this->fitness.observe(observed, now))
         this->state.log.write(
             now,
@@ -45,6 +52,13 @@
     this->announce_congestion(this->fitness.is_congested(), now);
 }
 
+// The tick that notices a pause may come after messages that arrived in it.
+bool peer_protocol::paused_lately(base::instant now) const
+{
+    return now - this->ticked_at >= max_tick_interval + noticeable_pause ||
+           now - this->late_tick_at < catch_up_time;
+}
+
 void peer_protocol::announce_congestion(bool congested, base::instant now)
 {
     const bool is_held_back =
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -112,6 +112,7 @@
     void set_timer();
     void observe_load(base::instant now);
     void announce_congestion(bool congested, base::instant now);
+    bool paused_lately(base::instant now) const;
     gossip::message make_message(gossip::message_kind kind);
     gossip::message make_load_message(gossip::recipient_group recipients);
 
@@ -136,6 +137,7 @@
     bool dispatcher_reads_store(base::duration bound, base::instant now) const;
     bool is_serving_members() const;
     void update_role(base::instant now);
+    bool expects_dispatcher(base::instant now);
     void set_role(bool delegating, base::instant now);
     void update_counts(base::instant now);
     void track_uptime(base::instant now);
@@ -207,6 +209,7 @@
     bool congestion_announced = false;
     bool duties_by_load = false; // see settings
     base::instant ticked_at;
+    base::instant late_tick_at;
     base::instant started_at;    // start of this process
     base::instant running_since; // start of operation without a pause
     base::instant counted_at;
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -18,6 +18,10 @@
 // upstreams that other entries have filled already.
 constexpr base::duration dispatcher_wait = std::chrono::milliseconds(500);
 
+// Time for which each higher-ranked successor is waited for: the interval of
+// probes, and their way there and back.
+constexpr base::duration successor_wait = std::chrono::milliseconds(150);
+
 // A dispatcher query of the same entry is answered at most once in this time; a
 // start of all entries at once brings hundreds of queries to each seed.
 constexpr base::duration query_answer_interval = std::chrono::milliseconds(150);
@@ -266,11 +270,7 @@
     }
     if (next)
         this->dispatcher_seen_at = now;
-    const bool dispatcher_expected =
-        !next && !this->election.succeeds_congested() &&
-        now - this->dispatcher_seen_at < dispatcher_wait &&
-        !this->election.probe_targets(now).empty();
-    this->set_role(next.has_value() || dispatcher_expected, now);
+    this->set_role(next.has_value() || this->expects_dispatcher(now), now);
     if (this->state.delegating)
         return this->schedule.set_member_intervals();
     this->schedule.set_dispatcher_intervals();
@@ -280,6 +280,31 @@
         this->send_dispatcher_query({*former}, now);
 }
 
+// Whether this entry, which has no dispatcher, waits for the next one.
+//
+// Failure guarded against: the two strong entries of a data centre are lost
+// together, and the next one waits until both have left its probes unanswered,
+// 0.8 s after their last message. Where duties go by load, it waits a short
+// time for each entry that would succeed before it, and not for the lost one.
+// After a pause of its own, when all others seem silent, it waits for an
+// answer.
+bool peer_protocol::expects_dispatcher(base::instant now)
+{
+    if (this->dispatcher || this->election.succeeds_congested())
+        return false;
+    const bool had_dispatcher = this->dispatcher_seen_at > this->started_at;
+    if (this->election.probe_targets(now).empty())
+        return false;
+    base::duration wait = dispatcher_wait;
+    if (this->duties_by_load && had_dispatcher) {
+        if (this->paused_lately(now))
+            return this->state.delegating;
+        wait = std::min<base::duration>(
+            wait, successor_wait * this->election.successors_before_self(now));
+    }
+    return now - this->dispatcher_seen_at < wait;
+}
+
 void peer_protocol::set_role(bool delegating, base::instant now)
 {
     if (delegating == this->state.delegating)
--- a/src/greengagedrum/gossip/dispatcher_election.hpp
+++ b/src/greengagedrum/gossip/dispatcher_election.hpp
@@ -67,6 +67,9 @@
     // which still serves. It then need not look for another one first.
     bool succeeds_congested() const { return this->succeeding; }
 
+    // Live entries that would succeed the dispatcher before this entry does.
+    std::size_t successors_before_self(base::instant now) const;
+
     // Entries seen by this one, or by one that listed them, within `max_age`.
     std::vector<located_entry> seen_within(base::duration max_age,
                                            base::instant now) const;
@@ -133,7 +136,7 @@
 
     duty_rank rank_of(ipv4_address address) const;
     bool outranks_self(ipv4_address address) const;
-    bool awaits_successor(base::instant now) const;
+    bool may_succeed(ipv4_address address, base::instant now) const;
     bool is_to_be_succeeded(ipv4_address address, base::instant now) const;
     std::optional<ipv4_address>
     higher_ranked_dispatcher(base::instant now) const;
--- a/src/greengagedrum/gossip/test/dispatcher_election_congestion_test.cpp
+++ b/src/greengagedrum/gossip/test/dispatcher_election_congestion_test.cpp
@@ -97,6 +97,19 @@
     CHECK_FALSE(this->election.dispatcher(this->now));
 }
 
+// Failure guarded against: the next entry waits for one that is lost as well.
+TEST_CASE_FIXTURE(congestion_fixture, "lost_dispatcher_is_no_successor")
+{
+    this->receive_from_dispatcher(
+        70, false, known_entry{40, 50ms, {}, small_share});
+    CHECK(this->election.dispatcher(this->now) == 70);
+    this->now += 360ms;
+    CHECK_FALSE(this->election.dispatcher(this->now));
+    CHECK(this->election.successors_before_self(this->now) == 1);
+    this->now += 700ms;
+    CHECK(this->election.successors_before_self(this->now) == 0);
+}
+
 TEST_CASE_FIXTURE(congestion_fixture,
                   "ranking_is_unchanged_if_all_are_congested")
 {
