Entry tests: fleets whose strong entries are lost, slowed or congested

Change: virtual_fleet has two strong entries in each data centre where a plan asks for them, with links of their own, and strong_entry_faults; the configuration fleet records pauses, changes of role and who dispatches.

--- a/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet.cpp
@@ -26,11 +26,15 @@
 constexpr double base64_expansion = 4.0 / 3;
 constexpr double bytes_of_other_changes = 2000;
 
+// Time in which dispatchers have changed after a fault, in seconds.
+constexpr double settling_time = 4;
+
 } // namespace
 
 configuration_fleet::configuration_fleet(const configuration_plan& plan)
     : plan(plan), readers(plan.entries), changes_in_force(plan.entries),
-      requests(plan.entries), routes(plan.routes), fleet(plan, this->hooks())
+      served_at(plan.entries), requests(plan.entries), routes(plan.routes),
+      fleet(plan, this->hooks())
 {
     this->document.key = platform::configuration_key;
     this->write_configuration();
@@ -67,12 +71,19 @@
             own.known_revision = std::max(own.known_revision,
                                           entry.state.cluster.store_revision());
     };
-    out.delegation_started = [&entry] { entry.state.delegating = true; };
-    out.delegation_ended = [&entry](std::size_t, const limit_handover*) {
+    out.delegation_started = [this, &entry] {
+        entry.state.delegating = true;
+        this->served_at[entry.number] = this->fleet.time();
+        this->record_role_change();
+    };
+    out.delegation_ended = [this, &entry](std::size_t, const limit_handover*) {
         entry.state.delegating = false;
+        this->record_role_change();
     };
     out.make_report = [] { return dispatch::member_report(); };
-    out.reply_received = [](const dispatch::dispatcher_reply&) {};
+    out.reply_received = [this, &entry](const dispatch::dispatcher_reply&) {
+        this->served_at[entry.number] = this->fleet.time();
+    };
     out.report_received = [this, &entry](base::slot_id member,
                                          const gossip::message& message) {
         this->requests[entry.number].on_report(member,
@@ -223,12 +234,47 @@
     }
 }
 
+void configuration_fleet::record_role_change()
+{
+    if (this->fleet.seconds() >= this->plan.strong_entries.from)
+        this->result.role_changes += 1;
+    if (this->fleet.seconds() >= this->plan.strong_entries.from + settling_time)
+        this->result.late_role_changes += 1;
+}
+
+void configuration_fleet::record_pauses()
+{
+    const strong_entry_faults& faults = this->fleet.faults_of_strong();
+    const base::instant now = this->fleet.time();
+    if (this->fleet.seconds() < this->plan.strong_entries.from)
+        return;
+    this->result.dispatchers = 0;
+    this->result.strong_dispatchers = 0;
+    for (std::size_t number = 0; number < this->fleet.size(); ++number) {
+        const node* one = this->fleet.at(number);
+        if (one == nullptr)
+            continue;
+        if (!one->state.delegating) {
+            this->served_at[number] = now;
+            this->result.dispatchers += 1;
+            this->result.strong_dispatchers += faults.is_strong(number) ? 1 : 0;
+        }
+        if (faults.is_strong(number))
+            continue;
+        const base::duration pause = now - this->served_at[number];
+        this->result.longest_pause =
+            std::max(this->result.longest_pause,
+                     std::chrono::duration<double>(pause).count());
+    }
+}
+
 configuration_result configuration_fleet::simulate()
 {
     while (this->fleet.seconds() < this->plan.seconds) {
         this->fleet.step();
         this->apply_due_changes();
         this->record_delays();
+        this->record_pauses();
     }
     this->result.document_bytes = this->document.value.size();
     this->result.failed_transfers = this->fleet.failed_fetches();
--- a/src/greengagedrum/entry/fleet_test/configuration_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/configuration_fleet.hpp
@@ -31,6 +31,15 @@
     std::uint64_t failed_transfers = 0; // from peers
     std::uint64_t store_calls = 0;
     std::size_t document_bytes = 0; // of the last configuration
+    // From the fault of the strong entries on: the longest time in which an
+    // entry that delegates got no reply, in seconds; how often entries changed
+    // between dispatching and delegating; and the entries that dispatch at the
+    // end, of these strong ones.
+    double longest_pause = 0;
+    std::uint64_t role_changes = 0;
+    std::uint64_t late_role_changes = 0; // more than 4 s after the fault
+    std::size_t dispatchers = 0;
+    std::size_t strong_dispatchers = 0;
 };
 
 class configuration_fleet
@@ -65,10 +74,13 @@
     void on_call_failed(node& one);
     void on_store_answer(std::size_t number, std::uint64_t as_of);
     void record_delays();
+    void record_role_change();
+    void record_pauses();
 
     configuration_plan plan;
     std::vector<reader> readers;                          // by entry
     std::vector<std::size_t> changes_in_force;            // by entry
+    std::vector<base::instant> served_at;                 // by entry
     std::vector<dispatch::member_request_table> requests; // by entry
     routing::store_item document;
     std::vector<change> changes;
--- a/src/greengagedrum/entry/fleet_test/fault_injection.cpp
+++ b/src/greengagedrum/entry/fleet_test/fault_injection.cpp
@@ -14,6 +14,7 @@
 
 constexpr base::duration stop_duration = 3s;
 constexpr base::duration start_duration = 600ms;
+constexpr double strong_link = 25e6; // bytes per second
 
 } // namespace
 
@@ -108,4 +109,27 @@
     }
 }
 
+void virtual_fleet::inject_strong_entry_faults()
+{
+    const strong_entry_plan& faults = this->plan.strong_entries;
+    if (!faults.present)
+        return;
+    const bool lose = faults.fault == strong_entry_fault::lost &&
+                      !this->strong_lost && this->seconds() >= faults.from;
+    for (std::size_t number = 0; this->strong_faults.is_strong(number);
+         ++number) {
+        this->links.set_capacity(
+            first_address + static_cast<gossip::ipv4_address>(number),
+            strong_link *
+                this->strong_faults.link_share(number, this->seconds()));
+        if (!lose)
+            continue;
+        this->strong_lost = true;
+        this->stop_process(number);
+        this->restart_at[number] =
+            this->started_at +
+            base::duration(static_cast<std::int64_t>(faults.until * 1e6));
+    }
+}
+
 } // namespace greengagedrum::entry::fleet_test
--- a/src/greengagedrum/entry/fleet_test/simulated_links.cpp
+++ b/src/greengagedrum/entry/fleet_test/simulated_links.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace greengagedrum::entry::fleet_test
@@ -38,10 +39,16 @@
         }));
 }
 
+double simulated_links::capacity_of(gossip::ipv4_address address) const
+{
+    const auto found = this->capacities.find(address);
+    return found == this->capacities.end() ? this->bytes_per_second
+                                           : found->second;
+}
+
 void simulated_links::step(base::instant now, base::duration length)
 {
-    const double capacity =
-        this->bytes_per_second * std::chrono::duration<double>(length).count();
+    const double seconds = std::chrono::duration<double>(length).count();
     for (simulated_transfer& one : this->transfers) {
         const std::size_t receiving =
             this->sharing(&simulated_transfer::to, one.to);
@@ -51,7 +58,12 @@
                 : this->sharing(&simulated_transfer::from, one.from);
         if (std::isfinite(one.bytes_left))
             one.bytes_left -=
-                capacity / static_cast<double>(std::max(receiving, sending));
+                seconds * std::min(this->capacity_of(one.to) /
+                                       static_cast<double>(receiving),
+                                   sending == 0
+                                       ? std::numeric_limits<double>::infinity()
+                                       : this->capacity_of(one.from) /
+                                             static_cast<double>(sending));
     }
     const auto first_ended = std::stable_partition(
         this->transfers.begin(),
--- a/src/greengagedrum/entry/fleet_test/simulated_links.hpp
+++ b/src/greengagedrum/entry/fleet_test/simulated_links.hpp
@@ -7,6 +7,7 @@
 #include <greengagedrum/relay/http_get.hpp>
 
 #include <functional>
+#include <unordered_map>
 #include <vector>
 
 namespace greengagedrum::entry::fleet_test
@@ -33,6 +34,12 @@
     {
     }
 
+    // Capacity of the link of one entry, where it differs.
+    void set_capacity(gossip::ipv4_address address, double capacity)
+    {
+        this->capacities[address] = capacity;
+    }
+
     void start(simulated_transfer transfer, base::instant now);
 
     // Moves bytes for `length`, then ends transfers that are whole or have
@@ -46,7 +53,10 @@
     std::size_t sharing(gossip::ipv4_address simulated_transfer::*end,
                         gossip::ipv4_address address) const;
 
+    double capacity_of(gossip::ipv4_address address) const;
+
     double bytes_per_second;
+    std::unordered_map<gossip::ipv4_address, double> capacities;
     std::vector<simulated_transfer> transfers;
 };
 
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <limits>
 #include <string>
+#include <utility>
 
 namespace greengagedrum::entry::fleet_test
 {
@@ -18,6 +19,8 @@
 constexpr base::duration near_latency = 500us;
 constexpr base::duration far_latency = 1400us;
 constexpr std::size_t seeds = 3;
+constexpr double strong_link = 25e6; // bytes per second
+constexpr std::uint64_t limited_memory = 160'000'000;
 
 } // namespace
 
@@ -35,6 +38,7 @@
 virtual_fleet::virtual_fleet(const fault_plan& plan, hooks owner)
     : plan(plan), owner_hooks(std::move(owner)), started_at(1h), now(1h),
       nodes(plan.entries), restart_at(plan.entries), sent_bytes(plan.entries),
+      strong_faults(plan.strong_entries, plan.data_centres),
       links(plan.link_bytes_per_second)
 {
 }
@@ -83,6 +87,14 @@
     // The first entry of each data centre is the strongest, and at first its
     // dispatcher.
     out.processors = number < this->plan.data_centres ? 0.5 : 0.12;
+    if (!this->plan.strong_entries.present)
+        return out;
+    const bool strong = this->strong_faults.is_strong(number);
+    out.processors = strong ? 0.5 : 0.12;
+    out.link_bytes_per_second =
+        strong ? strong_link : this->plan.link_bytes_per_second;
+    if (this->plan.strong_entries.duties_by_load)
+        out.memory_bytes = limited_memory;
     return out;
 }
 
@@ -112,6 +124,9 @@
         this->sent_bytes[one.number] += bytes.size();
         this->send(one.address, to, bytes);
     };
+    out.observe_queues = [this, &one] {
+        return this->strong_faults.queues(one.number, this->now);
+    };
     out.start_timer = [this, &one](base::duration after) {
         one.timer_due_at = this->now + after;
     };
@@ -171,6 +186,15 @@
         placement::mix(this->plan.seed, this->next_datagram++) % parts;
     if (static_cast<double>(draw) < this->plan.lost_share * parts)
         return;
+    const std::size_t sender = from - first_address;
+    const base::duration delay =
+        this->strong_faults.send_delay(sender, this->seconds());
+    this->strong_faults.on_sent(sender, bytes.size(), this->now + delay);
+    if (delay > 0ms) {
+        this->delayed_queue.push_back(
+            {this->now + delay + far_latency, from, to, std::string(bytes)});
+        return;
+    }
     const bool is_near = (from - first_address) % this->plan.data_centres ==
                          (to - first_address) % this->plan.data_centres;
     std::deque<datagram>& queue = is_near ? this->near_queue : this->far_queue;
@@ -182,23 +206,37 @@
 
 void virtual_fleet::deliver()
 {
-    for (std::deque<datagram>* queue : {&this->near_queue, &this->far_queue}) {
+    const std::vector<datagram> all_held = std::exchange(this->held, {});
+    for (const datagram& one : all_held)
+        this->deliver(one);
+    for (std::deque<datagram>* queue :
+         {&this->near_queue, &this->far_queue, &this->delayed_queue}) {
         while (!queue->empty() && queue->front().arrives <= this->now) {
             const datagram one = std::move(queue->front());
             queue->pop_front();
-            const std::size_t number = one.to - first_address;
-            if (number >= this->nodes.size() || !this->nodes[number])
-                continue;
-            node& to = *this->nodes[number];
-            if (to.frozen_until <= this->now)
-                to.protocol->on_message(one.bytes, "");
+            this->deliver(one);
         }
     }
 }
 
+void virtual_fleet::deliver(const datagram& one)
+{
+    const std::size_t number = one.to - first_address;
+    if (number >= this->nodes.size() || !this->nodes[number])
+        return;
+    if (!this->strong_faults.runs(number, this->seconds())) {
+        this->held.push_back(one);
+        return;
+    }
+    node& to = *this->nodes[number];
+    if (to.frozen_until <= this->now)
+        to.protocol->on_message(one.bytes, "");
+}
+
 void virtual_fleet::step(node& one)
 {
-    if (one.frozen_until > this->now)
+    if (one.frozen_until > this->now ||
+        !this->strong_faults.runs(one.number, this->seconds()))
         return;
     if (one.timer_due_at && *one.timer_due_at <= this->now) {
         one.timer_due_at.reset();
@@ -217,6 +255,7 @@
     this->now += step_length;
     this->restart_due_entries();
     this->inject_due_faults();
+    this->inject_strong_entry_faults();
     this->deliver();
     this->links.step(this->now, step_length);
     for (const std::unique_ptr<node>& one : this->nodes) {
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
@@ -6,6 +6,7 @@
 
 #include <greengagedrum/dispatch/member_request_table.hpp>
 #include <greengagedrum/entry/fleet_test/simulated_links.hpp>
+#include <greengagedrum/entry/fleet_test/strong_entry_faults.hpp>
 #include <greengagedrum/entry/peer_protocol.hpp>
 
 #include <deque>
@@ -41,6 +42,7 @@
     std::size_t remaining_entries = 0;
     double lost_share = 0;                 // share of all datagrams
     double link_bytes_per_second = 1.25e6; // of each entry, for transfers
+    strong_entry_plan strong_entries;
     std::uint64_t seed = 1;
 };
 
@@ -97,6 +99,10 @@
     std::uint64_t failed_fetches() const { return this->failures; }
     // The bounds in the settings of each entry.
     static bounds entry_bounds() { return {}; }
+    const strong_entry_faults& faults_of_strong() const
+    {
+        return this->strong_faults;
+    }
     double seconds() const;
     // Sent by the busiest entry over the whole run.
     std::uint64_t busiest_bytes() const;
@@ -123,10 +129,12 @@
     bool is_partitioned(gossip::ipv4_address from,
                         gossip::ipv4_address to) const;
     void deliver();
+    void deliver(const datagram& one);
     void stop_process(std::size_t number);
     void restart_due_entries();
     void inject_due_faults();
     void step(node& one);
+    void inject_strong_entry_faults();
 
     fault_plan plan;
     hooks owner_hooks;
@@ -137,7 +145,11 @@
     std::vector<base::instant> restart_at;
     std::deque<datagram> near_queue; // within a data centre
     std::deque<datagram> far_queue;
+    std::deque<datagram> delayed_queue; // at the links of congested entries
+    std::vector<datagram> held;         // for slowed processes
+    bool strong_lost = false;
     std::vector<std::uint64_t> sent_bytes; // by entry number
+    strong_entry_faults strong_faults;
     simulated_links links;
     std::uint64_t failures = 0; // of fetches
     std::size_t next_restart = 0;
