--- a/src/greengagedrum/entry/peer_fitness.cpp
+++ b/src/greengagedrum/entry/peer_fitness.cpp
@@ -1,4 +1,5 @@
-// Whether this entry is congested, and when it announces that to the others.
+// Whether this entry is congested, when it announces that to the others, and
+// how long it waits for the next dispatcher.
 #include <greengagedrum/entry/peer_protocol.hpp>
 #include <greengagedrum/entry/to_milliseconds.hpp>
 
@@ -24,6 +25,15 @@
 // entries congest one after the other would change all the time.
 constexpr base::duration min_dispatching_time = std::chrono::seconds(10);
 
+// A member that loses its dispatcher waits this long for the next one to answer
+// before it dispatches by itself: with only its own knowledge it would fill
+// upstreams that other entries have filled already.
+constexpr base::duration dispatcher_wait = std::chrono::milliseconds(500);
+
+// Time for which each higher-ranked successor is waited for: the interval of
+// probes, and their way there and back.
+constexpr base::duration successor_wait = std::chrono::milliseconds(150);
+
 } // namespace
 
 void peer_protocol::observe_load(base::instant now)
@@ -71,4 +81,29 @@
     this->schedule_gossip();
 }
 
+// Whether this entry, which has no dispatcher, waits for the next one.
+//
+// Failure guarded against: the two strong entries of a data centre are lost
+// together, and the next one waits until both have left its probes unanswered,
+// 0.8 s after their last message. Where duties go by load, it waits a short
+// time for each entry that would succeed before it, and not for the lost one.
+// After a pause of its own, when all others seem silent, it waits for an
+// answer.
+bool peer_protocol::expects_dispatcher(base::instant now)
+{
+    if (this->dispatcher || this->election.succeeds_congested())
+        return false;
+    const bool had_dispatcher = this->dispatcher_seen_at > this->started_at;
+    if (this->election.probe_targets(now).empty())
+        return false;
+    base::duration wait = dispatcher_wait;
+    if (this->duties_by_load && had_dispatcher) {
+        if (this->paused_lately(now))
+            return this->state.delegating;
+        wait = std::min<base::duration>(
+            wait, successor_wait * this->election.successors_before_self(now));
+    }
+    return now - this->dispatcher_seen_at < wait;
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -961,9 +961,10 @@
     VT_SUSPECTS = 62,
     VT_CRASHES = 64,
     VT_RATE_LIMITS = 66,
-    VT_CONGESTED = 68,
-    VT_LINK_BYTES_PER_SECOND = 70,
-    VT_KNOWN_CONGESTED = 72
+    VT_STORE_LATENCY_US = 68,
+    VT_CONGESTED = 70,
+    VT_LINK_BYTES_PER_SECOND = 72,
+    VT_KNOWN_CONGESTED = 74
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1058,6 +1059,9 @@
   const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *> *>(VT_RATE_LIMITS);
   }
+  uint32_t store_latency_us() const {
+    return GetField<uint32_t>(VT_STORE_LATENCY_US, 0);
+  }
   bool congested() const {
     return GetField<uint8_t>(VT_CONGESTED, 0) != 0;
   }
@@ -1116,6 +1120,7 @@
            verifier.VerifyVector(crashes()) &&
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
+           VerifyField<uint32_t>(verifier, VT_STORE_LATENCY_US, 4) &&
            VerifyField<uint8_t>(verifier, VT_CONGESTED, 1) &&
            VerifyField<uint64_t>(verifier, VT_LINK_BYTES_PER_SECOND, 8) &&
            VerifyOffset(verifier, VT_KNOWN_CONGESTED) &&
@@ -1221,6 +1226,9 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits) {
     fbb_.AddOffset(Message::VT_RATE_LIMITS, rate_limits);
   }
+  void add_store_latency_us(uint32_t store_latency_us) {
+    fbb_.AddElement<uint32_t>(Message::VT_STORE_LATENCY_US, store_latency_us, 0);
+  }
   void add_congested(bool congested) {
     fbb_.AddElement<uint8_t>(Message::VT_CONGESTED, static_cast<uint8_t>(congested), 0);
   }
@@ -1274,6 +1282,7 @@
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Suspect *>> suspects = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits = 0,
+    uint32_t store_latency_us = 0,
     bool congested = false,
     uint64_t link_bytes_per_second = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known_congested = 0) {
@@ -1287,6 +1296,7 @@
   builder_.add_sequence(sequence);
   builder_.add_life(life);
   builder_.add_known_congested(known_congested);
+  builder_.add_store_latency_us(store_latency_us);
   builder_.add_rate_limits(rate_limits);
   builder_.add_crashes(crashes);
   builder_.add_suspects(suspects);
@@ -1348,6 +1358,7 @@
     const std::vector<greengagedrum::gossip::wire::Suspect> *suspects = nullptr,
     const std::vector<greengagedrum::gossip::wire::Crash> *crashes = nullptr,
     const std::vector<greengagedrum::gossip::wire::RateLimit> *rate_limits = nullptr,
+    uint32_t store_latency_us = 0,
     bool congested = false,
     uint64_t link_bytes_per_second = 0,
     const std::vector<uint8_t> *known_congested = nullptr) {
@@ -1399,6 +1410,7 @@
       suspects__,
       crashes__,
       rate_limits__,
+      store_latency_us,
       congested,
       link_bytes_per_second,
       known_congested__);
