--- a/src/greengagedrum/entry/fleet_test/heterogeneous_fleet_test.cpp
+++ b/src/greengagedrum/entry/fleet_test/heterogeneous_fleet_test.cpp
@@ -30,7 +30,6 @@
     MESSAGE(plan.entries,
             " entries, fault ",
             static_cast<int>(plan.strong_entries.fault),
-            plan.strong_entries.duties_by_load ? ", by load" : "",
             ": slowest ",
             result.slowest,
             " s, late ",
