--- a/src/greengagedrum/entry/fleet_test/simulated_links.cpp
+++ b/src/greengagedrum/entry/fleet_test/simulated_links.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace greengagedrum::entry::fleet_test
@@ -77,16 +78,20 @@
         }));
 }
 
+double simulated_links::capacity_of(gossip::ipv4_address address) const
+{
+    const auto found = this->capacities.find(address);
+    return found == this->capacities.end() ? this->bytes_per_second
+                                           : found->second;
+}
+
 void simulated_links::step(base::instant now, base::duration length)
 {
-    const double capacity =
-        this->bytes_per_second * std::chrono::duration<double>(length).count();
+    const double seconds = std::chrono::duration<double>(length).count();
     this->crossings.clear();
     for (const simulated_transfer& one : this->transfers)
         this->count_crossing(one);
-    const double region_capacity =
-        this->regions.bytes_per_second *
-        std::chrono::duration<double>(length).count();
+    const double region_capacity = this->regions.bytes_per_second * seconds;
     for (simulated_transfer& one : this->transfers) {
         const std::size_t receiving =
             this->sharing(&simulated_transfer::to, one.to);
@@ -98,7 +103,11 @@
             now - one.started_at < one.first_byte_delay)
             continue;
         double moved =
-            capacity / static_cast<double>(std::max(receiving, sending));
+            seconds *
+            std::min(this->capacity_of(one.to) / static_cast<double>(receiving),
+                     sending == 0 ? std::numeric_limits<double>::infinity()
+                                  : this->capacity_of(one.from) /
+                                        static_cast<double>(sending));
         if (this->crosses(one)) {
             moved = std::min(
                 moved,
--- a/src/greengagedrum/entry/fleet_test/simulated_links.hpp
+++ b/src/greengagedrum/entry/fleet_test/simulated_links.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -43,6 +44,12 @@
     {
     }
 
+    // Capacity of the link of one entry, where it differs.
+    void set_capacity(gossip::ipv4_address address, double capacity)
+    {
+        this->capacities[address] = capacity;
+    }
+
     // How long a byte waits for the window of each transfer that crosses
     // between the regions of these addresses in the same direction.
     base::duration queueing_delay(gossip::ipv4_address from,
@@ -71,7 +78,10 @@
     void count_crossing(const simulated_transfer& one);
     base::duration time_limit_of(const simulated_transfer& one) const;
 
+    double capacity_of(gossip::ipv4_address address) const;
+
     double bytes_per_second;
+    std::unordered_map<gossip::ipv4_address, double> capacities;
     region_links regions;
     double crossed_bytes = 0;
     // Transfers by the regions of their ends.
--- a/src/greengagedrum/entry/peer_paths.hpp
+++ b/src/greengagedrum/entry/peer_paths.hpp
@@ -31,6 +31,7 @@
     base::data_centre_id data_centre;
     bool in_own_data_centre = false;
     bool in_other_region = false;
+    bool congested = false;
 };
 
 class peer_paths
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -17,6 +17,7 @@
 #include <greengagedrum/entry/store_duty.hpp>
 #include <greengagedrum/entry/transfer_sources.hpp>
 #include <greengagedrum/gossip/dispatcher_election.hpp>
+#include <greengagedrum/gossip/duty_fitness.hpp>
 #include <greengagedrum/gossip/gossip_schedule.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
 
@@ -121,6 +122,11 @@
     void count_request_bytes(base::data_centre_id upstream,
                              const std::string& peer,
                              std::uint64_t bytes);
+    // False unless duties are assigned by load.
+    bool is_congested() const
+    {
+        return this->duties_by_load && this->fitness.is_congested();
+    }
 
 private:
     // Messages between regions are sent less often, and may be lost.
@@ -133,6 +139,9 @@
     void send_load_to(const std::vector<gossip::ipv4_address>& recipients,
                       const gossip::message& load);
     void set_timer();
+    void observe_load(base::instant now);
+    void announce_congestion(bool congested, base::instant now);
+    bool paused_lately(base::instant now) const;
     gossip::message make_message(gossip::message_kind kind);
     gossip::message make_load_message(gossip::recipient_group recipients);
 
@@ -160,6 +169,7 @@
     bool is_standby(base::instant now) const;
     bool is_serving_members() const;
     void update_role(base::instant now);
+    bool expects_dispatcher(base::instant now);
     void set_role(bool delegating, base::instant now);
     void update_counts(base::instant now);
     void track_uptime(base::instant now);
@@ -190,7 +200,7 @@
                      const gossip::transfer_referral& referral);
     void log_failed_fetch(gossip::ipv4_address from, const std::string& why);
     item_query newer_items_query() const;
-    std::vector<gossip::ipv4_address> configuration_holders() const;
+    std::vector<configuration_holder> configuration_holders() const;
 
     settings own_settings;
     base::incarnation incarnation;
@@ -225,9 +235,16 @@
         gossip::ipv4_address address = 0;
         base::instant heard_at;
         std::uint64_t configuration_revision = 0;
+        std::uint64_t link_bytes_per_second = 0; // 0: unknown
+        bool congested = false;
     };
 
     gossip::dispatcher_election election;
+    gossip::duty_fitness fitness;
+    bool congestion_announced = false;
+    bool duties_by_load = false; // see settings
+    base::instant ticked_at;
+    base::instant late_tick_at;
     base::instant started_at;    // start of this process
     base::instant running_since; // start of operation without a pause
     base::instant counted_at;
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -976,7 +976,10 @@
     VT_CRASHES = 64,
     VT_RATE_LIMITS = 66,
     VT_STORE_LATENCY_US = 68,
-    VT_READS_PACKED = 70
+    VT_READS_PACKED = 70,
+    VT_CONGESTED = 72,
+    VT_LINK_BYTES_PER_SECOND = 74,
+    VT_KNOWN_CONGESTED = 76
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1077,6 +1080,15 @@
   bool reads_packed() const {
     return GetField<uint8_t>(VT_READS_PACKED, 0) != 0;
   }
+  bool congested() const {
+    return GetField<uint8_t>(VT_CONGESTED, 0) != 0;
+  }
+  uint64_t link_bytes_per_second() const {
+    return GetField<uint64_t>(VT_LINK_BYTES_PER_SECOND, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *known_congested() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_KNOWN_CONGESTED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -1128,6 +1140,10 @@
            verifier.VerifyVector(rate_limits()) &&
            VerifyField<uint32_t>(verifier, VT_STORE_LATENCY_US, 4) &&
            VerifyField<uint8_t>(verifier, VT_READS_PACKED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CONGESTED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_LINK_BYTES_PER_SECOND, 8) &&
+           VerifyOffset(verifier, VT_KNOWN_CONGESTED) &&
+           verifier.VerifyVector(known_congested()) &&
            verifier.EndTable();
   }
 };
@@ -1235,6 +1251,15 @@
   void add_reads_packed(bool reads_packed) {
     fbb_.AddElement<uint8_t>(Message::VT_READS_PACKED, static_cast<uint8_t>(reads_packed), 0);
   }
+  void add_congested(bool congested) {
+    fbb_.AddElement<uint8_t>(Message::VT_CONGESTED, static_cast<uint8_t>(congested), 0);
+  }
+  void add_link_bytes_per_second(uint64_t link_bytes_per_second) {
+    fbb_.AddElement<uint64_t>(Message::VT_LINK_BYTES_PER_SECOND, link_bytes_per_second, 0);
+  }
+  void add_known_congested(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known_congested) {
+    fbb_.AddOffset(Message::VT_KNOWN_CONGESTED, known_congested);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1280,8 +1305,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::Crash *>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::RateLimit *>> rate_limits = 0,
     uint32_t store_latency_us = 0,
-    bool reads_packed = false) {
+    bool reads_packed = false,
+    bool congested = false,
+    uint64_t link_bytes_per_second = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known_congested = 0) {
   MessageBuilder builder_(_fbb);
+  builder_.add_link_bytes_per_second(link_bytes_per_second);
   builder_.add_digest(digest);
   builder_.add_changes(changes);
   builder_.add_change_revision(change_revision);
@@ -1289,6 +1318,7 @@
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_known_congested(known_congested);
   builder_.add_store_latency_us(store_latency_us);
   builder_.add_rate_limits(rate_limits);
   builder_.add_crashes(crashes);
@@ -1310,6 +1340,7 @@
   builder_.add_address(address);
   builder_.add_data_centre(data_centre);
   builder_.add_instance(instance);
+  builder_.add_congested(congested);
   builder_.add_reads_packed(reads_packed);
   builder_.add_serving(serving);
   builder_.add_delegating(delegating);
@@ -1352,7 +1383,10 @@
     const std::vector<greengagedrum::gossip::wire::Crash> *crashes = nullptr,
     const std::vector<greengagedrum::gossip::wire::RateLimit> *rate_limits = nullptr,
     uint32_t store_latency_us = 0,
-    bool reads_packed = false) {
+    bool reads_packed = false,
+    bool congested = false,
+    uint64_t link_bytes_per_second = 0,
+    const std::vector<uint8_t> *known_congested = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1367,6 +1401,7 @@
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Suspect>(*suspects) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Crash>(*crashes) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::RateLimit>(*rate_limits) : 0;
+  auto known_congested__ = known_congested ? _fbb.CreateVector<uint8_t>(*known_congested) : 0;
   return greengagedrum::gossip::wire::CreateMessage(
       _fbb,
       life,
@@ -1401,7 +1436,10 @@
       crashes__,
       rate_limits__,
       store_latency_us,
-      reads_packed);
+      reads_packed,
+      congested,
+      link_bytes_per_second,
+      known_congested__);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -1,5 +1,7 @@
 #include <greengagedrum/gossip/compression.hpp>
+#include <greengagedrum/gossip/congestion_codec.hpp>
 #include <greengagedrum/gossip/dispatch_codec.hpp>
+#include <greengagedrum/gossip/flatbuffer_bytes.hpp>
 #include <greengagedrum/gossip/gossip_generated.h>
 #include <greengagedrum/gossip/message.hpp>
 #include <greengagedrum/gossip/rate_limit_codec.hpp>
@@ -14,9 +16,6 @@
 namespace
 {
 
-// A transfer that would take more memory than this is not decompressed.
-constexpr std::size_t max_transfer_bytes = 16U << 20U;
-
 std::uint32_t milliseconds_of(base::duration value)
 {
     constexpr std::int64_t max_count = 3'600'000;
@@ -26,22 +25,6 @@
         std::clamp<std::int64_t>(count, 0, max_count));
 }
 
-std::string bytes_of(const flatbuffers::FlatBufferBuilder& builder)
-{
-    return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
-            builder.GetSize()};
-}
-
-const std::uint8_t* unsigned_bytes(std::string_view bytes)
-{
-    return reinterpret_cast<const std::uint8_t*>(bytes.data());
-}
-
-std::string string_of(const flatbuffers::String* from)
-{
-    return from == nullptr ? std::string() : from->str();
-}
-
 std::uint32_t microseconds_of(base::duration value)
 {
     constexpr std::int64_t max_count = 60'000'000;
@@ -232,7 +215,10 @@
         suspects.crashes,
         rate_limits,
         static_cast<std::uint32_t>(sent.store_latency.count()),
-        sent.accepts_compressed);
+        sent.accepts_compressed,
+        sent.congested,
+        sent.link_bytes_per_second,
+        write_known_congestion(builder, sent));
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -267,6 +253,7 @@
     if (const auto* list = root->known())
         out.known_entries = known_entries_of(*list, root->standings());
     out.cpu_millicores = root->strength();
+    read_congestion(*root, out);
     out.uptime = std::chrono::milliseconds(root->lived_for_ms());
     out.kind = kind_of(root->kind());
     out.delegating = root->delegating();
@@ -285,113 +272,4 @@
     return out;
 }
 
-std::string encode(const item_transfer& sent)
-{
-    flatbuffers::FlatBufferBuilder builder;
-    std::vector<flatbuffers::Offset<wire::Item>> items;
-    for (const routing::store_item& item : sent.items)
-        items.push_back(wire::CreateItem(builder,
-                                         builder.CreateString(item.key),
-                                         builder.CreateString(item.value),
-                                         item.revision,
-                                         item.removed));
-    const auto root = wire::CreateItems(builder,
-                                        sent.store_revision,
-                                        sent.complete,
-                                        builder.CreateVector(items),
-                                        sent.change_revision,
-                                        sent.incarnation.value,
-                                        sent.change_count);
-    builder.Finish(root);
-    return bytes_of(builder);
-}
-
-std::string encode(const transfer_referral& sent)
-{
-    flatbuffers::FlatBufferBuilder builder;
-    wire::ItemsBuilder items(builder);
-    items.add_deferred(true);
-    items.add_ask_instead(sent.ask_instead);
-    builder.Finish(items.Finish());
-    return bytes_of(builder);
-}
-
-std::string encode_compressed(const item_transfer& sent,
-                              const reference_document& reference)
-{
-    const std::string packed = compress(encode(sent), reference.text);
-    flatbuffers::FlatBufferBuilder builder;
-    const auto bytes =
-        builder.CreateVector(unsigned_bytes(packed), packed.size());
-    wire::ItemsBuilder items(builder);
-    items.add_packed(bytes);
-    items.add_reference(reference.revision);
-    builder.Finish(items.Finish());
-    return bytes_of(builder);
-}
-
-namespace
-{
-
-const wire::Items* verified_items(std::string_view bytes)
-{
-    flatbuffers::Verifier verifier(unsigned_bytes(bytes), bytes.size());
-    if (!verifier.VerifyBuffer<wire::Items>(nullptr))
-        return nullptr;
-    return flatbuffers::GetRoot<wire::Items>(bytes.data());
-}
-
-item_transfer transfer_of(const wire::Items& from)
-{
-    item_transfer out;
-    out.store_revision = from.store_revision();
-    out.complete = from.whole();
-    out.change_revision = from.change_revision();
-    out.incarnation.value = from.life();
-    out.change_count = from.changes();
-    if (from.items() == nullptr)
-        return out;
-    for (const wire::Item* item : *from.items())
-        out.items.push_back({string_of(item->key()),
-                             string_of(item->value()),
-                             item->revision(),
-                             item->removed()});
-    return out;
-}
-
-} // namespace
-
-std::optional<transfer_referral> decode_referral(std::string_view bytes)
-{
-    const wire::Items* root = verified_items(bytes);
-    if (root == nullptr || !root->deferred())
-        return std::nullopt;
-    return transfer_referral{root->ask_instead()};
-}
-
-std::optional<item_transfer>
-decode_items(std::string_view bytes, const reference_lookup& find_reference)
-{
-    const wire::Items* root = verified_items(bytes);
-    if (root == nullptr || root->deferred())
-        return std::nullopt;
-    if (root->packed() == nullptr)
-        return transfer_of(*root);
-    reference_document reference;
-    if (root->reference() != 0) {
-        reference = find_reference(root->reference());
-        if (reference.revision != root->reference())
-            return std::nullopt;
-    }
-    const std::string_view packed{
-        reinterpret_cast<const char*>(root->packed()->data()),
-        root->packed()->size()};
-    const auto unpacked =
-        decompress(packed, reference.text, max_transfer_bytes);
-    const wire::Items* inner = unpacked ? verified_items(*unpacked) : nullptr;
-    if (inner == nullptr)
-        return std::nullopt;
-    return transfer_of(*inner);
-}
-
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/telemetry/messages.hpp
+++ b/src/greengagedrum/telemetry/messages.hpp
@@ -118,9 +118,10 @@
     memory_transfers,
     memory_gossip,
     memory_connections,
-    connections_kept // idle ones to upstreams
+    connections_kept, // idle ones to upstreams
+    congested         // 1 while packets sent wait for half a second
 };
-inline constexpr std::size_t gauge_count = 22;
+inline constexpr std::size_t gauge_count = 23;
 
 struct gauge_set {
     gauge what = gauge::config_age_seconds;
--- a/src/greengagedrum/telemetry/metric_descriptions.cpp
+++ b/src/greengagedrum/telemetry/metric_descriptions.cpp
@@ -93,6 +93,8 @@
     {"greengagedrum_memory_connections_bytes",
      "Held: buffers of connections, and what stopped ones left unread."},
     {"greengagedrum_connections_idle", "Kept connections to upstreams."},
+    {"greengagedrum_congested",
+     "1 while packets that the entry sends wait for half a second."},
 }};
 
 } // namespace
