Soak: real entries under faults drawn from a seed

Cause: no test runs real entry processes while links, upstreams, the store and the entries themselves fail. Change: test-soak starts four entries in two regions with a stand-in store and upstreams behind proxies, injects faults from a seed and checks that responses belong to their requests, that nothing runs twice, that refused requests never ran, that a graceful stop cuts nothing, and that service returns.

--- a/test/end_to_end/child_process.cpp
+++ b/test/end_to_end/child_process.cpp
@@ -21,6 +21,7 @@
 {
 
 constexpr int signal_base = 128;
+constexpr mode_t log_file_mode = 0644;
 constexpr std::chrono::milliseconds poll_step(10);
 
 std::vector<char*> argument_pointers(std::vector<std::string>& arguments)
@@ -42,7 +43,8 @@
 }
 
 child_process::child_process(const std::string& program,
-                             const std::vector<std::string>& arguments)
+                             const std::vector<std::string>& arguments,
+                             const std::string& log_file)
 {
     std::vector<std::string> all = {program_path(program)};
     all.insert(all.end(), arguments.begin(), arguments.end());
@@ -52,8 +54,18 @@
         throw std::runtime_error("no pipe");
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
-    if (std::getenv("GGD_SHOW_LOGS") == nullptr)
+    if (log_file.empty()) {
+        posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
+    } else {
+        posix_spawn_file_actions_addopen(&actions,
+                                         STDOUT_FILENO,
+                                         log_file.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND,
+                                         log_file_mode);
+        posix_spawn_file_actions_adddup2(
+            &actions, STDOUT_FILENO, STDERR_FILENO);
+    }
+    if (log_file.empty() && std::getenv("GGD_SHOW_LOGS") == nullptr)
         posix_spawn_file_actions_addopen(
             &actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
     const int failed = posix_spawn(&this->pid,
--- a/test/end_to_end/child_process.hpp
+++ b/test/end_to_end/child_process.hpp
@@ -16,9 +16,11 @@
 {
 public:
     // Starts `program` of the build folder; its standard output is read here,
-    // its standard error goes to ours only with GGD_SHOW_LOGS set.
+    // its standard error goes to ours only with GGD_SHOW_LOGS set. With a log
+    // file, both are appended to that instead.
     child_process(const std::string& program,
-                  const std::vector<std::string>& arguments);
+                  const std::vector<std::string>& arguments,
+                  const std::string& log_file = {});
     ~child_process(); // SIGKILL, if it still runs
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
--- /dev/null
+++ b/test/soak/world.cpp
@@ -0,0 +1,219 @@
+#include "world.hpp"
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <array>
+#include <sstream>
+#include <utility>
+
+namespace soak
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr std::uint16_t callers_port = 8080;
+constexpr std::uint16_t callers_link_port = 8081;
+constexpr std::uint16_t readiness_port = 8082;
+constexpr std::array<std::uint16_t, 2> control_ports = {9001, 9002};
+constexpr std::uint16_t peer_port = 9100;
+constexpr std::uint16_t store_port = 7000;
+constexpr std::uint16_t upstream_port = 6000;
+constexpr std::uint16_t upstream_link_port = 6001;
+
+constexpr std::array<const char*, 2> regions = {"east", "west"};
+constexpr std::array<const char*, 2> data_centres = {"hall", "cellar"};
+
+constexpr std::size_t entries_begin = 10; // last byte of their addresses
+constexpr std::size_t upstreams_begin = 100;
+constexpr std::size_t store_place = 200;
+
+// Two runs at a time use different addresses of the loopback network.
+std::string address_of(std::size_t place)
+{
+    const auto process = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(64 + process % 128) + "." +
+           std::to_string(process / 128 % 250) + "." + std::to_string(place);
+}
+
+tcp::endpoint endpoint_of(std::size_t place, std::uint16_t port)
+{
+    return {asio::ip::make_address(address_of(place)), port};
+}
+
+std::string text_of(std::size_t place, std::uint16_t port)
+{
+    return address_of(place) + ":" + std::to_string(port);
+}
+
+std::size_t region_of(std::size_t number)
+{
+    return number % regions.size();
+}
+
+json route(const char* prefix, const char* type)
+{
+    return {{"name", prefix},
+            {"hostname", "hall.example"},
+            {"prefix", prefix},
+            {"routeType", type},
+            {"timeoutMs", 3000},
+            {"targetLatencyMs", 500},
+            {"maxAttempts", 3},
+            {"service", "models"}};
+}
+
+std::string configuration()
+{
+    json resumable = route("/stream/", "streaming");
+    resumable["streamResume"] = true;
+    json regional = route("/east/", "idempotent");
+    regional["allowedRegions"] = {"east"};
+    return json{{"version", 1},
+                {"routes",
+                 {route("/once/", "non_idempotent"),
+                  route("/again/", "idempotent"),
+                  regional,
+                  resumable}},
+                {"services", {{{"name", "models"}, {"maxConnections", 200}}}},
+                {"limits", {{"maxBodyBytes", 4U << 20U}}},
+                {"tenants", {{{"name", "gate"}, {"apiKeys", {"key-1"}}}}}}
+        .dump();
+}
+
+} // namespace
+
+world::world(asio::io_context& context, const options& given, ledger& ledger)
+    : context(context), given(given), records(ledger)
+{
+    this->add_store();
+    this->add_upstreams();
+    this->add_entries();
+}
+
+link* world::add_link(const tcp::endpoint& listening,
+                      const tcp::endpoint& target)
+{
+    this->links.push_back(
+        std::make_unique<link>(this->context, listening, target));
+    return this->links.back().get();
+}
+
+void world::add_store()
+{
+    const tcp::endpoint address = endpoint_of(store_place, store_port);
+    this->published = std::make_unique<store>(this->context, address);
+    this->published->put("op/config", configuration());
+    link_group both{"store", {}, std::nullopt, false};
+    for (std::size_t region = 0; region < regions.size(); ++region) {
+        link* one = this->add_link(
+            endpoint_of(store_place + 1 + region, store_port), address);
+        both.links.push_back(one);
+        this->groups.push_back({std::string("store of ") + regions.at(region),
+                                {one},
+                                std::nullopt,
+                                false});
+    }
+    this->groups.push_back(std::move(both));
+}
+
+void world::add_upstreams()
+{
+    for (std::size_t each = 0; each < upstream_count; ++each) {
+        const std::size_t place = upstreams_begin + each;
+        const tcp::endpoint address = endpoint_of(place, upstream_port);
+        const std::string name = "u-" + std::to_string(each);
+        this->upstreams.push_back(std::make_unique<upstream>(
+            this->context,
+            upstream_place{name, regions.at(region_of(each)), address},
+            this->records));
+        link* one =
+            this->add_link(endpoint_of(place, upstream_link_port), address);
+        this->groups.push_back({name, {one}, std::nullopt, true});
+        this->upstream_states.push_back(upstream_state::serving);
+        this->lives.push_back(1);
+        this->publish_upstream(each);
+    }
+}
+
+void world::add_entries()
+{
+    link_group between{"other region", {}, std::nullopt, false};
+    for (std::size_t each = 0; each < entry_count; ++each) {
+        const std::size_t place = entries_begin + each;
+        const std::size_t region = region_of(each);
+        const std::string name = "entry-" + std::to_string(each);
+        this->entries.push_back(std::make_unique<entry_process>(
+            name, this->given.folder, this->settings_of(each), this->records));
+        link* callers = this->add_link(endpoint_of(place, callers_link_port),
+                                       endpoint_of(place, callers_port));
+        this->groups.push_back({name, {callers}, each, false});
+        between.links.push_back(
+            this->add_link(endpoint_of(place, control_ports.at(1 - region)),
+                           endpoint_of(place, control_ports.at(region))));
+    }
+    this->groups.push_back(std::move(between));
+}
+
+std::string world::settings_of(std::size_t entry) const
+{
+    const std::size_t place = entries_begin + entry;
+    const std::size_t region = region_of(entry);
+    const std::uint16_t control = control_ports.at(region);
+    const bool large = entry < regions.size(); // the first of each region
+    std::ostringstream out;
+    out << "nodeName = \"entry-" << entry << "\"\nzone = \""
+        << data_centres.at(region) << "\"\nip = \"" << address_of(place)
+        << "\"\nseedNodes = [\"" << text_of(entries_begin, control) << "\", \""
+        << text_of(entries_begin + 1, control) << "\"]\ninternalPortRange = ["
+        << peer_port << ", " << peer_port + 99
+        << "]\ncontracts = [\"pressure\"]\n[zones]\nhall = \"east\"\n"
+        << "cellar = \"west\"\n[listen]\nfrontend = \""
+        << text_of(place, callers_port) << "\"\nreadiness = \""
+        << text_of(place, readiness_port) << "\"\ncontrolPlane = \""
+        << text_of(place, control) << "\"\n[platform]\naddress = \""
+        << text_of(store_place + 1 + region, store_port)
+        << "\"\n[limits]\nmemoryMb = " << this->given.memory_mb
+        << "\nmaxFds = " << (large ? 8192 : 4100)
+        << "\ncpuQuota = " << (large ? "0.5" : "0.12")
+        << "\nlinkMbps = " << (large ? 200 : 10)
+        << "\n[bounds]\ngraceS = 8\nretrySlack = 100\n";
+    return out.str();
+}
+
+void world::publish_upstream(std::size_t which)
+{
+    const std::size_t place = upstreams_begin + which;
+    this->published->put("servers/u-" + std::to_string(which),
+                         json{{"service", "models"},
+                              {"address", text_of(place, upstream_link_port)},
+                              {"zone", data_centres.at(region_of(which))},
+                              {"version", "v1"},
+                              {"slots", 8},
+                              {"state", "ready"},
+                              {"warmupRemainingMs", 0},
+                              {"born", this->lives.at(which)},
+                              {"sequence", this->lives.at(which)}}
+                             .dump());
+}
+
+void world::set_upstream(std::size_t which, upstream_state state)
+{
+    const upstream_state before =
+        std::exchange(this->upstream_states.at(which), state);
+    this->upstreams.at(which)->set(state);
+    if (before != upstream_state::crashed || state == before)
+        return;
+    this->lives.at(which) += 1;
+    this->publish_upstream(which);
+}
+
+tcp::endpoint world::callers_address(std::size_t entry) const
+{
+    return endpoint_of(entries_begin + entry, callers_link_port);
+}
+
+} // namespace soak
