Tests: child processes inherit no open files of the test

Cause: sockets that Asio opens have no O_CLOEXEC, so an entry that was started while the soak ran kept the test's listening ports in use, and a stand-in that came back could not bind. Change: child_process closes all descriptors above standard error.

--- a/test/end_to_end/child_process.cpp
+++ b/test/end_to_end/child_process.cpp
@@ -68,6 +68,9 @@
     if (log_file.empty() && std::getenv("GGD_SHOW_LOGS") == nullptr)
         posix_spawn_file_actions_addopen(
             &actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
+    // Failure guarded against: a child keeps a socket of the test's own open
+    // that was opened without O_CLOEXEC, so that its port stays in use.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int failed = posix_spawn(&this->pid,
                                    all.front().c_str(),
                                    &actions,
