--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -3,7 +3,6 @@
 #include <greengagedrum/settings/help.hpp>
 #include <greengagedrum/settings/parse.hpp>
 
-#include "options.hpp"
 #include "soak.hpp"
 
 #include <csignal>
@@ -102,8 +101,9 @@
 
 } // namespace
 
+// An exception ends the entries, too.
 int main(int argc, char** argv)
-{
+try {
     std::signal(SIGPIPE, SIG_IGN);
     const auto arguments = settings::program_arguments(argc, argv);
     const auto parsed =
@@ -116,4 +116,7 @@
     if (const auto code = settings::answer_command(table(), *parsed, std::cout))
         return *code;
     return run_seeds(*parsed);
+} catch (const std::exception& fault) {
+    std::cerr << "test-soak: " << fault.what() << '\n';
+    return EXIT_FAILURE;
 }
