--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -39,7 +39,7 @@
         {.name = "rate",
          .help = "Requests per second.",
          .type = settings::integer_type{1, rate_most},
-         .fallback = "120"},
+         .fallback = "150"},
         {.name = "memory",
          .help = "Megabytes that each entry may use.",
          .type = settings::integer_type{1, memory_most},
--- a/test/soak/upstream.cpp
+++ b/test/soak/upstream.cpp
@@ -1,5 +1,6 @@
 #include "upstream.hpp"
 
+#include <functional>
 #include <sstream>
 #include <utility>
 
@@ -12,7 +13,10 @@
 using namespace std::chrono_literals;
 namespace relay = greengagedrum::relay;
 
+// One request in `long_every` runs long, so that faults meet requests that run.
 constexpr auto work_time = 20ms;
+constexpr auto long_work_time = 400ms;
+constexpr std::size_t long_every = 4;
 constexpr auto event_gap = 15ms;
 constexpr auto ignored_for = 4s;
 constexpr auto idle_time = 1500ms;
@@ -150,7 +154,8 @@
     const body_sizes sizes = body_sizes::of(head.target);
     if (request.body() != text_for(attempt, sizes.sent))
         this->records.violation("the body of " + attempt + " was changed");
-    co_await pause(this->context, work_time);
+    const bool runs_long = std::hash<std::string>()(attempt) % long_every == 0;
+    co_await pause(this->context, runs_long ? long_work_time : work_time);
     if (head.target.starts_with("/stream/")) {
         const std::string last = "0" + header_of(head, "Last-Event-Id");
         co_return co_await this->stream(to, attempt, std::stoull(last));
