--- a/test/soak/entry_process.hpp
+++ b/test/soak/entry_process.hpp
@@ -7,12 +7,12 @@
 #include "ledger.hpp"
 #include <end_to_end/child_process.hpp>
 
-#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace soak
 {
@@ -25,9 +25,10 @@
     entry_process(std::string name,
                   const std::string& folder,
                   const std::string& settings,
+                  std::size_t memory_mb,
                   ledger& ledger)
-        : name(std::move(name)), path(folder + "/" + this->name),
-          records(ledger)
+        : memory_kib(memory_mb * 1'000'000 / 1024), name(std::move(name)),
+          path(folder + "/" + this->name), records(ledger)
     {
         std::ofstream(this->path + ".toml") << settings;
     }
@@ -65,7 +66,7 @@
     {
         if (!this->process)
             return;
-        this->peak = std::max(this->peak, this->peak_kib_now());
+        this->check_memory();
         const auto ended = this->process->wait(std::chrono::milliseconds(0));
         if (ended && (!this->stop_began || *ended != 0))
             this->records.violation(this->name + " ended with status " +
@@ -88,8 +89,6 @@
                  clock::now() - *this->stop_began > probe_period);
     }
 
-    std::size_t peak_kib() const { return this->peak; }
-
 private:
     // 8 s until SIGKILL, and what a busy machine needs to see the end.
     static constexpr std::chrono::milliseconds stop_bound{8500};
@@ -101,26 +100,29 @@
         this->stop_began.reset();
     }
 
-    // 0 when the process has just ended.
-    std::size_t peak_kib_now() const
+    void check_memory()
     {
         std::ifstream status("/proc/" + std::to_string(this->process->id()) +
                              "/status");
         std::string word;
-        std::size_t out = 0;
+        std::size_t peak = 0; // stays so when the process has just ended
         while (status >> word) {
             if (word == "VmHWM:")
-                status >> out;
+                status >> peak;
         }
-        return out;
+        this->records.measure("KiB of the largest entry", peak);
+        if (peak > this->memory_kib && !std::exchange(this->over_limit, true))
+            this->records.violation(this->name + " uses " +
+                                    std::to_string(peak) + " KiB");
     }
 
+    std::size_t memory_kib; // that it may use
+    bool over_limit = false;
     std::string name;
     std::string path; // of its files, without extension
     ledger& records;
     std::unique_ptr<end_to_end::child_process> process;
     std::optional<clock::time_point> stop_began;
-    std::size_t peak = 0; // of all its processes
 };
 
 } // namespace soak
--- a/test/soak/ledger.hpp
+++ b/test/soak/ledger.hpp
@@ -1,6 +1,7 @@
 // What was sent, run and answered, and each promise that was broken.
 #pragma once
 
+#include <algorithm>
 #include <iostream>
 #include <map>
 #include <string>
@@ -21,20 +22,30 @@
     // An upstream has read the head of the request: from then on it may run.
     void began(const std::string& attempt)
     {
-        this->records[attempt].runs += 1;
-        this->check(attempt);
+        record& of = this->records[attempt];
+        of.runs += 1;
+        if (!of.repeatable && of.runs > 1)
+            this->violation(attempt + " is not repeatable and ran twice");
+        this->check_answer(attempt);
     }
 
     void answered(const std::string& attempt, unsigned status)
     {
         this->records[attempt].status = status;
         this->count("status " + std::to_string(status));
-        this->check(attempt);
+        this->check_answer(attempt);
     }
 
     // Counts what is no failure, for the report.
     void count(const std::string& what) { this->counts[what] += 1; }
 
+    // Keeps the highest.
+    void measure(const std::string& what, std::size_t value)
+    {
+        std::size_t& highest = this->counts[what];
+        highest = std::max(highest, value);
+    }
+
     void violation(const std::string& what)
     {
         std::cout << "VIOLATION: " << what << std::endl;
@@ -58,18 +69,14 @@
         unsigned status = 0; // 0: not answered
     };
 
-    void check(const std::string& attempt)
+    void check_answer(const std::string& attempt)
     {
         const record& of = this->records.at(attempt);
-        const std::string runs =
-            " ran, " + std::to_string(of.runs) + " times in all";
-        if (!of.repeatable && of.runs > 1)
-            this->violation("not repeatable: " + attempt + runs);
         const bool means_not_run = of.status == 429 || of.status == 503 ||
                                    of.status == 408 || of.status == 421;
         if (means_not_run && of.runs > 0)
-            this->violation("answered " + std::to_string(of.status) + ": " +
-                            attempt + runs);
+            this->violation(attempt + " ran and was answered " +
+                            std::to_string(of.status));
     }
 
     std::unordered_map<std::string, record> records;
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -91,7 +91,11 @@
         this->add_upstream_faults(each);
     this->faults.at(2).push_back({"large entries",
                                   "killed together",
-                                  [this] { this->kill_large_entries(); },
+                                  [this] {
+                                      for (const fault& one : this->all_large)
+                                          this->play_at(
+                                              one, {}, large_entries_away);
+                                  },
                                   [] {}});
     this->add_link_faults("store", this->all.store_links, nullptr, {});
     this->add_link_faults(
@@ -116,7 +120,6 @@
         this->run_for(watch_step);
     this->await_service(service_bound);
     this->stop_entries();
-    this->check_memory();
     std::cout << this->records.report() << std::endl;
     return this->records.violations() == 0;
 }
@@ -305,18 +308,15 @@
         const fault& one = kind.at(draw(0, kind.size() - 1));
         const clock::duration length = std::min<clock::duration>(
             draw_time(200, 2500), this->given.length - at);
-        this->faults_to_come += 1;
-        start(this->context, this->play(one, at, length));
+        this->play_at(one, at, length);
         at += draw_time(150, 700);
     }
 }
 
-void run::kill_large_entries()
+void run::play_at(const fault& one, clock::duration at, clock::duration length)
 {
-    for (const fault& one : this->all_large) {
-        this->faults_to_come += 1;
-        start(this->context, this->play(one, {}, large_entries_away));
-    }
+    this->faults_to_come += 1;
+    start(this->context, this->play(one, at, length));
 }
 
 task run::play(fault one, clock::duration at, clock::duration length)
@@ -384,19 +384,7 @@
     while (
         std::any_of(this->all.entries.begin(), this->all.entries.end(), alive))
         this->run_for(watch_step);
-    this->run_for(watch_step); // ends of connections
-}
-
-void run::check_memory()
-{
-    constexpr std::size_t kib_per_mb = 1'000'000 / 1024;
-    std::size_t peak = 0;
-    for (const auto& one : this->all.entries)
-        peak = std::max(peak, one->peak_kib());
-    std::cout << "largest entry: " << peak << " KiB" << std::endl;
-    if (peak > this->given.memory_mb * kib_per_mb)
-        this->records.violation("an entry used " + std::to_string(peak) +
-                                " KiB");
+    this->run_for(10 * watch_step); // ends of connections
 }
 
 } // namespace soak
--- a/test/soak/soak.hpp
+++ b/test/soak/soak.hpp
@@ -51,7 +51,7 @@
     void add_upstream_faults(std::size_t number);
     void add_entry_faults(std::size_t number);
     void draw_faults();
-    void kill_large_entries();
+    void play_at(const fault& one, clock::duration at, clock::duration length);
     task play(fault one, clock::duration at, clock::duration length);
 
     task load();
@@ -65,7 +65,6 @@
     void run_for(clock::duration length) { this->context.run_for(length); }
     void await_service(clock::duration limit);
     void stop_entries();
-    void check_memory();
 
     options given;
     asio::io_context context;
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -133,6 +133,7 @@
         std::make_unique<entry_process>("entry-" + std::to_string(number),
                                         this->given.folder,
                                         this->settings_of(number),
+                                        this->given.memory_mb,
                                         this->records));
     this->caller_links.push_back(
         this->add_link(endpoint_of(place, callers_link_port),
