Soak: callers that don't read send bodies near the largest allowed

Cause: with bodies of 1 MB the largest entry used 44 MB of 160 MB, so the check of memory was never near its limit. Change: such callers send 4 MB.

--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -46,8 +46,8 @@
 constexpr std::array<std::size_t, 12> kinds = {
     0, 0, 0, 0, 1, 1, 1, 1, 2, 2, 2, 3};
 
-// Of callers that don't read, and of their responses.
-constexpr body_sizes slow_sizes{1'000'000, 1'000'000};
+// Of callers that don't read: their bodies are near the largest allowed.
+constexpr body_sizes slow_sizes{4'000'000, 1'000'000};
 
 std::int64_t milliseconds_of(clock::duration length)
 {
