--- /dev/null
+++ b/test/soak/upstream.hpp
@@ -0,0 +1,106 @@
+// A stand-in for an upstream: answers requests with text that names them, or
+// misbehaves.
+#pragma once
+
+#include <greengagedrum/relay/message_reader.hpp>
+
+#include "coroutine.hpp"
+#include "ledger.hpp"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace soak
+{
+
+enum class upstream_state : std::uint8_t {
+    serving,
+    ignoring_bodies, // reads the head of a request and no more
+    answering_twice,
+    adding_bytes, // after a complete response
+    closing_idle, // before the time that Keep-Alive names
+    rejecting,    // with the promise that the request did not run
+    crashed
+};
+
+inline constexpr std::array<std::string_view, 7> upstream_state_names = {
+    "serving",
+    "ignoring bodies",
+    "answering twice",
+    "adding bytes",
+    "closing idle connections",
+    "rejecting",
+    "crashed"};
+
+struct upstream_place {
+    std::string name;
+    std::string region;
+    tcp::endpoint address;
+};
+
+// The bytes of a request's or response's body, as its target names them.
+struct body_sizes {
+    std::size_t sent = 0;
+    std::size_t size = 0;
+
+    std::string query() const
+    {
+        return "?sent=" + std::to_string(this->sent) +
+               "&size=" + std::to_string(this->size);
+    }
+    static body_sizes of(const std::string& target)
+    {
+        const std::size_t sent = target.find("?sent=") + 6;
+        const std::size_t size = target.find("&size=") + 6;
+        return {std::stoul(target.substr(sent)),
+                std::stoul(target.substr(size))};
+    }
+};
+
+inline constexpr std::uint64_t stream_events = 8;
+
+inline std::string event_for(const std::string& attempt, std::uint64_t number)
+{
+    const std::string id = std::to_string(number);
+    return "id: " + id + "\ndata: " + text_for(attempt + "#" + id, 200) +
+           "\n\n";
+}
+
+class upstream
+{
+public:
+    upstream(asio::io_context& context, upstream_place place, ledger& ledger);
+    upstream(const upstream&) = delete;
+    upstream& operator=(const upstream&) = delete;
+
+    // A crash ends all connections and closes the port until another state.
+    void set(upstream_state wanted);
+
+private:
+    using connection_ptr = std::shared_ptr<tcp::socket>;
+    using reader = greengagedrum::relay::request_reader;
+
+    void accept();
+    task serve(connection_ptr connection);
+    // False: the connection has ended.
+    asio::awaitable<bool>
+    read_until(tcp::socket& from, std::string& inbox, reader& into, bool whole);
+    asio::awaitable<bool> answer(tcp::socket& to, const reader& request);
+    asio::awaitable<bool>
+    stream(tcp::socket& to, const std::string& attempt, std::uint64_t after);
+    bool begin(const greengagedrum::relay::request_head& head);
+    std::string head_for(const std::string& status,
+                         const std::string& attempt) const;
+
+    asio::io_context& context;
+    upstream_place place;
+    ledger& records;
+    upstream_state state = upstream_state::serving;
+    std::shared_ptr<tcp::acceptor> acceptor;
+    std::vector<std::weak_ptr<tcp::socket>> connections;
+};
+
+} // namespace soak
