--- a/src/greengagedrum/dispatch/member_request_table.cpp
+++ b/src/greengagedrum/dispatch/member_request_table.cpp
@@ -38,6 +38,9 @@
             id,
             only_send_number,
             traffic::interruption_cause::reused_connection_lost};
+    case send_status::write_stalled:
+        return traffic::answer_interrupted{
+            id, only_send_number, traffic::interruption_cause::write_stalled};
     case send_status::connection_broken:
         break;
     }
--- a/src/greengagedrum/dispatch/messages.hpp
+++ b/src/greengagedrum/dispatch/messages.hpp
@@ -56,6 +56,7 @@
     misdirected,   // another upstream answered at the address
     connection_broken,
     reused_connection_lost, // a kept one, before any byte of the answer
+    write_stalled, // the upstream took no byte of the request for too long
 };
 
 struct send_status_update {
--- a/src/greengagedrum/dispatch/send_status_log.cpp
+++ b/src/greengagedrum/dispatch/send_status_log.cpp
@@ -36,10 +36,16 @@
     }
     send_status operator()(const traffic::answer_interrupted& event) const
     {
-        return event.cause ==
-                       traffic::interruption_cause::reused_connection_lost
-                   ? send_status::reused_connection_lost
-                   : send_status::connection_broken;
+        switch (event.cause) {
+        case traffic::interruption_cause::reused_connection_lost:
+            return send_status::reused_connection_lost;
+        case traffic::interruption_cause::write_stalled:
+            return send_status::write_stalled;
+        case traffic::interruption_cause::connection_lost:
+        case traffic::interruption_cause::malformed:
+            break;
+        }
+        return send_status::connection_broken;
     }
 };
 
--- a/src/greengagedrum/entry/cluster_state.cpp
+++ b/src/greengagedrum/entry/cluster_state.cpp
@@ -338,7 +338,8 @@
     return out;
 }
 
-cluster_changes cluster_state::mark_misdirected(base::upstream_id upstream)
+cluster_changes cluster_state::mark_misdirected(base::upstream_id upstream,
+                                                bool reading_again)
 {
     cluster_changes out;
     const routing::published_upstream* usable =
@@ -347,6 +348,10 @@
         return out;
     out.removed.push_back({usable->name, upstream});
     this->directory.mark_misdirected(upstream);
+    if (reading_again)
+        this->update_digest(std::string(platform::upstream_prefix) +
+                                out.removed.front().name,
+                            0);
     return out;
 }
 
--- a/src/greengagedrum/entry/cluster_state.hpp
+++ b/src/greengagedrum/entry/cluster_state.hpp
@@ -66,7 +66,10 @@
     // Removes the upstreams whose deferred removal is due.
     cluster_changes expire(base::instant now);
 
-    cluster_changes mark_misdirected(base::upstream_id upstream);
+    // With `reading_again`, the digest no longer counts the upstream's item, so
+    // that an entry which follows another one reads the store for its renewal.
+    cluster_changes mark_misdirected(base::upstream_id upstream,
+                                     bool reading_again = false);
 
     // Null until a configuration is known.
     const routing::route_table_ptr& routes() const { return this->table; }
--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -165,8 +165,6 @@
     if (this->discarding)
         return;
     if (!this->streaming) {
-        if (this->buffered_body.empty())
-            this->response_began = this->paths.now();
         this->buffered_body += bytes;
         this->response_room.resize(this->buffered_body.capacity());
         return this->keep_to_memory();
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -165,7 +165,6 @@
     memory::reservation body_room;
     memory::reservation response_room;
     memory::reservation call_room;
-    base::instant response_began;
 };
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/exchange_memory.cpp
+++ b/src/greengagedrum/entry/exchange_memory.cpp
@@ -18,8 +18,9 @@
 memory::unread_response exchange::unread(base::instant now) const
 {
     memory::unread_response out = this->caller->unread(now);
+    // Its caller has been offered nothing that it didn't take.
     if (out.bytes == 0)
-        out.stalled = now - this->response_began;
+        out.stalled = base::duration(0);
     out.bytes += this->response_room.bytes();
     return out;
 }
--- a/src/greengagedrum/entry/memory_keeping.cpp
+++ b/src/greengagedrum/entry/memory_keeping.cpp
@@ -153,17 +153,23 @@
 {
     const memory::account& account = *this->state.memory;
     const base::instant now = this->state.clock();
-    std::optional<base::workspace_id> waiting; // a body of it waits for long
+    // Of bodies that wait for long: a workspace whose own share keeps one
+    // waiting, and whether the total keeps any.
+    std::optional<base::workspace_id> waiting;
+    bool total_is_short = false;
     for (const relay::caller_ptr& one : this->callers) {
         const auto since = one->waiting_since();
-        if (since && now - *since > wait_before_ending)
-            waiting = one->classified().workspace;
+        if (!since || now - *since <= wait_before_ending)
+            continue;
+        waiting = one->classified().workspace;
+        total_is_short =
+            total_is_short || account.held() + one->further_room_needed() >
+                                  account.levels().stop_reading;
     }
     if (!account.must_end_response() && !waiting)
         return;
-    // Below that level only the share of its own workspace can keep it waiting.
     const bool own_share =
-        waiting && account.held() < account.levels().stop_reading;
+        waiting && !total_is_short && !account.must_end_response();
     std::vector<relay::caller_ptr> connections;
     std::vector<memory::unread_response> unread;
     for (const relay::caller_ptr& one : this->callers) {
@@ -179,15 +185,19 @@
         else
             connections.push_back(one);
     }
+    // The account counts the bytes of an ended response until its connection
+    // and its call have gone.
+    const bool over_last_level = account.must_end_response();
+    std::uint64_t ended = 0;
     do {
         const auto which = memory::first_to_end(
-            unread,
-            account.must_end_response() ? base::duration(0) : stall_most);
+            unread, over_last_level ? base::duration(0) : stall_most);
         if (!which)
             return;
+        ended += unread[*which].bytes;
         this->end_response(connections[*which], unread[*which]);
         unread[*which] = {};
-    } while (account.must_end_response());
+    } while (account.held() > account.levels().end_response + ended);
 }
 
 void request_handler::end_response(const relay::caller_ptr& to,
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -165,6 +165,7 @@
     bool followed_reads_store(base::duration bound, base::instant now) const;
     std::optional<gossip::ipv4_address> followed_entry(base::instant now) const;
     void update_followed(base::instant now);
+    void track_store_outage(base::duration store_age, base::instant now);
     base::duration own_store_age(base::instant now) const;
     bool is_standby(base::instant now) const;
     bool is_serving_members() const;
--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -114,8 +114,10 @@
 
 void request_handler::mark_misdirected(base::upstream_id upstream)
 {
-    this->apply_upstream_changes(
-        this->state.cluster.mark_misdirected(upstream));
+    this->apply_upstream_changes(this->state.cluster.mark_misdirected(
+        upstream,
+        routing::spans_regions(this->state.regions) &&
+            !this->state.delegating));
 }
 
 void request_handler::apply_upstream_changes(const cluster_changes& changes)
--- a/src/greengagedrum/entry/store_following.cpp
+++ b/src/greengagedrum/entry/store_following.cpp
@@ -19,6 +19,11 @@
 // possibly does not.
 constexpr std::size_t standby_entries_reading_store = 3;
 
+// The newest answer of the store to the entry that is followed is this old only
+// if the store doesn't answer: its pause between calls is at most 1 s, a call
+// waits 0.5 s.
+constexpr base::duration outage_from = std::chrono::milliseconds(1900);
+
 // A starting entry knows its peers after this time.
 constexpr base::duration discovery_wait = std::chrono::milliseconds(300);
 
@@ -36,13 +41,18 @@
                                        base::instant now)
 {
     this->followed_digest = received.state_digest;
+    this->track_store_outage(received.store_age, now);
     if (received.state_digest != this->state.cluster.content_digest()) {
         if (!this->fetching && now - this->fetch_started_at >= sync_interval)
             this->fetch_from_followed(received, now);
         return;
     }
     this->synced_position = {received.incarnation, received.change_count};
-    if (!this->several_regions || received.store_revision == 0)
+    // An equal state is no proof of a complete one while the followed entry has
+    // no answers of the store itself.
+    const bool is_recent =
+        received.store_age <= this->store_answer_max_age() + far_message_delay;
+    if (!this->several_regions || received.store_revision == 0 || !is_recent)
         return;
     this->followed_answer_at =
         std::max(this->followed_answer_at, now - received.store_age);
@@ -50,6 +60,20 @@
     this->events.listing_received(received.store_revision);
 }
 
+// Failure guarded against: leases of upstreams lapse in an outage of the store.
+// The entry that reads it defers their removal, but one that only follows it
+// would notice the outage later, or not at all, and remove them at once.
+void peer_protocol::track_store_outage(base::duration store_age,
+                                       base::instant now)
+{
+    if (!this->several_regions || this->dispatcher)
+        return;
+    if (store_age > outage_from)
+        this->state.cluster.on_store_failed(now - store_age);
+    else if (now - this->own_store_answer_at > outage_from)
+        this->state.cluster.on_store_answered(now);
+}
+
 void peer_protocol::fetch_from_followed(const gossip::message& received,
                                         base::instant now)
 {
--- a/src/greengagedrum/gossip/dispatch_codec.cpp
+++ b/src/greengagedrum/gossip/dispatch_codec.cpp
@@ -18,7 +18,8 @@
                                       send_status::rejected_full,
                                       send_status::misdirected,
                                       send_status::connection_broken,
-                                      send_status::reused_connection_lost};
+                                      send_status::reused_connection_lost,
+                                      send_status::write_stalled};
 
 // Reasons for which a slot is denied; any other reason is sent as the last one.
 constexpr std::array decline_reasons = {base::reason::limit_reached,
--- a/src/greengagedrum/relay/caller_connection.cpp
+++ b/src/greengagedrum/relay/caller_connection.cpp
@@ -118,7 +118,12 @@
 
 std::size_t caller_connection::ahead_bound() const
 {
-    return this->events.memory ? limited_ahead_most : ahead_most;
+    if (!this->events.memory)
+        return ahead_most;
+    // A head is taken as a whole.
+    return this->reader->head_done()
+               ? limited_ahead_most
+               : std::max(limited_ahead_most, this->bounds.head_bytes + 1);
 }
 
 // ---- Reading --------------------------------------------------------------
@@ -256,6 +261,9 @@
     this->busy = false;
     this->in_pieces = false;
     if (last) {
+        // Bytes left unread would reset the connection.
+        this->inbox.clear();
+        this->read();
         this->lingering = true;
         this->since = this->events.clock();
         if (!this->writes)
--- a/src/greengagedrum/relay/caller_connection.hpp
+++ b/src/greengagedrum/relay/caller_connection.hpp
@@ -113,6 +113,8 @@
 
     // ---- Only where the memory of the process is limited ----
 
+    // Room that the waiting body needs beyond what it has.
+    std::uint64_t further_room_needed() const;
     // The room of the body that take_body() returns.
     memory::reservation take_body_reservation();
     // The body can't be read for want of room since then.
--- a/src/greengagedrum/relay/caller_connection_memory.cpp
+++ b/src/greengagedrum/relay/caller_connection_memory.cpp
@@ -42,7 +42,17 @@
         return *length;
     if (size + this->arrived.size() <= this->body_room.bytes())
         return this->body_room.bytes();
-    return std::max(chunked_step, 2 * size);
+    const std::uint64_t step = std::max(chunked_step, 2 * size);
+    return std::min<std::uint64_t>(
+        step,
+        std::max<std::uint64_t>(this->events.memory->levels().connection_share,
+                                size + this->arrived.size()));
+}
+
+std::uint64_t caller_connection::further_room_needed() const
+{
+    const std::uint64_t needed = this->room_needed();
+    return needed - std::min(needed, this->body_room.bytes());
 }
 
 // False: the body has to wait, or was rejected.
--- a/src/greengagedrum/relay/upstream_call.cpp
+++ b/src/greengagedrum/relay/upstream_call.cpp
@@ -109,8 +109,12 @@
     this->write_bound.expires_after(this->write_timeout);
     this->write_bound.async_wait(
         [self = this->shared_from_this()](error_code fault) {
+            // Bytes may have been taken while an expiry was already queued.
+            const bool restarted = self->write_bound.expiry() >
+                                   asio::steady_timer::clock_type::now();
             const bool answered = self->reader.head_done();
-            if (!fault && !self->over && !self->write_ended && !answered)
+            if (!fault && !restarted && !self->over && !self->write_ended &&
+                !answered)
                 self->fail(call_fault::write_stalled,
                            "no byte of the request was taken in time");
         });
