--- a/src/greengagedrum/relay/caller_connection.cpp
+++ b/src/greengagedrum/relay/caller_connection.cpp
@@ -29,46 +29,6 @@
 // Added to the published bound, for a request that is on its way.
 constexpr base::duration idle_margin = std::chrono::seconds(1);
 
-std::string_view phrase(unsigned status)
-{
-    switch (status) {
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 413:
-        return "Payload Too Large";
-    case 429:
-        return "Too Many Requests";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Error";
-    }
-}
-
-std::string seconds_text(base::duration value)
-{
-    std::array<char, 32> text{};
-    const double seconds = static_cast<double>(value.count()) / 1e6;
-    const auto end = std::to_chars(text.data(),
-                                   text.data() + text.size(),
-                                   seconds,
-                                   std::chars_format::fixed,
-                                   2);
-    return {text.data(), end.ptr};
-}
-
 std::string chunk_head(std::size_t size)
 {
     std::array<char, 20> text{};
@@ -79,16 +39,6 @@
 
 } // namespace
 
-std::string own_head(const own_answer& what)
-{
-    std::string head = "HTTP/1.1 " + std::to_string(what.status) + " ";
-    head.append(phrase(what.status)).append("\r\n");
-    head += "Content-Type: application/json\r\n";
-    if (what.retry_after)
-        head += "Retry-After: " + seconds_text(*what.retry_after) + "\r\n";
-    return head;
-}
-
 caller_connection::caller_connection(tcp::socket socket,
                                      const caller_events& events,
                                      const caller_bounds& bounds)
