--- a/src/greengagedrum/entry/entry_paths.cpp
+++ b/src/greengagedrum/entry/entry_paths.cpp
@@ -95,7 +95,7 @@
 
 peer_transport entry::make_peer_transport()
 {
-    if (this->own_settings.assigns_duties_by_load())
+    if (this->own_settings.duties_by_load)
         this->peer_datagram_socket->count_datagrams();
     peer_transport out = this->peer_datagram_socket->transport();
     out.observe_queues = [this] {
--- a/src/greengagedrum/entry/fleet_test/simulated_links.cpp
+++ b/src/greengagedrum/entry/fleet_test/simulated_links.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
-#include <limits>
 #include <utility>
 
 namespace greengagedrum::entry::fleet_test
@@ -102,12 +101,13 @@
         if (!std::isfinite(one.bytes_left) ||
             now - one.started_at < one.first_byte_delay)
             continue;
-        double moved =
-            seconds *
-            std::min(this->capacity_of(one.to) / static_cast<double>(receiving),
-                     sending == 0 ? std::numeric_limits<double>::infinity()
-                                  : this->capacity_of(one.from) /
-                                        static_cast<double>(sending));
+        double rate =
+            this->capacity_of(one.to) / static_cast<double>(receiving);
+        if (sending > 0)
+            rate = std::min(rate,
+                            this->capacity_of(one.from) /
+                                static_cast<double>(sending));
+        double moved = seconds * rate;
         if (this->crosses(one)) {
             moved = std::min(
                 moved,
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
@@ -21,7 +21,6 @@
 constexpr base::duration region_latency = 12ms;
 constexpr std::size_t seeds = 3;
 constexpr double strong_link = 25e6; // bytes per second
-constexpr std::uint64_t limited_memory = 160'000'000;
 
 } // namespace
 
@@ -117,8 +116,7 @@
     out.processors = strong ? 0.5 : 0.12;
     out.link_bytes_per_second =
         strong ? strong_link : this->plan.link_bytes_per_second;
-    if (this->plan.strong_entries.duties_by_load)
-        out.memory_bytes = limited_memory;
+    out.duties_by_load = this->plan.strong_entries.duties_by_load;
     return out;
 }
 
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -66,7 +66,7 @@
     this->schedule.set_spans_regions(this->regions.spans_regions());
     this->several_regions = routing::spans_regions(given.regions);
     this->duty.set_max_age(this->store_answer_max_age() + far_message_delay);
-    this->duties_by_load = given.assigns_duties_by_load();
+    this->duties_by_load = given.duties_by_load;
     for (const base::ip_endpoint& one : given.seeds)
         this->table.add_seed(
             relay::asio::ip::make_address_v4(one.ip).to_uint());
--- a/src/greengagedrum/entry/settings.hpp
+++ b/src/greengagedrum/entry/settings.hpp
@@ -62,14 +62,9 @@
     double link_bytes_per_second = 0;  // in each direction; 0: unknown
     std::uint64_t max_descriptors = 0; // 0: unknown
     entry::bounds bounds;
-
-    // Whether duties go to entries by their present load: where entries are of
-    // several sizes and links are slow, in several regions or with limited
-    // memory.
-    bool assigns_duties_by_load() const
-    {
-        return this->memory_bytes > 0 || routing::spans_regions(this->regions);
-    }
+    // Whether duties go to entries by their present load. No platform asks for
+    // it yet.
+    bool duties_by_load = false;
 };
 
 // One "name = value" per line, as printed by --print-settings.
