--- a/src/greengagedrum/entry/settings.hpp
+++ b/src/greengagedrum/entry/settings.hpp
@@ -62,8 +62,9 @@
     double link_bytes_per_second = 0;  // in each direction; 0: unknown
     std::uint64_t max_descriptors = 0; // 0: unknown
     entry::bounds bounds;
-    // Whether duties go to entries by their present load. No platform asks for
-    // it yet.
+    // Whether duties go to entries by their present load: set where entries are
+    // of several sizes and links are slow, in several regions or with limited
+    // memory.
     bool duties_by_load = false;
 };
 
--- a/src/greengagedrum/platform/settings_file.cpp
+++ b/src/greengagedrum/platform/settings_file.cpp
@@ -192,6 +192,8 @@
     out.seeds = from.endpoints("seedNodes");
     out.store_address = from.endpoint("platform.address");
     read_limits(from, out);
+    out.duties_by_load =
+        out.memory_bytes > 0 || routing::spans_regions(out.regions);
     out.bounds = read_bounds(from);
     if (!faults.empty())
         return tl::unexpected(faults);
--- a/src/greengagedrum/platform/test/platform_test.cpp
+++ b/src/greengagedrum/platform/test/platform_test.cpp
@@ -98,6 +98,8 @@
                                     std::string(settings_text) + limits);
     REQUIRE(slow);
     CHECK(slow->memory_bytes == 160'000'000);
+    CHECK_FALSE(plain->duties_by_load);
+    CHECK(slow->duties_by_load);
 }
 
 TEST_CASE("settings_with_many_faults_name_them_all")
