Tests: the fixture of limited memory ends the requests under way

The address sanitizer found 96 KB in 75 allocations: calls and exchanges that own each other when the event loop is destroyed under requests that still run. The checks are the same; test-entry, memory_test.cpp, under the sanitizer: 6 cases pass, no leak.

--- a/src/greengagedrum/entry/test/memory_fixture.cpp
+++ b/src/greengagedrum/entry/test/memory_fixture.cpp
@@ -90,6 +90,16 @@
     });
 }
 
+memory_fixture::~memory_fixture()
+{
+    relay::error_code ignored; // closed either way
+    for (relay::tcp::socket& one : this->callers)
+        one.close(ignored);
+    for (relay::tcp::socket& one : this->upstream_connections)
+        one.close(ignored);
+    this->run_for(std::chrono::milliseconds(50));
+}
+
 tcp::socket& memory_fixture::call(const std::string& bytes)
 {
     tcp::socket& out = this->callers.emplace_back(this->context);
--- a/src/greengagedrum/entry/test/memory_fixture.hpp
+++ b/src/greengagedrum/entry/test/memory_fixture.hpp
@@ -14,6 +14,10 @@
 {
 public:
     memory_fixture();
+    // Ends the requests under way: their calls and exchanges own each other.
+    ~memory_fixture();
+    memory_fixture(const memory_fixture&) = delete;
+    memory_fixture& operator=(const memory_fixture&) = delete;
 
     // A connection with a receive buffer of a few kilobytes, on which `bytes`
     // have been written. Nothing is read from it.
