--- a/src/greengagedrum/traffic/crossing_estimator.cpp
+++ b/src/greengagedrum/traffic/crossing_estimator.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-// Until a connect has been measured: 12 ms in each direction, as in the
-// deployment of two regions.
+// Before the first connect to a region: a typical distance of neighbouring
+// regions.
 constexpr base::duration initial_round_trip = std::chrono::milliseconds(24);
 
 // A shorter connect was not one across regions: something between accepted it.
--- a/src/greengagedrum/traffic/test/region_choice_test.cpp
+++ b/src/greengagedrum/traffic/test/region_choice_test.cpp
@@ -13,7 +13,7 @@
 const base::upstream_id neighbour("neighbour");
 const base::upstream_id remote("remote");
 
-// The delay of two round trips that haven't been measured.
+// The delay of two round trips before the first connect.
 constexpr base::duration crossing = 48ms;
 
 // An upstream each in the own data centre, in another one of the region, and in
