--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -229,10 +229,7 @@
     this->peers->schedule_gossip();
     this->schedule_tick();
     this->context.run();
-    logs::write(logs::level::info,
-                "entry",
-                "stopped",
-                {{"unfinished", this->handler->in_flight()}});
+    this->log_stop("stopped");
 }
 
 bool entry::several_regions() const
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -54,6 +54,8 @@
     void on_signal(int number);
     void begin_stop(int number);
     void check_stop();
+    // Logs what the entry still holds.
+    void log_stop(const char* what) const;
     void schedule_tick();
     void tick();
     void detect_pause(base::instant now);
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -2,6 +2,7 @@
 // shutdown.
 #include <greengagedrum/entry/entry.hpp>
 #include <greengagedrum/entry/suspension.hpp>
+#include <greengagedrum/entry/to_milliseconds.hpp>
 #include <greengagedrum/logs/write.hpp>
 #include <greengagedrum/relay/connect_check.hpp>
 
@@ -280,6 +281,7 @@
     if (passed >= accept_after_stop && this->accepting_connections) {
         this->accepting_connections = false;
         this->handler->stop_accepting();
+        this->log_stop("stop_accept_ended");
     }
     const bool done = !this->accepting_connections &&
                       this->handler->in_flight() == 0 &&
@@ -289,4 +291,18 @@
         this->context.stop();
 }
 
+void entry::log_stop(const char* what) const
+{
+    const base::instant now = this->state.clock();
+    logs::write(logs::level::info,
+                "entry",
+                what,
+                {{"after_ms",
+                  to_milliseconds(now - this->stop_started_at.value_or(now))},
+                 {"in_flight", this->handler->in_flight()},
+                 {"waiting", this->state.scheduler.waiting()},
+                 {"connections", this->handler->open_connections()},
+                 {"tunnels", this->tunnels ? this->tunnels->active() : 0}});
+}
+
 } // namespace greengagedrum::entry
