Relay: closing an idle connection loses no request

Seen: whole requests that got neither an answer nor a refusal.

Cause: an idle connection was half-closed and then read for a second, and what came was dropped. A request that had arrived since the last turn of the event loop, or that crossed with the close, was read by this process and never answered, though a caller may repeat only what was not read.

Change: a connection with bytes in its socket, or with a response that is not sent yet, is not idle. An idle one is closed at once, so that what crosses with the close stays unread.

--- a/src/greengagedrum/relay/caller_connection.cpp
+++ b/src/greengagedrum/relay/caller_connection.cpp
@@ -314,13 +314,20 @@
     this->since = this->events.clock();
 }
 
-void caller_connection::close_idle()
+bool caller_connection::is_reading() const
 {
-    const bool reading = !this->inbox.empty() || this->reader->head_done();
-    if (!this->busy && !reading && !this->lingering && !this->closed) {
-        this->lingering = true;
-        this->linger();
-    }
+    return !this->inbox.empty() || this->reader->head_done();
+}
+
+void caller_connection::close_idle(base::duration idle_for)
+{
+    if (this->closed || this->busy || this->lingering || this->is_reading() ||
+        this->events.clock() - this->since < idle_for)
+        return;
+    error_code fault; // a broken connection is noticed by its read
+    if (this->socket.available(fault) > 0 || this->unsent_on_link() > 0)
+        return;
+    this->close();
 }
 
 void caller_connection::check_time(base::instant now,
@@ -337,11 +344,11 @@
     }
     if (this->busy)
         return;
-    const bool begun = !this->inbox.empty() || this->reader->head_done();
+    const bool begun = this->is_reading();
     if (begun && !this->reader->head_done() && spent > bounds.head_timeout)
         return this->refuse(read_fault{408, "the head came too slowly"});
-    if (!begun && spent > std::max(this->idle_timeout, bounds.idle_timeout) +
-                              idle_margin)
+    if (!begun &&
+        spent > std::max(this->idle_timeout, bounds.idle_timeout) + idle_margin)
         this->close_idle();
 }
 
--- a/src/greengagedrum/relay/caller_connection.hpp
+++ b/src/greengagedrum/relay/caller_connection.hpp
@@ -106,8 +106,10 @@
 
     // Answers say that the connection closes, see `close_idle`.
     void set_closing() { this->closing = true; }
-    // Closes it unless a request is under way or being read.
-    void close_idle();
+    // Closes it if it has been idle for that long: no request is under way,
+    // being read or in the socket, and all responses are sent. A request that
+    // arrives later is not read, so its caller may repeat it.
+    void close_idle(base::duration idle_for = base::duration(0));
     // Closes what was too slow or idle for too long.
     void check_time(base::instant now, const caller_bounds& bounds);
 
@@ -143,6 +145,7 @@
     void put(std::string_view bytes);
     void write();
     void on_written(error_code fault);
+    bool is_reading() const;
     bool last_answer() const;
     std::size_t ahead_bound() const;
     void send_continue();
--- a/src/greengagedrum/relay/test/caller_connection_test.cpp
+++ b/src/greengagedrum/relay/test/caller_connection_test.cpp
@@ -2,7 +2,6 @@
 #include <greengagedrum/relay/caller_connection.hpp>
 
 #include <boost/asio/read.hpp>
-
 #include <doctest/doctest.h>
 
 namespace greengagedrum::relay
