Entry: a stopping entry takes only what can end in time

Seen: a request reached an entry 3.005 s after its SIGTERM, was passed on, and was cut at 7.619 s by the end of the process.

Requests that waited for a slot went on waiting until the loop ended and were dropped.

Change: a stop is a schedule of phases (shutdown/stop_schedule). While it accepts, a request is refused as not run if twice the average time of its kind doesn't fit what is left, on arrival and while it waits for a slot; afterwards each request on an open connection is refused as not run with a Retry-After, and the connection closes. Connections that the kernel has accepted are refused instead of reset. Idle connections are looked for at each tick instead of once.

--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -13,6 +13,7 @@
 #include <greengagedrum/entry/store_reader.hpp>
 #include <greengagedrum/relay/small_server.hpp>
 #include <greengagedrum/relay/tunnel_server.hpp>
+#include <greengagedrum/shutdown/stop_schedule.hpp>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -103,7 +104,7 @@
     // Total time the machine was suspended, as of the last tick.
     base::duration total_suspended{0};
     std::optional<base::instant> pause_detected_at;
-    std::optional<base::instant> stop_started_at;
+    std::optional<shutdown::stop_schedule> stopping; // from the signal on
     bool accepting_connections = true;
     bool store_unreachable = false;
 };
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -30,13 +30,6 @@
 // better than none.
 constexpr base::duration pause_timeout = std::chrono::milliseconds(500);
 
-// From SIGTERM on, readiness is negative. The load balancer probes once a
-// second and needs two answers to stop sending; connections that arrive until
-// then are served.
-constexpr base::duration accept_after_stop = std::chrono::milliseconds(3000);
-// Time before SIGKILL reserved for sending the last bytes.
-constexpr base::duration stop_margin = std::chrono::milliseconds(400);
-
 } // namespace
 
 void entry::on_store_items(const routing::store_item_list& items,
@@ -170,7 +163,7 @@
             this->handler->set_entry_count(this->peers->serving_peers().size() +
                                            1);
     }
-    if (this->stop_started_at)
+    if (this->stopping)
         this->check_stop();
 }
 
@@ -245,7 +238,7 @@
 {
     if (number == SIGHUP)
         this->check_settings();
-    else if (!this->stop_started_at)
+    else if (!this->stopping)
         this->begin_stop(number);
     this->signals.async_wait([this](relay::error_code fault, int next) {
         if (!fault)
@@ -256,16 +249,17 @@
 void entry::stop()
 {
     relay::asio::post(this->context, [this] {
-        if (!this->stop_started_at)
+        if (!this->stopping)
             this->begin_stop(SIGTERM);
     });
 }
 
 void entry::begin_stop(int number)
 {
-    this->stop_started_at = this->state.clock();
+    this->stopping.emplace(this->state.clock(),
+                           this->own_settings.bounds.stop_timeout);
     this->state.stopping = true;
-    this->handler->begin_stop();
+    this->handler->begin_stop(this->stopping->end());
     this->peers->begin_stop();
     logs::write(
         logs::level::info,
@@ -276,18 +270,20 @@
 
 void entry::check_stop()
 {
-    const base::instant now = this->state.clock();
-    const base::duration passed = now - *this->stop_started_at;
-    if (passed >= accept_after_stop && this->accepting_connections) {
+    using shutdown::stop_phase;
+    const stop_phase phase = this->stopping->at(this->state.clock());
+    if (phase == stop_phase::accepting)
+        return;
+    if (this->accepting_connections) {
         this->accepting_connections = false;
         this->handler->stop_accepting();
         this->log_stop("stop_accept_ended");
     }
-    const bool done = !this->accepting_connections &&
-                      this->handler->in_flight() == 0 &&
+    this->handler->close_idle_connections();
+    const bool done = this->handler->in_flight() == 0 &&
                       this->handler->open_connections() == 0 &&
                       (!this->tunnels || this->tunnels->active() == 0);
-    if (done || passed >= this->own_settings.bounds.stop_timeout - stop_margin)
+    if (done || phase >= stop_phase::ending)
         this->context.stop();
 }
 
@@ -298,7 +294,8 @@
                 "entry",
                 what,
                 {{"after_ms",
-                  to_milliseconds(now - this->stop_started_at.value_or(now))},
+                  to_milliseconds(this->stopping ? now - this->stopping->begun()
+                                                 : base::duration(0))},
                  {"in_flight", this->handler->in_flight()},
                  {"waiting", this->state.scheduler.waiting()},
                  {"connections", this->handler->open_connections()},
--- /dev/null
+++ b/src/greengagedrum/entry/request_ending.cpp
@@ -0,0 +1,59 @@
+// The part of request_handler that ends requests and connections when the entry
+// stops.
+#include <greengagedrum/entry/request_handler.hpp>
+
+#include <vector>
+
+namespace greengagedrum::entry
+{
+
+namespace
+{
+
+// Another entry takes the request; a new connection is all that it needs.
+constexpr base::duration retry_after_stopping = std::chrono::milliseconds(50);
+
+// The first request of a connection accepted last may still be on its way.
+constexpr base::duration first_request_time = std::chrono::milliseconds(250);
+
+} // namespace
+
+relay::own_answer request_handler::refusal_while_stopping()
+{
+    return {503,
+            std::string(base::to_string(base::reason::stopping)),
+            retry_after_stopping};
+}
+
+void request_handler::begin_stop(base::instant end)
+{
+    this->kept.shut_down();
+    this->state.scheduler.set_stop_time(end);
+    for (const relay::caller_ptr& one : this->callers)
+        one->set_closing();
+}
+
+void request_handler::stop_accepting()
+{
+    this->accepting = false;
+    // Connections that the kernel has accepted are refused rather than reset.
+    relay::error_code fault;
+    this->acceptor.non_blocking(true, fault);
+    while (!fault) {
+        relay::tcp::socket socket(this->context);
+        this->acceptor.accept(socket, fault);
+        if (!fault)
+            this->add_caller(std::move(socket));
+    }
+    this->acceptor.close(fault);
+}
+
+void request_handler::close_idle_connections()
+{
+    const std::vector<relay::caller_ptr> connections(this->callers.begin(),
+                                                     this->callers.end());
+    for (const relay::caller_ptr& one : connections)
+        one->close_idle(first_request_time);
+}
+
+} // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -74,20 +74,26 @@
 
 void request_handler::accept()
 {
-    this->acceptor.async_accept([this](relay::error_code fault,
-                                       relay::tcp::socket socket) {
-        if (fault == relay::asio::error::operation_aborted)
-            return;
-        if (!fault && this->callers.size() < max_callers) {
-            const auto connection = std::make_shared<relay::caller_connection>(
-                std::move(socket), this->events, this->bounds());
-            if (this->state.stopping)
-                connection->set_closing();
-            this->callers.insert(connection);
-            connection->start();
-        }
-        this->accept();
-    });
+    this->acceptor.async_accept(
+        [this](relay::error_code fault, relay::tcp::socket socket) {
+            if (fault == relay::asio::error::operation_aborted)
+                return;
+            if (!fault)
+                this->add_caller(std::move(socket));
+            this->accept();
+        });
+}
+
+void request_handler::add_caller(relay::tcp::socket socket)
+{
+    if (this->callers.size() >= max_callers)
+        return;
+    const auto connection = std::make_shared<relay::caller_connection>(
+        std::move(socket), this->events, this->bounds());
+    if (this->state.stopping)
+        connection->set_closing();
+    this->callers.insert(connection);
+    connection->start();
 }
 
 relay::caller_bounds request_handler::bounds() const
@@ -121,6 +127,8 @@
                        request_properties& out)
 {
     using relay::own_answer;
+    if (!this->accepting)
+        return refusal_while_stopping();
     if (auto fault = platform::read_request_marks(head, out.info.marks))
         return own_answer{400, std::move(*fault), {}};
     if (out.info.marks.attempt.empty())
@@ -357,21 +365,4 @@
         request.http_exchange->resume_reading();
 }
 
-void request_handler::begin_stop()
-{
-    this->kept.shut_down();
-    for (const relay::caller_ptr& one : this->callers)
-        one->set_closing();
-}
-
-void request_handler::stop_accepting()
-{
-    relay::error_code ignored; // the acceptor is closed in either case
-    this->acceptor.close(ignored);
-    const std::vector<relay::caller_ptr> connections(this->callers.begin(),
-                                                     this->callers.end());
-    for (const relay::caller_ptr& one : connections)
-        one->close_idle();
-}
-
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -66,10 +66,13 @@
 
     void apply_upstream_changes(const cluster_changes& changes);
 
-    // From now on responses announce that their connections close.
-    void begin_stop();
-    // Stops accepting connections and closes the idle ones.
+    // From now on responses announce that their connections close, and requests
+    // that may not end by `end` are refused.
+    void begin_stop(base::instant end);
+    // Stops accepting connections, and refuses requests from now on.
     void stop_accepting();
+    // Closes connections without a request, for which nothing more is done.
+    void close_idle_connections();
 
     // The number of entries, which all may keep connections to one upstream.
     void set_entry_count(std::size_t count) { this->entry_count = count; }
@@ -141,6 +144,7 @@
     };
 
     void accept();
+    void add_caller(relay::tcp::socket socket);
     void on_request(const relay::caller_ptr& from, base::duration waited);
     void on_caller_left(const relay::caller_ptr& from);
     // Returns the error response for a request that is not admitted; otherwise
@@ -152,6 +156,7 @@
                     const routing::workspace* owner,
                     base::duration waited,
                     request_properties& out);
+    static relay::own_answer refusal_while_stopping();
     void refuse(const relay::caller_ptr& from,
                 const std::string& attempt,
                 const relay::own_answer& answer);
@@ -228,6 +233,7 @@
     std::size_t next_path_check = 0;
     base::instant memory_checked_at;
     std::mt19937_64 random_engine;
+    bool accepting = true;
     bool processing_events = false; // new events go to pending_events
     std::vector<traffic::event> pending_events;
 };
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -72,6 +72,8 @@
     item.give_up_at = std::max(this->now, item.arrived + patience - first);
     if (this->is_quarantined(item))
         return this->refuse_quarantined(item);
+    if (this->outlasts_stop(item))
+        return this->refuse_stopping(item);
     if (!this->pool.has_upstream(what.facts.service,
                                  what.facts.allowed_data_centres))
         return this->refuse(item, base::reason::no_upstream);
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -123,6 +123,10 @@
         this->retries.set_bounds(bounds);
     }
 
+    // The entry stops: requests that may not end by then are refused, unless
+    // they have been sent.
+    void set_stop_time(base::instant end) { this->stop_at = end; }
+
     // Pauses sending while the known state of the cluster is stale.
     void set_paused(bool paused) { this->paused = paused; }
 
@@ -237,6 +241,8 @@
     bool queue_retry(request& item);
     void check_time(request& item);
     void check_silence(request& item);
+    bool outlasts_stop(const request& item) const;
+    void refuse_stopping(request& item);
     void refuse(request& item, base::reason why);
     void fail(request& item, base::reason why);
     void end(request& item, const base::verdict& verdict);
@@ -262,6 +268,7 @@
     std::size_t entries = 1;
     bool paused = false;
     bool delegating = false;
+    std::optional<base::instant> stop_at;
     scheduler_counters count;
 
     // Set only during step(), tick() and dispatch_queued().
--- /dev/null
+++ b/src/greengagedrum/traffic/test/stopping_test.cpp
@@ -0,0 +1,65 @@
+#include <greengagedrum/traffic/test/scheduler_fixture.hpp>
+
+namespace greengagedrum::traffic
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+struct stopping_fixture : scheduler_fixture {
+    stopping_fixture() { this->upstreams(1, 1); }
+
+    // Serves a request that holds its slot for that long.
+    void serve(base::duration hold)
+    {
+        const base::request_id id = this->arrive(stream_facts());
+        this->now += hold;
+        this->step(answer_received{id, 1, true});
+    }
+
+    bool refused_as_stopping() const
+    {
+        const auto* end = this->last_action<end_request>();
+        return end != nullptr && end->verdict.why == base::reason::stopping &&
+               end->verdict.run == base::run_state::not_run &&
+               end->verdict.retry_after.has_value();
+    }
+};
+
+} // namespace
+
+// A request of a kind that takes longer than the time left is taken and cut.
+TEST_CASE_FIXTURE(stopping_fixture,
+                  "request_that_outlasts_the_stop_is_refused_on_arrival")
+{
+    this->serve(2s);
+    this->tested.set_stop_time(this->now + 3s);
+    this->arrive(stream_facts());
+    CHECK(this->refused_as_stopping());
+}
+
+TEST_CASE_FIXTURE(stopping_fixture, "request_that_ends_before_the_stop_is_sent")
+{
+    this->serve(1s);
+    this->tested.set_stop_time(this->now + 3s);
+    this->arrive(stream_facts());
+    CHECK(this->last_action<send_request>() != nullptr);
+}
+
+// A request waits for a slot until the time left no longer suffices for it.
+TEST_CASE_FIXTURE(stopping_fixture,
+                  "request_waiting_until_the_stop_is_near_is_refused")
+{
+    this->serve(1s);
+    this->tested.set_stop_time(this->now + 3s);
+    this->arrive(stream_facts());
+    this->arrive(stream_facts());
+    this->advance(900ms);
+    CHECK_FALSE(this->refused_as_stopping());
+    this->advance(200ms);
+    CHECK(this->refused_as_stopping());
+}
+
+} // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/timeouts_and_retries.cpp
+++ b/src/greengagedrum/traffic/timeouts_and_retries.cpp
@@ -70,6 +70,8 @@
 {
     if (item.queued && this->is_quarantined(item))
         return this->refuse_quarantined(item);
+    if (item.queued && item.uncertain == 0 && this->outlasts_stop(item))
+        return this->refuse_stopping(item);
     const base::duration reply_takes =
         this->delegating ? declined_within : base::duration(0);
     if (item.queued && item.uncertain == 0 &&
