Entry: the end of a stop gives every request a final response

Seen: a connection closed in the middle of what a request was waiting for, as the process came to the end of its stop.

Cause: the event loop was ended with whatever it held: requests that could have been refused as not run, half-read ones, and running ones whose callers could have been told so.

Change: 400 ms before the kill each request ends: 503 for what has not run, also if it is read in part, 502 for what may have run; a stream that has begun is closed in order without its last chunk, so that its caller keeps the events that were written and can resume it. The process exits once these are written and the connections are closed, at the latest 100 ms before the kill. stop_requests_ended logs what was left.

--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -106,6 +106,7 @@
     std::optional<base::instant> pause_detected_at;
     std::optional<shutdown::stop_schedule> stopping; // from the signal on
     bool accepting_connections = true;
+    bool requests_ended = false; // by the stop
     bool store_unreachable = false;
 };
 
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -280,10 +280,17 @@
         this->log_stop("stop_accept_ended");
     }
     this->handler->close_idle_connections();
+    if (phase >= stop_phase::ending && !this->requests_ended) {
+        this->requests_ended = true;
+        this->log_stop("stop_requests_ended");
+        this->handler->end_all();
+        // The final responses are written before the next tick.
+        return;
+    }
     const bool done = this->handler->in_flight() == 0 &&
                       this->handler->open_connections() == 0 &&
                       (!this->tunnels || this->tunnels->active() == 0);
-    if (done || phase >= stop_phase::ending)
+    if (done || phase == stop_phase::over)
         this->context.stop();
 }
 
--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -358,7 +358,9 @@
     // A partly sent response can't be withdrawn. The connection is aborted, so
     // that the response does not look complete.
     if (this->caller->pieces_begun())
-        return this->caller->abort();
+        // The process exits before a caller could ask for what a reset loses.
+        return verdict.why == base::reason::stopping ? this->caller->break_off()
+                                                     : this->caller->abort();
     this->caller->answer(
         relay::own_answer{status_code_of(verdict),
                           std::string(base::to_string(verdict.why)),
--- a/src/greengagedrum/entry/request_ending.cpp
+++ b/src/greengagedrum/entry/request_ending.cpp
@@ -56,4 +56,20 @@
         one->close_idle(first_request_time);
 }
 
+void request_handler::end_all()
+{
+    this->processing_events = true;
+    traffic::actions actions;
+    this->state.scheduler.end_all(this->state.clock(), actions);
+    this->execute(actions);
+    this->process_pending_events();
+    this->processing_events = false;
+    const std::vector<relay::caller_ptr> connections(this->callers.begin(),
+                                                     this->callers.end());
+    for (const relay::caller_ptr& one : connections) {
+        one->refuse_unread(refusal_while_stopping());
+        one->close_idle();
+    }
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -73,6 +73,8 @@
     void stop_accepting();
     // Closes connections without a request, for which nothing more is done.
     void close_idle_connections();
+    // Gives every request its final response.
+    void end_all();
 
     // The number of entries, which all may keep connections to one upstream.
     void set_entry_count(std::size_t count) { this->entry_count = count; }
--- a/src/greengagedrum/relay/caller_connection.cpp
+++ b/src/greengagedrum/relay/caller_connection.cpp
@@ -330,6 +330,28 @@
     this->close();
 }
 
+void caller_connection::refuse_unread(const own_answer& why)
+{
+    if (this->closed || this->busy || this->lingering || !this->is_reading())
+        return;
+    this->waits.reset();
+    this->closing = true;
+    this->busy = true;
+    this->inbox = {};
+    this->answer(why);
+}
+
+void caller_connection::break_off()
+{
+    if (this->closed)
+        return;
+    // Without chunks, an ordered close marks the end of a whole response.
+    if (!this->chunked)
+        return this->abort();
+    this->closing = true;
+    this->finish_answer();
+}
+
 void caller_connection::check_time(base::instant now,
                                    const caller_bounds& bounds)
 {
--- a/src/greengagedrum/relay/caller_connection.hpp
+++ b/src/greengagedrum/relay/caller_connection.hpp
@@ -110,6 +110,11 @@
     // being read or in the socket, and all responses are sent. A request that
     // arrives later is not read, so its caller may repeat it.
     void close_idle(base::duration idle_for = base::duration(0));
+    // Refuses a request that is not read whole yet, and closes.
+    void refuse_unread(const own_answer& why);
+    // Ends a response in pieces that is not whole, in such a way that the
+    // caller gets what was written and can't take it for whole.
+    void break_off();
     // Closes what was too slow or idle for too long.
     void check_time(base::instant now, const caller_bounds& bounds);
 
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -126,6 +126,8 @@
     // The entry stops: requests that may not end by then are refused, unless
     // they have been sent.
     void set_stop_time(base::instant end) { this->stop_at = end; }
+    // Ends all requests of this entry: those that can't have run are refused.
+    void end_all(base::instant now, actions& out);
 
     // Pauses sending while the known state of the cluster is stale.
     void set_paused(bool paused) { this->paused = paused; }
--- a/src/greengagedrum/traffic/stopping.cpp
+++ b/src/greengagedrum/traffic/stopping.cpp
@@ -37,4 +37,27 @@
               base::not_run(base::reason::stopping, retry_after_stopping));
 }
 
+void scheduler::end_all(base::instant at, actions& into)
+{
+    this->now = at;
+    this->out = &into;
+    std::vector<base::request_id> known;
+    for (const auto& [id, item] : this->requests)
+        if (!item.facts.delegated)
+            known.push_back(id);
+    for (const base::request_id id : known) {
+        request& item = this->requests.at(id);
+        if (item.send != 0) {
+            this->out->push_back(cancel_send{item.id, item.send});
+            this->record_unfinished(item);
+            this->end_send(item);
+        }
+        if (item.uncertain == 0)
+            this->refuse_stopping(item);
+        else
+            this->end(item, base::may_have_run(base::reason::stopping));
+    }
+    this->out = nullptr;
+}
+
 } // namespace greengagedrum::traffic
--- a/src/greengagedrum/traffic/test/stopping_test.cpp
+++ b/src/greengagedrum/traffic/test/stopping_test.cpp
@@ -62,4 +62,26 @@
     CHECK(this->refused_as_stopping());
 }
 
+// A request that may have run is refused as not run.
+TEST_CASE_FIXTURE(stopping_fixture, "end_of_all_running_request_may_have_run")
+{
+    const base::request_id running = this->arrive(stream_facts());
+    this->arrive(stream_facts());
+    this->last_actions.clear();
+    this->tested.end_all(this->now, this->last_actions);
+    std::size_t may_have_run = 0;
+    std::size_t not_run = 0;
+    for (const action& one : this->last_actions) {
+        const auto* end = std::get_if<end_request>(&one);
+        if (end == nullptr)
+            continue;
+        const bool ran = end->verdict.run == base::run_state::may_have_run;
+        (ran ? may_have_run : not_run) += 1;
+        CHECK(ran == (end->request == running));
+    }
+    CHECK(may_have_run == 1);
+    CHECK(not_run == 1);
+    CHECK(this->tested.in_flight() == 0);
+}
+
 } // namespace greengagedrum::traffic
