Relay: no request is dropped where a connection ends behind its caller's back

A stream whose head was sent before the entry was stopped didn't announce that its connection closes, yet its end closed the connection and dropped what the caller had sent next. And a read that had completed, with its handler still queued, was no reason to keep an idle connection: its bytes are no longer in the socket.

Change: a connection closes after an answer only if that answer's head said so; otherwise the next request is answered, and that answer says so. An idle connection is closed once its pending read has been cancelled, so that nothing can have been read. A caller that leaves a response unread in the kernel no longer keeps its descriptor past the idle time-out, and of several idle time-outs in force while a connection is idle the longest counts.

Two tests are new. They were not run on the code before.

--- a/src/greengagedrum/relay/caller_connection.cpp
+++ b/src/greengagedrum/relay/caller_connection.cpp
@@ -98,6 +98,9 @@
 {
     if (this->closed)
         return;
+    if (std::exchange(this->ending_idle, false) &&
+        fault == asio::error::operation_aborted)
+        return this->finish_idle_close();
     if (fault) {
         if (this->busy && !this->lingering)
             this->events.left(this->shared_from_this());
@@ -152,16 +155,17 @@
 
 // ---- Answers --------------------------------------------------------------
 
-bool caller_connection::last_answer() const
+void caller_connection::announce_close(std::string& head)
 {
-    return this->closing || !this->reader->done() ||
-           !this->reader->keeps_open();
+    this->close_announced =
+        this->closing || !this->reader->done() || !this->reader->keeps_open();
+    if (this->close_announced)
+        head += "Connection: close\r\n";
 }
 
 void caller_connection::answer(std::string head, std::string_view body)
 {
-    if (this->last_answer())
-        head += "Connection: close\r\n";
+    this->announce_close(head);
     head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (this->reader->head().method != "HEAD")
         head += body;
@@ -181,8 +185,7 @@
     this->chunked = this->reader->head().version >= 11;
     if (!this->chunked)
         this->closing = true;
-    if (this->last_answer())
-        head += "Connection: close\r\n";
+    this->announce_close(head);
     if (this->chunked)
         head += "Transfer-Encoding: chunked\r\n";
     this->put(head + "\r\n");
@@ -208,7 +211,9 @@
 
 void caller_connection::finish_answer()
 {
-    const bool last = this->last_answer();
+    // A caller that wasn't told may have sent its next request.
+    const bool last = this->close_announced || !this->reader->done() ||
+                      !this->reader->keeps_open();
     this->release_body();
     this->busy = false;
     this->in_pieces = false;
@@ -322,23 +327,33 @@
 void caller_connection::close_idle(base::duration idle_for)
 {
     if (this->closed || this->busy || this->lingering || this->is_reading() ||
-        this->events.clock() - this->since < idle_for)
-        return;
-    error_code fault; // a broken connection is noticed by its read
-    if (this->socket.available(fault) > 0 || this->unsent_on_link() > 0)
+        this->unsent() > 0 || this->events.clock() - this->since < idle_for)
         return;
+    // A read that has completed, but whose handler has not run, still brings
+    // its bytes.
+    this->ending_idle = true;
+    error_code ignored; // a broken connection is noticed by its read
+    this->socket.cancel(ignored);
+}
+
+void caller_connection::finish_idle_close()
+{
+    error_code ignored; // 0 bytes of a broken connection
+    if (this->socket.available(ignored) > 0)
+        return this->read();
     this->close();
 }
 
-void caller_connection::refuse_unread(const own_answer& why)
+bool caller_connection::refuse_unread(const own_answer& why)
 {
     if (this->closed || this->busy || this->lingering || !this->is_reading())
-        return;
+        return false;
     this->waits.reset();
     this->closing = true;
     this->busy = true;
     this->inbox = {};
     this->answer(why);
+    return true;
 }
 
 void caller_connection::break_off()
@@ -348,7 +363,7 @@
     // Without chunks, an ordered close marks the end of a whole response.
     if (!this->chunked)
         return this->abort();
-    this->closing = true;
+    this->close_announced = true;
     this->finish_answer();
 }
 
@@ -369,8 +384,8 @@
     const bool begun = this->is_reading();
     if (begun && !this->reader->head_done() && spent > bounds.head_timeout)
         return this->refuse(read_fault{408, "the head came too slowly"});
-    if (!begun &&
-        spent > std::max(this->idle_timeout, bounds.idle_timeout) + idle_margin)
+    this->idle_timeout = std::max(this->idle_timeout, bounds.idle_timeout);
+    if (!begun && spent > this->idle_timeout + idle_margin)
         this->close_idle();
 }
 
--- a/src/greengagedrum/relay/caller_connection.hpp
+++ b/src/greengagedrum/relay/caller_connection.hpp
@@ -110,8 +110,9 @@
     // being read or in the socket, and all responses are sent. A request that
     // arrives later is not read, so its caller may repeat it.
     void close_idle(base::duration idle_for = base::duration(0));
-    // Refuses a request that is not read whole yet, and closes.
-    void refuse_unread(const own_answer& why);
+    // Refuses a request that is not read whole yet, and closes. False if there
+    // is none.
+    bool refuse_unread(const own_answer& why);
     // Ends a response in pieces that is not whole, in such a way that the
     // caller gets what was written and can't take it for whole.
     void break_off();
@@ -151,7 +152,8 @@
     void write();
     void on_written(error_code fault);
     bool is_reading() const;
-    bool last_answer() const;
+    void announce_close(std::string& head);
+    void finish_idle_close();
     std::size_t ahead_bound() const;
     void send_continue();
     bool take_room();
@@ -179,7 +181,9 @@
     bool chunked = false;
     bool writes = false;
     bool reads = false;
-    bool closing = false;   // after the answer under way
+    bool closing = false;         // after the answer under way
+    bool close_announced = false; // by the head of the answer under way
+    bool ending_idle = false;     // unless a request has arrived
     bool lingering = false; // all is written; waits for the caller to close
     bool closed = false;
     bool continue_sent = false;
--- a/src/greengagedrum/relay/test/caller_connection_test.cpp
+++ b/src/greengagedrum/relay/test/caller_connection_test.cpp
@@ -122,4 +122,39 @@
     CHECK(this->closed);
 }
 
+// A stream's head was sent before the entry was stopped, and its caller sends
+// the next request before it learns that the connection closes.
+TEST_CASE_FIXTURE(idle_connection_fixture,
+                  "stream_ended_unannounced_close_next_request_is_answered")
+{
+    this->events.request = [this](const caller_ptr& from, base::duration) {
+        this->requests += 1;
+        if (this->requests == 1)
+            return from->begin_pieces("HTTP/1.1 200 OK\r\n");
+        from->answer(own_answer{503, "test", std::nullopt});
+    };
+    this->write_request();
+    this->run();
+    this->connection->set_closing();
+    this->write_request();
+    this->connection->end_pieces();
+    this->run();
+    CHECK(this->requests == 2);
+    const std::string all = this->received();
+    CHECK(all.find("503") != std::string::npos);
+    CHECK(all.find("Connection: close") != std::string::npos);
+}
+
+// A read has completed as the connection is closed, but its handler has not
+// run.
+TEST_CASE_FIXTURE(idle_connection_fixture,
+                  "idle_close_request_read_before_its_handler_is_answered")
+{
+    this->write_request();
+    this->context.restart();
+    asio::post(this->context, [this] { this->connection->close_idle(); });
+    this->run();
+    CHECK(this->requests == 1);
+}
+
 } // namespace greengagedrum::relay
