--- a/src/greengagedrum/base/ids.hpp
+++ b/src/greengagedrum/base/ids.hpp
@@ -40,6 +40,7 @@
 using model_id = name_id<struct model_tag>;
 using upstream_class_id =
     name_id<struct upstream_class_tag>; // a group of equivalent upstreams
+using version_id = name_id<struct version_tag>; // of an upstream's software
 
 // The incarnation of an entry process. `value` is the time of its start since
 // the Unix epoch, in units of 2^-24 s, so that a later process has a higher
--- a/src/greengagedrum/platform/documents.cpp
+++ b/src/greengagedrum/platform/documents.cpp
@@ -180,7 +180,7 @@
         out_of_range("address");
     out.address = *endpoint;
     out.data_centre = from.at("zone").get<std::string>();
-    from.at("version").get<std::string>(); // of its software; not used
+    out.version = base::version_id(from.at("version").get<std::string>());
     out.slots = read_slots(from);
     out.leaving = read_leaving(from);
     out.warmup = read_warmup(from);
--- a/src/greengagedrum/routing/upstream_directory.hpp
+++ b/src/greengagedrum/routing/upstream_directory.hpp
@@ -37,6 +37,7 @@
     // Start time by the upstream's own clock.
     std::optional<std::uint64_t> started_unix_ms;
     base::upstream_class_id service;
+    base::version_id version; // of its software, not of its models' weights
     base::ip_endpoint address;
     std::string data_centre;
     std::uint32_t slots = 1;
@@ -53,7 +54,7 @@
 enum class upstream_change : std::uint8_t {
     none,
     joined,
-    updated,   // address, slots, service or warm-up time
+    updated,   // address, slots, service, version or warm-up time
     left,      // leaving, removed or expired
     restarted, // a new incarnation replaces the old one
 };
