Traffic: the version that a request is bound to, declared

The facts of a request name the version of the upstreams that it may be sent to, and the action stream_bound reports that a stream was bound to one. The entry writes a log line for it. Nothing sets or emits them yet.

--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -175,6 +175,7 @@
     void execute_action(const traffic::suspicion_changed& change);
     void execute_action(const traffic::rate_limit_changed& change);
     void execute_action(const quarantine::quarantine_state_change& change);
+    void execute_action(const traffic::stream_bound& action);
     void grant_slot(const traffic::send_request& action);
     void deny_slot(const traffic::end_request& action);
     void apply_member_changes(const dispatch::request_changes& changes);
--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -1,5 +1,6 @@
 // The part of request_handler that passes events to the scheduler and executes
 // the actions it returns.
+#include <greengagedrum/base/digest.hpp>
 #include <greengagedrum/entry/crash_suspect_log.hpp>
 #include <greengagedrum/entry/rate_limit_log.hpp>
 #include <greengagedrum/entry/request_handler.hpp>
@@ -262,6 +263,21 @@
     log_crash_suspect(this->state, change, "own");
 }
 
+void request_handler::execute_action(const traffic::stream_bound& action)
+{
+    const auto found = this->requests.find(action.request);
+    if (found == this->requests.end())
+        return;
+    const active_request& request = found->second;
+    this->state.log.write(
+        this->state.clock(),
+        "scheduler",
+        "stream_bound",
+        {{"request", request.http_exchange->info().marks.attempt},
+         {"version", base::to_hex(action.version.value)},
+         {"upstream", request.upstream}});
+}
+
 void request_handler::finish(base::request_id id, const base::verdict* failed)
 {
     const auto found = this->requests.find(id);
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -40,6 +40,7 @@
     base::duration time_left{0}; // until the caller's or the route's timeout
     bool caller_resumes = false; // the caller itself resumes a broken stream
     routing::data_centre_constraint allowed_data_centres{}; // not sent to peers
+    base::version_id version{}; // of the only upstreams allowed; empty: any
     // Set for a request of another entry, which asks only for a slot. The other
     // entry sends the request, observes its result and decides about retries.
     bool delegated = false;
@@ -215,6 +216,13 @@
     double per_second = 0; // requests; 0: it has ended
 };
 
+// The first event of a stream was passed to the caller. Only upstreams of this
+// version can go on with it.
+struct stream_bound {
+    base::request_id request;
+    base::version_id version;
+};
+
 using action = std::variant<send_request,
                             cancel_send,
                             deliver_answer,
@@ -222,7 +230,8 @@
                             check_upstream,
                             suspicion_changed,
                             rate_limit_changed,
-                            quarantine::quarantine_state_change>;
+                            quarantine::quarantine_state_change,
+                            stream_bound>;
 
 using actions = std::vector<action>;
 
