--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -165,7 +165,10 @@
                  {{"service", "models"},
                   {"address", "127.0.0.1:" + std::to_string(ports[at])},
                   {"zone", "hall"},
-                  {"version", "v1"},
+                  {"version",
+                   at < options.upstream_versions.size()
+                       ? options.upstream_versions[at]
+                       : "v1"},
                   {"slots", 5},
                   {"state", "ready"},
                   {"warmupRemainingMs", 0},
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -44,6 +44,8 @@
     std::vector<base::ip_endpoint> seeds{};
     // Servers of the test that replace the fixture's upstream.
     std::vector<int> upstream_ports{};
+    // Their versions by position; "v1" for those without one here.
+    std::vector<std::string> upstream_versions{};
     double retry_slack = 0; // retries that need not be earned
     std::string ip = "127.0.0.1";
     std::uint64_t memory_bytes = 0; // 0: not limited
--- a/src/greengagedrum/traffic/test/scheduler_fixture.hpp
+++ b/src/greengagedrum/traffic/test/scheduler_fixture.hpp
@@ -25,6 +25,16 @@
     return out;
 }
 
+inline routing::published_upstream
+versioned_upstream(const std::string& name,
+                   const std::string& version,
+                   std::uint32_t slots = 1)
+{
+    routing::published_upstream out = upstream_named(name, slots);
+    out.version = base::version_id(version);
+    return out;
+}
+
 inline request_facts stream_facts(std::uint32_t priority = 0)
 {
     request_facts out;
@@ -40,6 +50,15 @@
     return out;
 }
 
+// A stream that may be sent again elsewhere.
+inline request_facts resumable_facts()
+{
+    request_facts out = stream_facts();
+    out.retry = routing::retry_policy::resumable;
+    out.attempts_max = 3;
+    return out;
+}
+
 struct scheduler_fixture {
     base::instant now{std::chrono::hours(1)};
     scheduler tested{{0.2, 50, std::chrono::seconds(10)}, {"hall", 1}};
