Gossip: the request for a slot names the version that it is bound to

A dispatcher that doesn't know the version grants slots that the member has to give back. The field is the last one of its table: older builds skip it, and its absence means any version.

--- a/src/greengagedrum/gossip/dispatch_codec.cpp
+++ b/src/greengagedrum/gossip/dispatch_codec.cpp
@@ -77,7 +77,8 @@
                               facts.prior_sends,
                               request.cost,
                               request.charged,
-                              builder.CreateVector(tried));
+                              builder.CreateVector(tried),
+                              facts.version.value);
 }
 
 dispatch::slot_request read_wanted(const wire::Wanted& from)
@@ -99,6 +100,7 @@
     facts.time_left = base::duration(from.time_left_us());
     facts.first_event_timeout = base::duration(from.patience_us());
     facts.prior_sends = from.sends_before();
+    facts.version.value = from.version();
     facts.delegated = true;
     out.cost = from.cost();
     out.charged = from.counted();
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -523,7 +523,8 @@
     VT_SENDS_BEFORE = 32,
     VT_COST = 34,
     VT_COUNTED = 36,
-    VT_TRIED = 38
+    VT_TRIED = 38,
+    VT_VERSION = 40
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -579,6 +580,9 @@
   const flatbuffers::Vector<uint64_t> *tried() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_TRIED);
   }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -600,6 +604,7 @@
            VerifyField<uint8_t>(verifier, VT_COUNTED, 1) &&
            VerifyOffset(verifier, VT_TRIED) &&
            verifier.VerifyVector(tried()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -662,6 +667,9 @@
   void add_tried(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried) {
     fbb_.AddOffset(Wanted::VT_TRIED, tried);
   }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(Wanted::VT_VERSION, version, 0);
+  }
   explicit WantedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -692,8 +700,10 @@
     uint32_t sends_before = 0,
     double cost = 0.0,
     bool counted = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> tried = 0,
+    uint64_t version = 0) {
   WantedBuilder builder_(_fbb);
+  builder_.add_version(version);
   builder_.add_cost(cost);
   builder_.add_patience_us(patience_us);
   builder_.add_time_left_us(time_left_us);
@@ -734,7 +744,8 @@
     uint32_t sends_before = 0,
     double cost = 0.0,
     bool counted = false,
-    const std::vector<uint64_t> *tried = nullptr) {
+    const std::vector<uint64_t> *tried = nullptr,
+    uint64_t version = 0) {
   auto tried__ = tried ? _fbb.CreateVector<uint64_t>(*tried) : 0;
   return greengagedrum::gossip::wire::CreateWanted(
       _fbb,
@@ -755,7 +766,8 @@
       sends_before,
       cost,
       counted,
-      tried__);
+      tried__,
+      version);
 }
 
 struct Report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/platform/test/platform_test.cpp
+++ b/src/greengagedrum/platform/test/platform_test.cpp
@@ -190,13 +190,14 @@
     const auto read = read_upstream(
         {"servers/i-7",
          R"({"service": "s-1", "address": "10.128.0.9:8080", "zone": "hall",
-             "version": "v1", "slots": 5, "state": "draining", "warmupRemainingMs": 250,
+             "version": "v1.1", "slots": 5, "state": "draining", "warmupRemainingMs": 250,
              "sequence": 4})",
          12,
          false});
     REQUIRE(read);
     CHECK(read->name == "i-7");
     CHECK(read->service == base::upstream_class_id("s-1"));
+    CHECK(read->version == base::version_id("v1.1"));
     CHECK(read->address.port == 8080);
     CHECK(read->leaving);
     CHECK(read->warmup == 250ms);
