--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -194,6 +194,8 @@
                         base::duration retry_after);
     // Refunds the cost of a request that did not run.
     void refund_cost(const active_request& request);
+    void report_missing_version(const exchange& http_exchange,
+                                base::version_id version);
     void finish(base::request_id id, const base::verdict* failed);
     relay::caller_bounds bounds() const;
 
--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -214,6 +214,8 @@
     if (found == this->requests.end())
         return;
     const std::shared_ptr<exchange> http_exchange = found->second.http_exchange;
+    if (!action.missing_version.empty())
+        this->report_missing_version(*http_exchange, action.missing_version);
     if (action.verdict.run == base::run_state::not_run)
         this->refund_cost(found->second);
     this->finish(action.request, &action.verdict);
@@ -278,6 +280,18 @@
          {"upstream", request.upstream}});
 }
 
+void request_handler::report_missing_version(const exchange& http_exchange,
+                                             base::version_id version)
+{
+    this->state.metrics.add(
+        telemetry::process_count{telemetry::counter::requests_without_version});
+    this->state.log.write(this->state.clock(),
+                          "scheduler",
+                          "version_unavailable",
+                          {{"request", http_exchange.info().marks.attempt},
+                           {"version", base::to_hex(version.value)}});
+}
+
 void request_handler::finish(base::request_id id, const base::verdict* failed)
 {
     const auto found = this->requests.find(id);
--- a/src/greengagedrum/telemetry/messages.hpp
+++ b/src/greengagedrum/telemetry/messages.hpp
@@ -85,9 +85,11 @@
     connections_opened,
     connections_reused,
     connections_kept,
-    connections_closed_unused
+    connections_closed_unused,
+    // Ended since no usable upstream had the version that they were bound to.
+    requests_without_version
 };
-inline constexpr std::size_t counter_count = 20;
+inline constexpr std::size_t counter_count = 21;
 
 struct process_count {
     counter what = counter::ring_full;
--- a/src/greengagedrum/telemetry/metric_descriptions.cpp
+++ b/src/greengagedrum/telemetry/metric_descriptions.cpp
@@ -56,6 +56,8 @@
      "Connections to upstreams kept for another request."},
     {"greengagedrum_connections_closed_unused_total",
      "Kept connections closed without another request."},
+    {"greengagedrum_requests_without_version_total",
+     "Requests ended since no usable upstream had their version."},
 }};
 
 constexpr std::array<metric_description, gauge_count> gauges = {{
