Traffic: a bound stream is sent to a suspected upstream if no other fits

Cause: suspicion was disregarded only if all upstreams of the version were suspected, the ones already tried included. A bound stream could wait for a probe, which any other request may take, though nothing else fits.

Change: for a bound request, only upstreams that it may still be sent to count. Tests for this and for the end where connects to the rest fail.

--- a/src/greengagedrum/traffic/test/version_binding_test.cpp
+++ b/src/greengagedrum/traffic/test/version_binding_test.cpp
@@ -16,6 +16,13 @@
                                      this->now);
     }
 
+    base::version_id missing_version() const
+    {
+        const auto* end = this->last_action<end_request>();
+        REQUIRE(end != nullptr);
+        return end->missing_version;
+    }
+
     // Sends a stream to `name`, which passes its first event on.
     base::request_id begin_stream(const std::string& name)
     {
@@ -72,7 +79,7 @@
     this->arrive(facts);
     CHECK(this->verdict().run == base::run_state::not_run);
     CHECK(this->verdict().why == base::reason::no_upstream);
-    CHECK(this->last_action<end_request>()->missing_version == facts.version);
+    CHECK(this->missing_version() == facts.version);
 }
 
 // Failure guarded against: a stream waits until its deadline for a version that
@@ -92,8 +99,7 @@
     this->tested.upstream_left(base::upstream_id("b"));
     this->advance(1ms);
     CHECK(this->verdict().run == base::run_state::may_have_run);
-    CHECK(this->last_action<end_request>()->missing_version ==
-          base::version_id("v1"));
+    CHECK(this->missing_version() == base::version_id("v1"));
 }
 
 // Failure guarded against: a bound stream that finds no slot holds up requests
@@ -113,6 +119,40 @@
     CHECK(this->sent().upstream == base::upstream_id("other"));
 }
 
+// Failure guarded against: a bound stream waits for a probe of the only
+// upstream that can go on with it, while others of other versions are healthy.
+TEST_CASE_FIXTURE(version_fixture,
+                  "bound_stream_goes_on_at_a_suspected_upstream_of_its_version")
+{
+    this->join("b", "v1");
+    bool suspected = false;
+    while (!suspected) {
+        const auto broken = this->arrive(stream_facts());
+        this->step(answer_interrupted{broken, 1});
+        suspected = this->last_action<suspicion_changed>() != nullptr;
+    }
+    this->join("other", "v1.1");
+    request_facts facts = resumable_facts();
+    facts.version = base::version_id("v1");
+    this->arrive(facts);
+    CHECK(this->sent().upstream == base::upstream_id("b"));
+}
+
+// Connects to it fail, so waiting for it costs the caller its time.
+TEST_CASE_FIXTURE(version_fixture,
+                  "bound_stream_ends_when_its_version_is_unreachable")
+{
+    this->join("b", "v1");
+    const auto lost = this->arrive(resumable_facts());
+    this->step(connect_failed{lost, 1});
+    this->step(caller_left{lost});
+    this->join("a", "v1");
+    const auto id = this->begin_stream("a");
+    this->join("other", "v1.1");
+    this->step(answer_interrupted{id, 1});
+    CHECK(this->missing_version() == base::version_id("v1"));
+}
+
 // No other upstream can go on with it, so it isn't taken from the one that may
 // still recover.
 TEST_CASE_FIXTURE(version_fixture,
--- a/src/greengagedrum/traffic/upstream_choice.cpp
+++ b/src/greengagedrum/traffic/upstream_choice.cpp
@@ -130,15 +130,15 @@
     return out;
 }
 
-// Only upstreams of the version count; if it is empty, all do.
+// For a request bound to a version, only those count that it may be sent to.
 bool upstream_pool::all_suspected(const service_state& all,
-                                  base::version_id version) const
+                                  const dispatch_query& query) const
 {
     return std::all_of(
         all.members.begin(), all.members.end(), [&](base::upstream_id id) {
             const upstream& one = this->upstreams.at(id);
-            return (!version.empty() && one.version != version) ||
-                   one.outliers.suspected();
+            return one.outliers.suspected() ||
+                   (!query.version.empty() && !fits(id, one, query));
         });
 }
 
@@ -244,7 +244,7 @@
 {
     offers out;
     // When all upstreams are suspected, suspicion does not tell them apart.
-    const bool any_will_do = this->all_suspected(all, query.version);
+    const bool any_will_do = this->all_suspected(all, query);
     const bool enough_nearby = this->healthy_nearby(all) >= nearby_enough;
     const unreachable_shares unreachable =
         this->unreachable_by_data_centre(all);
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -326,7 +326,7 @@
     unreachable_by_data_centre(const service_state& all) const;
     base::duration oldest_load_report(base::instant now) const;
     bool all_suspected(const service_state& all,
-                       base::version_id version) const;
+                       const dispatch_query& query) const;
     upstream* find(base::upstream_id id);
 
     struct candidate;
