--- /dev/null
+++ b/src/greengagedrum/versions/version_history.cpp
@@ -0,0 +1,56 @@
+#include <greengagedrum/versions/record_table.hpp>
+#include <greengagedrum/versions/version_history.hpp>
+
+namespace greengagedrum::versions
+{
+
+void version_history::set_present(std::span<const service_version> present,
+                                  bool complete,
+                                  base::instant now)
+{
+    for (auto& [seen, sighting] : this->sightings) {
+        if (sighting.present)
+            sighting.last_seen_at = now;
+        sighting.present = false;
+    }
+    for (const service_version& one : present)
+        this->sightings[one].present = true;
+    std::erase_if(this->sightings, [now](const auto& one) {
+        return !one.second.present &&
+               now - one.second.last_seen_at >= record_lifetime;
+    });
+    if (!complete)
+        this->complete_since.reset();
+    else if (!this->complete_since)
+        this->complete_since = now;
+}
+
+void version_history::add_seen(const service_version& seen, base::instant now)
+{
+    this->sightings[seen].last_seen_at = now;
+}
+
+std::optional<base::version_id>
+version_history::single(base::upstream_class_id service,
+                        base::instant now) const
+{
+    if (!this->complete_since || now - *this->complete_since < record_lifetime)
+        return std::nullopt;
+    std::optional<base::version_id> out;
+    const service_version first{service, base::version_id()};
+    for (auto at = this->sightings.lower_bound(first);
+         at != this->sightings.end() && at->first.first == service;
+         ++at) {
+        const sighting& one = at->second;
+        if (!one.present && now - one.last_seen_at >= record_lifetime)
+            continue;
+        if (out)
+            return std::nullopt;
+        out = at->first.second;
+    }
+    if (out && out->empty())
+        return std::nullopt;
+    return out;
+}
+
+} // namespace greengagedrum::versions
