--- a/fuzz/peer_words.cpp
+++ b/fuzz/peer_words.cpp
@@ -1,6 +1,7 @@
 // Datagrams and items of peers. What is taken can be encoded again; anything
 // else is refused.
 #include <greengagedrum/gossip/peer_table.hpp>
+#include <greengagedrum/gossip/stream_version_codec.hpp>
 
 #include "require.hpp"
 
@@ -23,6 +24,11 @@
         table.select_recipients(gossip::recipient_group::other_data_centres,
                                 now);
     }
+    if (const auto message = gossip::decode_stream_version_message(text))
+        require(gossip::decode_stream_version_message(
+                    gossip::encode(*message, message->sender))
+                    .has_value(),
+                "a message about streams that was read can be told again");
     gossip::decode_referral(text);
     if (const auto items = gossip::decode_items(text))
         require(gossip::decode_items(gossip::encode(*items)).has_value() &&
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -52,6 +52,15 @@
 
 struct RateLimit;
 
+struct StreamVersion;
+
+struct VersionQuestion;
+
+struct VersionAnswer;
+
+struct StreamVersions;
+struct StreamVersionsBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -503,6 +512,92 @@
 };
 FLATBUFFERS_STRUCT_END(RateLimit, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) StreamVersion FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t stream_;
+  uint64_t version_;
+
+ public:
+  StreamVersion()
+      : stream_(0),
+        version_(0) {
+  }
+  StreamVersion(uint64_t _stream, uint64_t _version)
+      : stream_(flatbuffers::EndianScalar(_stream)),
+        version_(flatbuffers::EndianScalar(_version)) {
+  }
+  uint64_t stream() const {
+    return flatbuffers::EndianScalar(stream_);
+  }
+  uint64_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+};
+FLATBUFFERS_STRUCT_END(StreamVersion, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) VersionQuestion FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t lookup_;
+  uint64_t stream_;
+  uint64_t service_;
+
+ public:
+  VersionQuestion()
+      : lookup_(0),
+        stream_(0),
+        service_(0) {
+  }
+  VersionQuestion(uint64_t _lookup, uint64_t _stream, uint64_t _service)
+      : lookup_(flatbuffers::EndianScalar(_lookup)),
+        stream_(flatbuffers::EndianScalar(_stream)),
+        service_(flatbuffers::EndianScalar(_service)) {
+  }
+  uint64_t lookup() const {
+    return flatbuffers::EndianScalar(lookup_);
+  }
+  uint64_t stream() const {
+    return flatbuffers::EndianScalar(stream_);
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+};
+FLATBUFFERS_STRUCT_END(VersionQuestion, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) VersionAnswer FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t lookup_;
+  uint64_t version_;
+  uint32_t what_;
+  int32_t padding0__;
+
+ public:
+  VersionAnswer()
+      : lookup_(0),
+        version_(0),
+        what_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  VersionAnswer(uint64_t _lookup, uint64_t _version, uint32_t _what)
+      : lookup_(flatbuffers::EndianScalar(_lookup)),
+        version_(flatbuffers::EndianScalar(_version)),
+        what_(flatbuffers::EndianScalar(_what)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t lookup() const {
+    return flatbuffers::EndianScalar(lookup_);
+  }
+  uint64_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+  uint32_t what() const {
+    return flatbuffers::EndianScalar(what_);
+  }
+};
+FLATBUFFERS_STRUCT_END(VersionAnswer, 24);
+
 struct Wanted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef WantedBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -953,6 +1048,93 @@
       report_taken);
 }
 
+struct StreamVersions FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamVersionsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_RECORDS = 6,
+    VT_QUESTION = 8,
+    VT_ANSWER = 10
+  };
+  uint32_t sender() const {
+    return GetField<uint32_t>(VT_SENDER, 0);
+  }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::StreamVersion *> *records() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::StreamVersion *> *>(VT_RECORDS);
+  }
+  const greengagedrum::gossip::wire::VersionQuestion *question() const {
+    return GetStruct<const greengagedrum::gossip::wire::VersionQuestion *>(VT_QUESTION);
+  }
+  const greengagedrum::gossip::wire::VersionAnswer *answer() const {
+    return GetStruct<const greengagedrum::gossip::wire::VersionAnswer *>(VT_ANSWER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_SENDER, 4) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           VerifyField<greengagedrum::gossip::wire::VersionQuestion>(verifier, VT_QUESTION, 8) &&
+           VerifyField<greengagedrum::gossip::wire::VersionAnswer>(verifier, VT_ANSWER, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct StreamVersionsBuilder {
+  typedef StreamVersions Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sender(uint32_t sender) {
+    fbb_.AddElement<uint32_t>(StreamVersions::VT_SENDER, sender, 0);
+  }
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::StreamVersion *>> records) {
+    fbb_.AddOffset(StreamVersions::VT_RECORDS, records);
+  }
+  void add_question(const greengagedrum::gossip::wire::VersionQuestion *question) {
+    fbb_.AddStruct(StreamVersions::VT_QUESTION, question);
+  }
+  void add_answer(const greengagedrum::gossip::wire::VersionAnswer *answer) {
+    fbb_.AddStruct(StreamVersions::VT_ANSWER, answer);
+  }
+  explicit StreamVersionsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamVersions> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamVersions>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamVersions> CreateStreamVersions(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t sender = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::StreamVersion *>> records = 0,
+    const greengagedrum::gossip::wire::VersionQuestion *question = nullptr,
+    const greengagedrum::gossip::wire::VersionAnswer *answer = nullptr) {
+  StreamVersionsBuilder builder_(_fbb);
+  builder_.add_answer(answer);
+  builder_.add_question(question);
+  builder_.add_records(records);
+  builder_.add_sender(sender);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StreamVersions> CreateStreamVersionsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t sender = 0,
+    const std::vector<greengagedrum::gossip::wire::StreamVersion> *records = nullptr,
+    const greengagedrum::gossip::wire::VersionQuestion *question = nullptr,
+    const greengagedrum::gossip::wire::VersionAnswer *answer = nullptr) {
+  auto records__ = records ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::StreamVersion>(*records) : 0;
+  return greengagedrum::gossip::wire::CreateStreamVersions(
+      _fbb,
+      sender,
+      records__,
+      question,
+      answer);
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -991,7 +1173,8 @@
     VT_READS_PACKED = 70,
     VT_CONGESTED = 72,
     VT_LINK_BYTES_PER_SECOND = 74,
-    VT_KNOWN_CONGESTED = 76
+    VT_KNOWN_CONGESTED = 76,
+    VT_STREAM_VERSIONS = 78
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1101,6 +1284,9 @@
   const flatbuffers::Vector<uint8_t> *known_congested() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_KNOWN_CONGESTED);
   }
+  const greengagedrum::gossip::wire::StreamVersions *stream_versions() const {
+    return GetPointer<const greengagedrum::gossip::wire::StreamVersions *>(VT_STREAM_VERSIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -1156,6 +1342,8 @@
            VerifyField<uint64_t>(verifier, VT_LINK_BYTES_PER_SECOND, 8) &&
            VerifyOffset(verifier, VT_KNOWN_CONGESTED) &&
            verifier.VerifyVector(known_congested()) &&
+           VerifyOffset(verifier, VT_STREAM_VERSIONS) &&
+           verifier.VerifyTable(stream_versions()) &&
            verifier.EndTable();
   }
 };
@@ -1272,6 +1460,9 @@
   void add_known_congested(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known_congested) {
     fbb_.AddOffset(Message::VT_KNOWN_CONGESTED, known_congested);
   }
+  void add_stream_versions(flatbuffers::Offset<greengagedrum::gossip::wire::StreamVersions> stream_versions) {
+    fbb_.AddOffset(Message::VT_STREAM_VERSIONS, stream_versions);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1320,7 +1511,8 @@
     bool reads_packed = false,
     bool congested = false,
     uint64_t link_bytes_per_second = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known_congested = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known_congested = 0,
+    flatbuffers::Offset<greengagedrum::gossip::wire::StreamVersions> stream_versions = 0) {
   MessageBuilder builder_(_fbb);
   builder_.add_link_bytes_per_second(link_bytes_per_second);
   builder_.add_digest(digest);
@@ -1330,6 +1522,7 @@
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_stream_versions(stream_versions);
   builder_.add_known_congested(known_congested);
   builder_.add_store_latency_us(store_latency_us);
   builder_.add_rate_limits(rate_limits);
@@ -1398,7 +1591,8 @@
     bool reads_packed = false,
     bool congested = false,
     uint64_t link_bytes_per_second = 0,
-    const std::vector<uint8_t> *known_congested = nullptr) {
+    const std::vector<uint8_t> *known_congested = nullptr,
+    flatbuffers::Offset<greengagedrum::gossip::wire::StreamVersions> stream_versions = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1451,7 +1645,8 @@
       reads_packed,
       congested,
       link_bytes_per_second,
-      known_congested__);
+      known_congested__,
+      stream_versions);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
