Platform: read the id of the try that a request resumes

Resumes names the try that brought the first event of a stream. It is passed to the upstream unchanged, as Last-Event-Id is, whatever Connection names; two of them are refused.

--- a/src/greengagedrum/platform/headers.cpp
+++ b/src/greengagedrum/platform/headers.cpp
@@ -25,6 +25,7 @@
 constexpr std::string_view rate_limit_header = "Server-Limit";
 constexpr std::string_view idle_timeout_header = "Keep-Alive";
 constexpr std::string_view connection_header = "Connection";
+constexpr std::string_view resumed_attempt_header = "Resumes";
 
 constexpr std::array<std::string_view, 9> own_headers = {
     key_header,
@@ -37,13 +38,15 @@
     "Kv-From",     // goes on from another run's memory
     "Kv-Fetch"};   // reads a prompt from another engine's memory
 
-constexpr std::array<std::string_view, 7> kept_headers = {attempt_header,
-                                                          token_counts_header,
-                                                          resume_header,
-                                                          "X-Model",
-                                                          "X-Prompt-Prefix",
-                                                          "Host",
-                                                          "Content-Type"};
+constexpr std::array<std::string_view, 8> kept_headers = {
+    attempt_header,
+    token_counts_header,
+    resume_header,
+    resumed_attempt_header,
+    "X-Model",
+    "X-Prompt-Prefix",
+    "Host",
+    "Content-Type"};
 
 template <std::size_t Size>
 bool is_one_of(const std::array<std::string_view, Size>& names,
@@ -124,6 +127,12 @@
     }
     if (const auto last = relay::find_header(head.headers, resume_header))
         out.resume_after = std::string(*last);
+    if (relay::count_headers(head.headers, resumed_attempt_header) > 1)
+        return "more than one resumed request id";
+    const auto resumed =
+        relay::find_header(head.headers, resumed_attempt_header);
+    if (resumed && !resumed->empty())
+        out.resumed_attempt = std::string(*resumed);
     return std::nullopt;
 }
 
--- a/src/greengagedrum/platform/headers.hpp
+++ b/src/greengagedrum/platform/headers.hpp
@@ -21,6 +21,9 @@
     std::uint32_t output_tokens = 0; // the most that may be generated
     std::optional<std::uint32_t> expected_tokens; // the caller's guess of it
     std::optional<std::string> resume_after;      // the last event that it has
+    // The id of the try that brought the first event of the stream that this
+    // one takes up. Empty: not named.
+    std::optional<std::string> resumed_attempt;
 };
 
 // A fault is a sentence for the caller's 400.
--- a/src/greengagedrum/platform/test/platform_test.cpp
+++ b/src/greengagedrum/platform/test/platform_test.cpp
@@ -303,7 +303,8 @@
                                               {"X-Deadline-Ms", "1500"},
                                               {"X-Token-Usage", "1460,80"},
                                               {"X-Length-Hint", "about 40"},
-                                              {"Last-Event-Id", "12"}}),
+                                              {"Last-Event-Id", "12"},
+                                              {"resumes", "77ab"}}),
                                    marks));
     CHECK(marks.attempt == "9c41");
     CHECK(marks.time_left == 1500ms);
@@ -311,6 +312,7 @@
     CHECK(marks.output_tokens == 80);
     CHECK_FALSE(marks.expected_tokens);
     CHECK(marks.resume_after == "12");
+    CHECK(marks.resumed_attempt == "77ab");
     for (const relay::header& odd : {relay::header{"X-Deadline-Ms", "soon"},
                                      relay::header{"X-Deadline-Ms", "-1"},
                                      relay::header{"X-Token-Usage", "12"}}) {
@@ -320,6 +322,9 @@
     request_marks twice;
     CHECK(read_request_marks(
         head_with({{"X-Attempt-Id", "a"}, {"X-Attempt-Id", "b"}}), twice));
+    CHECK(read_request_marks(head_with({{"Resumes", "a"}, {"Resumes", "b"}}),
+                             twice));
+    CHECK_FALSE(twice.resumed_attempt);
 }
 
 // A caller sets headers by which engines keep memory for it or go on from
@@ -338,6 +343,7 @@
         CHECK_FALSE_MESSAGE(passes_to_upstream(name), name);
     CHECK(passes_to_upstream("X-Model"));
     CHECK(always_passes("x-attempt-id"));
+    CHECK(always_passes("resumes"));
     std::string head;
     write_upstream_marks({"i-7", "gate", 1500ms, "12"}, head);
     CHECK(head == "X-Deadline-Ms: 1500\r\nX-Target-Instance: i-7\r\n"
