Entry: a resumed stream goes on at the version that began it

Only the id of the first try and the last event come back with a caller, and the entry that passed the first event on may be gone. That entry now sends a record (id, version) to three others; an entry that gets Last-Event-Id looks the version up under the id in Resumes and binds the request to it before it submits it to the scheduler, or refuses it as not run (stream_version_unknown, 503, Retry-After 0.20). Nothing is guessed: without a record, only 30 s of a single version decide, seen by an entry with news of the store within 5 s.

Metrics count the records and the lookups by result; the records are part of the account of memory.

--- a/src/greengagedrum/base/verdict.cpp
+++ b/src/greengagedrum/base/verdict.cpp
@@ -51,6 +51,8 @@
         return "answer_dropped";
     case reason::internal:
         return "internal";
+    case reason::stream_version_unknown:
+        return "stream_version_unknown";
     }
     return "unknown";
 }
--- a/src/greengagedrum/base/verdict.hpp
+++ b/src/greengagedrum/base/verdict.hpp
@@ -38,6 +38,8 @@
     key_conflict,     // the key was used with another request body
     answer_dropped,   // the stored answer exceeded its size bounds
     internal,         // a bounded ring or table was full
+    // It is unknown which version of an upstream began the resumed stream.
+    stream_version_unknown,
 };
 
 struct verdict {
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -84,6 +84,7 @@
             account_for(initial_settings),
             kept_connections_max_of(initial_settings)},
       incarnation(new_incarnation()), timer(this->context),
+      stream_timer(this->context),
       signals(this->context, SIGTERM, SIGINT, SIGHUP),
       tunnel_room(this->state.memory, memory::kind::tunnels)
 {
@@ -91,6 +92,7 @@
     this->last_store_answer = this->state.clock();
     this->last_tick = this->state.clock();
     this->total_suspended = suspended_time();
+    this->make_stream_versions();
     this->make_request_handler();
     this->peer_datagram_socket = std::make_unique<peer_socket>(
         this->context, initial_settings.ip, initial_settings.peer_port);
@@ -207,6 +209,10 @@
         return this->handler->member_requests().build_reply(
             member, this->state.clock());
     };
+    out.stream_message_received = [this](const versions::message& received,
+                                         gossip::ipv4_address from) {
+        this->streams->on_message(received, from);
+    };
     return out;
 }
 
@@ -337,6 +343,8 @@
         static_cast<double>(logs::dropped_lines() +
                             this->state.log.suppressed_lines()));
     set(telemetry::gauge::congested, this->peers->is_congested() ? 1 : 0);
+    set(telemetry::gauge::stream_records,
+        static_cast<double>(this->streams->record_count()));
     set(telemetry::gauge::stopping, this->state.stopping ? 1 : 0);
     if (this->state.memory) {
         const memory::account& held = *this->state.memory;
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -11,6 +11,7 @@
 #include <greengagedrum/entry/request_handler.hpp>
 #include <greengagedrum/entry/settings.hpp>
 #include <greengagedrum/entry/store_reader.hpp>
+#include <greengagedrum/entry/stream_versions.hpp>
 #include <greengagedrum/relay/small_server.hpp>
 #include <greengagedrum/relay/tunnel_server.hpp>
 
@@ -50,6 +51,7 @@
     relay::tunnel_server::owner make_tunnel_events();
     void listen_for_tunnels();
     void make_request_handler();
+    void make_stream_versions();
     std::string service_name(base::upstream_class_id service) const;
     void on_signal(int number);
     void begin_stop(int number);
@@ -82,9 +84,11 @@
     shared_state state;
     base::incarnation incarnation;
     relay::asio::steady_timer timer;
+    relay::asio::steady_timer stream_timer;
     boost::asio::signal_set signals;
     memory::reservation tunnel_room;
     std::unique_ptr<peer_paths> paths;
+    std::unique_ptr<stream_versions> streams;
     std::unique_ptr<request_handler> handler;
     std::unique_ptr<relay::tunnel_server> tunnels; // null: the port is taken
     std::unique_ptr<peer_socket> peer_datagram_socket;
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -96,6 +96,7 @@
                               {{"upstream", one.name},
                                {"as_of", this->state.cluster.store_revision()},
                                {"source", source}});
+    this->streams->on_upstreams_changed(changes);
     this->handler->apply_upstream_changes(changes);
     if (!changes.added.empty())
         this->handler->tick();
@@ -155,6 +156,7 @@
                                  sizeof(relay::tunnel));
     this->handler->tick();
     this->peers->tick(this->store->failing());
+    this->streams->tick(this->peers->store_confirmed_at());
     this->measure_store_connect(now);
     if (now - this->last_timeout_check >= sweep_period) {
         this->last_timeout_check = now;
@@ -187,6 +189,7 @@
     if (late || was_suspended) {
         this->pause_detected_at = now;
         this->state.scheduler.set_paused(true);
+        this->streams->begin_history_anew();
         this->store->poll_now();
         logs::write(
             logs::level::warning,
--- a/src/greengagedrum/entry/entry_paths.cpp
+++ b/src/greengagedrum/entry/entry_paths.cpp
@@ -117,7 +117,8 @@
         std::make_unique<request_handler>(this->context,
                                           this->own_settings.caller_address,
                                           this->state,
-                                          *this->paths);
+                                          *this->paths,
+                                          *this->streams);
     this->handler->on_load_changed = [this] {
         if (this->peers)
             this->peers->schedule_gossip();
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -30,6 +30,7 @@
     std::string workspace; // empty: none
     std::string route;
     bool stream = false;
+    bool resumed = false; // the caller has events of it from an earlier try
     bool repeatable = false;
     // A send of it may be lost and followed by another one.
     bool may_send_again = false;
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -1,5 +1,6 @@
 #include <greengagedrum/entry/peer_protocol.hpp>
 #include <greengagedrum/entry/store_reader.hpp>
+#include <greengagedrum/gossip/stream_version_codec.hpp>
 
 #include <algorithm>
 
@@ -77,7 +78,8 @@
     return this->table.live_count(this->state.clock());
 }
 
-std::vector<reachable_peer> peer_protocol::serving_peers() const
+std::map<gossip::ipv4_address, base::data_centre_id>
+peer_protocol::serving_entries() const
 {
     const base::instant now = this->state.clock();
     std::map<gossip::ipv4_address, base::data_centre_id> found;
@@ -88,6 +90,12 @@
         for (const gossip::located_entry& one :
              this->election.seen_within(listed_entry_max_age, now))
             found.try_emplace(one.address, one.data_centre);
+    return found;
+}
+
+std::vector<reachable_peer> peer_protocol::serving_peers() const
+{
+    const auto found = this->serving_entries();
     const base::data_centre_id own(this->own_settings.data_centre);
     std::vector<reachable_peer> out;
     out.reserve(found.size());
@@ -143,14 +151,11 @@
 void peer_protocol::on_message(std::string_view bytes, const std::string& from)
 {
     const base::instant now = this->state.clock();
+    if (gossip::is_stream_version_message(bytes))
+        return this->on_stream_message(bytes, from);
     const auto message = gossip::decode_message(bytes);
-    if (!message) {
-        this->state.log.write(now,
-                              "peers",
-                              "message_unreadable",
-                              {{"from", from}, {"bytes", bytes.size()}});
-        return;
-    }
+    if (!message)
+        return this->log_unreadable(bytes, from);
     const gossip::peer_update update = this->table.on_message(*message, now);
     if (update == gossip::peer_update::outdated)
         return;
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -20,9 +20,12 @@
 #include <greengagedrum/gossip/duty_fitness.hpp>
 #include <greengagedrum/gossip/gossip_schedule.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
+#include <greengagedrum/versions/messages.hpp>
 
+#include <algorithm>
 #include <array>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -56,6 +59,10 @@
     // Members that are owed a reply, and the reply to one of them.
     std::function<std::vector<base::slot_id>()> members_awaiting_reply;
     std::function<dispatch::dispatcher_reply(base::slot_id)> make_reply;
+    // Another entry's records of streams, question or answer.
+    std::function<void(const versions::message&, gossip::ipv4_address from)>
+        stream_message_received =
+            [](const versions::message&, gossip::ipv4_address) {};
 };
 
 class peer_protocol
@@ -113,6 +120,15 @@
     // Entries that may take this entry's requests, with the port at which they
     // do.
     std::vector<reachable_peer> serving_peers() const;
+    // The same entries, for records of streams.
+    std::vector<versions::known_entry> entries_for_records() const;
+    void send_stream_message(const versions::message& sent,
+                             gossip::ipv4_address to);
+    // When the store last answered this entry or a peer that told it so.
+    base::instant store_confirmed_at() const
+    {
+        return std::max(this->own_store_answer_at, this->peer_store_answer_at);
+    }
     // Whether that address is known as an entry's.
     bool knows_entry(const std::string& ip) const;
     std::size_t recently_live_peers() const;
@@ -133,6 +149,10 @@
     static constexpr base::duration far_message_delay =
         std::chrono::milliseconds(1000);
 
+    std::map<gossip::ipv4_address, base::data_centre_id>
+    serving_entries() const;
+    void on_stream_message(std::string_view bytes, const std::string& from);
+    void log_unreadable(std::string_view bytes, const std::string& from);
     void send_due();
     void send_load(gossip::recipient_group recipients);
     void send_datagram(std::string_view bytes, gossip::ipv4_address to);
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -45,9 +45,11 @@
 request_handler::request_handler(relay::asio::io_context& context,
                                  const base::ip_endpoint& address,
                                  shared_state& state,
-                                 peer_paths& paths)
+                                 peer_paths& paths,
+                                 stream_versions& versions)
     : context(context), acceptor(relay::listen_on(context, address)),
-      state(state), paths(paths), kept(context, state.kept_connections_max),
+      state(state), paths(paths), versions(versions),
+      kept(context, state.kept_connections_max),
       random_engine(std::random_device{}())
 {
     this->kept.on_change = [this] { this->update_kept_upstreams(); };
@@ -174,6 +176,9 @@
     facts.time_left = std::max(left, base::duration(0));
     out.info.route = route.name;
     out.info.stream = route.stream;
+    out.info.resumed = route.stream &&
+                       route.retry == routing::retry_policy::resumable &&
+                       !marks.resume_after.value_or("").empty();
     out.info.repeatable = route.retry != routing::retry_policy::at_most_once;
     out.info.may_send_again = out.info.repeatable && route.attempts_max > 1;
     out.info.allowed_data_centres = facts.allowed_data_centres;
@@ -250,7 +255,7 @@
     active.gap_objective = request.facts.event_gap_objective;
     active.http_exchange = this->make_exchange(from, std::move(request.info));
     this->by_caller[from.get()] = id;
-    this->submit_event(traffic::request_arrived{id, request.facts});
+    this->submit_arrival(id, request.facts);
     if (this->state.delegating)
         this->on_load_changed();
 }
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -12,6 +12,7 @@
 #include <greengagedrum/relay/caller_connection.hpp>
 #include <greengagedrum/telemetry/registry.hpp>
 #include <greengagedrum/traffic/scheduler.hpp>
+#include <greengagedrum/versions/messages.hpp>
 
 #include <functional>
 #include <memory>
@@ -51,13 +52,16 @@
     base::instant received_at;
 };
 
+class stream_versions;
+
 class request_handler
 {
 public:
     request_handler(relay::asio::io_context& context,
                     const base::ip_endpoint& address,
                     shared_state& state,
-                    peer_paths& paths);
+                    peer_paths& paths,
+                    stream_versions& versions);
 
     // Called when state has changed and at regular intervals.
     void tick();
@@ -157,6 +161,15 @@
                 const relay::own_answer& answer);
     std::shared_ptr<exchange> make_exchange(const relay::caller_ptr& from,
                                             request_info info);
+    static const std::string& first_attempt_of(const request_info& info);
+    // Submits the request to the scheduler: one that takes up a stream once the
+    // version that began it is known.
+    void submit_arrival(base::request_id id,
+                        const traffic::request_facts& facts);
+    void on_version_found(base::request_id id,
+                          traffic::request_facts facts,
+                          base::instant lookup_begun,
+                          const versions::finding& found);
     void submit_event(const traffic::event& event);
     void process_pending_events();
     void log_send_outcome(base::request_id id, const send_outcome& outcome);
@@ -217,6 +230,7 @@
     relay::tcp::acceptor acceptor;
     shared_state& state;
     peer_paths& paths;
+    stream_versions& versions;
     relay::kept_connections kept;
     std::size_t entry_count = 1;
     relay::caller_events events;
--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -4,6 +4,7 @@
 #include <greengagedrum/entry/crash_suspect_log.hpp>
 #include <greengagedrum/entry/rate_limit_log.hpp>
 #include <greengagedrum/entry/request_handler.hpp>
+#include <greengagedrum/entry/stream_versions.hpp>
 #include <greengagedrum/entry/to_milliseconds.hpp>
 #include <greengagedrum/relay/connect_check.hpp>
 
@@ -278,6 +279,8 @@
         {{"request", request.http_exchange->info().marks.attempt},
          {"version", base::to_hex(action.version.value)},
          {"upstream", request.upstream}});
+    this->versions.record(first_attempt_of(request.http_exchange->info()),
+                          action.version);
 }
 
 void request_handler::report_missing_version(const exchange& http_exchange,
--- a/src/greengagedrum/entry/test/generated_configuration.hpp
+++ b/src/greengagedrum/entry/test/generated_configuration.hpp
@@ -54,4 +54,17 @@
     return out + "]}";
 }
 
+inline std::string upstream_key(const std::string& name)
+{
+    return "servers/" + name;
+}
+
+inline std::string upstream_text(const std::string& version)
+{
+    return R"({"service": "models", "address": "10.1.0.1:1", "slots": 5, )"
+           R"("zone": "centre-0", "state": "ready", "sequence": 1, )"
+           R"("warmupRemainingMs": 0, "version": ")" +
+           version + "\"}";
+}
+
 } // namespace greengagedrum::entry::test
--- a/src/greengagedrum/entry/test/memory_fixture.cpp
+++ b/src/greengagedrum/entry/test/memory_fixture.cpp
@@ -67,9 +67,18 @@
             {loop_time,
              [] { return std::vector<reachable_peer>(); },
              [](base::upstream_class_id, bool) {}}),
+      versions(this->state,
+               base::data_centre_id("hall"),
+               {[](const versions::message&, versions::entry_address) {},
+                [] { return std::vector<versions::known_entry>(); },
+                [](base::duration) {}}),
       upstream(this->context,
                tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-      handler(this->context, {"127.0.0.1", 0}, this->state, this->paths)
+      handler(this->context,
+              {"127.0.0.1", 0},
+              this->state,
+              this->paths,
+              this->versions)
 {
     this->handler.apply_upstream_changes(this->state.cluster.apply(
         items(this->upstream.local_endpoint().port()), 2, true, loop_time()));
--- a/src/greengagedrum/entry/test/memory_fixture.hpp
+++ b/src/greengagedrum/entry/test/memory_fixture.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <greengagedrum/entry/request_handler.hpp>
+#include <greengagedrum/entry/stream_versions.hpp>
 
 #include <deque>
 #include <string>
@@ -44,6 +45,7 @@
     void accept();
 
     peer_paths paths;
+    stream_versions versions;
     relay::tcp::acceptor upstream;
     std::deque<relay::tcp::socket> upstream_connections;
     std::deque<relay::tcp::socket> callers;
--- a/src/greengagedrum/telemetry/messages.hpp
+++ b/src/greengagedrum/telemetry/messages.hpp
@@ -86,10 +86,14 @@
     connections_reused,
     connections_kept,
     connections_closed_unused,
+    // Lookups of the version that began a resumed stream, by result.
+    stream_versions_known,
+    stream_versions_single, // all upstreams of the service have one version
+    stream_versions_unknown,
     // Ended since no usable upstream had the version that they were bound to.
     requests_without_version
 };
-inline constexpr std::size_t counter_count = 21;
+inline constexpr std::size_t counter_count = 24;
 
 struct process_count {
     counter what = counter::ring_full;
@@ -121,9 +125,10 @@
     memory_gossip,
     memory_connections,
     connections_kept, // idle ones to upstreams
-    congested         // 1 while packets sent wait for half a second
+    congested,        // 1 while packets sent wait for half a second
+    stream_records    // streams whose version is known here
 };
-inline constexpr std::size_t gauge_count = 23;
+inline constexpr std::size_t gauge_count = 24;
 
 struct gauge_set {
     gauge what = gauge::config_age_seconds;
--- a/src/greengagedrum/telemetry/metric_descriptions.cpp
+++ b/src/greengagedrum/telemetry/metric_descriptions.cpp
@@ -56,6 +56,12 @@
      "Connections to upstreams kept for another request."},
     {"greengagedrum_connections_closed_unused_total",
      "Kept connections closed without another request."},
+    {"greengagedrum_stream_versions_known_total",
+     "Resumed streams whose version a record told."},
+    {"greengagedrum_stream_versions_single_total",
+     "Resumed streams without a record, whose service has had one version."},
+    {"greengagedrum_stream_versions_unknown_total",
+     "Resumed streams refused, since their version is unknown."},
     {"greengagedrum_requests_without_version_total",
      "Requests ended since no usable upstream had their version."},
 }};
@@ -97,6 +103,7 @@
     {"greengagedrum_connections_idle", "Kept connections to upstreams."},
     {"greengagedrum_congested",
      "1 while packets that the entry sends wait for half a second."},
+    {"greengagedrum_stream_records", "Streams whose version is recorded."},
 }};
 
 } // namespace
--- a/src/greengagedrum/trace/names.hpp
+++ b/src/greengagedrum/trace/names.hpp
@@ -167,7 +167,8 @@
          {base::reason::already_claimed, "already_claimed"},
          {base::reason::key_conflict, "key_conflict"},
          {base::reason::answer_dropped, "answer_dropped"},
-         {base::reason::internal, "internal"}});
+         {base::reason::internal, "internal"},
+         {base::reason::stream_version_unknown, "stream_version_unknown"}});
 
 template <>
 inline constexpr auto names_of<idempotency::claim_result> =
