--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -13,6 +13,7 @@
 #include <greengagedrum/shutdown/stop_schedule.hpp>
 #include <greengagedrum/telemetry/registry.hpp>
 #include <greengagedrum/traffic/scheduler.hpp>
+#include <greengagedrum/versions/messages.hpp>
 
 #include <functional>
 #include <memory>
@@ -52,13 +53,16 @@
     base::instant received_at;
 };
 
+class stream_versions;
+
 class request_handler
 {
 public:
     request_handler(relay::asio::io_context& context,
                     const base::ip_endpoint& address,
                     shared_state& state,
-                    peer_paths& paths);
+                    peer_paths& paths,
+                    stream_versions& versions);
 
     // Called when state has changed and at regular intervals.
     void tick();
@@ -168,6 +172,15 @@
                 const relay::own_answer& answer);
     std::shared_ptr<exchange> make_exchange(const relay::caller_ptr& from,
                                             request_info info);
+    static const std::string& first_attempt_of(const request_info& info);
+    // Submits the request to the scheduler: one that takes up a stream once the
+    // version that began it is known.
+    void submit_arrival(base::request_id id,
+                        const traffic::request_facts& facts);
+    void on_version_found(base::request_id id,
+                          traffic::request_facts facts,
+                          base::instant lookup_begun,
+                          const versions::finding& found);
     void submit_event(const traffic::event& event);
     void process_pending_events();
     void log_send_outcome(base::request_id id, const send_outcome& outcome);
@@ -186,6 +199,7 @@
     void execute_action(const traffic::suspicion_changed& change);
     void execute_action(const traffic::rate_limit_changed& change);
     void execute_action(const quarantine::quarantine_state_change& change);
+    void execute_action(const traffic::stream_bound& action);
     void grant_slot(const traffic::send_request& action);
     void deny_slot(const traffic::end_request& action);
     void apply_member_changes(const dispatch::request_changes& changes);
@@ -204,6 +218,8 @@
                         base::duration retry_after);
     // Refunds the cost of a request that did not run.
     void refund_cost(const active_request& request);
+    void report_missing_version(const exchange& http_exchange,
+                                base::version_id version);
     void finish(base::request_id id, const base::verdict* failed);
     relay::caller_bounds bounds() const;
 
@@ -225,6 +241,7 @@
     relay::tcp::acceptor acceptor;
     shared_state& state;
     peer_paths& paths;
+    stream_versions& versions;
     relay::kept_connections kept;
     std::size_t entry_count = 1;
     relay::caller_events events;
--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -1,8 +1,10 @@
 // The part of request_handler that passes events to the scheduler and executes
 // the actions it returns.
+#include <greengagedrum/base/digest.hpp>
 #include <greengagedrum/entry/crash_suspect_log.hpp>
 #include <greengagedrum/entry/rate_limit_log.hpp>
 #include <greengagedrum/entry/request_handler.hpp>
+#include <greengagedrum/entry/stream_versions.hpp>
 #include <greengagedrum/entry/to_milliseconds.hpp>
 #include <greengagedrum/relay/connect_check.hpp>
 
@@ -213,6 +215,8 @@
     if (found == this->requests.end())
         return;
     const std::shared_ptr<exchange> http_exchange = found->second.http_exchange;
+    if (!action.missing_version.empty())
+        this->report_missing_version(*http_exchange, action.missing_version);
     if (action.verdict.run == base::run_state::not_run)
         this->refund_cost(found->second);
     this->finish(action.request, &action.verdict);
@@ -262,6 +266,35 @@
     log_crash_suspect(this->state, change, "own");
 }
 
+void request_handler::execute_action(const traffic::stream_bound& action)
+{
+    const auto found = this->requests.find(action.request);
+    if (found == this->requests.end())
+        return;
+    const active_request& request = found->second;
+    this->state.log.write(
+        this->state.clock(),
+        "scheduler",
+        "stream_bound",
+        {{"request", request.http_exchange->info().marks.attempt},
+         {"version", base::to_hex(action.version.value)},
+         {"upstream", request.upstream}});
+    this->versions.record(first_attempt_of(request.http_exchange->info()),
+                          action.version);
+}
+
+void request_handler::report_missing_version(const exchange& http_exchange,
+                                             base::version_id version)
+{
+    this->state.metrics.add(
+        telemetry::process_count{telemetry::counter::requests_without_version});
+    this->state.log.write(this->state.clock(),
+                          "scheduler",
+                          "version_unavailable",
+                          {{"request", http_exchange.info().marks.attempt},
+                           {"version", base::to_hex(version.value)}});
+}
+
 void request_handler::finish(base::request_id id, const base::verdict* failed)
 {
     const auto found = this->requests.find(id);
