Versions: findings of the review of streams across versions

Found by reading, by one who hadn't written the code.

* A route whose requests are split between services drew the service anew for each try, so a resumed stream could go to another service, whose history truly has one version.
The draw now follows from the id of the first try, and versions of two services differ whatever their names.
* One entry with an outdated view decided for a single version although others had seen two.
An entry that has seen several versions says so, and overrules all histories.
* Records aged from the first event on, so those of a stream longer than 30 s expired while it ran.
They are renewed every 10 s.
* A version that was decided by history was not recorded, so a third try could be refused.
* A late answer to an earlier process of an address could decide another lookup: numbers of lookups begin with the time.
* Messages that are handled before a pause is noticed were answered from a stale history.
* The end of a stop left out requests whose version is being looked up.

The renewal, the draw and the request under lookup at the end of a stop have no test of their own. In the fixtures of the tests, versions are named with their service; what they check is unchanged.

--- a/src/greengagedrum/entry/fleet_test/stream_version_fleet_test.cpp
+++ b/src/greengagedrum/entry/fleet_test/stream_version_fleet_test.cpp
@@ -19,8 +19,8 @@
 
 struct stream_version_fixture {
     stream_version_fleet fleet{{}};
-    base::version_id first{"1.0"};
-    base::version_id second{"1.1"};
+    base::version_id first = routing::service_version_id("models", "1.0");
+    base::version_id second = routing::service_version_id("models", "1.1");
 
     // Both versions serve, and all entries have known them for long.
     void run_two_versions()
--- a/src/greengagedrum/entry/request_ending.cpp
+++ b/src/greengagedrum/entry/request_ending.cpp
@@ -70,6 +70,13 @@
     this->execute(actions);
     this->process_pending_events();
     this->processing_events = false;
+    // The scheduler doesn't know those whose version is still being looked up.
+    std::vector<base::request_id> left;
+    for (const auto& [id, request] : this->requests)
+        left.push_back(id);
+    for (const base::request_id id : left)
+        this->execute_action(traffic::end_request{
+            id, base::not_run(base::reason::stopping, retry_after_stopping)});
     this->refuse_unread_requests();
 }
 
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -40,6 +40,13 @@
         std::min<std::size_t>(priority, base::all_tiers.size() - 1));
 }
 
+// From 0 to 1, evenly over all names.
+double fraction_of(std::string_view name)
+{
+    constexpr double range = 18446744073709551616.0; // 2^64
+    return static_cast<double>(base::hash_name(name)) / range;
+}
+
 } // namespace
 
 request_handler::request_handler(relay::asio::io_context& context,
@@ -49,8 +56,7 @@
                                  stream_versions& versions)
     : context(context), acceptor(relay::listen_on(context, address)),
       state(state), paths(paths), versions(versions),
-      kept(context, state.kept_connections_max),
-      random_engine(std::random_device{}())
+      kept(context, state.kept_connections_max)
 {
     this->kept.on_change = [this] { this->update_kept_upstreams(); };
     this->events.request = [this](const relay::caller_ptr& from,
@@ -160,8 +166,9 @@
                                  request_properties& out)
 {
     const platform::request_marks& marks = out.info.marks;
+    // All tries of a stream go to the same service.
     const double draw =
-        std::uniform_real_distribution<double>(0.0, 1.0)(this->random_engine);
+        fraction_of(marks.resumed_attempt.value_or(marks.attempt));
     const routing::route_target& target =
         routing::route_table::pick_target(route, draw);
     traffic::request_facts& facts = out.facts;
@@ -367,6 +374,7 @@
     for (const relay::caller_ptr& one : connections)
         one->check_time(now, limits);
     this->keep_to_memory();
+    this->renew_version_records();
     for (auto& [id, request] : this->requests)
         request.http_exchange->resume_reading();
 }
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -17,7 +17,6 @@
 
 #include <functional>
 #include <memory>
-#include <random>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -136,6 +135,8 @@
         base::instant last_sent_at;
         std::string upstream; // the last one sent to
         std::optional<base::instant> first_event_at;
+        base::version_id version;  // that began the stream; empty: none yet
+        base::instant recorded_at; // the version, at other entries
         base::instant last_event_at;
         base::duration longest_gap{0}; // between events
 
@@ -209,6 +210,7 @@
                             const dispatch::slot_request& request);
     void charge_queued_requests();
     void check_paths();
+    void renew_version_records();
     void refuse_queued_request(base::request_id id,
                                base::reason why,
                                base::duration retry_after);
@@ -255,7 +257,6 @@
     std::uint64_t next_request = 1;
     std::size_t next_path_check = 0;
     base::instant memory_checked_at;
-    std::mt19937_64 random_engine;
     std::optional<shutdown::stop_schedule> stop; // from its signal on
     bool processing_events = false; // new events go to pending_events
     std::vector<traffic::event> pending_events;
--- a/src/greengagedrum/entry/request_resuming.cpp
+++ b/src/greengagedrum/entry/request_resuming.cpp
@@ -16,6 +16,9 @@
 constexpr base::duration retry_after_unknown_version =
     std::chrono::milliseconds(200);
 
+// Well within the lifetime of a record, for streams that take longer than that.
+constexpr base::duration record_renewal = std::chrono::seconds(10);
+
 } // namespace
 
 // The try that brought the first event of the request's stream: the one that
@@ -58,9 +61,25 @@
     facts.time_left =
         std::max(facts.time_left - (this->state.clock() - lookup_begun),
                  base::duration(0));
+    active_request& request = this->requests.at(id);
+    request.version = facts.version;
+    request.recorded_at = this->state.clock();
     this->submit_event(traffic::request_arrived{id, facts});
     if (this->state.delegating)
         this->on_load_changed();
 }
 
+void request_handler::renew_version_records()
+{
+    const base::instant now = this->state.clock();
+    for (auto& [id, request] : this->requests) {
+        if (request.version.empty() ||
+            now - request.recorded_at < record_renewal)
+            continue;
+        request.recorded_at = now;
+        this->versions.record(first_attempt_of(request.http_exchange->info()),
+                              request.version);
+    }
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -271,7 +271,9 @@
     const auto found = this->requests.find(action.request);
     if (found == this->requests.end())
         return;
-    const active_request& request = found->second;
+    active_request& request = found->second;
+    request.version = action.version;
+    request.recorded_at = this->state.clock();
     this->state.log.write(
         this->state.clock(),
         "scheduler",
--- a/src/greengagedrum/entry/stream_versions.cpp
+++ b/src/greengagedrum/entry/stream_versions.cpp
@@ -23,6 +23,9 @@
 // upstreams of another version.
 constexpr base::duration store_max_age = std::chrono::seconds(5);
 
+// A tick that is later than this follows a pause of the process.
+constexpr base::duration tick_max_age = std::chrono::milliseconds(400);
+
 std::string name_of(versions::entry_address address)
 {
     return address == 0 ? std::string()
@@ -46,7 +49,8 @@
             telemetry::counter::stream_versions_single};
 }
 
-result_names names_of(const versions::unknown_version& /* found */)
+template <class Undecided>
+result_names names_of(const Undecided& /* found */)
 {
     return {"stream_version_unknown",
             telemetry::counter::stream_versions_unknown};
@@ -58,7 +62,10 @@
                                  base::data_centre_id data_centre,
                                  stream_version_events events)
     : state(state), data_centre(data_centre), events(std::move(events)),
-      room(state.memory, memory::kind::gossip)
+      room(state.memory, memory::kind::gossip),
+      next_lookup(
+          static_cast<std::uint64_t>(state.clock().time_since_epoch().count())),
+      ticked_at(state.clock())
 {
 }
 
@@ -114,7 +121,7 @@
     const auto known = this->events.known_entries();
     versions::lookup progress(stream,
                               versions::choose_entries_to_ask(stream, known),
-                              this->history.single(sought.service, now),
+                              this->seen_lately(sought.service),
                               now);
     const std::uint64_t number = this->next_lookup++;
     const versions::question asked{number, stream, sought.service};
@@ -147,8 +154,8 @@
     versions::answer out{received.lookup, versions::unknown_version{}};
     if (const auto known = this->records.find(received.stream, now))
         out.found = versions::known_version{*known};
-    else if (const auto single = this->history.single(received.service, now))
-        out.found = versions::single_version{*single};
+    else
+        out.found = this->seen_lately(received.service);
     this->events.send(out, from);
 }
 
@@ -185,9 +192,7 @@
     }
     for (pending_lookup& one : ended) {
         const versions::lookup::result result = *one.progress.result_at(now);
-        if (const auto* known =
-                std::get_if<versions::known_version>(&result.found))
-            this->record(one.sought.begun_by, known->version);
+        this->record(one.sought.begun_by, versions::version_of(result.found));
         this->end_lookup(one.sought, result);
         one.on_end(result.found);
     }
@@ -228,6 +233,7 @@
 void stream_versions::tick(base::instant store_confirmed_at)
 {
     const base::instant now = this->state.clock();
+    this->ticked_at = now;
     if (now - store_confirmed_at > store_max_age)
         this->history.begin_anew();
     else if (now - this->history_updated_at >= history_interval)
@@ -236,6 +242,16 @@
     this->room.resize(this->records.bytes());
 }
 
+// After a pause, messages may be handled before the pause is noticed.
+versions::finding
+stream_versions::seen_lately(base::upstream_class_id service) const
+{
+    const base::instant now = this->state.clock();
+    if (now - this->ticked_at > tick_max_age)
+        return versions::unknown_version{};
+    return this->history.seen(service, now);
+}
+
 void stream_versions::on_upstreams_changed(const cluster_changes& changes)
 {
     const base::instant now = this->state.clock();
--- a/src/greengagedrum/entry/stream_versions.hpp
+++ b/src/greengagedrum/entry/stream_versions.hpp
@@ -84,6 +84,7 @@
     void spread(const versions::stream_record& added);
     void send_records();
     void update_history();
+    versions::finding seen_lately(base::upstream_class_id service) const;
     void end_lookup(const resumed_stream& sought,
                     const versions::lookup::result& result);
     void set_timer();
@@ -97,9 +98,12 @@
     std::map<versions::entry_address, versions::record_list> unsent;
     std::optional<base::instant> unsent_due_at;
     std::map<std::uint64_t, pending_lookup> lookups;
-    std::uint64_t next_lookup = 1;
+    // Begins with the time, so that a late answer to an earlier process of this
+    // address fits no lookup.
+    std::uint64_t next_lookup;
     std::optional<base::instant> timer_due_at;
     base::instant history_updated_at;
+    base::instant ticked_at;
 };
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/test/stream_versions_test.cpp
+++ b/src/greengagedrum/entry/test/stream_versions_test.cpp
@@ -57,11 +57,12 @@
                      const std::string& version) const
     {
         const auto to = asio::ip::address_v4::loopback();
-        const std::string bytes =
-            gossip::encode({0x7f000009,
-                            versions::record_list{{versions::stream_id(attempt),
-                                                   base::version_id(version)}}},
-                           to.to_uint());
+        const std::string bytes = gossip::encode(
+            {0x7f000009,
+             versions::record_list{
+                 {versions::stream_id(attempt),
+                  routing::service_version_id("models", version)}}},
+            to.to_uint());
         asio::io_context context;
         relay::udp::socket socket(context, relay::udp::v4());
         socket.send_to(asio::buffer(bytes),
@@ -198,7 +199,8 @@
             {this->socket.local_endpoint().address().to_v4().to_uint(),
              versions::answer{
                  asked.lookup,
-                 versions::known_version{base::version_id(version)}}},
+                 versions::known_version{
+                     routing::service_version_id("models", version)}}},
             this->entry_under_test.address().to_v4().to_uint()));
     }
 
--- a/src/greengagedrum/gossip/stream_version_codec.cpp
+++ b/src/greengagedrum/gossip/stream_version_codec.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint8_t stream_version_kind = 6;
 
 // In the order of versions::finding.
-enum class finding_kind : std::uint32_t { known, single, unknown };
+enum class finding_kind : std::uint32_t { known, single, unknown, several };
 
 std::optional<versions::finding> finding_of(const wire::VersionAnswer& from)
 {
@@ -23,6 +23,8 @@
     const auto kind = static_cast<finding_kind>(from.what());
     if (kind == finding_kind::unknown)
         return versions::unknown_version{};
+    if (kind == finding_kind::several)
+        return versions::several_versions{};
     if (version.empty())
         return std::nullopt;
     if (kind == finding_kind::known)
--- a/src/greengagedrum/gossip/test/stream_version_codec_test.cpp
+++ b/src/greengagedrum/gossip/test/stream_version_codec_test.cpp
@@ -48,6 +48,7 @@
     check_kept(versions::answer{7, versions::known_version{this->version}});
     check_kept(versions::answer{7, versions::single_version{this->version}});
     check_kept(versions::answer{7, versions::unknown_version{}});
+    check_kept(versions::answer{7, versions::several_versions{}});
 }
 
 TEST_CASE_FIXTURE(stream_version_codec_fixture, "full_message_fits_a_packet")
--- a/src/greengagedrum/platform/documents.cpp
+++ b/src/greengagedrum/platform/documents.cpp
@@ -172,15 +172,16 @@
     out.name = name;
     out.started_unix_ms = read_born(from);
     out.id = routing::incarnation_id(name, out.started_unix_ms);
-    out.service =
-        base::upstream_class_id(from.at("service").get<std::string>());
+    const auto service = from.at("service").get<std::string>();
+    out.service = base::upstream_class_id(service);
     const auto address = from.at("address").get<std::string>();
     const auto endpoint = base::parse_endpoint(address);
     if (!endpoint || endpoint->port == 0)
         out_of_range("address");
     out.address = *endpoint;
     out.data_centre = from.at("zone").get<std::string>();
-    out.version = base::version_id(from.at("version").get<std::string>());
+    out.version = routing::service_version_id(
+        service, from.at("version").get<std::string>());
     out.slots = read_slots(from);
     out.leaving = read_leaving(from);
     out.warmup = read_warmup(from);
--- a/src/greengagedrum/platform/test/platform_test.cpp
+++ b/src/greengagedrum/platform/test/platform_test.cpp
@@ -197,7 +197,8 @@
     REQUIRE(read);
     CHECK(read->name == "i-7");
     CHECK(read->service == base::upstream_class_id("s-1"));
-    CHECK(read->version == base::version_id("v1.1"));
+    CHECK(read->version == routing::service_version_id("s-1", "v1.1"));
+    CHECK(read->version != routing::service_version_id("s-2", "v1.1"));
     CHECK(read->address.port == 8080);
     CHECK(read->leaving);
     CHECK(read->warmup == 250ms);
--- a/src/greengagedrum/routing/upstream_directory.cpp
+++ b/src/greengagedrum/routing/upstream_directory.cpp
@@ -74,6 +74,15 @@
     record.expires_at.reset();
 }
 
+base::version_id service_version_id(std::string_view service,
+                                    std::string_view version)
+{
+    // No name has a line break.
+    std::string name(service);
+    name.append("\n").append(version);
+    return base::version_id(name);
+}
+
 upstream_change upstream_directory::update(const published_upstream& published)
 {
     upstream_record& record = this->records[published.name];
--- a/src/greengagedrum/routing/upstream_directory.hpp
+++ b/src/greengagedrum/routing/upstream_directory.hpp
@@ -51,6 +51,10 @@
 base::upstream_id incarnation_id(std::string_view name,
                                  std::optional<std::uint64_t> started_unix_ms);
 
+// Versions of different services differ, whatever their names.
+base::version_id service_version_id(std::string_view service,
+                                    std::string_view version);
+
 enum class upstream_change : std::uint8_t {
     none,
     joined,
--- a/src/greengagedrum/versions/lookup.cpp
+++ b/src/greengagedrum/versions/lookup.cpp
@@ -7,9 +7,9 @@
 
 lookup::lookup(stream_id stream,
                std::vector<entry_address> asked,
-               std::optional<base::version_id> own_single,
+               finding own_history,
                base::instant now)
-    : sought(stream), to_ask(std::move(asked)), own_single(own_single),
+    : sought(stream), to_ask(std::move(asked)), own_history(own_history),
       started_at(now)
 {
     if (this->to_ask.empty())
@@ -60,21 +60,29 @@
 
 void lookup::decide_by_history(result& out) const
 {
+    if (std::holds_alternative<several_versions>(this->own_history))
+        return;
     std::optional<single_version> agreed;
-    if (this->own_single && (!this->answers.empty() || this->to_ask.empty()))
-        agreed = single_version{*this->own_single};
+    entry_address decided_by = 0;
+    const auto* own = std::get_if<single_version>(&this->own_history);
+    if (own != nullptr && (!this->answers.empty() || this->to_ask.empty()))
+        agreed = *own;
     for (const answered& one : this->answers) {
+        if (std::holds_alternative<several_versions>(one.found))
+            return;
         const auto* single = std::get_if<single_version>(&one.found);
         if (single == nullptr)
             continue;
         if (agreed && *agreed != *single)
             return;
         if (!agreed)
-            out.by = one.from;
+            decided_by = one.from;
         agreed = *single;
     }
-    if (agreed)
-        out.found = *agreed;
+    if (!agreed)
+        return;
+    out.found = *agreed;
+    out.by = decided_by;
 }
 
 std::optional<lookup::result> lookup::result_at(base::instant now) const
--- a/src/greengagedrum/versions/lookup.hpp
+++ b/src/greengagedrum/versions/lookup.hpp
@@ -3,7 +3,8 @@
 // The first answer that knows it decides. If those that answered know no
 // record, the service's history decides: that of an entry that answered, or the
 // own one if at least one other entry answered or no other is known. Nothing is
-// guessed: two histories that differ count as none.
+// guessed: two histories that differ count as none, and one that has seen
+// several versions overrules all others.
 #pragma once
 
 #include <greengagedrum/base/time.hpp>
@@ -25,10 +26,10 @@
 class lookup
 {
 public:
-    // `own_single`: what this entry's history says of the service.
+    // `own_history`: what it says of the service.
     lookup(stream_id stream,
            std::vector<entry_address> asked,
-           std::optional<base::version_id> own_single,
+           finding own_history,
            base::instant now);
 
     struct result {
@@ -66,7 +67,7 @@
 
     stream_id sought;
     std::vector<entry_address> to_ask;
-    std::optional<base::version_id> own_single;
+    finding own_history;
     base::instant started_at;
     std::vector<answered> answers;
     std::optional<base::instant> decided_at;
--- a/src/greengagedrum/versions/messages.hpp
+++ b/src/greengagedrum/versions/messages.hpp
@@ -53,9 +53,15 @@
     bool operator==(const unknown_version&) const = default;
 };
 
-using finding = std::variant<known_version, single_version, unknown_version>;
+// It has no record, and has seen several versions of the service lately.
+struct several_versions {
+    bool operator==(const several_versions&) const = default;
+};
+
+using finding = std::
+    variant<known_version, single_version, unknown_version, several_versions>;
 
-// Empty if unknown.
+// Empty for the others.
 inline base::version_id version_of(const finding& found)
 {
     if (const auto* known = std::get_if<known_version>(&found))
--- a/src/greengagedrum/versions/test/lookup_test.cpp
+++ b/src/greengagedrum/versions/test/lookup_test.cpp
@@ -18,7 +18,9 @@
     lookup make(std::vector<entry_address> asked,
                 std::optional<base::version_id> own_single = {}) const
     {
-        return {stream_id(7), std::move(asked), own_single, this->start};
+        const finding own = own_single ? finding(single_version{*own_single})
+                                       : finding(unknown_version{});
+        return {stream_id(7), std::move(asked), own, this->start};
     }
 
     finding found_at(const lookup& one, base::duration after) const
@@ -109,6 +111,19 @@
     CHECK(this->found_at(sought, 0ms) == finding(unknown_version{}));
 }
 
+// An entry with an outdated view sees one version where others see two.
+TEST_CASE_FIXTURE(lookup_fixture, "several_versions_seen_by_one_unknown")
+{
+    lookup sought = this->make({1, 2, 3}, this->first);
+    sought.on_answer(1, single_version{this->first}, this->start);
+    sought.on_answer(2, several_versions{}, this->start);
+    sought.on_answer(3, single_version{this->first}, this->start);
+    CHECK(this->found_at(sought, 0ms) == finding(unknown_version{}));
+
+    const lookup own(stream_id(7), {}, several_versions{}, this->start);
+    CHECK(this->found_at(own, 0ms) == finding(unknown_version{}));
+}
+
 TEST_CASE_FIXTURE(lookup_fixture, "answer_of_an_entry_not_asked_ignored")
 {
     lookup sought = this->make({1, 2});
--- a/src/greengagedrum/versions/test/version_history_test.cpp
+++ b/src/greengagedrum/versions/test/version_history_test.cpp
@@ -32,12 +32,24 @@
 
     std::optional<base::version_id> single(base::instant now) const
     {
-        return this->history.single(this->service, now);
+        const finding seen = this->history.seen(this->service, now);
+        const auto* single = std::get_if<single_version>(&seen);
+        return single == nullptr ? std::nullopt
+                                 : std::optional(single->version);
     }
 };
 
 } // namespace
 
+// An entry that has just started, and so knows no history, overrules one that
+// missed a version.
+TEST_CASE_FIXTURE(version_history_fixture, "two_versions_at_once_several")
+{
+    this->set_present({this->first, this->second}, this->start);
+    CHECK(this->history.seen(this->service, this->start) ==
+          finding(several_versions{}));
+}
+
 TEST_CASE_FIXTURE(version_history_fixture, "one_version_for_lifetime_single")
 {
     this->set_present({this->first}, this->start);
--- a/src/greengagedrum/versions/version_history.cpp
+++ b/src/greengagedrum/versions/version_history.cpp
@@ -30,13 +30,10 @@
     this->sightings[seen].last_seen_at = now;
 }
 
-std::optional<base::version_id>
-version_history::single(base::upstream_class_id service,
-                        base::instant now) const
+finding version_history::seen(base::upstream_class_id service,
+                              base::instant now) const
 {
-    if (!this->complete_since || now - *this->complete_since < record_lifetime)
-        return std::nullopt;
-    std::optional<base::version_id> out;
+    std::optional<base::version_id> only;
     const service_version first{service, base::version_id()};
     for (auto at = this->sightings.lower_bound(first);
          at != this->sightings.end() && at->first.first == service;
@@ -44,13 +41,15 @@
         const sighting& one = at->second;
         if (!one.present && now - one.last_seen_at >= record_lifetime)
             continue;
-        if (out)
-            return std::nullopt;
-        out = at->first.second;
+        if (only)
+            return several_versions{};
+        only = at->first.second;
     }
-    if (out && out->empty())
-        return std::nullopt;
-    return out;
+    const bool complete =
+        this->complete_since && now - *this->complete_since >= record_lifetime;
+    if (!complete || !only || only->empty())
+        return unknown_version{};
+    return single_version{*only};
 }
 
 } // namespace greengagedrum::versions
--- a/src/greengagedrum/versions/version_history.hpp
+++ b/src/greengagedrum/versions/version_history.hpp
@@ -7,6 +7,7 @@
 
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
+#include <greengagedrum/versions/messages.hpp>
 
 #include <map>
 #include <optional>
@@ -33,9 +34,8 @@
     void begin_anew() { this->complete_since.reset(); }
 
     // The version of all upstreams of the service for the whole lifetime of a
-    // record; empty if there were others or it isn't known.
-    std::optional<base::version_id> single(base::upstream_class_id service,
-                                           base::instant now) const;
+    // record, that there were several, or that it isn't known.
+    finding seen(base::upstream_class_id service, base::instant now) const;
 
 private:
     struct sighting {
