Versions: a caller that doesn't name its first try keeps its stream

Cause: such a request was looked up under its own id, which nobody can know, and then needed a history of 30 s without a gap.

Change: it goes on if this entry has seen a single version of the service, however short it has run, and is refused if it has seen several. Requests that name the first try are treated as before.

--- a/src/greengagedrum/entry/test/stream_versions_test.cpp
+++ b/src/greengagedrum/entry/test/stream_versions_test.cpp
@@ -131,6 +131,18 @@
     this->check_refused(this->resume("/stream/", ""));
 }
 
+// Earlier clients lose their streams while entries have run for a short time.
+TEST_CASE_FIXTURE(entry_fixture,
+                  "resumed_stream_that_names_no_try_one_version_goes_on")
+{
+    httplib::Headers headers = entry_fixture::headers();
+    headers.emplace("Last-Event-Id", "1");
+    const auto response =
+        this->client().Post("/stream/", headers, "", "text/plain");
+    REQUIRE(response);
+    CHECK(response->status == 200);
+}
+
 TEST_CASE_FIXTURE(resumed_stream_fixture,
                   "request_of_another_route_not_concerned")
 {
--- a/src/greengagedrum/versions/test/version_history_test.cpp
+++ b/src/greengagedrum/versions/test/version_history_test.cpp
@@ -50,6 +50,18 @@
           finding(several_versions{}));
 }
 
+TEST_CASE_FIXTURE(version_history_fixture, "seen_so_far_needs_no_lifetime")
+{
+    this->set_present({this->first}, this->start);
+    CHECK(this->history.seen_so_far(this->service, this->start) ==
+          finding(single_version{this->first}));
+    CHECK(this->history.seen(this->service, this->start) ==
+          finding(unknown_version{}));
+    this->set_present({this->second}, this->start + 1s);
+    CHECK(this->history.seen_so_far(this->service, this->start + 1s) ==
+          finding(several_versions{}));
+}
+
 TEST_CASE_FIXTURE(version_history_fixture, "one_version_for_lifetime_single")
 {
     this->set_present({this->first}, this->start);
--- a/src/greengagedrum/versions/version_history.cpp
+++ b/src/greengagedrum/versions/version_history.cpp
@@ -32,6 +32,17 @@
 
 finding version_history::seen(base::upstream_class_id service,
                               base::instant now) const
+{
+    const finding out = this->seen_so_far(service, now);
+    const bool complete =
+        this->complete_since && now - *this->complete_since >= record_lifetime;
+    if (std::holds_alternative<single_version>(out) && !complete)
+        return unknown_version{};
+    return out;
+}
+
+finding version_history::seen_so_far(base::upstream_class_id service,
+                                     base::instant now) const
 {
     std::optional<base::version_id> only;
     const service_version first{service, base::version_id()};
@@ -45,9 +56,7 @@
             return several_versions{};
         only = at->first.second;
     }
-    const bool complete =
-        this->complete_since && now - *this->complete_since >= record_lifetime;
-    if (!complete || !only || only->empty())
+    if (!only || only->empty())
         return unknown_version{};
     return single_version{*only};
 }
