--- a/src/greengagedrum/entry/fleet_test/stream_version_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/stream_version_fleet.cpp
@@ -76,20 +76,22 @@
                                        base::duration after,
                                        std::function<void(node&)> run)
 {
-    this->schedule(
-        after,
-        [this, number, life = this->nodes[number]->life, run = std::move(run)] {
-            node* one = this->nodes[number].get();
-            if (one != nullptr && one->life == life)
-                run(*one);
-        });
+    this->schedule(after,
+                   [this,
+                    number,
+                    incarnation = this->nodes[number]->incarnation,
+                    run = std::move(run)] {
+                       node* one = this->nodes[number].get();
+                       if (one != nullptr && one->incarnation == incarnation)
+                           run(*one);
+                   });
 }
 
 void stream_version_fleet::start(std::size_t number)
 {
     this->nodes[number] = std::make_unique<node>(this->now);
     node& fresh = *this->nodes[number];
-    fresh.life = this->next_sequence++;
+    fresh.incarnation = this->next_sequence++;
     fresh.state.clock = [this] { return this->now; };
     stream_version_events out;
     out.send = [this, number](const versions::message& sent,
--- a/src/greengagedrum/entry/fleet_test/stream_version_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/stream_version_fleet.hpp
@@ -66,7 +66,7 @@
 
         shared_state state;
         std::unique_ptr<stream_versions> versions;
-        std::uint64_t life = 0;
+        std::uint64_t incarnation = 0;
         bool cut_off = false;
         base::instant cut_off_at;
     };
