Entry: the log of an arrived request names the shared parts of its prompt

Requests that crash upstreams under digests of their own were told apart from upstreams that end by themselves by nothing in the log. The ids of the prompt parts that other requests may have are read from the caller's header, bounded to 16, logged and kept with the request. No decision uses them.

--- a/src/greengagedrum/base/request_digest.hpp
+++ b/src/greengagedrum/base/request_digest.hpp
@@ -2,6 +2,8 @@
 // and body, whatever their ids.
 #pragma once
 
+#include <greengagedrum/base/ids.hpp>
+
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -27,6 +29,11 @@
                                  std::string_view target,
                                  std::string_view body);
 
+// The digest of one part of the prompts that a service gets, by the id under
+// which callers name the part.
+request_digest digest_of_prompt_part(upstream_class_id service,
+                                     std::string_view part);
+
 // 32 lower-case hexadecimal digits.
 std::string to_hex(const request_digest& value);
 
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -4,6 +4,8 @@
 #include <greengagedrum/relay/connect_check.hpp>
 #include <greengagedrum/relay/small_server.hpp>
 
+#include <boost/algorithm/string/join.hpp>
+
 #include <algorithm>
 
 namespace greengagedrum::entry
@@ -226,6 +228,9 @@
     const relay::request_head& head = from->head();
     request.facts.digest = base::digest_of_request(
         request.info.workspace, head.method, head.target, from->body());
+    for (const std::string& part : request.info.marks.shared_prompt_parts)
+        request.facts.prompt_parts.push_back(
+            base::digest_of_prompt_part(request.facts.service, part));
     const bool counted_here = !this->state.delegating;
     const auto retry_after =
         counted_here
@@ -238,6 +243,8 @@
         "request_arrived",
         {{"request", attempt},
          {"digest", base::to_hex(request.facts.digest)},
+         {"prompt_parts",
+          boost::algorithm::join(request.info.marks.shared_prompt_parts, ",")},
          {"route", request.info.route},
          {"workspace", request.info.workspace},
          {"priority", request.facts.priority},
--- a/src/greengagedrum/platform/headers.cpp
+++ b/src/greengagedrum/platform/headers.cpp
@@ -26,6 +26,7 @@
 constexpr std::string_view idle_timeout_header = "Keep-Alive";
 constexpr std::string_view connection_header = "Connection";
 constexpr std::string_view resumed_attempt_header = "Resumes";
+constexpr std::string_view prompt_parts_header = "X-Prompt-Prefix";
 
 constexpr std::array<std::string_view, 9> own_headers = {
     key_header,
@@ -44,7 +45,7 @@
     resume_header,
     resumed_attempt_header,
     "X-Model",
-    "X-Prompt-Prefix",
+    prompt_parts_header,
     "Host",
     "Content-Type"};
 
@@ -91,6 +92,35 @@
     return true;
 }
 
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const std::size_t begin = text.find_first_not_of(blanks);
+    if (begin == std::string_view::npos)
+        return {};
+    return text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
+}
+
+// Parts beyond these are not looked at.
+constexpr std::size_t max_prompt_parts = 16;
+
+// "ID:TOKENS,ID:TOKENS", in the order of the prompt. The last part belongs to
+// the request itself, or to its session.
+std::vector<std::string> shared_parts_from(std::string_view text)
+{
+    std::vector<std::string> out;
+    for (std::size_t comma = text.find(',');
+         comma != std::string_view::npos && out.size() < max_prompt_parts;
+         comma = text.find(',')) {
+        const std::string_view id =
+            trimmed(text.substr(0, std::min(comma, text.find(':'))));
+        if (!id.empty())
+            out.emplace_back(id);
+        text.remove_prefix(comma + 1);
+    }
+    return out;
+}
+
 void add_header(std::string& head,
                 std::string_view name,
                 std::string_view value)
@@ -133,6 +163,9 @@
         relay::find_header(head.headers, resumed_attempt_header);
     if (resumed && !resumed->empty())
         out.resumed_attempt = std::string(*resumed);
+    if (const auto parts =
+            relay::find_header(head.headers, prompt_parts_header))
+        out.shared_prompt_parts = shared_parts_from(*parts);
     return std::nullopt;
 }
 
@@ -176,15 +209,6 @@
         out.rate_limit = value;
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    constexpr std::string_view blanks = " \t";
-    const std::size_t begin = text.find_first_not_of(blanks);
-    if (begin == std::string_view::npos)
-        return {};
-    return text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
-}
-
 std::optional<std::uint32_t> whole_number_from(std::string_view text)
 {
     std::uint32_t value = 0;
--- a/src/greengagedrum/platform/headers.hpp
+++ b/src/greengagedrum/platform/headers.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace greengagedrum::platform
 {
@@ -24,6 +25,8 @@
     // The id of the try that brought the first event of the stream that this
     // one takes up. Empty: not named.
     std::optional<std::string> resumed_attempt;
+    // Ids of the parts of its prompt that other requests may have as well.
+    std::vector<std::string> shared_prompt_parts;
 };
 
 // A fault is a sentence for the caller's 400.
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -29,6 +29,9 @@
     base::workspace_id workspace;
     base::kind_id kind;          // identifies its route
     base::request_digest digest; // empty: unknown to this entry
+    // Digests of the prompt parts that it shares with other requests; not sent
+    // to peers.
+    std::vector<base::request_digest> prompt_parts{};
     routing::retry_policy retry = routing::retry_policy::at_most_once;
     bool stream = false;
     std::uint32_t priority = 0; // 0 is the most urgent
