--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -19,10 +19,14 @@
 
 std::string request_text(const request_plan& plan)
 {
+    const std::string prompt_line =
+        plan.announced.header.empty()
+            ? ""
+            : "X-Prompt-Prefix: " + plan.announced.header + "\r\n";
     return "POST " + plan.route + plan.sizes.query() +
            " HTTP/1.1\r\nHost: hall.example\r\nApi-Key: key-1\r\n"
-           "X-Deadline-Ms: 3000\r\nConnection: close\r\nX-Attempt-Id: " +
-           plan.attempt +
+           "X-Deadline-Ms: 3000\r\nConnection: close\r\n" +
+           prompt_line + "X-Attempt-Id: " + plan.attempt +
            "\r\nContent-Length: " + std::to_string(plan.sizes.sent) +
            "\r\n\r\n" + text_for(plan.attempt, plan.sizes.sent);
 }
--- a/test/soak/caller.hpp
+++ b/test/soak/caller.hpp
@@ -2,6 +2,7 @@
 // what comes back.
 #pragma once
 
+#include "prompt_source.hpp"
 #include "upstream.hpp"
 
 #include <functional>
@@ -20,6 +21,8 @@
     std::string attempt;
     std::string route; // "/once/", "/again/", "/east/" or "/stream/"
     body_sizes sizes;
+    prompt announced{};
+    bool crashing = false; // its prompt has the crashing part
     manner behaviour = manner::reading;
 
     bool stream() const { return this->route == "/stream/"; }
--- a/test/soak/ledger.hpp
+++ b/test/soak/ledger.hpp
@@ -46,6 +46,11 @@
         highest = std::max(highest, value);
     }
 
+    static void note(const std::string& what)
+    {
+        std::cout << what << std::endl;
+    }
+
     void violation(const std::string& what)
     {
         std::cout << "VIOLATION: " << what << std::endl;
--- a/test/soak/link.hpp
+++ b/test/soak/link.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdint>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace soak
@@ -28,18 +29,36 @@
     link(asio::io_context& context,
          const tcp::endpoint& listening,
          const tcp::endpoint& target)
-        : context(context), target(target)
+        : context(context), listening(listening), target(target)
     {
-        listen(context, listening, this->acceptor, [this](tcp::socket near) {
-            start(this->context, this->serve(std::move(near)));
-        });
+        this->open();
     }
     link(const link&) = delete;
     link& operator=(const link&) = delete;
 
+    // Like the port of the target, as seen from the other side.
+    void open()
+    {
+        listen(this->context,
+               this->listening,
+               this->acceptor,
+               [this](tcp::socket near) {
+                   start(this->context, this->serve(std::move(near)));
+               });
+    }
+    void close()
+    {
+        this->acceptor->close();
+        for (const auto& one : std::exchange(this->sessions, {})) {
+            if (const session_ptr open = one.lock())
+                abort_both(*open);
+        }
+    }
+
     void set(link_state wanted)
     {
         this->state = wanted;
+        this->changed = clock::now();
         std::erase_if(this->sessions,
                       [](const auto& one) { return one.expired(); });
         for (const auto& one : this->sessions) {
@@ -50,7 +69,15 @@
         }
     }
 
+    // Whether bytes that arrive now may have been sent long ago.
+    bool disturbed() const
+    {
+        return this->state != link_state::passing ||
+               clock::now() - this->changed < settle_time;
+    }
+
 private:
+    static constexpr std::chrono::milliseconds settle_time{500};
     static constexpr std::chrono::milliseconds piece_delay{150};
     static constexpr std::chrono::milliseconds hold_step{10};
     static constexpr std::size_t piece_bytes = 16'384;
@@ -120,8 +147,10 @@
 
     asio::io_context& context;
     std::shared_ptr<tcp::acceptor> acceptor;
+    tcp::endpoint listening;
     tcp::endpoint target;
     link_state state = link_state::passing;
+    clock::time_point changed{};
     std::vector<std::weak_ptr<session>> sessions;
 };
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -43,7 +43,11 @@
         {.name = "memory",
          .help = "Megabytes that each entry may use.",
          .type = settings::integer_type{1, memory_most},
-         .fallback = "160"}};
+         .fallback = "160"},
+        {.name = "crashing-part",
+         .help = "Upstreams crash on requests with one part of the prompt.",
+         .type = settings::switch_type{},
+         .fallback = "false"}};
     static const settings::setting_table out{
         "test-soak",
         "0.1.0",
@@ -86,6 +90,7 @@
     given.rate = static_cast<double>(parsed.get<std::int64_t>("rate"));
     given.memory_mb =
         static_cast<std::size_t>(parsed.get<std::int64_t>("memory"));
+    given.crashing_part = parsed.get<bool>("crashing-part");
     std::vector<std::int64_t> failed;
     for (std::int64_t seed = first; seed < first + seeds; ++seed) {
         given.seed = static_cast<std::uint64_t>(seed);
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -12,21 +12,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto watch_step = 20ms;
 constexpr auto service_bound = 15s;
 constexpr auto start_bound = 10s;
 constexpr auto round_length = 1s;
-constexpr auto first_fault = 300ms;
-constexpr auto large_entries_away = 1500ms;
 constexpr double served_share = 0.95;
 
-// An entry that starts takes some milliseconds to listen, more on a busy
-// machine.
-constexpr auto start_margin = 1s;
-constexpr auto link_margin = 100ms;
-// A stream that lost its upstream may be resumed until its deadline.
-constexpr auto stream_margin = 5s;
-
 constexpr std::size_t small_bytes = 300;
 
 struct request_size {
@@ -42,40 +32,15 @@
 constexpr std::array<const char*, 4> routes = {
     "/once/", "/again/", "/stream/", "/east/"};
 
-// Links, upstreams, entries, callers.
-constexpr std::array<std::size_t, 12> kinds = {
-    0, 0, 0, 0, 1, 1, 1, 1, 2, 2, 2, 3};
-
 // Of callers that don't read: their bodies are near the largest allowed.
 constexpr body_sizes slow_sizes{4'000'000, 1'000'000};
 
-std::int64_t milliseconds_of(clock::duration length)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(length)
-        .count();
-}
-
 } // namespace
 
-void run::disturbance::end(clock::duration margin)
-{
-    this->active -= 1;
-    this->extend(margin);
-}
-
-void run::disturbance::extend(clock::duration margin)
-{
-    this->last = std::max(this->last, clock::now() + margin);
-}
-
-bool run::disturbance::since(clock::time_point begin) const
-{
-    return this->active > 0 || this->last >= begin;
-}
-
 run::run(options given)
     : given(std::move(given)), all(this->context, this->given, this->records),
-      fault_dice(this->given.seed), load_dice(this->given.seed)
+      fault_dice(this->given.seed), load_dice(this->given.seed),
+      part_dice(this->given.seed), prompts(this->given.seed)
 {
     for (std::size_t each = 0; each < world::entry_count; ++each) {
         this->callers.push_back(std::make_unique<caller>(
@@ -85,26 +50,8 @@
             [this, each](const request_plan& plan, const outcome& what) {
                 this->on_outcome(each, plan, what);
             }));
-        this->add_entry_faults(each);
     }
-    for (std::size_t each = 0; each < world::upstream_count; ++each)
-        this->add_upstream_faults(each);
-    this->faults.at(2).push_back({"large entries",
-                                  "killed together",
-                                  [this] {
-                                      for (const fault& one : this->all_large)
-                                          this->play_at(
-                                              one, {}, large_entries_away);
-                                  },
-                                  [] {}});
-    this->add_link_faults("store", this->all.store_links, nullptr, {});
-    this->add_link_faults(
-        "store of east", {this->all.store_links.front()}, nullptr, {});
-    this->add_link_faults("other region", this->all.region_links, nullptr, {});
-    this->faults.at(3).push_back({"callers",
-                                  "not reading",
-                                  [this] { this->slow_callers = true; },
-                                  [this] { this->slow_callers = false; }});
+    this->add_all_faults();
 }
 
 bool run::pass()
@@ -114,12 +61,18 @@
     start(this->context, this->watch_entries());
     start(this->context, this->load());
     this->await_service(start_bound);
+    if (this->given.crashing_part)
+        this->begin_crashing_part();
     this->draw_faults();
     this->run_for(this->given.length);
+    if (this->crashing)
+        this->crashing->end_of_faults();
     while (this->faults_to_come > 0)
         this->run_for(watch_step);
     this->await_service(service_bound);
     this->stop_entries();
+    if (this->crashing)
+        this->crashing->check();
     std::cout << this->records.report() << std::endl;
     return this->records.violations() == 0;
 }
@@ -164,13 +117,20 @@
         out.behaviour = manner::not_reading;
     if (out.behaviour == manner::not_reading)
         out.sizes = slow_sizes;
+    if (out.stream())
+        out.announced = this->prompts.draw();
     return out;
 }
 
+bool run::is_small(const request_plan& plan) const
+{
+    return plan.sizes.size <= small_bytes && plan.behaviour == manner::reading;
+}
+
 bool run::counts(const request_plan& plan, clock::time_point began) const
 {
-    return !plan.stream() && plan.sizes.size <= small_bytes &&
-           plan.behaviour == manner::reading && began >= this->round_began &&
+    return !plan.stream() && this->is_small(plan) &&
+           began >= this->round_began &&
            began < this->round_began + round_length;
 }
 
@@ -180,6 +140,7 @@
 {
     if (what.status == 200 && this->counts(plan, what.began))
         this->round_served += 1;
+    this->judge_sound(entry, plan, what);
     if (what.status > 0)
         return;
     const bool excused =
@@ -197,153 +158,6 @@
         " ms");
 }
 
-// ---- Faults ---------------------------------------------------------------
-
-void run::add_link_faults(const std::string& target,
-                          const std::vector<link*>& links,
-                          disturbance* disturbed,
-                          clock::duration margin)
-{
-    const auto set = [links](link_state state) {
-        for (link* one : links)
-            one->set(state);
-    };
-    for (std::size_t each = 1; each < link_state_names.size(); ++each)
-        this->faults.at(0).push_back({"link to " + target,
-                                      std::string(link_state_names.at(each)),
-                                      [set, disturbed, each] {
-                                          if (disturbed != nullptr)
-                                              disturbed->active += 1;
-                                          set(static_cast<link_state>(each));
-                                      },
-                                      [set, disturbed, margin] {
-                                          set(link_state::passing);
-                                          if (disturbed != nullptr)
-                                              disturbed->end(margin);
-                                      }});
-}
-
-void run::add_upstream_faults(std::size_t number)
-{
-    const std::string name = "u-" + std::to_string(number);
-    this->add_link_faults(name,
-                          {this->all.upstream_links.at(number)},
-                          &this->upstreams_disturbed,
-                          stream_margin);
-    for (std::size_t each = 1; each < upstream_state_names.size(); ++each) {
-        const auto state = static_cast<upstream_state>(each);
-        this->faults.at(1).push_back(
-            {name,
-             std::string(upstream_state_names.at(each)),
-             [this, number, state] {
-                 this->upstreams_disturbed.active += 1;
-                 this->all.upstreams.at(number)->set(state);
-             },
-             [this, number, state] {
-                 this->all.upstreams.at(number)->set(upstream_state::serving);
-                 if (state == upstream_state::crashed)
-                     this->all.publish_upstream(number);
-                 this->upstreams_disturbed.end(stream_margin);
-             }});
-    }
-}
-
-void run::add_entry_faults(std::size_t number)
-{
-    const std::string name = "entry-" + std::to_string(number);
-    disturbance& disturbed = this->entry_disturbed.at(number);
-    this->add_link_faults(
-        name, {this->all.caller_links.at(number)}, &disturbed, link_margin);
-    entry_process& process = *this->all.entries.at(number);
-    const auto kill = [&disturbed, &process] {
-        disturbed.active += 1;
-        process.kill();
-    };
-    const auto revive = [this, &disturbed, number] {
-        this->restart(number);
-        disturbed.end(link_margin);
-    };
-    this->faults.at(2).push_back({name, "killed", kill, revive});
-    if (number < world::large_entries)
-        this->all_large.push_back({name, "killed", kill, revive});
-    this->faults.at(2).push_back({name,
-                                  "frozen",
-                                  [&disturbed, &process] {
-                                      disturbed.active += 1;
-                                      process.signal(SIGSTOP);
-                                  },
-                                  [&disturbed, &process] {
-                                      process.signal(SIGCONT);
-                                      disturbed.end(link_margin);
-                                  }});
-    this->faults.at(2).push_back({name,
-                                  "stopped",
-                                  [&process] { process.signal(SIGTERM); },
-                                  [this, number] { this->restart(number); },
-                                  [&process] { return !process.alive(); }});
-}
-
-void run::restart(std::size_t entry)
-{
-    this->all.entries.at(entry)->start();
-    this->entry_disturbed.at(entry).extend(start_margin);
-}
-
-// All of them end within the time with faults.
-void run::draw_faults()
-{
-    const auto draw = [this](std::size_t least, std::size_t most) {
-        return std::uniform_int_distribution(least, most)(this->fault_dice);
-    };
-    const auto draw_time = [&](std::size_t least, std::size_t most) {
-        return std::chrono::milliseconds(draw(least, most));
-    };
-    clock::duration at = first_fault;
-    while (at < this->given.length) {
-        const auto& kind = this->faults.at(kinds.at(draw(0, kinds.size() - 1)));
-        const fault& one = kind.at(draw(0, kind.size() - 1));
-        const clock::duration length = std::min<clock::duration>(
-            draw_time(200, 2500), this->given.length - at);
-        this->play_at(one, at, length);
-        at += draw_time(150, 700);
-    }
-}
-
-void run::play_at(const fault& one, clock::duration at, clock::duration length)
-{
-    this->faults_to_come += 1;
-    start(this->context, this->play(one, at, length));
-}
-
-task run::play(fault one, clock::duration at, clock::duration length)
-{
-    co_await pause(this->context, at);
-    if (!this->busy.insert(one.target).second) {
-        this->faults_to_come -= 1;
-        co_return;
-    }
-    std::cout << milliseconds_of(at) << " ms, for " << milliseconds_of(length)
-              << " ms: " << one.target << ": " << one.name << std::endl;
-    one.begin();
-    co_await pause(this->context, length);
-    while (one.may_end && !one.may_end())
-        co_await pause(this->context, watch_step);
-    one.end();
-    this->faults_to_come -= 1;
-    // A process that is signalled before it has installed its handlers ends.
-    co_await pause(this->context, start_margin);
-    this->busy.erase(one.target);
-}
-
-task run::watch_entries()
-{
-    while (true) {
-        for (const auto& one : this->all.entries)
-            one->check();
-        co_await pause(this->context, watch_step);
-    }
-}
-
 // ---- Checks ---------------------------------------------------------------
 
 void run::await_service(clock::duration limit)
--- a/test/soak/store.hpp
+++ b/test/soak/store.hpp
@@ -36,6 +36,13 @@
                             {"leaseId", 0}};
     }
 
+    void remove(const std::string& key)
+    {
+        this->revision += 1;
+        this->items[key] = {
+            {"key", key}, {"revision", this->revision}, {"deleted", true}};
+    }
+
 private:
     static std::string base64_of(const std::string& text)
     {
@@ -78,8 +85,7 @@
                                                   parameter(head, "waitMs"));
             while (watch && this->revision <= after && clock::now() < limit)
                 co_await pause(this->context, std::chrono::milliseconds(10));
-            const std::string body =
-                this->items_after(watch ? "events" : "entries", after);
+            const std::string body = this->items_after(watch, after);
             const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: " +
                                      std::to_string(body.size()) + "\r\n\r\n" +
                                      body;
@@ -88,15 +94,17 @@
         }
     }
 
-    std::string items_after(const char* list, std::uint64_t after) const
+    std::string items_after(bool watch, std::uint64_t after) const
     {
         auto found = nlohmann::json::array();
         for (const auto& [key, one] : this->items) {
-            if (one.at("revision").get<std::uint64_t>() > after)
+            const bool listed = watch || !one.contains("deleted");
+            if (listed && one.at("revision").get<std::uint64_t>() > after)
                 found.push_back(one);
         }
-        return nlohmann::json{
-            {list, found}, {"hasMore", false}, {"at", this->revision}}
+        return nlohmann::json{{watch ? "events" : "entries", found},
+                              {"hasMore", false},
+                              {"at", this->revision}}
             .dump();
     }
 
--- a/test/soak/upstream.cpp
+++ b/test/soak/upstream.cpp
@@ -55,11 +55,30 @@
 void upstream::set(upstream_state wanted)
 {
     const upstream_state before = std::exchange(this->state, wanted);
-    if (wanted != upstream_state::crashed) {
-        if (before == upstream_state::crashed)
-            this->accept();
+    if (this->is_crashed)
         return;
-    }
+    if (wanted == upstream_state::crashed)
+        return this->close();
+    if (before == upstream_state::crashed)
+        this->accept();
+}
+
+void upstream::crash()
+{
+    this->is_crashed = true;
+    this->close();
+}
+
+void upstream::come_back(std::string name)
+{
+    this->is_crashed = false;
+    this->former_names.insert(std::exchange(this->place.name, std::move(name)));
+    if (this->state != upstream_state::crashed)
+        this->accept();
+}
+
+void upstream::close()
+{
     this->acceptor->close();
     for (const auto& one : std::exchange(this->connections, {})) {
         if (const connection_ptr open = one.lock())
@@ -108,34 +127,45 @@
         if (!co_await this->read_until(*connection, inbox, request, false))
             co_return;
         idle.cancel();
-        const bool runs = this->begin(request.head());
+        const std::string refused = this->refusal(request.head());
+        if (this->hooks.received)
+            this->hooks.received(request.head());
+        if (refused.empty())
+            this->begin(request.head());
         if (this->state == upstream_state::ignoring_bodies) {
             co_await pause(this->context, ignored_for);
             co_return abort(*connection);
         }
         if (!co_await this->read_until(*connection, inbox, request, true))
             co_return;
-        const std::string refusal =
-            this->head_for("503", header_of(request.head(), "X-Attempt-Id")) +
+        const std::string not_run =
+            this->head_for(refused, header_of(request.head(), "X-Attempt-Id")) +
             "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-        const bool written = runs ? co_await this->answer(*connection, request)
-                                  : co_await write(*connection, refusal);
+        const bool written = refused.empty()
+                                 ? co_await this->answer(*connection, request)
+                                 : co_await write(*connection, not_run);
         if (!written)
             co_return;
     }
 }
 
-bool upstream::begin(const relay::request_head& head)
+std::string upstream::refusal(const relay::request_head& head) const
 {
     if (this->state == upstream_state::rejecting)
-        return false;
+        return "503";
+    if (this->former_names.contains(header_of(head, "X-Target-Instance")))
+        return "421";
+    return {};
+}
+
+void upstream::begin(const relay::request_head& head)
+{
     const std::string attempt = header_of(head, "X-Attempt-Id");
     if (header_of(head, "X-Target-Instance") != this->place.name)
         this->records.violation(attempt + " was sent to another upstream");
     this->records.began(attempt);
     if (head.target.starts_with("/east/") && this->place.region != "east")
         this->records.violation(attempt + " ran in " + this->place.region);
-    return true;
 }
 
 std::string upstream::head_for(const std::string& status,
@@ -156,6 +186,8 @@
         this->records.violation("the body of " + attempt + " was changed");
     const bool runs_long = std::hash<std::string>()(attempt) % long_every == 0;
     co_await pause(this->context, runs_long ? long_work_time : work_time);
+    if (!to.is_open() || (this->hooks.crashes && this->hooks.crashes(head)))
+        co_return false;
     if (head.target.starts_with("/stream/")) {
         const std::string last = "0" + header_of(head, "Last-Event-Id");
         co_return co_await this->stream(to, attempt, std::stoull(last));
--- a/test/soak/upstream.hpp
+++ b/test/soak/upstream.hpp
@@ -9,6 +9,8 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,6 +71,16 @@
            "\n\n";
 }
 
+// What a fault of all upstreams needs to know.
+struct upstream_hooks {
+    using request_head = greengagedrum::relay::request_head;
+
+    // The head of a request was read, whether it runs or not.
+    std::function<void(const request_head&)> received;
+    // An answer is about to be written; true: the upstream has crashed instead.
+    std::function<bool(const request_head&)> crashes;
+};
+
 class upstream
 {
 public:
@@ -79,11 +91,20 @@
     // A crash ends all connections and closes the port until another state.
     void set(upstream_state wanted);
 
+    // Beside the states: until the upstream comes back as another incarnation.
+    void crash();
+    void come_back(std::string name);
+    bool crashed() const { return this->is_crashed; }
+
+    const std::string& name() const { return this->place.name; }
+    void observe(upstream_hooks wanted) { this->hooks = std::move(wanted); }
+
 private:
     using connection_ptr = std::shared_ptr<tcp::socket>;
     using reader = greengagedrum::relay::request_reader;
 
     void accept();
+    void close();
     task serve(connection_ptr connection);
     // False: the connection has ended.
     asio::awaitable<bool>
@@ -91,7 +112,9 @@
     asio::awaitable<bool> answer(tcp::socket& to, const reader& request);
     asio::awaitable<bool>
     stream(tcp::socket& to, const std::string& attempt, std::uint64_t after);
-    bool begin(const greengagedrum::relay::request_head& head);
+    // Empty if the request may run, else the status that says it does not.
+    std::string refusal(const greengagedrum::relay::request_head& head) const;
+    void begin(const greengagedrum::relay::request_head& head);
     std::string head_for(const std::string& status,
                          const std::string& attempt) const;
 
@@ -99,6 +122,9 @@
     upstream_place place;
     ledger& records;
     upstream_state state = upstream_state::serving;
+    bool is_crashed = false;
+    std::set<std::string> former_names;
+    upstream_hooks hooks;
     std::shared_ptr<tcp::acceptor> acceptor;
     std::vector<std::weak_ptr<tcp::socket>> connections;
 };
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -171,9 +171,11 @@
 
 void world::publish_upstream(std::size_t number)
 {
+    if (this->upstreams.at(number)->crashed())
+        return; // published when it is back
     const std::uint64_t life = ++this->lives.at(number);
     this->published.put(
-        "servers/u-" + std::to_string(number),
+        "servers/" + this->upstreams.at(number)->name(),
         {{"service", "models"},
          {"address", text_of(upstreams_begin + number, upstream_link_port)},
          {"zone", data_centres.at(region_of(number))},
@@ -185,6 +187,22 @@
          {"sequence", life}});
 }
 
+void world::crash_upstream(std::size_t number)
+{
+    this->upstreams.at(number)->crash();
+    this->upstream_links.at(number)->close();
+}
+
+void world::return_upstream(std::size_t number)
+{
+    upstream& one = *this->upstreams.at(number);
+    this->published.remove("servers/" + one.name());
+    one.come_back("u-" + std::to_string(number) + "-" +
+                  std::to_string(this->lives.at(number) + 1));
+    this->upstream_links.at(number)->open();
+    this->publish_upstream(number);
+}
+
 tcp::endpoint world::callers_address(std::size_t entry)
 {
     return endpoint_of(entries_begin + entry, callers_link_port);
--- a/test/soak/world.hpp
+++ b/test/soak/world.hpp
@@ -27,6 +27,7 @@
     std::chrono::seconds length{8}; // of the time with faults
     double rate = 150;              // requests per second
     std::size_t memory_mb = 160;    // that each entry may use
+    bool crashing_part = false;     // upstreams have that fault
     std::string folder;             // of settings and logs; exists
 };
 
@@ -44,6 +45,11 @@
     // Also after a crash: another life of the upstream begins.
     void publish_upstream(std::size_t number);
 
+    // Its port is closed on both sides of its link until it is back as an
+    // incarnation of another name.
+    void crash_upstream(std::size_t number);
+    void return_upstream(std::size_t number);
+
     // Where callers connect to an entry.
     static tcp::endpoint callers_address(std::size_t entry);
 
