--- a/src/greengagedrum/entry/fleet_test/fault_injection.cpp
+++ b/src/greengagedrum/entry/fleet_test/fault_injection.cpp
@@ -29,12 +29,8 @@
     if (at < this->plan.cut_from ||
         at >= this->plan.cut_from + this->plan.cut_for)
         return false;
-    const auto is_behind_partition = [&](gossip::ipv4_address address) {
-        const std::size_t number = address - first_address;
-        return number % this->plan.data_centres == 0 &&
-               number < this->plan.entries / 2;
-    };
-    return is_behind_partition(from) != is_behind_partition(to);
+    return this->is_behind_partition(from - first_address) !=
+           this->is_behind_partition(to - first_address);
 }
 
 void virtual_fleet::stop_process(std::size_t number)
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
@@ -118,6 +118,12 @@
     // Sent to other regions over the whole run, in datagrams and transfers.
     std::uint64_t bytes_between_regions() const;
     std::size_t region_of(gossip::ipv4_address address) const;
+    // On the smaller side of the network partition of the plan.
+    bool is_behind_partition(std::size_t number) const
+    {
+        return number % this->plan.data_centres == 0 &&
+               number < this->plan.entries / 2;
+    }
 
 private:
     struct datagram {
