Logs: what a stop goes by, and sends cancelled for silence

A request that a stop refused or ended had no line that says what time was expected of it, and a send that the scheduler cancelled because its upstream sent nothing looked like any other cancelled send.

request_stopped has the time that the kind needs, with its reserve, and the time that the stop had left; send_failed says "upstream silent", beside the upstream's name.

--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -193,7 +193,9 @@
     found->second.http_exchange->stop_send();
     send_outcome cancelled;
     cancelled.send_number = action.send;
-    cancelled.error = "cancelled by the scheduler";
+    cancelled.error = action.cause == traffic::cancel_cause::upstream_silent
+                          ? "cancelled by the scheduler: upstream silent"
+                          : "cancelled by the scheduler";
     this->log_send_outcome(action.request, cancelled);
 }
 
@@ -219,6 +221,15 @@
         this->report_missing_version(*http_exchange, action.missing_version);
     if (action.verdict.run == base::run_state::not_run)
         this->refund_cost(found->second);
+    if (action.stop)
+        this->state.log.write(
+            this->state.clock(),
+            "scheduler",
+            "request_stopped",
+            {{"request", http_exchange->info().marks.attempt},
+             {"verdict", base::to_string(action.verdict.run)},
+             {"expected_ms", to_milliseconds(action.stop->expected)},
+             {"left_ms", to_milliseconds(action.stop->left)}});
     this->finish(action.request, &action.verdict);
     http_exchange->fail(action.verdict);
 }
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -15,6 +15,7 @@
 #include <greengagedrum/routing/data_centre_constraint.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -176,11 +177,17 @@
     choice_record choice;
 };
 
+enum class cancel_cause : std::uint8_t {
+    request_ended,
+    upstream_silent,
+};
+
 // Close the connection of this send. Data that still arrives on it is
 // discarded.
 struct cancel_send {
     base::request_id request;
     std::uint32_t send = 0;
+    cancel_cause cause = cancel_cause::request_ended;
 };
 
 // Pass the upstream's answer to the caller unchanged.
@@ -189,6 +196,12 @@
     std::uint32_t send = 0;
 };
 
+// What the end of a request by a stop went by, for the log.
+struct stop_estimate {
+    base::duration expected{0}; // time that the request needs
+    base::duration left{0};     // until the stop ends all requests
+};
+
 // End the request without an answer from an upstream.
 struct end_request {
     base::request_id request;
@@ -196,6 +209,7 @@
     // The version of which no usable upstream was left; empty: it ended for
     // another reason.
     base::version_id missing_version{};
+    std::optional<stop_estimate> stop{}; // set if a stop ended it
 };
 
 // Check whether an upstream still accepts connections after one of its answers
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -335,7 +335,10 @@
         this->count.failed += 1;
     const base::version_id missing =
         item.ends_without_version ? item.facts.version : base::version_id();
-    this->out->push_back(end_request{item.id, verdict, missing});
+    end_request order{item.id, verdict, missing};
+    if (verdict.why == base::reason::stopping)
+        order.stop = this->stop_estimate_of(item);
+    this->out->push_back(order);
     this->forget(item);
 }
 
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -255,6 +255,8 @@
     void check_time(request& item);
     void check_silence(request& item);
     bool outlasts_stop(const request& item) const;
+    base::duration hold_expected(const request& item) const;
+    stop_estimate stop_estimate_of(const request& item) const;
     void refuse_stopping(request& item);
     void refuse(request& item, base::reason why);
     void fail(request& item, base::reason why);
--- a/src/greengagedrum/traffic/stopping.cpp
+++ b/src/greengagedrum/traffic/stopping.cpp
@@ -3,6 +3,8 @@
 #include <greengagedrum/placement/seconds.hpp>
 #include <greengagedrum/traffic/scheduler.hpp>
 
+#include <algorithm>
+
 namespace greengagedrum::traffic
 {
 
@@ -19,18 +21,32 @@
 
 } // namespace
 
+// The time that a request of its kind needs, with a reserve.
+base::duration scheduler::hold_expected(const request& item) const
+{
+    const auto queue = this->queues.find(item.facts.service);
+    if (queue == this->queues.end())
+        return base::duration(0);
+    return placement::duration_of(time_reserve *
+                                  queue->second.hold_seconds(item.facts.kind));
+}
+
 bool scheduler::outlasts_stop(const request& item) const
 {
     // A stream that may be resumed goes on at another entry.
     const bool resumable = item.facts.stream && this->may_repeat(item);
     if (!this->stop_at || item.facts.delegated || resumable)
         return false;
-    const auto queue = this->queues.find(item.facts.service);
-    const double hold = queue == this->queues.end()
-                            ? 0
-                            : queue->second.hold_seconds(item.facts.kind);
-    return this->now + placement::duration_of(time_reserve * hold) >
-           *this->stop_at;
+    return this->now + this->hold_expected(item) > *this->stop_at;
+}
+
+stop_estimate scheduler::stop_estimate_of(const request& item) const
+{
+    stop_estimate out;
+    out.expected = this->hold_expected(item);
+    if (this->stop_at)
+        out.left = std::max(base::duration(0), *this->stop_at - this->now);
+    return out;
 }
 
 void scheduler::refuse_stopping(request& item)
--- a/src/greengagedrum/traffic/timeouts_and_retries.cpp
+++ b/src/greengagedrum/traffic/timeouts_and_retries.cpp
@@ -120,7 +120,8 @@
     const base::upstream_id upstream = item.upstream;
     if (!this->retries.spend(item.facts.service, this->now))
         return;
-    this->out->push_back(cancel_send{item.id, send});
+    this->out->push_back(
+        cancel_send{item.id, send, cancel_cause::upstream_silent});
     this->end_send(item);
     item.tried.push_back(upstream);
     this->join_queue(item);
