--- a/src/greengagedrum/traffic/test/stopping_test.cpp
+++ b/src/greengagedrum/traffic/test/stopping_test.cpp
@@ -44,16 +44,77 @@
     CHECK(this->last_action<send_request>() == nullptr);
 }
 
-// A stream that may be resumed elsewhere is refused, though cutting it at its
-// end would lose nothing.
+// A stream that may be resumed is taken and cut: its caller gets a broken
+// stream after seconds and needs its retry, while another entry is a round trip
+// away.
+TEST_CASE_FIXTURE(
+    stopping_fixture,
+    "resumable_stream_that_outlasts_the_stop_is_refused_on_arrival")
+{
+    this->serve(2s);
+    this->tested.set_stop_time(this->now + 3s);
+    this->arrive(resumable_facts());
+    CHECK(this->refused_as_stopping());
+    CHECK(this->last_action<send_request>() == nullptr);
+}
+
+// As above for a stream of which the caller has a part already.
 TEST_CASE_FIXTURE(stopping_fixture,
-                  "resumable_stream_that_outlasts_the_stop_is_sent")
+                  "resumed_stream_that_outlasts_the_stop_is_refused_on_arrival")
 {
     this->serve(2s);
     this->tested.set_stop_time(this->now + 3s);
-    request_facts resumable = stream_facts();
-    resumable.retry = routing::retry_policy::resumable;
-    this->arrive(resumable);
+    request_facts resumed = resumable_facts();
+    resumed.caller_resumes = true;
+    this->arrive(resumed);
+    CHECK(this->refused_as_stopping());
+}
+
+TEST_CASE_FIXTURE(stopping_fixture,
+                  "resumable_stream_that_ends_before_the_stop_is_sent")
+{
+    this->serve(1s);
+    this->tested.set_stop_time(this->now + 3s);
+    this->arrive(resumable_facts());
+    CHECK(this->last_action<send_request>() != nullptr);
+}
+
+// Nineteen of twenty requests of a kind take 0.4 s, one takes 3 s. Twice the
+// mean is no bound of that, so one of twenty is taken and cut.
+TEST_CASE_FIXTURE(stopping_fixture,
+                  "request_of_a_kind_with_a_long_tail_is_refused_on_arrival")
+{
+    for (int count = 0; count < 100; ++count)
+        this->serve(count % 20 == 3 ? 3s : 400ms);
+    this->tested.set_stop_time(this->now + 2s);
+    this->arrive(stream_facts());
+    CHECK(this->refused_as_stopping());
+    this->tested.set_stop_time(this->now + 5s);
+    this->arrive(stream_facts());
+    CHECK(this->last_action<send_request>() != nullptr);
+}
+
+// A request is refused though its caller stops waiting before the stop ends.
+TEST_CASE_FIXTURE(stopping_fixture,
+                  "request_whose_caller_leaves_before_the_stop_is_sent")
+{
+    this->serve(2s);
+    this->tested.set_stop_time(this->now + 3s);
+    request_facts facts = stream_facts();
+    facts.time_left = 2500ms;
+    this->arrive(facts);
+    CHECK(this->last_action<send_request>() != nullptr);
+}
+
+// Few samples are taken for the distribution of a kind, and its requests are
+// refused by a single slow one.
+TEST_CASE_FIXTURE(stopping_fixture,
+                  "request_of_a_kind_with_few_samples_goes_by_the_mean")
+{
+    for (int count = 0; count < 5; ++count)
+        this->serve(count == 1 ? 3s : 400ms);
+    this->tested.set_stop_time(this->now + 2s);
+    this->arrive(stream_facts());
     CHECK(this->last_action<send_request>() != nullptr);
 }
 
