Stop: go by the tail of a kind, for resumable streams too

A stopping entry took every resumable stream whatever time was left, and held twice the mean time of a kind for a bound of all other requests. Both were sent and cut at the end: the callers had a broken stream or a 502 after seconds, while another entry was a round trip away.

hold_time_distribution counts how long the requests of a kind hold their slot in logarithmic buckets with decay; requests that were cut count as having lasted at least that long. A request is refused as not run if neither what 99 of 100 of its kind need (with fewer than 20 samples, and at least, twice the mean) nor its own time left fits what is left of the stop. Streams that their callers resume fall under the same rule.

--- a/src/greengagedrum/traffic/crash_quarantine.cpp
+++ b/src/greengagedrum/traffic/crash_quarantine.cpp
@@ -54,6 +54,9 @@
 // that loses power closes no connection.
 void scheduler::record_unfinished(const request& item)
 {
+    if (!item.facts.delegated)
+        this->queues[item.facts.service].record_cut(item.facts.kind,
+                                                    this->now - item.sent_at);
     if (this->now - item.sent_at >= silence_least &&
         this->pool.progress_at(item.upstream) < item.sent_at)
         this->record_crash(item);
--- a/src/greengagedrum/traffic/stopping.cpp
+++ b/src/greengagedrum/traffic/stopping.cpp
@@ -16,28 +16,37 @@
 // many times its average.
 constexpr double time_reserve = 2;
 
+// A mean is no bound of a kind in which a few requests take several times as
+// long, so this share of its requests has to end in time too.
+constexpr double ending_share = 0.99;
+
 // Another entry takes the request; a new connection is all that it needs.
 constexpr base::duration retry_after_stopping = std::chrono::milliseconds(50);
 
 } // namespace
 
-// The time that a request of its kind needs, with a reserve.
+// The time after which hardly any request of its kind still runs. Its caller
+// waits no longer than the time left.
 base::duration scheduler::hold_expected(const request& item) const
 {
+    const base::duration left = item.deadline - this->now;
     const auto queue = this->queues.find(item.facts.service);
     if (queue == this->queues.end())
         return base::duration(0);
-    return placement::duration_of(time_reserve *
-                                  queue->second.hold_seconds(item.facts.kind));
+    const base::duration by_mean = placement::duration_of(
+        time_reserve * queue->second.hold_seconds(item.facts.kind));
+    const base::duration by_tail =
+        queue->second.hold_quantile(item.facts.kind, ending_share)
+            .value_or(base::duration(0));
+    return std::min(left, std::max(by_mean, by_tail));
 }
 
+// A stream that may be resumed elsewhere is no exception: once it is cut, its
+// caller has a broken stream and may have no retry left.
 bool scheduler::outlasts_stop(const request& item) const
 {
-    // A stream that may be resumed goes on at another entry.
-    const bool resumable = item.facts.stream && this->may_repeat(item);
-    if (!this->stop_at || item.facts.delegated || resumable)
-        return false;
-    return this->now + this->hold_expected(item) > *this->stop_at;
+    return this->stop_at && !item.facts.delegated &&
+           this->now + this->hold_expected(item) > *this->stop_at;
 }
 
 stop_estimate scheduler::stop_estimate_of(const request& item) const
--- a/src/greengagedrum/traffic/wait_queue.cpp
+++ b/src/greengagedrum/traffic/wait_queue.cpp
@@ -174,6 +174,7 @@
 
 void wait_queue::record_hold(base::kind_id kind, base::duration hold_time)
 {
+    this->hold_times[kind].record_ended(hold_time);
     const double seconds = placement::seconds_of(hold_time);
     const auto [found, added] = this->holds.try_emplace(kind, seconds);
     if (!added)
@@ -186,6 +187,20 @@
     return found == this->holds.end() ? unknown_hold : found->second;
 }
 
+void wait_queue::record_cut(base::kind_id kind, base::duration hold_time)
+{
+    this->hold_times[kind].record_cut(hold_time);
+}
+
+std::optional<base::duration> wait_queue::hold_quantile(base::kind_id kind,
+                                                        double share) const
+{
+    const auto found = this->hold_times.find(kind);
+    if (found == this->hold_times.end())
+        return std::nullopt;
+    return found->second.quantile(share);
+}
+
 queue_lengths wait_queue::lengths(base::instant now) const
 {
     queue_lengths out{};
--- a/src/greengagedrum/traffic/wait_queue.hpp
+++ b/src/greengagedrum/traffic/wait_queue.hpp
@@ -17,9 +17,11 @@
 
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
+#include <greengagedrum/traffic/hold_time_distribution.hpp>
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -88,6 +90,13 @@
     // Records how long a request of that kind held its slot.
     void record_hold(base::kind_id kind, base::duration hold_time);
     double hold_seconds(base::kind_id kind) const;
+    // Records that a request of that kind was cut after it held its slot for
+    // that long.
+    void record_cut(base::kind_id kind, base::duration hold_time);
+    // The time within which that share of the kind's requests free their slot;
+    // nothing while too little is known.
+    std::optional<base::duration> hold_quantile(base::kind_id kind,
+                                                double share) const;
 
     // Expected wait in seconds, from the recent service rate of the request's
     // priority. The rate accounts for more urgent requests that arrive
@@ -113,6 +122,7 @@
 
     std::vector<waiting_request> items;
     std::unordered_map<base::kind_id, double> holds; // seconds
+    std::unordered_map<base::kind_id, hold_time_distribution> hold_times;
     struct level_state {
         base::instant queued_since; // non-empty ever since
         decaying_count arrived{starvation_memory};
