Tests: a slot granted near the end of a stop, known red

It fails on the code as it is (1 case of 1): slot_granted_near_the_stop_is_refused_not_used: CHECK( this->refused_as_stopping() ), values: CHECK( false ) CHECK( this->last_action<send_request>() == nullptr ) is not correct The grant comes between two ticks, so nothing has looked at the time left.

--- a/src/greengagedrum/traffic/test/stopping_test.cpp
+++ b/src/greengagedrum/traffic/test/stopping_test.cpp
@@ -150,6 +150,25 @@
     CHECK(this->refused_as_stopping());
 }
 
+// A slot is granted between two ticks, when the time left no longer suffices.
+// The request is sent and cut.
+TEST_CASE_FIXTURE(stopping_fixture,
+                  "slot_granted_near_the_stop_is_refused_not_used")
+{
+    this->serve(1s);
+    this->tested.set_delegating(true);
+    this->tested.set_stop_time(this->now + 3s);
+    const base::request_id id = this->arrive(stream_facts());
+    this->now += 2500ms;
+    slot_granted grant;
+    grant.request = id;
+    grant.send = 1;
+    grant.upstream = base::upstream_id("i-0");
+    this->step(grant);
+    CHECK(this->refused_as_stopping());
+    CHECK(this->last_action<send_request>() == nullptr);
+}
+
 // A request that may have run is refused as not run.
 TEST_CASE_FIXTURE(stopping_fixture, "end_of_all_running_request_may_have_run")
 {
