Stop: a slot granted near the end of a stop is not used

A delegating entry used a granted slot whatever time the stop had left, since only its ticks looked at that. It now refuses the request as not run, like a request that waits for a slot of its own.

--- a/src/greengagedrum/traffic/delegation.cpp
+++ b/src/greengagedrum/traffic/delegation.cpp
@@ -70,6 +70,8 @@
         return;
     if (item->send == 0 && this->is_quarantined(*item))
         return this->refuse_quarantined(*item);
+    if (item->uncertain == 0 && this->outlasts_stop(*item))
+        return this->refuse_stopping(*item);
     if (this->waits_for_copy(*item)) {
         item->connects += 1;
         return;
