--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -140,7 +140,12 @@
     for (const traffic::action& one : actions)
         std::visit([this](const auto& action) { this->execute_action(action); },
                    one);
-    if (!actions.empty())
+    // A request asks for another slot, or no longer does, without an action.
+    const std::size_t waiting = this->state.scheduler.waiting();
+    const bool asks_changed =
+        this->state.delegating && waiting != this->waiting_before;
+    this->waiting_before = waiting;
+    if (!actions.empty() || asks_changed)
         this->on_load_changed();
 }
 
@@ -193,7 +198,9 @@
     found->second.http_exchange->stop_send();
     send_outcome cancelled;
     cancelled.send_number = action.send;
-    cancelled.error = "cancelled by the scheduler";
+    cancelled.error = action.cause == traffic::cancel_cause::upstream_silent
+                          ? "cancelled by the scheduler: upstream silent"
+                          : "cancelled by the scheduler";
     this->log_send_outcome(action.request, cancelled);
 }
 
@@ -219,6 +226,15 @@
         this->report_missing_version(*http_exchange, action.missing_version);
     if (action.verdict.run == base::run_state::not_run)
         this->refund_cost(found->second);
+    if (action.stop)
+        this->state.log.write(
+            this->state.clock(),
+            "scheduler",
+            "request_stopped",
+            {{"request", http_exchange->info().marks.attempt},
+             {"verdict", base::to_string(action.verdict.run)},
+             {"expected_ms", to_milliseconds(action.stop->expected)},
+             {"left_ms", to_milliseconds(action.stop->left)}});
     this->finish(action.request, &action.verdict);
     http_exchange->fail(action.verdict);
 }
--- a/src/greengagedrum/traffic/crash_quarantine.cpp
+++ b/src/greengagedrum/traffic/crash_quarantine.cpp
@@ -33,7 +33,7 @@
         return false;
     return std::any_of(
         this->requests.begin(), this->requests.end(), [&](const auto& one) {
-            return one.second.send != 0 &&
+            return one.second.send != 0 && one.first != item.id &&
                    one.second.facts.digest == item.facts.digest;
         });
 }
@@ -54,6 +54,9 @@
 // that loses power closes no connection.
 void scheduler::record_unfinished(const request& item)
 {
+    if (!item.facts.delegated)
+        this->queues[item.facts.service].record_cut(item.facts.kind,
+                                                    this->now - item.sent_at);
     if (this->now - item.sent_at >= silence_least &&
         this->pool.progress_at(item.upstream) < item.sent_at)
         this->record_crash(item);
