--- a/src/greengagedrum/entry/test/memory_fixture.cpp
+++ b/src/greengagedrum/entry/test/memory_fixture.cpp
@@ -20,36 +20,52 @@
                std::chrono::steady_clock::now().time_since_epoch());
 }
 
-std::string route(const char* name, const char* kind, int priority)
+std::string route(const char* name,
+                  const char* kind,
+                  int priority,
+                  const char* service = "models")
 {
     return std::string(R"({"name": ")") + name + R"(", "prefix": "/)" + name +
            R"(/", "hostname": "hall.example", "routeType": ")" + kind +
            R"(", "timeoutMs": 8000, "targetLatencyMs": 4000,
-              "maxAttempts": 1, "service": "models", "priority": )" +
-           std::to_string(priority) + "}";
+              "maxAttempts": 1, "service": ")" +
+           service + R"(", "priority": )" + std::to_string(priority) + "}";
 }
 
-routing::store_item_list items(int upstream_port)
+routing::store_item upstream_item(const char* service, int port)
 {
-    return {{"op/config",
-             R"({"version": 1, "services": [{"name": "models"}], "routes": [)" +
-                 route("urgent", "non_idempotent", 0) + "," +
-                 route("bulk", "non_idempotent", 1) + "," +
-                 route("stream", "streaming", 1) + "]}",
-             1,
-             false},
-            {"servers/i-1",
-             R"({"service": "models", "zone": "hall", "version": "v1",
+    return {std::string("servers/i-") + service,
+            std::string(R"({"service": ")") + service +
+                R"(", "zone": "hall", "version": "v1",
                  "slots": 4, "state": "ready", "warmupRemainingMs": 0,
                  "sequence": 1, "address": "127.0.0.1:)" +
-                 std::to_string(upstream_port) + "\"}",
-             2,
-             false}};
+                std::to_string(port) + "\"}",
+            2,
+            false};
+}
+
+routing::store_item_list items(int upstream_port, int other_port)
+{
+    routing::store_item_list out = {
+        {"op/config",
+         R"({"version": 1,
+             "services": [{"name": "models"}, {"name": "others"}],
+             "routes": [)" +
+             route("urgent", "non_idempotent", 0) + "," +
+             route("bulk", "non_idempotent", 1) + "," +
+             route("stream", "streaming", 1) + "," +
+             route("other", "non_idempotent", 1, "others") + "]}",
+         1,
+         false},
+        upstream_item("models", upstream_port)};
+    if (other_port != 0)
+        out.push_back(upstream_item("others", other_port));
+    return out;
 }
 
 } // namespace
 
-memory_fixture::memory_fixture()
+memory_fixture::memory_fixture(int upstream_port, int other_port)
     : state{loop_time,
             cluster_state(),
             quota::usage_limiter(loop_time()),
@@ -81,7 +97,12 @@
               this->versions)
 {
     this->handler.apply_upstream_changes(this->state.cluster.apply(
-        items(this->upstream.local_endpoint().port()), 2, true, loop_time()));
+        items(upstream_port != 0 ? upstream_port
+                                 : this->upstream.local_endpoint().port(),
+              other_port),
+        2,
+        true,
+        loop_time()));
     this->accept();
 }
 
--- a/src/greengagedrum/entry/test/memory_fixture.hpp
+++ b/src/greengagedrum/entry/test/memory_fixture.hpp
@@ -14,7 +14,9 @@
 class memory_fixture
 {
 public:
-    memory_fixture();
+    // `upstream_port`: of a server of the test that replaces the fixture's
+    // upstream; `other_port`: of one that serves the route /other/.
+    explicit memory_fixture(int upstream_port = 0, int other_port = 0);
     // Ends the requests under way: their calls and exchanges own each other.
     ~memory_fixture();
     memory_fixture(const memory_fixture&) = delete;
--- a/src/greengagedrum/relay/test/message_reader_test.cpp
+++ b/src/greengagedrum/relay/test/message_reader_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <iterator>
 #include <set>
 #include <vector>
@@ -141,6 +142,33 @@
     CHECK(whole);
 }
 
+// An upstream could keep a reader at interim responses, or make it hold the
+// line before a chunk or the trailers, for as long as it sends.
+TEST_CASE("answer_with_interim_ones_line_or_trailers_without_end_is_refused")
+{
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(1'000, 'x');
+    const std::vector<std::pair<std::string, std::string>> endless = {
+        {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+        {chunked + "5;a=", filler},
+        {chunked + "0\r\n", "A: " + filler + "\r\n"}};
+    for (const auto& [begin, piece] : endless) {
+        answer_reader reader(false);
+        std::string inbox = begin;
+        std::size_t fed = 0;
+        for (; fed < (1U << 20U); fed += piece.size()) {
+            const auto taken = reader.feed(inbox);
+            if (!taken)
+                break;
+            inbox.erase(0, *taken);
+            inbox += piece;
+        }
+        CHECK(fed > 32U << 10U);
+        CHECK(fed < 128U << 10U);
+    }
+}
+
 TEST_CASE("answer_without_length_is_whole_at_the_close")
 {
     answer_reader reader(false);
@@ -233,6 +261,25 @@
     }
 }
 
+// Each piece of an event without end is searched together with all before it,
+// and the loop of the process stands still meanwhile.
+TEST_CASE("event_without_end_is_searched_in_linear_time")
+{
+    const std::string piece(16U << 10U, 'x');
+    event_splitter splitter;
+    const auto begun = std::chrono::steady_clock::now();
+    for (int pieces = 0; pieces < 1024; ++pieces) {
+        splitter.feed(piece);
+        CHECK_FALSE(splitter.next());
+    }
+    // Some 20 ms where each byte is searched once, and half a minute if not.
+    CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(2));
+    splitter.feed("\n\n");
+    const auto whole = splitter.next();
+    REQUIRE(whole);
+    CHECK(whole->bytes.size() == 1024 * piece.size() + 2);
+}
+
 TEST_CASE("media_type_is_read_without_its_parameters")
 {
     CHECK(media_type("text/event-stream") == "text/event-stream");
