Relay: bounds on answers without end, linear search for events

Beast bounds the length of a head, but an upstream could send interim answers, the line before a chunk or trailers for as long as it liked; the latter two are held outside the account. Interim heads count towards the length of the head (64 KiB) now, and a line or trailers beyond that are an error of the answer.

--- a/src/greengagedrum/relay/event_splitter.cpp
+++ b/src/greengagedrum/relay/event_splitter.cpp
@@ -29,9 +29,10 @@
 };
 
 // The first line, without its end; empty optional where no end was received.
-std::optional<line> first_line(std::string_view text)
+// Its end is searched for at `from`.
+std::optional<line> first_line(std::string_view text, std::size_t from = 0)
 {
-    const std::size_t at = text.find_first_of("\r\n");
+    const std::size_t at = text.find_first_of("\r\n", from);
     if (at == std::string_view::npos)
         return std::nullopt;
     line out{text.substr(0, at)};
@@ -46,29 +47,6 @@
     return out;
 }
 
-// One past the empty line that ends the first event; npos: it is not whole.
-std::size_t end_of_first(std::string_view text)
-{
-    std::size_t begin = 0;
-    bool lone_returns = false;
-    while (const auto next = first_line(text.substr(begin))) {
-        if (next->text.empty()) {
-            // Where the line before ended with a lone carriage return, so does
-            // this one; else its line feed belongs to the event.
-            if (lone_returns && next->end != line_end::feed)
-                return begin + 1;
-            if (next->end == line_end::open_return)
-                break;
-            return begin + next->size();
-        }
-        if (next->end == line_end::open_return)
-            break;
-        lone_returns = next->end == line_end::lone_return;
-        begin += next->size();
-    }
-    return std::string_view::npos;
-}
-
 std::string id_of(std::string_view bytes)
 {
     std::string id;
@@ -89,19 +67,48 @@
 
 } // namespace
 
+std::size_t event_splitter::end_of_first()
+{
+    const std::string_view text = this->pending;
+    while (const auto next = first_line(text.substr(this->line_begin),
+                                        this->searched - this->line_begin)) {
+        this->searched = this->line_begin + next->text.size();
+        if (next->text.empty()) {
+            // Where the line before ended with a lone carriage return, so does
+            // this one; else its line feed belongs to the event.
+            if (this->lone_returns && next->end != line_end::feed)
+                return this->line_begin + 1;
+            if (next->end == line_end::open_return)
+                return std::string_view::npos;
+            return this->line_begin + next->size();
+        }
+        if (next->end == line_end::open_return)
+            return std::string_view::npos;
+        this->lone_returns = next->end == line_end::lone_return;
+        this->line_begin += next->size();
+        this->searched = this->line_begin;
+    }
+    this->searched = text.size();
+    return std::string_view::npos;
+}
+
 std::optional<whole_event> event_splitter::next()
 {
-    const std::size_t end = end_of_first(this->pending);
+    const std::size_t end = this->end_of_first();
     if (end == std::string::npos)
         return std::nullopt;
     whole_event out{this->pending.substr(0, end), {}};
     out.id = id_of(out.bytes);
     this->pending.erase(0, end);
+    this->line_begin = this->searched = 0;
+    this->lone_returns = false;
     return out;
 }
 
 std::string event_splitter::take_rest()
 {
+    this->line_begin = this->searched = 0;
+    this->lone_returns = false;
     return std::exchange(this->pending, {});
 }
 
--- a/src/greengagedrum/relay/event_splitter.hpp
+++ b/src/greengagedrum/relay/event_splitter.hpp
@@ -31,7 +31,15 @@
     std::size_t rest_size() const { return this->pending.size(); }
 
 private:
+    // One past the empty line that ends the first event; npos: it is not whole.
+    std::size_t end_of_first();
+
     std::string pending;
+    // What was searched is not searched again for each piece: an event without
+    // end would take a time that grows with the square of its length.
+    std::size_t line_begin = 0;
+    std::size_t searched = 0;
+    bool lone_returns = false; // the line before `line_begin` ended with one
 };
 
 // Ids are decimal numbers that grow; empty for any other text.
--- a/src/greengagedrum/relay/message_reader.cpp
+++ b/src/greengagedrum/relay/message_reader.cpp
@@ -367,12 +367,17 @@
     std::size_t taken = 0;
     while (!this->done() && taken < bytes.size()) {
         const std::string_view rest = bytes.substr(taken);
+        const bool in_head = !this->head_done();
         error_code fault;
         const std::size_t count = this->inner->put(
             boost::asio::buffer(rest.data(), rest.size()), fault);
         taken += count;
         if (fault && fault != http::error::need_more)
             return tl::unexpected(read_fault{502, fault.message()});
+        if (in_head)
+            this->head_bytes += count;
+        if (this->head_bytes > answer_head_most)
+            return tl::unexpected(read_fault{502, "too many interim heads"});
         const bool interim =
             this->head_done() && this->head().status < status_ok;
         if (interim)
@@ -380,6 +385,10 @@
         else if (count == 0)
             break;
     }
+    // Beast bounds the length of a head, but not that of the line before a
+    // chunk nor that of the trailers, which it takes only as a whole.
+    if (!this->done() && bytes.size() - taken > answer_head_most)
+        return tl::unexpected(read_fault{502, "a chunk's line is too long"});
     return taken;
 }
 
--- a/src/greengagedrum/relay/message_reader.hpp
+++ b/src/greengagedrum/relay/message_reader.hpp
@@ -108,6 +108,7 @@
     void begin();
 
     bool to_head;
+    std::size_t head_bytes = 0; // interim heads included
     std::unique_ptr<parser> inner;
 };
 
