Entry: responses without end stop in time and within the memory

Causes, all where the memory of the process is limited: - A body or event that outgrows the memory was ended as if its caller didn't read: the caller got a reset without an answer, and the upstream counted as neither failed nor successful. It is now broken off as malformed, so the caller gets 502 (a reset where a stream has begun), the upstream is judged, and a request that may be repeated is sent again. - A request that runs at most once is read to the end of its response when its caller has left, and nothing ended that. It is now stopped at its deadline. - The string that collects a body doubles, which took the account from below its last level to 4.2 MB of 2.3 MB. It now grows by at most half of what is left below the level.

The check on interim heads is made once a call, with that on lines.

--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -39,7 +39,8 @@
       response_room(this->events.memory,
                     memory::kind::responses,
                     this->caller->classified().workspace),
-      call_room(this->events.memory, memory::kind::connections)
+      call_room(this->events.memory, memory::kind::connections),
+      abandoned_end(context)
 {
 }
 
@@ -165,7 +166,7 @@
     if (this->discarding)
         return;
     if (!this->streaming) {
-        this->buffered_body += bytes;
+        this->buffer_body(bytes);
         this->response_room.resize(this->buffered_body.capacity());
         return this->keep_to_memory();
     }
@@ -367,23 +368,4 @@
                           verdict.retry_after});
 }
 
-void exchange::abandon()
-{
-    const bool leave_running =
-        !this->request.repeatable && !this->request.stream;
-    // Nothing of the request was sent as long as a peer is not connected.
-    if (!leave_running || this->tunnel)
-        return this->stop_send();
-    if (this->events.memory) {
-        this->discarding = true;
-        this->buffered_body = {};
-        this->response_room.resize(0);
-        if (this->reading_paused && this->call)
-            this->call->pause(false);
-    }
-    // The upstream call keeps this object alive until it ends; its events are
-    // dropped.
-    this->events.on_event = [](const traffic::event&) {};
-}
-
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -90,6 +90,12 @@
     // what was sent.
     void resume_reading();
 
+    // The bytes held are those of a response that hasn't come whole, and not of
+    // one that its caller doesn't read.
+    bool holds_unfinished_response() const;
+    // Breaks such a response off, as the upstream's failure.
+    void end_for_memory();
+
     // Bytes of the request's body.
     std::uint64_t body_bytes() const { return this->body->size(); }
     // Of the response, not yet read by the caller.
@@ -123,6 +129,7 @@
     void on_done();
     void on_broken(traffic::interruption_cause cause, const std::string& error);
     void forward_events();
+    void buffer_body(std::string_view bytes);
     // Stops reading from the upstream while there is no room for the response.
     void keep_to_memory();
     void classify_answer();
@@ -135,6 +142,8 @@
     std::string caller_response_head() const;
     void report_outcome(std::string error);
     void report_bytes();
+    // The scheduler no longer knows the send, so it doesn't end it.
+    void stop_abandoned_at_deadline();
 
     relay::asio::io_context& context;
     peer_paths& paths;
@@ -166,6 +175,7 @@
     memory::reservation body_room;
     memory::reservation response_room;
     memory::reservation call_room;
+    relay::asio::steady_timer abandoned_end; // stops the send without a caller
 };
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/exchange_memory.cpp
+++ b/src/greengagedrum/entry/exchange_memory.cpp
@@ -2,6 +2,8 @@
 // process.
 #include <greengagedrum/entry/exchange.hpp>
 
+#include <algorithm>
+
 namespace greengagedrum::entry
 {
 
@@ -15,6 +17,40 @@
     this->call->pause(true);
 }
 
+// A full string doubles its capacity, which could take the account from below
+// the last level to far above all that the process has. So it grows by at most
+// half of what is left below that level.
+void exchange::buffer_body(std::string_view bytes)
+{
+    std::string& body = this->buffered_body;
+    const std::size_t needed = body.size() + bytes.size();
+    if (this->events.memory && needed > body.capacity()) {
+        const memory::account& account = *this->events.memory;
+        const std::uint64_t level = account.levels().end_response;
+        const std::uint64_t left = level - std::min(level, account.held());
+        std::string grown; // `reserve` of a string in use doubles it too
+        grown.reserve(needed + std::min<std::size_t>(body.size(), left / 2));
+        grown += body;
+        body = std::move(grown);
+    }
+    body += bytes;
+}
+
+bool exchange::holds_unfinished_response() const
+{
+    return this->call && this->response_room.bytes() > this->caller->unsent();
+}
+
+void exchange::end_for_memory()
+{
+    this->stop_send();
+    this->buffered_body = {};
+    this->splitter.take_rest();
+    this->response_room.resize(0);
+    this->on_broken(traffic::interruption_cause::malformed,
+                    "response longer than the memory allows");
+}
+
 memory::unread_response exchange::unread(base::instant now) const
 {
     memory::unread_response out = this->caller->unread(now);
--- a/src/greengagedrum/entry/memory_keeping.cpp
+++ b/src/greengagedrum/entry/memory_keeping.cpp
@@ -216,8 +216,13 @@
                            {"held_bytes", this->state.memory->held()}});
     this->state.metrics.add(
         telemetry::process_count{telemetry::counter::memory_responses_ended});
-    if (found != this->by_caller.end())
+    if (found != this->by_caller.end()) {
+        const std::shared_ptr<exchange> http_exchange =
+            this->requests.at(found->second).http_exchange;
+        if (http_exchange->holds_unfinished_response())
+            return http_exchange->end_for_memory();
         this->on_caller_left(to);
+    }
     to->abort();
 }
 
--- a/src/greengagedrum/entry/test/endless_answer_test.cpp
+++ b/src/greengagedrum/entry/test/endless_answer_test.cpp
@@ -281,6 +281,7 @@
     constexpr int count = 20;
     const std::uint64_t held_before = test.held();
     std::vector<caller_view> endless;
+    endless.reserve(2UL * count);
     for (int at = 0; at < count; ++at)
         endless.push_back(test.call(at % 2 == 0 ? "/bulk/" : "/stream/"));
     std::vector<caller_view> sound;
--- a/src/greengagedrum/relay/message_reader.cpp
+++ b/src/greengagedrum/relay/message_reader.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -329,21 +330,6 @@
     return this->inner->head;
 }
 
-std::string_view to_string(body_framing value)
-{
-    switch (value) {
-    case body_framing::none:
-        return "none";
-    case body_framing::length:
-        return "length";
-    case body_framing::chunked:
-        return "chunked";
-    case body_framing::until_close:
-        return "until_close";
-    }
-    return "unknown";
-}
-
 body_framing answer_reader::framing() const
 {
     if (!this->head_done() || this->to_head)
@@ -374,10 +360,7 @@
         taken += count;
         if (fault && fault != http::error::need_more)
             return tl::unexpected(read_fault{502, fault.message()});
-        if (in_head)
-            this->head_bytes += count;
-        if (this->head_bytes > answer_head_most)
-            return tl::unexpected(read_fault{502, "too many interim heads"});
+        this->head_bytes += in_head ? count : 0;
         const bool interim =
             this->head_done() && this->head().status < status_ok;
         if (interim)
@@ -385,10 +368,11 @@
         else if (count == 0)
             break;
     }
-    // Beast bounds the length of a head, but not that of the line before a
-    // chunk nor that of the trailers, which it takes only as a whole.
-    if (!this->done() && bytes.size() - taken > answer_head_most)
-        return tl::unexpected(read_fault{502, "a chunk's line is too long"});
+    // Beast bounds a head, but not the number of interim ones, nor the line
+    // before a chunk or the trailers, which it takes only as a whole.
+    if (!this->done() &&
+        std::max(this->head_bytes, bytes.size() - taken) > answer_head_most)
+        return tl::unexpected(read_fault{502, "a head or line without end"});
     return taken;
 }
 
--- a/src/greengagedrum/relay/message_reader.hpp
+++ b/src/greengagedrum/relay/message_reader.hpp
@@ -10,6 +10,7 @@
 // Boost.Beast parses; it is kept out of this header for its compile time.
 #pragma once
 
+#include <greengagedrum/relay/body_framing.hpp>
 #include <greengagedrum/relay/message_head.hpp>
 
 #include <tl/expected.hpp>
@@ -70,16 +71,6 @@
     std::unique_ptr<parser> inner;
 };
 
-// How the end of an answer's body is found.
-enum class body_framing : std::uint8_t {
-    none, // there is no body, or its head has not been read
-    length,
-    chunked,
-    until_close, // neither a length nor chunks
-};
-
-std::string_view to_string(body_framing value);
-
 class answer_reader
 {
 public:
