--- a/src/greengagedrum/relay/message_reader.cpp
+++ b/src/greengagedrum/relay/message_reader.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -329,21 +330,6 @@
     return this->inner->head;
 }
 
-std::string_view to_string(body_framing value)
-{
-    switch (value) {
-    case body_framing::none:
-        return "none";
-    case body_framing::length:
-        return "length";
-    case body_framing::chunked:
-        return "chunked";
-    case body_framing::until_close:
-        return "until_close";
-    }
-    return "unknown";
-}
-
 body_framing answer_reader::framing() const
 {
     if (!this->head_done() || this->to_head)
@@ -367,12 +353,14 @@
     std::size_t taken = 0;
     while (!this->done() && taken < bytes.size()) {
         const std::string_view rest = bytes.substr(taken);
+        const bool in_head = !this->head_done();
         error_code fault;
         const std::size_t count = this->inner->put(
             boost::asio::buffer(rest.data(), rest.size()), fault);
         taken += count;
         if (fault && fault != http::error::need_more)
             return tl::unexpected(read_fault{502, fault.message()});
+        this->head_bytes += in_head ? count : 0;
         const bool interim =
             this->head_done() && this->head().status < status_ok;
         if (interim)
@@ -380,6 +368,11 @@
         else if (count == 0)
             break;
     }
+    // Beast bounds a head, but not the number of interim ones, nor the line
+    // before a chunk or the trailers, which it takes only as a whole.
+    if (!this->done() &&
+        std::max(this->head_bytes, bytes.size() - taken) > answer_head_most)
+        return tl::unexpected(read_fault{502, "a head or line without end"});
     return taken;
 }
 
