Stand-in, load: an engine that ends on prompts with one text

One part of a prompt may end each engine that begins to answer it. The stand-in engine takes the fault die_on_prompt (`text`): it ends in place of the first token of an answer to a prompt that has the text in it. The classes of a load scenario take prompt_part, a text that all their prompts have after the beginning they share.

--- a/src/load/plan.hpp
+++ b/src/load/plan.hpp
@@ -43,6 +43,7 @@
     length_distribution max_tokens{
         length_distribution::shape::lognormal, 4, 400, 0, 0, 1};
     std::uint32_t prefixes = 16; // distinct beginnings among its prompts
+    std::string prompt_part;     // text that all its prompts have after them
 };
 
 // The rate of one tier (or of all) is multiplied by `factor` for a while.
--- a/src/load/question.cpp
+++ b/src/load/question.cpp
@@ -37,12 +37,15 @@
     return text;
 }
 
-// The beginning is shared by all prompts of one prefix, the rest is this
-// request's own.
-std::string text_of(const arrival& coming, std::size_t bytes)
+// The beginning is shared by all prompts of one prefix, the part by all of one
+// class; the rest is this request's own.
+std::string
+text_of(const arrival& coming, const std::string& part, std::size_t bytes)
 {
     const std::size_t shared = std::min(bytes, shared_prefix_bytes);
-    return filler(coming.prefix, shared) + filler(coming.draw, bytes - shared);
+    const std::size_t own = bytes - shared;
+    return filler(coming.prefix, shared) + part +
+           filler(coming.draw, own - std::min(own, part.size()));
 }
 
 } // namespace
@@ -77,7 +80,8 @@
     asked.tag = std::string(run) + "-" + std::to_string(coming.number);
     const std::string mark = " [tag:" + asked.tag + "]";
     if (mark.size() < coming.prompt_bytes)
-        asked.prompt = text_of(coming, coming.prompt_bytes - mark.size());
+        asked.prompt = text_of(
+            coming, sort.prompt_part, coming.prompt_bytes - mark.size());
     asked.prompt += mark;
     asked.key = make_uuid7(unix_ms, coming.draw);
     asked.max_tokens = coming.max_tokens;
--- a/src/load/scenario.cpp
+++ b/src/load/scenario.cpp
@@ -180,7 +180,8 @@
                         "deadline_ms",
                         "prompt_bytes",
                         "max_tokens",
-                        "prefixes"});
+                        "prefixes",
+                        "prompt_part"});
     traffic_class sort;
     std::optional<greengagedrum::base::tier> tier;
     from.read("workspace", sort.workspace);
@@ -204,6 +205,7 @@
     read_lengths(from, "prompt_bytes", sort.prompt_bytes);
     read_lengths(from, "max_tokens", sort.max_tokens);
     from.read("prefixes", sort.prefixes);
+    from.read("prompt_part", sort.prompt_part);
     return sort;
 }
 
--- a/src/load/test/question_test.cpp
+++ b/src/load/test/question_test.cpp
@@ -41,6 +41,19 @@
     CHECK(this->prompt(1).substr(0, 1024) != one.substr(0, 1024));
 }
 
+// Without the part in each prompt of its class, an upstream's fault that is met
+// by that part only would not be met.
+TEST_CASE_FIXTURE(question_fixture, "prompt_part_follows_beginning")
+{
+    const std::string without = this->prompt(1);
+    this->planned.classes.front().prompt_part = "the part ";
+    const std::string one = this->prompt(1);
+    CHECK(one.size() == 3000);
+    CHECK(one.substr(0, 1024) == without.substr(0, 1024));
+    CHECK(one.substr(1024, 9) == "the part ");
+    CHECK(one.substr(1033) != this->prompt(2).substr(1033));
+}
+
 TEST_CASE_FIXTURE(question_fixture, "prompt_shorter_than_tag_is_tag")
 {
     this->coming.prompt_bytes = 3;
--- a/src/standin/engine_core.cpp
+++ b/src/standin/engine_core.cpp
@@ -28,7 +28,10 @@
         return nullptr;
     this->changed.notify_all();
     this->catch_up(at);
-    return this->batch.submit(request, at);
+    auto stream = this->batch.submit(request, at);
+    stream->fatal = !this->fatal_text.empty() &&
+                    request.prompt.find(this->fatal_text) != std::string::npos;
+    return stream;
 }
 
 // Runs the batch up to `at`. Before a new run, too: otherwise it would be
@@ -124,11 +127,18 @@
     return this->marker;
 }
 
-std::uint64_t engine_core::allow_tokens(std::uint64_t tokens)
+std::uint64_t engine_core::allow_tokens(const engine_stream& stream,
+                                        std::uint32_t index,
+                                        std::uint64_t tokens)
 {
     const std::lock_guard lock(this->mutex);
     if (this->ended || this->death)
         return 0;
+    if (stream.fatal && index == 0 && !this->fatal_text.empty()) {
+        this->death = true;
+        this->changed.notify_all();
+        return 0;
+    }
     if (!this->tokens_to_death)
         return tokens;
     const std::uint64_t allowed = std::min(tokens, *this->tokens_to_death);
--- a/src/standin/engine_core.hpp
+++ b/src/standin/engine_core.hpp
@@ -69,9 +69,12 @@
                       std::chrono::milliseconds patience);
     std::uint64_t fault_marker();
 
-    // A reader asks before it writes `tokens` tokens: how many it may write.
-    // Fewer than asked: the process dies now.
-    std::uint64_t allow_tokens(std::uint64_t tokens);
+    // A reader asks before it writes `tokens` tokens, the first of them with
+    // this index: how many it may write. Fewer than asked: the process dies
+    // now.
+    std::uint64_t allow_tokens(const engine_stream& stream,
+                               std::uint32_t index,
+                               std::uint64_t tokens);
 
     // True once for each truncate_event.
     bool take_truncation();
@@ -108,6 +111,7 @@
     void apply(const refuse_requests& fault);
     void apply(const go_silent& fault);
     void apply(const die_after_tokens& fault);
+    void apply(const die_on_prompt& fault);
     void apply(const freeze& fault);
     void apply(const close_streams& fault);
     void apply(const truncate_event& fault);
@@ -128,6 +132,7 @@
     std::uint64_t silent_mark = 0;
     std::uint64_t broken_mark = 0;
     std::optional<std::uint64_t> tokens_to_death;
+    std::string fatal_text; // of die_on_prompt; empty: none
     instant frozen_until;
     std::uint32_t truncations = 0;
     bool refusing = false;
--- a/src/standin/engine_core_faults.cpp
+++ b/src/standin/engine_core_faults.cpp
@@ -51,6 +51,11 @@
     this->tokens_to_death = fault.tokens;
 }
 
+void engine_core::apply(const die_on_prompt& fault)
+{
+    this->fatal_text = fault.text;
+}
+
 void engine_core::apply(const freeze& fault)
 {
     this->frozen_until = this->now() + fault.length;
@@ -73,6 +78,7 @@
     this->refusing = false;
     this->truncations = 0;
     this->tokens_to_death.reset();
+    this->fatal_text.clear();
     this->frozen_until = {};
 }
 
--- a/src/standin/engine_faults.cpp
+++ b/src/standin/engine_faults.cpp
@@ -37,6 +37,17 @@
     return die_after_tokens{*tokens};
 }
 
+std::optional<engine_fault> die_on_prompt_from(const nlohmann::json& json)
+{
+    const auto found = json.find("text");
+    if (found == json.end() || !found->is_string())
+        return std::nullopt;
+    const auto text = found->get<std::string>();
+    if (text.empty())
+        return std::nullopt;
+    return die_on_prompt{text};
+}
+
 std::optional<engine_fault> freeze_from(const nlohmann::json& json)
 {
     const auto length = number<std::int64_t>(json, "ms");
@@ -61,6 +72,8 @@
         return go_silent{};
     if (name == "die_after_tokens")
         return die_from(json);
+    if (name == "die_on_prompt")
+        return die_on_prompt_from(json);
     if (name == "freeze")
         return freeze_from(json);
     if (name == "close_streams")
--- a/src/standin/engine_faults.hpp
+++ b/src/standin/engine_faults.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <variant>
 
 namespace standin
@@ -32,6 +33,12 @@
     std::uint64_t tokens = 0;
 };
 
+// The process is gone in place of the first token of an answer to a prompt that
+// has this text in it, whatever else it has.
+struct die_on_prompt {
+    std::string text;
+};
+
 // Nothing moves for a time: no step, no byte, no answer.
 struct freeze {
     greengagedrum::base::duration length{};
@@ -53,13 +60,15 @@
                                   refuse_requests,
                                   go_silent,
                                   die_after_tokens,
+                                  die_on_prompt,
                                   freeze,
                                   close_streams,
                                   truncate_event,
                                   mend>;
 
 // From {"fault": "slow_down", "factor": 4}; the other members are `tokens`
-// for die_after_tokens and `ms` for freeze. Empty when malformed.
+// for die_after_tokens, `text` for die_on_prompt and `ms` for freeze. Empty
+// when malformed.
 std::optional<engine_fault> engine_fault_from(const nlohmann::json& json);
 
 } // namespace standin
--- a/src/standin/engine_stream.hpp
+++ b/src/standin/engine_stream.hpp
@@ -40,6 +40,7 @@
     std::uint32_t cached_tokens = 0;
     std::uint32_t max_tokens = 0;
     std::uint32_t produced = 0;
+    bool fatal = false;      // its prompt has the text of die_on_prompt
     double prefill_left = 0; // tokens
     double decode_part = 0;  // of the next token, 0 to 1
     greengagedrum::base::instant arrived;
--- a/src/standin/stream_reader.cpp
+++ b/src/standin/stream_reader.cpp
@@ -56,8 +56,8 @@
 bool stream_reader::write_tokens(httplib::DataSink& sink, std::uint32_t end)
 {
     const std::uint32_t wanted = end - this->next;
-    const auto allowed =
-        static_cast<std::uint32_t>(this->core.allow_tokens(wanted));
+    const auto allowed = static_cast<std::uint32_t>(
+        this->core.allow_tokens(*this->stream, this->next, wanted));
     std::string text;
     for (std::uint32_t i = 0; i < allowed; ++i, ++this->next)
         text +=
--- a/src/standin/test/engine_faults_test.cpp
+++ b/src/standin/test/engine_faults_test.cpp
@@ -41,6 +41,27 @@
     CHECK(this->resume("s1", 0).status == 0);
 }
 
+// A fault that ends the engine late, or on other prompts, would hide that one
+// text in them is what crashes.
+TEST_CASE_FIXTURE(engine_faults_fixture, "engine_dies_on_prompt_no_token")
+{
+    this->tested.inject(die_on_prompt{"no such text"});
+    CHECK(this->run("s1", 50).whole);
+    this->tested.inject(die_on_prompt{this->prompt.substr(1)});
+    const received_stream got = this->run("s2", 50);
+    CHECK(got.tokens == 0);
+    CHECK_FALSE(got.whole);
+    while (this->tested.alive())
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+}
+
+TEST_CASE_FIXTURE(engine_faults_fixture, "engine_mended_prompt_answered")
+{
+    this->tested.inject(die_on_prompt{this->prompt});
+    this->tested.inject(mend{});
+    CHECK(this->run("s1", 50).whole);
+}
+
 // Something between the two ends loses track of a connection: the caller gets
 // no further byte and no end, while the engine goes on and takes new calls.
 TEST_CASE_FIXTURE(engine_faults_fixture, "engine_silent_new_connection_works")
