Quarantine: trials within seconds where the evidence is weak

A part is ambiguous now if other parts with enough crashes of their own could explain the same crashes, not only one with the very same; and a part that has no more crashes than its threshold has its trial after 2 to 4 s.

--- a/src/greengagedrum/quarantine/blame.cpp
+++ b/src/greengagedrum/quarantine/blame.cpp
@@ -46,6 +46,36 @@
     return best;
 }
 
+// The other candidates that could explain some of the crashes, if together they
+// could explain all of them; else none.
+std::vector<std::size_t>
+find_alternatives(std::span<const blame_candidate> candidates,
+                  std::span<const blame> decided,
+                  std::size_t blamed,
+                  upstream_set crashes)
+{
+    std::vector<std::size_t> out;
+    const upstream_set all = crashes;
+    for (std::size_t at = 0; at < candidates.size(); ++at) {
+        const blame_candidate& one = candidates[at];
+        if (at == blamed || decided[at] != blame::open ||
+            one.crashes.size() < std::max<std::size_t>(1, one.threshold))
+            continue;
+        const bool overlaps =
+            std::any_of(one.crashes.begin(),
+                        one.crashes.end(),
+                        [&](base::upstream_id id) { return all.contains(id); });
+        if (!overlaps)
+            continue;
+        out.push_back(at);
+        for (const base::upstream_id id : one.crashes)
+            crashes.erase(id);
+    }
+    if (!crashes.empty())
+        out.clear();
+    return out;
+}
+
 } // namespace
 
 std::vector<blame> assign_blame(std::span<const blame_candidate> candidates)
@@ -57,17 +87,11 @@
         if (next == candidates.size())
             break;
         const upstream_set crashes = unexplained(candidates[next], explained);
-        out[next] = blame::sole;
-        for (std::size_t at = 0; at < candidates.size(); ++at) {
-            if (out[at] != blame::open ||
-                candidates[at].crashes.size() < candidates[at].threshold ||
-                candidates[at].crashes.size() !=
-                    candidates[next].crashes.size() ||
-                unexplained(candidates[at], explained) != crashes)
-                continue;
+        const std::vector<std::size_t> alternatives =
+            find_alternatives(candidates, out, next, crashes);
+        out[next] = alternatives.empty() ? blame::sole : blame::ambiguous;
+        for (const std::size_t at : alternatives)
             out[at] = blame::ambiguous;
-            out[next] = blame::ambiguous;
-        }
         explained.insert(crashes.begin(), crashes.end());
     }
     for (std::size_t at = 0; at < candidates.size(); ++at) {
--- a/src/greengagedrum/quarantine/blame.hpp
+++ b/src/greengagedrum/quarantine/blame.hpp
@@ -4,6 +4,8 @@
 // been. The part that is a suspect of most crashes explains them all, and is
 // blamed; what is left is explained by the next one. So a sound part that was
 // there at two crashes by chance is not blamed once another part explains both.
+// Where several parts with fewer crashes would explain them as well, none of
+// them can be ruled out yet.
 #pragma once
 
 #include <greengagedrum/base/ids.hpp>
@@ -26,8 +28,8 @@
 enum class blame : std::uint8_t {
     open,      // too few crashes to tell
     explained, // all of its crashes are explained by others
-    ambiguous, // explains crashes that another blamed part explains as well
-    sole,      // the only part that explains its crashes
+    ambiguous, // other parts could explain the same crashes
+    sole,      // the only explanation of some of its crashes
 };
 
 // The result for each candidate, in their order.
--- a/src/greengagedrum/quarantine/suspect_table.cpp
+++ b/src/greengagedrum/quarantine/suspect_table.cpp
@@ -28,10 +28,15 @@
 constexpr std::size_t part_threshold = 2;
 constexpr std::size_t answered_part_threshold = 3;
 
-// Two crashes are weak evidence against a part.
-constexpr trial_schedule weak_evidence_trials{std::chrono::seconds(10),
-                                              std::chrono::seconds(10),
-                                              std::chrono::seconds(5)};
+std::size_t threshold_of(const crash_record& part)
+{
+    return part.was_answered_before() ? answered_part_threshold
+                                      : part_threshold;
+}
+
+// No more crashes than its threshold are weak evidence against a part.
+constexpr trial_schedule weak_evidence_trials{
+    std::chrono::seconds(2), std::chrono::seconds(2), std::chrono::seconds(5)};
 // A part that others explain as well is as likely to be sound, however often
 // they came together. Its trial tells them apart.
 constexpr trial_schedule ambiguous_trials{
@@ -62,8 +67,9 @@
         return {};
     if (record.verdict == blame::ambiguous)
         return ambiguous_trials;
-    return record.crashes.crash_count() <= part_threshold ? weak_evidence_trials
-                                                          : trial_schedule();
+    return record.crashes.crash_count() <= threshold_of(record.crashes)
+               ? weak_evidence_trials
+               : trial_schedule();
 }
 
 quarantine_state suspect_table::state_of(const base::request_digest& digest,
@@ -158,10 +164,8 @@
         if (crashes.kind() != suspect_kind::prompt_part)
             continue;
         parts.push_back(&entry);
-        candidates.push_back({crashes.counted_crashes(),
-                              crashes.was_answered_before()
-                                  ? answered_part_threshold
-                                  : part_threshold});
+        candidates.push_back(
+            {crashes.counted_crashes(), threshold_of(crashes)});
     }
     const std::vector<blame> verdicts = assign_blame(candidates);
     for (std::size_t at = 0; at < parts.size(); ++at) {
