Traffic: a moved stream may resume where it was

Cause: a silent send was cancelled before the replacement was known to take the request. When that refused the connect, both upstreams were excluded and the stream waited until its deadline. When it rejected the stream, the last attempt was spent and the stream ended at once, and so it did when the dispatching entry denied it the next slot.

Change: upstreams left only for their silence may be used again once the replacement has failed to connect or has rejected. A rejected replacement spends neither an attempt nor a further retry of the budget; the bound on connects holds. A denial ends such a request only if it is quarantined; otherwise it asks again after 250 ms until its deadline. A denial after an interruption without a move ends the request as before.

--- a/src/greengagedrum/traffic/delegation.cpp
+++ b/src/greengagedrum/traffic/delegation.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-// A request whose upstream is silent and that was denied another slot asks
+// A request that has or had a silent upstream and was denied another slot asks
 // again after this time. A report without it comes first, so that the next one
 // that lists it is a new question.
 constexpr base::duration ask_again_after = std::chrono::milliseconds(250);
@@ -84,7 +84,7 @@
         // here yet. Another slot is requested under the next send number. The
         // next report no longer lists this one, so the dispatcher frees its
         // slot and counts no failure of the upstream.
-        item->tried.push_back(what.upstream);
+        exclude(*item, what.upstream);
         item->connects += 1;
         return;
     }
@@ -114,6 +114,14 @@
     if (!item->facts.version.empty() &&
         what.verdict.why == base::reason::no_upstream)
         return this->end_without_version(*item);
+    // The upstream that it has left may go on, so it waits for a slot there.
+    if (item->replaces_silent && item->uncertain > 0 &&
+        what.verdict.why != base::reason::quarantined) {
+        item->denied_until = this->now + ask_again_after;
+        item->queued = false;
+        this->queues[item->facts.service].remove(item->id);
+        return;
+    }
     if (item->uncertain > 0)
         return this->fail(*item, what.verdict.why);
     this->end(*item, what.verdict);
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -9,17 +9,6 @@
 
 using placement::duration_of;
 
-namespace
-{
-
-// Connects that may fail before a request is given up. In a network partition
-// that refuses connects, most upstreams fail within milliseconds. With a bound
-// of five, requests ended although three upstreams in their own data centre
-// were reachable.
-constexpr std::uint32_t connects_max = 12;
-
-} // namespace
-
 void scheduler::step(const event& what, base::instant at, actions& into)
 {
     this->now = at;
@@ -151,7 +140,8 @@
     if (item == nullptr)
         return;
     this->record_connect_failure(*item);
-    item->tried.push_back(item->upstream);
+    exclude(*item, item->upstream);
+    readmit_silent(*item);
     this->end_send(*item);
     item->sends -= 1;
     item->uncertain -= 1;
@@ -172,10 +162,11 @@
     if (what.cause == rejection::not_run)
         this->record_reached(*item);
     this->pool.probe_inconclusive(item->upstream);
-    item->tried.push_back(item->upstream);
+    exclude(*item, item->upstream);
     this->end_send(*item);
     item->uncertain -= 1;
-    if (this->queue_retry(*item))
+    if (item->replaces_silent ? this->queue_replacement(*item)
+                              : this->queue_retry(*item))
         return;
     if (this->lacks_version(*item))
         return this->end_without_version(*item);
@@ -199,6 +190,7 @@
                                this->now);
     if (item->events == 0) {
         item->first_event_at = this->now;
+        item->replaces_silent = false;
         this->record_reached(*item);
     }
     const base::duration gap =
@@ -243,7 +235,7 @@
     const std::uint32_t send = item->send;
     this->end_send(*item);
     if (!what.successful && this->may_repeat(*item)) {
-        item->tried.push_back(upstream);
+        exclude(*item, upstream);
         if (this->queue_retry(*item))
             return;
     }
@@ -262,7 +254,7 @@
         this->pool.probe_inconclusive(item->upstream);
     } else {
         this->record_failure(item->upstream, failure_kind::broken);
-        item->tried.push_back(item->upstream);
+        exclude(*item, item->upstream);
     }
     if (what.cause == interruption_cause::connection_lost)
         this->record_crash(*item);
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -172,6 +172,12 @@
     const upstream_pool& upstreams() const { return this->pool; }
 
 private:
+    // Connects that may fail before a request is given up. In a network
+    // partition that refuses connects, most upstreams fail within milliseconds.
+    // With a bound of five, requests ended although three upstreams in their
+    // own data centre were reachable.
+    static constexpr std::uint32_t connects_max = 12;
+
     struct request {
         base::request_id id;
         request_facts facts;
@@ -196,7 +202,11 @@
         base::instant denied_until; // asks for no other slot before
         bool parts_cleared = false; // its answer went on for a while
         bool ends_without_version = false;
+        // A silent send was given up, and no event has come since.
+        bool replaces_silent = false;
         std::vector<base::upstream_id> tried;
+        // Those of them that were left only for their silence.
+        std::vector<base::upstream_id> left_silent;
     };
 
     void on(const request_arrived& what);
@@ -260,6 +270,9 @@
     void tell(const quarantine::suspect_table::changes& changes);
     bool may_repeat(const request& item) const;
     bool queue_retry(request& item);
+    bool queue_replacement(request& item);
+    static void exclude(request& item, base::upstream_id upstream);
+    static void readmit_silent(request& item);
     void check_time(request& item);
     void check_silence(request& item);
     bool is_silent(const request& item) const;
--- a/src/greengagedrum/traffic/timeouts_and_retries.cpp
+++ b/src/greengagedrum/traffic/timeouts_and_retries.cpp
@@ -67,6 +67,36 @@
     return true;
 }
 
+// Queues a request again whose silent send was given up for one that was
+// rejected. The rejected send spends no attempt: the caller would have an
+// unfinished answer, while the silent upstream may go on.
+bool scheduler::queue_replacement(request& item)
+{
+    item.sends -= 1;
+    readmit_silent(item);
+    if (item.connects >= connects_max ||
+        !this->pool.has_usable(this->query_for(item), {}, this->delegating))
+        return false;
+    this->join_queue(item);
+    return true;
+}
+
+// The request must not be sent to that upstream again.
+void scheduler::exclude(request& item, base::upstream_id upstream)
+{
+    item.tried.push_back(upstream);
+    std::erase(item.left_silent, upstream);
+}
+
+// Upstreams that were only silent may be sent the request again, since the
+// replacement has not taken it.
+void scheduler::readmit_silent(request& item)
+{
+    for (const base::upstream_id one : item.left_silent)
+        std::erase(item.tried, one);
+    item.left_silent.clear();
+}
+
 void scheduler::check_time(request& item)
 {
     if (item.queued && item.send == 0 && this->is_quarantined(item))
@@ -87,6 +117,8 @@
         }
         return this->fail(item, base::reason::deadline);
     }
+    if (item.send == 0 && !item.queued && this->now >= item.denied_until)
+        return this->join_queue(item);
     if (item.send != 0 && !item.facts.delegated)
         this->check_silence(item);
 }
@@ -149,6 +181,8 @@
     this->queues[item.facts.service].record_cut(item.facts.kind,
                                                 this->now - item.sent_at);
     item.tried.push_back(item.upstream);
+    item.left_silent.push_back(item.upstream);
+    item.replaces_silent = true;
     this->end_send(item);
     return true;
 }
