Traffic: an unsuccessful answer is retried only with another usable upstream

Cause: an unsuccessful answer of a repeatable request was dropped for a retry even when every usable upstream had been tried. With one upstream, its complete answer with status 500 became a 504 at the deadline.

Change: without another usable upstream the answer is delivered.

--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -236,7 +236,10 @@
     this->end_send(*item);
     if (!what.successful && this->may_repeat(*item)) {
         exclude(*item, upstream);
-        if (this->queue_retry(*item))
+        // Without another upstream the caller would wait in vain.
+        if (this->pool.has_usable(
+                this->query_for(*item), upstream, this->delegating) &&
+            this->queue_retry(*item))
             return;
     }
     this->count.delivered += 1;
