Traffic: a silent stream that outlasts the stop stays where it is

Cause: moves took no account of a stop. A silent stream was cancelled 0.1 s before its entry's end, sent anew and cut.

Change: a stream moves only if what its kind needs still fits before the stop, as for new requests.

--- a/src/greengagedrum/traffic/timeouts_and_retries.cpp
+++ b/src/greengagedrum/traffic/timeouts_and_retries.cpp
@@ -161,7 +161,7 @@
 bool scheduler::may_move(const request& item)
 {
     return this->may_repeat(item) && item.sends < item.facts.attempts_max &&
-           !this->is_quarantined(item) &&
+           !this->is_quarantined(item) && !this->outlasts_stop(item) &&
            this->pool.has_usable(
                this->query_for(item), item.upstream, this->delegating) &&
            this->retries.has_left(item.facts.service, this->now);
