Traffic: silence is checked again when a silent stream gets another slot

Cause: silence was checked only at each tick. An upstream that made progress on another request between two ticks lost a stream to a slot that became free before the next one.

Change: a stream moves only if its upstream is still silent when the slot is taken or granted. A further test covers the grant; without the change two of its checks fail, that nothing is cancelled and that the stream ends whole.

--- a/src/greengagedrum/traffic/test/silent_upstream_move_test.cpp
+++ b/src/greengagedrum/traffic/test/silent_upstream_move_test.cpp
@@ -185,6 +185,22 @@
     CHECK(this->ends_whole(id, 1));
 }
 
+// As above for a slot that the dispatching entry grants.
+TEST_CASE_FIXTURE(delegating_silence_fixture,
+                  "granted_move_of_stream_whose_upstream_goes_on_is_not_used")
+{
+    this->upstreams(2, 2);
+    const auto id = this->begin_granted();
+    this->begin_granted();
+    this->pause(1s);
+    REQUIRE(this->tested.queued_sends(this->now).size() == 2);
+    this->step(events_received{base::request_id{2}, 1, ++this->events});
+    this->grant(id, 2, "i-1");
+    CHECK(this->last_actions.empty());
+    CHECK(this->tested.queued_sends(this->now).empty());
+    CHECK(this->ends_whole(id, 1));
+}
+
 // A silent stream is cancelled to probe an upstream that is itself suspected.
 TEST_CASE_FIXTURE(move_fixture, "silent_stream_other_upstream_suspected_stays")
 {
--- a/src/greengagedrum/traffic/timeouts_and_retries.cpp
+++ b/src/greengagedrum/traffic/timeouts_and_retries.cpp
@@ -168,10 +168,11 @@
 }
 
 // Cancels the send of a silent request that has got another slot. False: it
-// stays where it is, since others have used up the retry budget meanwhile.
+// stays where it is, since its upstream has made progress or others have used
+// up the retry budget meanwhile.
 bool scheduler::give_up_silent_send(request& item)
 {
-    if (!this->may_move(item) ||
+    if (!this->is_silent(item) || !this->may_move(item) ||
         !this->retries.spend(item.facts.service, this->now)) {
         this->leave_queue(item);
         return false;
