Traffic: tests of silent streams reach the states that they name

Cause: the stream of silent_stream_interrupted_is_sent_once_more was never queued beside its running send, as there was no other upstream. The check of silence_without_a_move_is_reported_once counts changes of suspicion, of which further reports cause none.

Change: the first has a second, full upstream and requires the queued state; the second also checks that the probe of the silent upstream is due, which each report puts off. The random run has rejected sends too.

--- a/src/greengagedrum/traffic/test/silent_upstream_run_test.cpp
+++ b/src/greengagedrum/traffic/test/silent_upstream_run_test.cpp
@@ -1,4 +1,4 @@
-// Random runs with upstreams that pause, break and refuse connects.
+// Random runs with upstreams that pause, break, refuse connects and reject.
 #include <greengagedrum/traffic/test/scheduler_fixture.hpp>
 
 #include <map>
@@ -88,6 +88,10 @@
             one.send = 0;
             one.sends -= 1;
             this->step(connect_failed{id, send});
+        } else if (one.events == 0 && this->chance(0.05)) {
+            one.send = 0;
+            one.sends -= 1;
+            this->step(send_rejected{id, send});
         } else if (this->chance(0.01)) {
             one.send = 0;
             this->step(answer_interrupted{id, send});
--- a/src/greengagedrum/traffic/test/silent_upstream_test.cpp
+++ b/src/greengagedrum/traffic/test/silent_upstream_test.cpp
@@ -124,13 +124,21 @@
 }
 
 // A silence that outlier detection counts once for each tick, or not at all
-// when the stream stays.
+// when the stream stays. Each further report would put off the probe of the
+// upstream.
 TEST_CASE_FIXTURE(silence_fixture, "silence_without_a_move_is_reported_once")
 {
-    this->upstreams(1, 1);
-    this->begin();
-    this->pause(3s);
+    this->upstreams(2, 1);
+    const auto silent = this->arrive(stream_facts());
+    const auto upstream = this->sent().upstream;
+    this->step(events_received{silent, 1, 1});
+    const auto other = this->begin(stream_facts());
+    this->keep_going(other, 1, 1200ms);
+    CHECK(this->cancelled == 0);
     CHECK(this->suspected == 1);
+    this->step(caller_left{silent});
+    this->arrive(stream_facts());
+    CHECK(this->sent().upstream == upstream);
 }
 
 // A silent upstream that never goes on holds the request forever.
@@ -148,14 +156,24 @@
 TEST_CASE_FIXTURE(silence_fixture,
                   "silent_stream_interrupted_is_sent_once_more")
 {
-    this->upstreams(1, 1);
+    this->upstreams(2, 1);
+    const auto other = this->begin(stream_facts());
     const auto id = this->begin();
     this->pause(1s);
+    REQUIRE(this->cancelled == 0);
+    REQUIRE(this->tested.waiting() == 1);
     this->step(answer_interrupted{id, 1});
-    this->upstreams(4, 1);
+    CHECK(this->tested.waiting() == 1);
+    this->tested.upstream_joined(upstream_named("i-2", 1), this->now);
+    this->tested.upstream_joined(upstream_named("i-3", 1), this->now);
     this->advance(tick);
     CHECK(this->sent().request == id);
-    CHECK(this->tested.counters().sent == 2);
+    CHECK(this->tested.counters().sent == 3);
+    this->advance(tick);
+    CHECK(this->last_actions.empty());
+    CHECK(this->ends_whole(id, 2));
+    this->answer(other, 1);
+    CHECK(this->tested.in_flight() == 0);
     CHECK(this->tested.waiting() == 0);
 }
 
