--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -180,7 +180,6 @@
     if (sent.kind == message_kind::reply)
         reply = write_reply(builder, sent.reply);
     const suspect_offsets suspects = write_suspects(builder, sent.suspects);
-    const auto rate_limits = write_rate_limits(builder, sent.rate_limits);
     const auto root = wire::CreateMessage(
         builder,
         sent.incarnation.value,
@@ -213,7 +212,7 @@
         sent.dispatching,
         suspects.suspects,
         suspects.crashes,
-        rate_limits,
+        write_rate_limits(builder, sent.rate_limits),
         static_cast<std::uint32_t>(sent.store_latency.count()),
         sent.accepts_compressed,
         sent.congested,
