Quarantine, docs: poison part instead of deadly part

Poison request and poison part are the terms of the fleets and of the field; a comment of the scheduler says what a retry without another upstream would do. No behaviour changes.

--- a/src/greengagedrum/quarantine/test/prompt_part_test.cpp
+++ b/src/greengagedrum/quarantine/test/prompt_part_test.cpp
@@ -27,7 +27,7 @@
     base::workspace_id shop{"shop"};
     base::request_digest first = part("first");
     base::request_digest own = part("own");
-    base::request_digest deadly = part("deadly");
+    base::request_digest poison = part("poison");
     base::request_digest companion = part("companion");
     int crashes = 0;
 
@@ -64,57 +64,57 @@
 
 TEST_CASE_FIXTURE(part_fixture, "part_in_two_crashes_quarantined")
 {
-    this->crash({this->deadly});
-    CHECK(this->state({this->deadly}) == quarantine_state::suspected);
-    this->crash({this->deadly});
-    CHECK(this->state({this->deadly}) == quarantine_state::quarantined);
-    CHECK(this->state({this->first, this->deadly}) ==
+    this->crash({this->poison});
+    CHECK(this->state({this->poison}) == quarantine_state::suspected);
+    this->crash({this->poison});
+    CHECK(this->state({this->poison}) == quarantine_state::quarantined);
+    CHECK(this->state({this->first, this->poison}) ==
           quarantine_state::quarantined);
 }
 
-// Sound requests that share the first part of the deadly ones would be refused.
+// Sound requests that share the first part of the poison ones would be refused.
 TEST_CASE_FIXTURE(part_fixture, "part_answered_after_each_crash_clear")
 {
     for (int time = 0; time < 5; ++time) {
-        this->crash({this->first, this->deadly});
+        this->crash({this->first, this->poison});
         this->answer({this->first});
     }
     CHECK(this->state({this->first}) == quarantine_state::clear);
-    CHECK(this->state({this->deadly}) == quarantine_state::quarantined);
+    CHECK(this->state({this->poison}) == quarantine_state::quarantined);
 }
 
 // Peers' answers arrive up to this much later than the crash is known.
 TEST_CASE_FIXTURE(part_fixture, "part_just_blamed_held_not_refused")
 {
-    this->crash({this->deadly});
-    this->crash({this->deadly});
+    this->crash({this->poison});
+    this->crash({this->poison});
     this->now -= 800ms;
-    CHECK(this->state({this->deadly}) == quarantine_state::confirming);
-    this->answer({this->deadly});
-    CHECK(this->state({this->deadly}) == quarantine_state::clear);
+    CHECK(this->state({this->poison}) == quarantine_state::confirming);
+    this->answer({this->poison});
+    CHECK(this->state({this->poison}) == quarantine_state::clear);
 }
 
 // A part that was sound before would be ruled out by its earlier answers.
 TEST_CASE_FIXTURE(part_fixture,
-                  "part_that_turned_deadly_quarantined_despite_answers")
+                  "part_that_became_poison_quarantined_despite_answers")
 {
-    this->answer({this->deadly});
-    this->crash({this->deadly});
-    this->crash({this->deadly});
-    CHECK(this->state({this->deadly}) == quarantine_state::clear);
-    this->crash({this->deadly});
-    CHECK(this->state({this->deadly}) == quarantine_state::quarantined);
+    this->answer({this->poison});
+    this->crash({this->poison});
+    this->crash({this->poison});
+    CHECK(this->state({this->poison}) == quarantine_state::clear);
+    this->crash({this->poison});
+    CHECK(this->state({this->poison}) == quarantine_state::quarantined);
 }
 
 // A sound request was sent again to an upstream that crashed as well.
 TEST_CASE_FIXTURE(part_fixture, "part_unlucky_twice_cleared_by_the_next_crash")
 {
-    this->crash({this->deadly, this->own});
-    this->crash({this->deadly, this->own});
+    this->crash({this->poison, this->own});
+    this->crash({this->poison, this->own});
     CHECK(this->state({this->own}) == quarantine_state::quarantined);
-    this->crash({this->deadly});
+    this->crash({this->poison});
     CHECK(this->state({this->own}) == quarantine_state::clear);
-    CHECK(this->state({this->deadly}) == quarantine_state::quarantined);
+    CHECK(this->state({this->poison}) == quarantine_state::quarantined);
 }
 
 // Two parts that always came together can only be told apart by a request that
@@ -122,11 +122,11 @@
 TEST_CASE_FIXTURE(part_fixture, "parts_always_together_tried_apart")
 {
     for (int time = 0; time < 2; ++time)
-        this->crash({this->deadly, this->companion});
+        this->crash({this->poison, this->companion});
     for (int time = 0; time < 3; ++time)
-        this->crash({this->deadly, this->companion});
+        this->crash({this->poison, this->companion});
     this->now += 2s;
-    const std::vector<base::request_digest> both{this->deadly, this->companion};
+    const std::vector<base::request_digest> both{this->poison, this->companion};
     CHECK(this->state(both) == quarantine_state::quarantined);
     const std::vector<base::request_digest> alone{this->companion};
     REQUIRE(this->state(alone) == quarantine_state::trial_due);
@@ -139,15 +139,15 @@
 
 TEST_CASE_FIXTURE(part_fixture, "part_trials_rarer_with_each_crash")
 {
-    this->crash({this->deadly});
-    this->crash({this->deadly});
-    CHECK(this->table.time_until_trial(this->deadly, this->now) <= 4s);
-    this->crash({this->deadly});
+    this->crash({this->poison});
+    this->crash({this->poison});
+    CHECK(this->table.time_until_trial(this->poison, this->now) <= 4s);
+    this->crash({this->poison});
     const base::duration third =
-        this->table.time_until_trial(this->deadly, this->now);
+        this->table.time_until_trial(this->poison, this->now);
     CHECK(third >= 10min - 1s);
-    this->crash({this->deadly});
-    CHECK(this->table.time_until_trial(this->deadly, this->now) > 9 * third);
+    this->crash({this->poison});
+    CHECK(this->table.time_until_trial(this->poison, this->now) > 9 * third);
 }
 
 // An upstream that is alive after all has not crashed.
@@ -164,11 +164,11 @@
 
 TEST_CASE_FIXTURE(part_fixture, "part_quarantined_here_quarantined_at_a_peer")
 {
-    this->crash({this->deadly});
-    this->crash({this->deadly});
+    this->crash({this->poison});
+    this->crash({this->poison});
     this->exchange_reports();
     this->now += 1s;
-    CHECK(this->peer.state_of(this->deadly, this->now) ==
+    CHECK(this->peer.state_of(this->poison, this->now) ==
           quarantine_state::quarantined);
     REQUIRE(this->peer.list_quarantined(this->now).size() == 1);
     CHECK(this->peer.list_quarantined(this->now).front().kind ==
@@ -195,7 +195,7 @@
 TEST_CASE_FIXTURE(part_fixture, "part_with_most_crashes_reported_first")
 {
     for (int time = 0; time < 3; ++time) {
-        std::vector<base::request_digest> parts{this->deadly};
+        std::vector<base::request_digest> parts{this->poison};
         for (int number = 0; number < 40; ++number)
             parts.push_back(part(std::to_string(time * 100 + number)));
         this->crash(parts);
@@ -203,7 +203,7 @@
     }
     const auto reports = this->table.collect_reports(this->now, false);
     REQUIRE_FALSE(reports.empty());
-    CHECK(reports.front().request == this->deadly);
+    CHECK(reports.front().request == this->poison);
 }
 
 } // namespace greengagedrum::quarantine
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -236,7 +236,7 @@
     this->end_send(*item);
     if (!what.successful && this->may_repeat(*item)) {
         exclude(*item, upstream);
-        // Without another upstream the caller would wait in vain.
+        // Without another upstream the retry would wait until the deadline.
         if (this->pool.has_usable(
                 this->query_for(*item), upstream, this->delegating) &&
             this->queue_retry(*item))
--- a/src/greengagedrum/traffic/test/crash_quarantine_test.cpp
+++ b/src/greengagedrum/traffic/test/crash_quarantine_test.cpp
@@ -249,10 +249,10 @@
 {
     this->upstreams(12, 2);
     for (int time = 0; time < 2; ++time) {
-        this->crash_with({"first", "deadly"});
+        this->crash_with({"first", "poison"});
         this->answer_with({"first", "other"});
     }
-    this->arrive_with({"first", "deadly"});
+    this->arrive_with({"first", "poison"});
     CHECK(this->last_action<send_request>() == nullptr);
     CHECK(this->verdict().run == base::run_state::not_run);
     CHECK(this->verdict().why == base::reason::quarantined);
