--- a/src/greengagedrum/relay/test/message_reader_test.cpp
+++ b/src/greengagedrum/relay/test/message_reader_test.cpp
@@ -272,7 +272,7 @@
         splitter.feed(piece);
         CHECK_FALSE(splitter.next());
     }
-    // Some 20 ms where each byte is searched once, and half a minute if not.
+    // A search that begins anew with each piece takes half a minute.
     CHECK(std::chrono::steady_clock::now() - begun < std::chrono::seconds(2));
     splitter.feed("\n\n");
     const auto whole = splitter.next();
