--- a/test/soak/part_fault.cpp
+++ b/test/soak/part_fault.cpp
@@ -127,8 +127,6 @@
     this->faults_to_come -= 1;
 }
 
-// ---- Contact between the entries ------------------------------------------
-
 void run::change_contact(std::size_t entry, bool lost)
 {
     if (!this->crashing)
@@ -160,8 +158,6 @@
         this->change_contact(entry + world::large_entries, false);
 }
 
-// ---- Requests without the part ---------------------------------------------
-
 // How they are served is judged where no fault of the entry or its callers
 // explains it.
 void run::judge_sound(std::size_t entry,
