Memory: the buffer of an unread stream grows within the account

Cause: a caller's buffer doubled its capacity whenever it was full. Near the last level of the account that took the process past its capacity at once: with 700 KB left below the level, a stream of 700 KB took 1.1 MB. The buffer of a whole response was bounded before, this one wasn't.

Change: both use memory::append_bounded(), which adds at most half of what is left below the last level.

--- a/src/greengagedrum/entry/exchange_memory.cpp
+++ b/src/greengagedrum/entry/exchange_memory.cpp
@@ -1,8 +1,7 @@
 // The part of an exchange that keeps its response within the memory of the
 // process.
 #include <greengagedrum/entry/exchange.hpp>
-
-#include <algorithm>
+#include <greengagedrum/memory/bounded_append.hpp>
 
 namespace greengagedrum::entry
 {
@@ -17,23 +16,13 @@
     this->call->pause(true);
 }
 
-// A full string doubles its capacity, which could take the account from below
-// the last level to far above all that the process has. So it grows by at most
-// half of what is left below that level.
 void exchange::buffer_body(std::string_view bytes)
 {
-    std::string& body = this->buffered_body;
-    const std::size_t needed = body.size() + bytes.size();
-    if (this->events.memory && needed > body.capacity()) {
-        const memory::account& account = *this->events.memory;
-        const std::uint64_t level = account.levels().end_response;
-        const std::uint64_t left = level - std::min(level, account.held());
-        std::string grown; // `reserve` of a string in use doubles it too
-        grown.reserve(needed + std::min<std::size_t>(body.size(), left / 2));
-        grown += body;
-        body = std::move(grown);
-    }
-    body += bytes;
+    if (this->events.memory)
+        memory::append_bounded(
+            this->buffered_body, bytes, *this->events.memory);
+    else
+        this->buffered_body += bytes;
 }
 
 bool exchange::holds_unfinished_response() const
--- a/src/greengagedrum/entry/test/memory_test.cpp
+++ b/src/greengagedrum/entry/test/memory_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace greengagedrum::entry
 {
 
@@ -82,6 +84,25 @@
     CHECK(this->run_until([&] { return starts_with_status(urgent, "200"); }));
 }
 
+// A buffer that doubles as it grows takes the account past its capacity.
+TEST_CASE_FIXTURE(memory_fixture,
+                  "unread_stream_that_fits_below_last_level_stays_below_it")
+{
+    const std::size_t size = 700'000;
+    this->response = stream_response(size);
+    memory::reservation others(this->state.memory, memory::kind::gossip);
+    others.resize(this->account.levels().end_response - size - 50'000);
+    this->call(request("/stream/", 10));
+    std::uint64_t most_held = 0;
+    // Without a tick, so that no response is ended.
+    for (int turn = 0; turn < 200; ++turn) {
+        this->context.run_one_for(1ms);
+        most_held = std::max(most_held, this->account.held());
+    }
+    CHECK(this->account.held(memory::kind::responses) > size / 2);
+    CHECK(most_held <= this->account.levels().end_response);
+}
+
 // Callers that announce bodies and send nothing hold room for a second.
 TEST_CASE_FIXTURE(memory_fixture,
                   "unsent_bodies_give_their_room_to_a_body_that_waits")
--- a/src/greengagedrum/relay/caller_connection.cpp
+++ b/src/greengagedrum/relay/caller_connection.cpp
@@ -1,3 +1,4 @@
+#include <greengagedrum/memory/bounded_append.hpp>
 #include <greengagedrum/relay/caller_connection.hpp>
 
 #include <linux/sockios.h>
@@ -260,7 +261,10 @@
         return;
     if (this->unsent() == 0)
         this->taken_at = this->events.clock();
-    this->outbox += bytes;
+    if (this->events.memory)
+        memory::append_bounded(this->outbox, bytes, *this->events.memory);
+    else
+        this->outbox += bytes;
     this->count_unsent();
     if (!this->writes)
         this->write();
