Traffic: no retry that the end of a stop cuts

Cause: a request whose answer had failed or was cut was queued for another upstream however little time a stopping entry had left. The answer in hand was dropped, the request ran once more, and the end of the stop cut it.

Change: a request that may have run isn't queued again where it would outlast the stop. Its answer is delivered, or it ends at once as one that may have run.

--- a/src/greengagedrum/traffic/test/stopping_test.cpp
+++ b/src/greengagedrum/traffic/test/stopping_test.cpp
@@ -169,6 +169,34 @@
     CHECK(this->last_action<send_request>() == nullptr);
 }
 
+// An answer in hand is dropped for a retry that the end of the stop cuts.
+TEST_CASE_FIXTURE(stopping_fixture,
+                  "failed_answer_near_the_stop_is_delivered_not_retried")
+{
+    this->upstreams(2, 1);
+    this->serve(1s);
+    this->tested.set_stop_time(this->now + 3s);
+    const base::request_id id = this->arrive(resumable_facts());
+    this->now += 2500ms;
+    this->answer(id, 1, false);
+    CHECK(this->last_action<deliver_answer>() != nullptr);
+    CHECK(this->last_action<send_request>() == nullptr);
+}
+
+// The caller would wait until the end of the stop and then be told the same.
+TEST_CASE_FIXTURE(stopping_fixture,
+                  "answer_interrupted_near_the_stop_ends_at_once")
+{
+    this->upstreams(2, 1);
+    this->serve(1s);
+    this->tested.set_stop_time(this->now + 3s);
+    const base::request_id id = this->arrive(resumable_facts());
+    this->now += 2500ms;
+    this->step(answer_interrupted{id, 1, interruption_cause::connection_lost});
+    CHECK(this->verdict().run == base::run_state::may_have_run);
+    CHECK(this->last_action<send_request>() == nullptr);
+}
+
 // A request that may have run is refused as not run.
 TEST_CASE_FIXTURE(stopping_fixture, "end_of_all_running_request_may_have_run")
 {
--- a/src/greengagedrum/traffic/timeouts_and_retries.cpp
+++ b/src/greengagedrum/traffic/timeouts_and_retries.cpp
@@ -61,6 +61,9 @@
         this->now + this->first_event_expected(item) >= item.deadline ||
         this->lacks_version(item))
         return false;
+    // A request that has not run is refused as such instead.
+    if (item.uncertain != 0 && this->outlasts_stop(item))
+        return false;
     if (!this->retries.spend(item.facts.service, this->now))
         return false;
     this->join_queue(item);
