Entry: requests over their limit aren't sent when delegation ends

Cause: an entry that dispatches again after the loss of its dispatcher charges its waiting requests and refuses those over their limit as not run. The scheduler no longer delegated by then, so the refusal of the first let the others be sent, which were refused as not run after that.

Change: the scheduler dispatches by itself only after all were charged.

--- a/src/greengagedrum/entry/limit_counting.cpp
+++ b/src/greengagedrum/entry/limit_counting.cpp
@@ -6,8 +6,7 @@
 {
 
 // When this entry dispatches again, it charges its waiting requests to their
-// limits; until then the dispatcher had to. All are charged before the first is
-// refused, because a refusal may let others be sent.
+// limits; until then the dispatcher had to.
 void request_handler::charge_queued_requests()
 {
     std::vector<std::pair<base::request_id, base::duration>> over_limit;
--- a/src/greengagedrum/entry/member_requests.cpp
+++ b/src/greengagedrum/entry/member_requests.cpp
@@ -82,8 +82,10 @@
     this->state.limiter.set_never_heard_peer_count(unheard);
     this->state.limiter.update_silent_peers(now);
     this->state.delegating = false;
-    this->state.scheduler.set_delegating(false);
+    // Until all are charged, the scheduler sends none of them: those over their
+    // limit are refused as not run.
     this->charge_queued_requests();
+    this->state.scheduler.set_delegating(false);
 }
 
 // The limit charged nothing, so there is nothing to refund.
--- a/src/greengagedrum/entry/test/memory_fixture.cpp
+++ b/src/greengagedrum/entry/test/memory_fixture.cpp
@@ -54,7 +54,10 @@
              route("urgent", "non_idempotent", 0) + "," +
              route("bulk", "non_idempotent", 1) + "," +
              route("stream", "streaming", 1) + "," +
-             route("other", "non_idempotent", 1, "others") + "]}",
+             route("other", "non_idempotent", 1, "others") + R"(],
+             "tenants": [{"name": "gate", "apiKeys": ["key-1"],
+                          "unit": "tokens", "uncachedTokens": 200,
+                          "ratePerS": 200, "burst": 200}]})",
          1,
          false},
         upstream_item("models", upstream_port)};
@@ -103,6 +106,8 @@
         2,
         true,
         loop_time()));
+    this->state.limiter.set_limits(this->state.cluster.routes()->config(),
+                                   loop_time());
     this->accept();
 }
 
@@ -120,6 +125,16 @@
     });
 }
 
+void memory_fixture::start_delegating()
+{
+    this->handler.start_delegating();
+}
+
+void memory_fixture::stop_delegating()
+{
+    this->handler.stop_delegating(0, nullptr);
+}
+
 memory_fixture::~memory_fixture()
 {
     relay::error_code ignored; // closed either way
--- a/src/greengagedrum/entry/test/memory_fixture.hpp
+++ b/src/greengagedrum/entry/test/memory_fixture.hpp
@@ -26,6 +26,10 @@
     // have been written. Nothing is read from it.
     relay::tcp::socket& call(const std::string& bytes);
     static std::string head(const std::string& path, std::size_t body_bytes);
+    // Another entry dispatches; from the end on this one does, which charges
+    // its waiting requests to the limits of their workspaces.
+    void start_delegating();
+    void stop_delegating();
     // Serves until the condition holds; false if it doesn't within two seconds.
     bool run_until(const std::function<bool()>& condition,
                    base::duration most = std::chrono::seconds(2));
