Entry: a lost response holds no memory while its request waits

Cause: what was read of a response that broke off stayed until the next send. It counted against the account, and with the account full the request itself was chosen to be ended, although its caller waited for a sound retry. Found by review.

--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -275,6 +275,7 @@
         this->report_outcome(misdirected
                                  ? "another upstream answers at this address"
                                  : "rejected by the upstream");
+        this->release_response();
         this->events.on_event(
             traffic::send_rejected{this->request.id,
                                    this->send_number,
@@ -301,6 +302,8 @@
     this->call.reset();
     this->call_room.resize(0);
     this->report_outcome(error);
+    // The request may wait for its next send.
+    this->release_response();
     this->events.on_event(traffic::answer_interrupted{
         this->request.id, this->send_number, cause});
 }
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -130,6 +130,8 @@
     void on_broken(traffic::interruption_cause cause, const std::string& error);
     void forward_events();
     void buffer_body(std::string_view bytes);
+    // Drops what is held of the response of the last send.
+    void release_response();
     // Stops reading from the upstream while there is no room for the response.
     void keep_to_memory();
     void classify_answer();
--- a/src/greengagedrum/entry/exchange_memory.cpp
+++ b/src/greengagedrum/entry/exchange_memory.cpp
@@ -30,12 +30,16 @@
     return this->call && this->response_room.bytes() > this->caller->unsent();
 }
 
-void exchange::end_for_memory()
+void exchange::release_response()
 {
-    this->stop_send();
     this->buffered_body = {};
-    this->splitter.take_rest();
+    this->splitter = relay::event_splitter();
     this->response_room.resize(0);
+}
+
+void exchange::end_for_memory()
+{
+    this->stop_send();
     this->on_broken(traffic::interruption_cause::malformed,
                     "response longer than the memory allows");
 }
--- a/src/greengagedrum/entry/exchange_sending.cpp
+++ b/src/greengagedrum/entry/exchange_sending.cpp
@@ -24,9 +24,7 @@
     this->send_number = send_number;
     this->answer = relay::answer_head();
     this->framing = relay::body_framing::none;
-    this->buffered_body = {};
-    this->response_room.resize(0);
-    this->splitter = relay::event_splitter();
+    this->release_response();
     this->streaming = false;
     this->event_count = 0;
     this->reading_paused = false;
--- a/src/greengagedrum/entry/test/delegation_end_test.cpp
+++ b/src/greengagedrum/entry/test/delegation_end_test.cpp
@@ -15,6 +15,8 @@
 using namespace std::chrono_literals;
 
 struct delegation_end_fixture : memory_fixture {
+    delegation_end_fixture() : memory_fixture(0, 0, 200) {}
+
     // Sends requests of one workspace while another entry dispatches.
     void call_while_delegating(std::size_t count)
     {
--- a/src/greengagedrum/entry/test/endless_answer_test.cpp
+++ b/src/greengagedrum/entry/test/endless_answer_test.cpp
@@ -308,6 +308,19 @@
     test.check_nothing_left(endless, held_before);
 }
 
+// A request that waits for its retry would be ended for memory that its lost
+// response holds.
+TEST_CASE("response_that_is_reset_holds_nothing_while_its_request_waits")
+{
+    endless_fixture test({chunked_head, whole_chunk, 20ms, 3});
+    std::vector<caller_view> callers{test.call("/again/")};
+    CHECK(test.fixture.run_until([&] {
+        return test.upstream.request_count() == 1 &&
+               test.fixture.state.scheduler.waiting() == 1;
+    }));
+    CHECK(test.fixture.account.held(memory::kind::responses) == 0);
+}
+
 // Only a reset tells that such a body isn't whole.
 TEST_CASE("unframed_body_that_is_reset_is_not_whole")
 {
--- a/src/greengagedrum/entry/test/memory_fixture.cpp
+++ b/src/greengagedrum/entry/test/memory_fixture.cpp
@@ -23,13 +23,15 @@
 std::string route(const char* name,
                   const char* kind,
                   int priority,
-                  const char* service = "models")
+                  const char* service = "models",
+                  int attempts = 1)
 {
     return std::string(R"({"name": ")") + name + R"(", "prefix": "/)" + name +
            R"(/", "hostname": "hall.example", "routeType": ")" + kind +
            R"(", "timeoutMs": 8000, "targetLatencyMs": 4000,
-              "maxAttempts": 1, "service": ")" +
-           service + R"(", "priority": )" + std::to_string(priority) + "}";
+              "maxAttempts": )" +
+           std::to_string(attempts) + R"(, "service": ")" + service +
+           R"(", "priority": )" + std::to_string(priority) + "}";
 }
 
 routing::store_item upstream_item(const char* service, int port)
@@ -44,7 +46,19 @@
             false};
 }
 
-routing::store_item_list items(int upstream_port, int other_port)
+std::string tenants(double limit_per_second)
+{
+    if (limit_per_second == 0)
+        return {};
+    const std::string limit = std::to_string(limit_per_second);
+    return R"(, "tenants": [{"name": "gate", "apiKeys": ["key-1"],
+                             "unit": "tokens", "uncachedTokens": 200,
+                             "ratePerS": )" +
+           limit + R"(, "burst": )" + limit + "}]";
+}
+
+routing::store_item_list
+items(int upstream_port, int other_port, double workspace_limit)
 {
     routing::store_item_list out = {
         {"op/config",
@@ -54,10 +68,9 @@
              route("urgent", "non_idempotent", 0) + "," +
              route("bulk", "non_idempotent", 1) + "," +
              route("stream", "streaming", 1) + "," +
-             route("other", "non_idempotent", 1, "others") + R"(],
-             "tenants": [{"name": "gate", "apiKeys": ["key-1"],
-                          "unit": "tokens", "uncachedTokens": 200,
-                          "ratePerS": 200, "burst": 200}]})",
+             route("again", "idempotent", 1, "models", 2) + "," +
+             route("other", "non_idempotent", 1, "others") + "]" +
+             tenants(workspace_limit) + "}",
          1,
          false},
         upstream_item("models", upstream_port)};
@@ -68,11 +81,13 @@
 
 } // namespace
 
-memory_fixture::memory_fixture(int upstream_port, int other_port)
+memory_fixture::memory_fixture(int upstream_port,
+                               int other_port,
+                               double workspace_limit)
     : state{loop_time,
             cluster_state(),
             quota::usage_limiter(loop_time()),
-            traffic::scheduler({}, {"hall", 1}),
+            traffic::scheduler({0.2, 50, 10s}, {"hall", 1}),
             rate_limited_log(),
             telemetry::registry(8),
             false,
@@ -102,7 +117,8 @@
     this->handler.apply_upstream_changes(this->state.cluster.apply(
         items(upstream_port != 0 ? upstream_port
                                  : this->upstream.local_endpoint().port(),
-              other_port),
+              other_port,
+              workspace_limit),
         2,
         true,
         loop_time()));
--- a/src/greengagedrum/entry/test/memory_fixture.hpp
+++ b/src/greengagedrum/entry/test/memory_fixture.hpp
@@ -15,8 +15,12 @@
 {
 public:
     // `upstream_port`: of a server of the test that replaces the fixture's
-    // upstream; `other_port`: of one that serves the route /other/.
-    explicit memory_fixture(int upstream_port = 0, int other_port = 0);
+    // upstream; `other_port`: of one that serves the route /other/;
+    // `workspace_limit`: of the one workspace with a key, in tokens a second;
+    // 0: requests carry no key.
+    explicit memory_fixture(int upstream_port = 0,
+                            int other_port = 0,
+                            double workspace_limit = 0);
     // Ends the requests under way: their calls and exchanges own each other.
     ~memory_fixture();
     memory_fixture(const memory_fixture&) = delete;
