Relay: many small events of one piece are split in linear time

Cause: each event that was taken moved all bytes after it. A body of 1 MB of empty lines took minutes, in which the loop of the process stood still. Found by review.

Change: the splitter keeps an offset and drops what was taken once a piece is drained.

--- a/src/greengagedrum/relay/event_splitter.cpp
+++ b/src/greengagedrum/relay/event_splitter.cpp
@@ -69,7 +69,7 @@
 
 std::size_t event_splitter::end_of_first()
 {
-    const std::string_view text = this->pending;
+    const std::string_view text = this->rest();
     while (const auto next = first_line(text.substr(this->line_begin),
                                         this->searched - this->line_begin)) {
         this->searched = this->line_begin + next->text.size();
@@ -95,11 +95,13 @@
 std::optional<whole_event> event_splitter::next()
 {
     const std::size_t end = this->end_of_first();
-    if (end == std::string::npos)
+    if (end == std::string::npos) {
+        this->pending.erase(0, std::exchange(this->begin, 0));
         return std::nullopt;
-    whole_event out{this->pending.substr(0, end), {}};
+    }
+    whole_event out{std::string(this->rest().substr(0, end)), {}};
     out.id = id_of(out.bytes);
-    this->pending.erase(0, end);
+    this->begin += end;
     this->line_begin = this->searched = 0;
     this->lone_returns = false;
     return out;
@@ -107,9 +109,9 @@
 
 std::string event_splitter::take_rest()
 {
-    this->line_begin = this->searched = 0;
-    this->lone_returns = false;
-    return std::exchange(this->pending, {});
+    std::string out(this->rest());
+    *this = event_splitter();
+    return out;
 }
 
 std::optional<std::uint64_t> event_number(std::string_view id)
--- a/src/greengagedrum/relay/event_splitter.hpp
+++ b/src/greengagedrum/relay/event_splitter.hpp
@@ -28,15 +28,24 @@
 
     // Bytes after the last whole event.
     std::string take_rest();
-    std::size_t rest_size() const { return this->pending.size(); }
+    std::size_t rest_size() const { return this->pending.size() - this->begin; }
 
 private:
-    // One past the empty line that ends the first event; npos: it is not whole.
+    std::string_view rest() const
+    {
+        return std::string_view(this->pending).substr(this->begin);
+    }
+    // One past the empty line that ends the first event of rest(); npos: it is
+    // not whole.
     std::size_t end_of_first();
 
+    // What was taken is dropped once for all events of a piece: each event
+    // would else move all that follow.
     std::string pending;
-    // What was searched is not searched again for each piece: an event without
-    // end would take a time that grows with the square of its length.
+    std::size_t begin = 0; // of what hasn't been taken
+    // Within rest(). What was searched is not searched again for each piece: an
+    // event without end would take a time that grows with the square of its
+    // length.
     std::size_t line_begin = 0;
     std::size_t searched = 0;
     bool lone_returns = false; // the line before `line_begin` ended with one
--- a/src/greengagedrum/relay/test/message_reader_test.cpp
+++ b/src/greengagedrum/relay/test/message_reader_test.cpp
@@ -280,6 +280,26 @@
     CHECK(whole->bytes.size() == 1024 * piece.size() + 2);
 }
 
+// Each event that is taken moves all that follow, and the loop of the process
+// stands still meanwhile.
+TEST_CASE("many_small_events_of_one_piece_are_split_in_linear_time")
+{
+    constexpr std::size_t count = 1U << 20U;
+    event_splitter splitter;
+    splitter.feed(std::string(count, '\n'));
+    const auto begun = std::chrono::steady_clock::now();
+    const auto is_late = [&] {
+        return std::chrono::steady_clock::now() - begun >
+               std::chrono::seconds(2);
+    };
+    std::size_t events = 0;
+    while (splitter.next() && !is_late())
+        events += 1;
+    CHECK_FALSE(is_late());
+    CHECK(events == count);
+    CHECK(splitter.rest_size() == 0);
+}
+
 TEST_CASE("media_type_is_read_without_its_parameters")
 {
     CHECK(media_type("text/event-stream") == "text/event-stream");
