Entry: a delivered response is counted once

Cause: the handlers of a call keep its exchange for a while after the response was delivered, and the exchange kept the whole response, which the caller's connection held and counted by then too.

Change: the exchange gives the response up when it delivers it.

--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -1,5 +1,7 @@
 #include <greengagedrum/entry/exchange.hpp>
 
+#include <utility>
+
 namespace greengagedrum::entry
 {
 
@@ -347,9 +349,12 @@
 {
     if (closing)
         this->caller->set_closing();
-    if (!this->streaming)
-        return this->caller->answer(this->caller_response_head(),
-                                    this->buffered_body);
+    if (!this->streaming) {
+        // The handlers of the call may keep this object for longer.
+        const std::string body = std::exchange(this->buffered_body, {});
+        this->response_room.resize(0);
+        return this->caller->answer(this->caller_response_head(), body);
+    }
     if (!this->caller->pieces_begun())
         this->caller->begin_pieces(this->caller_response_head());
     this->caller->send_piece(this->splitter.take_rest());
