Relay: a response framed by another transfer coding is malformed

Cause: a response whose Transfer-Encoding wasn't exactly "chunked" was read until its connection closed. The raw lines of chunks, or compressed bytes, went to the caller as a whole body. A response with a status below 100 was taken as an interim one, and its body as the next head. Found by review.

Change: both are malformed. What makes the framing of a request or of a response ambiguous is in framing_fault.*.

--- a/src/greengagedrum/relay/message_reader.cpp
+++ b/src/greengagedrum/relay/message_reader.cpp
@@ -1,4 +1,5 @@
 // <utility> first: Boost 1.74 under C++20 does not find std::exchange else.
+#include <greengagedrum/relay/framing_fault.hpp>
 #include <greengagedrum/relay/message_reader.hpp>
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -19,7 +20,7 @@
 
 constexpr std::string_view head_end = "\r\n\r\n";
 constexpr std::size_t answer_head_most = 64U << 10U;
-constexpr std::size_t last_chunk_bytes = 5; // "0\r\n\r\n"
+constexpr std::string_view last_chunk = "0\r\n\r\n";
 
 std::string_view plain(string_view text)
 {
@@ -58,36 +59,6 @@
     return false;
 }
 
-bool is_number(std::string_view text)
-{
-    return !text.empty() &&
-           text.find_first_not_of("0123456789") == std::string_view::npos;
-}
-
-// Empty when the framing can be read in one way only.
-std::string framing_fault(const request_head& head)
-{
-    const std::size_t lengths = count_headers(head.headers, "Content-Length");
-    const std::size_t codings =
-        count_headers(head.headers, "Transfer-Encoding");
-    if (lengths + codings > 1)
-        return "more than one length";
-    if (codings == 1) {
-        const auto coding = find_header(head.headers, "Transfer-Encoding");
-        if (!same_name(*coding, "chunked") || head.version < 11)
-            return "a transfer coding other than chunked";
-    }
-    if (lengths == 1 &&
-        !is_number(*find_header(head.headers, "Content-Length")))
-        return "a length that is no number";
-    const std::size_t hosts = count_headers(head.headers, "Host");
-    if (hosts > 1 || (hosts == 0 && head.version >= 11))
-        return "one host is needed";
-    if (head.target.empty() || head.target.front() != '/')
-        return "a target that is no path";
-    return {};
-}
-
 // What both kinds of message have in common: headers and a body.
 template <bool is_request, class Head>
 class collecting_parser : public http::basic_parser<is_request>
@@ -261,7 +232,7 @@
     while (!this->done() && taken < bytes.size()) {
         const std::string_view rest = bytes.substr(taken);
         // Beast asserts that a last chunk which it looks at again is whole.
-        if (this->inner->chunked() && rest.size() < last_chunk_bytes)
+        if (this->inner->chunked() && rest.size() < last_chunk.size())
             break;
         error_code fault;
         const std::size_t count = this->inner->put(
@@ -361,6 +332,10 @@
         if (fault && fault != http::error::need_more)
             return tl::unexpected(read_fault{502, fault.message()});
         this->head_bytes += in_head ? count : 0;
+        if (in_head && this->head_done()) {
+            if (auto why = framing_fault(this->head()); !why.empty())
+                return tl::unexpected(read_fault{502, std::move(why)});
+        }
         const bool interim =
             this->head_done() && this->head().status < status_ok;
         if (interim)
--- a/src/greengagedrum/relay/test/message_reader_test.cpp
+++ b/src/greengagedrum/relay/test/message_reader_test.cpp
@@ -280,6 +280,34 @@
     CHECK(whole->bytes.size() == 1024 * piece.size() + 2);
 }
 
+// Read until the connection closes, the raw chunks would be passed on as a
+// whole body, as would compressed bytes without the header that says so.
+TEST_CASE("response_with_transfer_coding_other_than_chunked_is_malformed")
+{
+    for (const char* coding : {"chunked, chunked",
+                               "chunked, identity",
+                               "gzip",
+                               "gzip, chunked",
+                               "chunked\r\nTransfer-Encoding: chunked"}) {
+        CAPTURE(coding);
+        answer_reader reader(false);
+        CHECK_FALSE(
+            reader.feed(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ") +
+                        coding + "\r\n\r\n5\r\n12345\r\n0\r\n\r\n"));
+    }
+    answer_reader reader(false);
+    CHECK(reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"
+                      "5\r\n12345\r\n0\r\n\r\n"));
+    CHECK(reader.done());
+}
+
+// Its body would be read as the next head.
+TEST_CASE("response_with_status_below_100_is_malformed")
+{
+    answer_reader reader(false);
+    CHECK_FALSE(reader.feed("HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nab"));
+}
+
 // Each event that is taken moves all that follow, and the loop of the process
 // stands still meanwhile.
 TEST_CASE("many_small_events_of_one_piece_are_split_in_linear_time")
