Relay: a last chunk that comes in pieces is awaited

Cause: Beast asserts that a last chunk which it looks at a second time is whole. The reader of requests heeded that, the one of responses didn't; without assertions nothing goes wrong. Found by review.

Change: the same guard, for the bytes of a last chunk only.

Result: response_in_chunks_is_read_in_pieces_of_any_size passes; it was not run in a build with assertions before the change.

--- a/src/greengagedrum/relay/message_reader.cpp
+++ b/src/greengagedrum/relay/message_reader.cpp
@@ -325,6 +325,10 @@
     while (!this->done() && taken < bytes.size()) {
         const std::string_view rest = bytes.substr(taken);
         const bool in_head = !this->head_done();
+        // Beast asserts that a last chunk which it looks at again is whole.
+        if (!in_head && this->inner->chunked() &&
+            rest.size() < last_chunk.size() && last_chunk.starts_with(rest))
+            break;
         error_code fault;
         const std::size_t count = this->inner->put(
             boost::asio::buffer(rest.data(), rest.size()), fault);
--- a/src/greengagedrum/relay/test/message_reader_test.cpp
+++ b/src/greengagedrum/relay/test/message_reader_test.cpp
@@ -308,6 +308,25 @@
     CHECK_FALSE(reader.feed("HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nab"));
 }
 
+TEST_CASE("response_in_chunks_is_read_in_pieces_of_any_size")
+{
+    const std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                             "\r\n\r\n5\r\n12345\r\n0\r\n\r\n";
+    for (std::size_t size = 1; size <= text.size(); ++size) {
+        CAPTURE(size);
+        answer_reader reader(false);
+        std::string held;
+        for (std::size_t at = 0; at < text.size(); at += size) {
+            held += text.substr(at, size);
+            const auto taken = reader.feed(held);
+            REQUIRE(taken);
+            held.erase(0, *taken);
+        }
+        CHECK(reader.done());
+        CHECK(reader.take_body() == "12345");
+    }
+}
+
 // Each event that is taken moves all that follow, and the loop of the process
 // stands still meanwhile.
 TEST_CASE("many_small_events_of_one_piece_are_split_in_linear_time")
