Quarantine: an error response clears no prompt part

Any answer to a request cleared all parts of its prompt at all entries. A 4xx, or a 500 or 503 without the mark that it was not run, is written before an answer to the prompt is begun, so a trial that ended that way cost two or three more upstreams. answer_received now says whether the answer was generated (status 2xx), and only that clears the parts. Records of equal requests are cleared by any answer, as before.

part_trial_answered_with_an_error_stays_quarantined: the next request was sent after the 4xx and after the 500 (four checks failed); now it is refused.

--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -107,15 +107,19 @@
     this->peer.reset();
 }
 
+bool exchange::has_success_status() const
+{
+    return this->answer.status >= relay::status_ok &&
+           this->answer.status < first_redirect;
+}
+
 std::string exchange::head_error() const
 {
     const platform::answer_marks marks =
         platform::read_answer_marks(this->answer);
     if (marks.attempt != this->request.marks.attempt)
         return "response carries the id of another request";
-    const bool success = this->answer.status >= relay::status_ok &&
-                         this->answer.status < first_redirect;
-    if (success && !marks.has_signature)
+    if (this->has_success_status() && !marks.has_signature)
         return "successful response without the upstream's signature";
     // No encoding was requested, so the response does not come from the
     // upstream.
@@ -292,7 +296,8 @@
     this->events.on_event(
         traffic::answer_received{this->request.id,
                                  this->send_number,
-                                 this->answer.status < first_server_error});
+                                 this->answer.status < first_server_error,
+                                 this->has_success_status()});
 }
 
 void exchange::on_broken(traffic::interruption_cause cause,
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -139,6 +139,7 @@
     bool ends_inside_event() const;
     // Empty if the response head can belong to this request.
     std::string head_error() const;
+    bool has_success_status() const;
     std::string caller_response_head() const;
     void report_outcome(std::string error);
     void report_bytes();
--- a/src/greengagedrum/traffic/crash_quarantine.cpp
+++ b/src/greengagedrum/traffic/crash_quarantine.cpp
@@ -123,12 +123,15 @@
             : this->suspects.on_upstream_gone(what.upstream, this->now));
 }
 
-void scheduler::record_answer(const request& item)
+void scheduler::record_answer(const request& item, bool generated)
 {
     this->tell(this->suspects.on_upstream_answered(item.upstream, this->now));
     if (!item.facts.digest.empty())
         this->tell(
             this->suspects.clear_suspicion(item.facts.digest, this->now));
+    // An error response does not show that an answer to the prompt could begin.
+    if (!generated)
+        return;
     const base::instant began =
         item.events > 0 ? item.first_event_at : this->now;
     this->tell(this->suspects.on_answer_begun(
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -101,6 +101,8 @@
     base::request_id request;
     std::uint32_t send = 0;
     bool successful = true;
+    // False for an error response, to which no answer to the prompt was begun.
+    bool generated = true;
 };
 
 enum class interruption_cause : std::uint8_t {
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -212,7 +212,7 @@
     if (item == nullptr)
         return;
     const base::upstream_id upstream = item->upstream;
-    this->record_answer(*item);
+    this->record_answer(*item, what.generated);
     this->record_reached(*item);
     if (what.successful) {
         this->tell(this->pool.record_success(upstream));
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -266,7 +266,8 @@
     void refuse_quarantined(request& item);
     void record_crash(const request& item);
     void record_unfinished(const request& item);
-    void record_answer(const request& item);
+    // `generated`: see `answer_received`.
+    void record_answer(const request& item, bool generated);
     void tell(const quarantine::suspect_table::changes& changes);
     bool may_repeat(const request& item) const;
     bool queue_retry(request& item);
--- a/src/greengagedrum/traffic/test/crash_quarantine_test.cpp
+++ b/src/greengagedrum/traffic/test/crash_quarantine_test.cpp
@@ -295,4 +295,24 @@
     CHECK(this->last_action<send_request>() != nullptr);
 }
 
+// An error response is written before an answer to the prompt is begun, so it
+// would clear the part at all entries.
+TEST_CASE_FIXTURE(prompt_part_fixture,
+                  "part_trial_answered_with_an_error_stays_quarantined")
+{
+    this->upstreams(12, 2);
+    for (const bool successful : {true, false}) {
+        const std::string poison = successful ? "poison-4xx" : "poison-5xx";
+        this->crash_with({poison});
+        this->crash_with({poison});
+        this->advance(5s);
+        const base::request_id trial = this->arrive_with({poison});
+        this->step(
+            answer_received{trial, this->sent().send, successful, false});
+        this->arrive_with({poison});
+        CHECK(this->last_action<send_request>() == nullptr);
+        CHECK(this->last_action<end_request>() != nullptr);
+    }
+}
+
 } // namespace greengagedrum::traffic
