Quarantine: time to the last event decides about a begun answer

Whether a stream was a bystander of a crash was measured up to the notice of the crash. A poison stream whose first events came in one read, and whose connection was closed 250 ms or more later, was neither charged nor cleared: its part was never blamed. Now the time from its first to its last event counts, also where another request waits for the running one.

stream_stalled_before_the_crash_is_a_suspect: the third request was sent, now it is refused. request_with_a_suspected_part_waits_for_the_stalled_one: the second request was sent beside the stalled one, now it waits.

--- a/src/greengagedrum/traffic/crash_quarantine.cpp
+++ b/src/greengagedrum/traffic/crash_quarantine.cpp
@@ -14,8 +14,8 @@
 // A send that ends sooner than this is no evidence about its upstream.
 constexpr base::duration silence_least = std::chrono::seconds(1);
 
-// An upstream that crashes later than this after the first event of a stream
-// did not crash as it began to write it.
+// A stream with events for longer than this did not crash its upstream as it
+// began.
 constexpr base::duration answer_start_time = std::chrono::milliseconds(250);
 
 } // namespace
@@ -70,11 +70,12 @@
 }
 
 // A part of a prompt that crashes upstreams does so as the answer begins, so a
-// stream that went on for a while shows that its parts are sound.
+// stream that went on for a while shows that its parts are sound. Only the time
+// up to the last event counts: a crash may be noticed long after it.
 bool scheduler::answer_has_begun(const request& item) const
 {
     return item.events > 1 &&
-           this->now - item.first_event_at >= answer_start_time;
+           item.progress_at - item.first_event_at >= answer_start_time;
 }
 
 // An earlier send may have run the request.
--- a/src/greengagedrum/traffic/test/crash_quarantine_test.cpp
+++ b/src/greengagedrum/traffic/test/crash_quarantine_test.cpp
@@ -315,4 +315,39 @@
     }
 }
 
+// The connection of a stream that stalls after its first events is closed only
+// after its upstream's core dump, so the part would never be blamed.
+TEST_CASE_FIXTURE(prompt_part_fixture,
+                  "stream_stalled_before_the_crash_is_a_suspect")
+{
+    this->upstreams(12, 2);
+    for (int time = 0; time < 2; ++time) {
+        const base::request_id id = this->arrive_with({"poison"});
+        const send_request send = this->sent();
+        this->step(events_received{id, send.send, 2});
+        this->now += 300ms;
+        this->tested.upstream_left(send.upstream);
+        this->step(answer_interrupted{id, send.send});
+        this->step(upstream_checked{send.upstream, false});
+        this->advance(1s);
+    }
+    this->arrive_with({"poison"});
+    CHECK(this->last_action<send_request>() == nullptr);
+    CHECK(this->verdict().why == base::reason::quarantined);
+}
+
+// A stalled stream may be about to lose its upstream, and another request with
+// the suspected part would end a second one.
+TEST_CASE_FIXTURE(prompt_part_fixture,
+                  "request_with_a_suspected_part_waits_for_the_stalled_one")
+{
+    this->upstreams(12, 2);
+    this->crash_with({"rare"});
+    const base::request_id running = this->arrive_with({"rare"});
+    this->step(events_received{running, this->sent().send, 2});
+    this->now += 300ms;
+    this->arrive_with({"rare"});
+    CHECK(this->last_action<send_request>() == nullptr);
+}
+
 } // namespace greengagedrum::traffic
