Quarantine: acquittals have room in messages and are repeated

A message has room for 16 recent changes, most crashes first, so a crash with 16 or more parts on the upstream dropped all acquittals of the same 400 ms. Four places are now kept for records without a crash that counts, others each time. And an acquittal was never repeated: a peer that was cut off while it was reported went on to refuse the part. A report of crashes that a known answer rules out, by a sender that doesn't know the answer, now has the record reported again. For equal requests a slightly later answer is taken over if it rules out a crash with its ten seconds of validity, else it would be reported again without end.

acquittal_missed_by_a_peer_is_reported_again: quarantined at the peer before, clear now. acquittal_beside_many_crash_records_is_reported: missing among 16 reports before, there now. answer_slightly_later_that_rules_out_a_crash_is_ taken_over: suspected without the last change, clear with it. acquittal_known_to_the_peer_is_not_reported_again passes before and after.

--- a/src/greengagedrum/quarantine/crash_record.cpp
+++ b/src/greengagedrum/quarantine/crash_record.cpp
@@ -64,12 +64,14 @@
 
 bool crash_record::counts(const crash& one) const
 {
-    if (!this->answered_at)
-        return true;
-    const base::duration valid = this->record_kind == suspect_kind::request
-                                     ? answer_validity
-                                     : base::duration(0);
-    return one.at > *this->answered_at + valid;
+    return !this->answered_at ||
+           one.at > *this->answered_at + this->answer_valid_for();
+}
+
+base::duration crash_record::answer_valid_for() const
+{
+    return this->record_kind == suspect_kind::request ? answer_validity
+                                                      : base::duration(0);
 }
 
 std::vector<base::upstream_id> crash_record::counted_crashes() const
@@ -190,10 +192,11 @@
                                base::instant now)
 {
     // A slightly later answer matters if it rules out a crash.
+    const base::duration valid = this->answer_valid_for();
     const bool answer_after_crash =
         received.answered_age && this->answered_at &&
-        this->has_crash_between(*this->answered_at,
-                                now - *received.answered_age);
+        this->has_crash_between(*this->answered_at + valid,
+                                now - *received.answered_age + valid);
     bool answer =
         update_if_later(this->answered_at, received.answered_age, now);
     if (!answer && answer_after_crash)
@@ -202,6 +205,23 @@
     return answer || trial;
 }
 
+bool crash_record::rules_out_crash_of(const suspect_report& received,
+                                      base::instant now) const
+{
+    if (!this->answered_at)
+        return false;
+    const base::duration valid = this->answer_valid_for();
+    return std::any_of(received.crashes.begin(),
+                       received.crashes.end(),
+                       [&](const reported_crash& one) {
+                           const bool known_to_sender =
+                               received.answered_age &&
+                               *received.answered_age <= one.age + valid;
+                           return !known_to_sender &&
+                                  now - one.age <= *this->answered_at + valid;
+                       });
+}
+
 // Only confirmed crashes are reported: a connection that was merely reset would
 // be counted as a crash by all peers.
 suspect_report crash_record::make_report(const base::request_digest& request,
--- a/src/greengagedrum/quarantine/crash_record.hpp
+++ b/src/greengagedrum/quarantine/crash_record.hpp
@@ -74,6 +74,11 @@
     // true if one of the times is later than the known one.
     bool merge_times(const suspect_report& received, base::instant now);
 
+    // Whether the last known answer rules out one of the reported crashes,
+    // which the answer known to the sender doesn't.
+    bool rules_out_crash_of(const suspect_report& received,
+                            base::instant now) const;
+
     suspect_report make_report(const base::request_digest& request,
                                base::instant now) const;
 
@@ -84,6 +89,8 @@
     };
 
     bool counts(const crash& one) const;
+    // An answer rules out crashes up to this much later.
+    base::duration answer_valid_for() const;
     bool has_crash_between(base::instant from, base::instant until) const;
 
     base::workspace_id workspace_id;
--- a/src/greengagedrum/quarantine/suspect_exchange.cpp
+++ b/src/greengagedrum/quarantine/suspect_exchange.cpp
@@ -1,4 +1,5 @@
 // The reports of suspects that entries send to each other.
+#include <greengagedrum/placement/mix.hpp>
 #include <greengagedrum/quarantine/suspect_table.hpp>
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 // several times.
 constexpr base::duration report_period = std::chrono::milliseconds(400);
 constexpr std::size_t max_recent_reports = 16;
+// Of these, how many are kept for records without a crash that counts.
+constexpr std::size_t acquittal_reports = 4;
 constexpr std::size_t quarantined_per_round = 8;
 constexpr std::size_t others_per_round = 4;
 
@@ -33,23 +36,46 @@
 }
 
 // Those with the most crashes first: a crash changes the records of all parts
-// that were there, and a message has room for a few.
+// that were there, and a message has room for a few. Acquittals have room of
+// their own, since without them peers would refuse sound requests.
 void suspect_table::add_recent(base::instant now,
                                std::vector<suspect_report>& out) const
 {
-    std::vector<std::pair<std::size_t, const record_map::value_type*>> recent;
-    for (const auto& entry : this->records) {
-        if (now - entry.second.changed_at < report_period)
-            recent.emplace_back(entry.second.crashes.crash_count(), &entry);
+    using entry = const record_map::value_type*;
+    std::vector<std::pair<std::size_t, entry>> crashed;
+    std::vector<entry> acquitted;
+    for (const auto& one : this->records) {
+        if (now - one.second.changed_at >= report_period)
+            continue;
+        const std::size_t crashes = one.second.crashes.crash_count();
+        if (crashes > 0)
+            crashed.emplace_back(crashes, &one);
+        else
+            acquitted.push_back(&one);
     }
-    std::stable_sort(
-        recent.begin(), recent.end(), [](const auto& left, const auto& right) {
-            return left.first > right.first;
-        });
-    for (const auto& [crashes, entry] : recent) {
-        if (out.size() == max_recent_reports)
-            return;
-        out.push_back(entry->second.crashes.make_report(entry->first, now));
+    std::stable_sort(crashed.begin(),
+                     crashed.end(),
+                     [](const auto& left, const auto& right) {
+                         return left.first > right.first;
+                     });
+    crashed.resize(std::min(crashed.size(),
+                            max_recent_reports -
+                                std::min(acquitted.size(), acquittal_reports)));
+    for (const auto& [crashes, one] : crashed)
+        out.push_back(one->second.crashes.make_report(one->first, now));
+    if (acquitted.empty())
+        return;
+    // Starts elsewhere in each message, so that all have their turn.
+    const std::uint64_t first =
+        placement::mix(
+            this->salt,
+            static_cast<std::uint64_t>(now.time_since_epoch().count())) %
+        acquitted.size();
+    const std::size_t room =
+        std::min(max_recent_reports - crashed.size(), acquitted.size());
+    for (std::size_t at = 0; at < room; ++at) {
+        const entry one = acquitted[(first + at) % acquitted.size()];
+        out.push_back(one->second.crashes.make_report(one->first, now));
     }
 }
 
@@ -115,7 +141,8 @@
     const auto answered = this->answers.last_answer(received.request);
     if (answered && record.crashes.record_answer(*answered))
         changed = true;
-    return changed;
+    // The sender missed the reports of the answer, so they are repeated.
+    return changed || record.crashes.rules_out_crash_of(received, now);
 }
 
 } // namespace greengagedrum::quarantine
--- /dev/null
+++ b/src/greengagedrum/quarantine/test/suspect_exchange_test.cpp
@@ -0,0 +1,153 @@
+// The reports of suspects that two entries exchange.
+#include <greengagedrum/quarantine/suspect_table.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <vector>
+
+namespace greengagedrum::quarantine
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+base::request_digest part(const std::string& id)
+{
+    return base::digest_of_prompt_part(base::upstream_class_id("engines"), id);
+}
+
+struct exchange_fixture {
+    base::instant now{1h};
+    suspect_table table{1};
+    suspect_table peer{2};
+    base::workspace_id shop{"shop"};
+    base::request_digest shared = part("shared");
+
+    static base::upstream_id upstream(int number)
+    {
+        return base::upstream_id("i-" + std::to_string(number));
+    }
+
+    void crash(suspect_table& at,
+               const std::vector<base::request_digest>& parts,
+               int number)
+    {
+        at.on_crash(parts, this->shop, upstream(number), this->now);
+        at.on_upstream_gone(upstream(number), this->now);
+    }
+
+    void answer(suspect_table& at, const base::request_digest& digest)
+    {
+        at.on_answer_begun(std::array{digest}, this->now, this->now);
+    }
+
+    void blame_shared_part()
+    {
+        for (int number = 1; number <= 2; ++number) {
+            this->crash(this->table, {this->shared}, number);
+            this->crash(this->peer, {this->shared}, number);
+            this->now += 1s;
+        }
+        REQUIRE(this->state(this->table) == quarantine_state::quarantined);
+        REQUIRE(this->state(this->peer) == quarantine_state::quarantined);
+    }
+
+    quarantine_state state(const suspect_table& at) const
+    {
+        return at.state_of(this->shared, this->now);
+    }
+
+    void send_reports(suspect_table& from, suspect_table& to, bool all)
+    {
+        to.merge(from.collect_reports(this->now, all), this->now);
+    }
+
+    // Both send at the same time, and receive 20 ms later.
+    void exchange_reports()
+    {
+        const auto sent = this->table.collect_reports(this->now, true);
+        const auto received = this->peer.collect_reports(this->now, true);
+        this->now += 20ms;
+        this->peer.merge(sent, this->now);
+        this->table.merge(received, this->now);
+    }
+};
+
+} // namespace
+
+// An answer that was reported while the peer was cut off would never reach it,
+// and the peer would go on to refuse the part.
+TEST_CASE_FIXTURE(exchange_fixture,
+                  "acquittal_missed_by_a_peer_is_reported_again")
+{
+    this->blame_shared_part();
+    this->answer(this->table, this->shared);
+    this->now += 1s;
+    this->send_reports(this->peer, this->table, true);
+    this->send_reports(this->table, this->peer, false);
+    CHECK(this->state(this->peer) == quarantine_state::clear);
+}
+
+// Peers that know of the answer and report other crashes would have it reported
+// with each of their messages.
+TEST_CASE_FIXTURE(exchange_fixture,
+                  "acquittal_known_to_the_peer_is_not_reported_again")
+{
+    this->blame_shared_part();
+    this->answer(this->table, this->shared);
+    this->now += 1s;
+    this->crash(this->table, {this->shared}, 3);
+    for (int round = 0; round < 4; ++round) {
+        this->exchange_reports();
+        this->now += 500ms;
+    }
+    this->exchange_reports();
+    CHECK(this->table.collect_reports(this->now, false).empty());
+    CHECK(this->peer.collect_reports(this->now, false).empty());
+}
+
+// An answer that is hardly later than the known one would be taken for the
+// same, and its sender would report it again and again.
+TEST_CASE_FIXTURE(exchange_fixture,
+                  "answer_slightly_later_that_rules_out_a_crash_is_taken_over")
+{
+    const auto request = base::digest_of_request("shop", "POST", "/", "body");
+    this->peer.on_crash(request, this->shop, upstream(1), this->now);
+    this->now += 1s;
+    this->peer.clear_suspicion(request, this->now);
+    this->now += 200ms;
+    this->table.clear_suspicion(request, this->now);
+    this->now += 9900ms;
+    this->peer.on_crash(request, this->shop, upstream(2), this->now);
+    this->peer.on_upstream_gone(upstream(2), this->now);
+    REQUIRE(this->peer.state_of(request, this->now) ==
+            quarantine_state::suspected);
+    this->send_reports(this->peer, this->table, false);
+    this->send_reports(this->table, this->peer, false);
+    CHECK(this->peer.state_of(request, this->now) == quarantine_state::clear);
+}
+
+// One crash with many parts on the upstream would crowd out all acquittals of
+// the same moment.
+TEST_CASE_FIXTURE(exchange_fixture,
+                  "acquittal_beside_many_crash_records_is_reported")
+{
+    this->crash(this->table, {this->shared}, 1);
+    std::vector<base::request_digest> parts;
+    for (int number = 0; number < 20; ++number)
+        parts.push_back(part(std::to_string(number)));
+    this->crash(this->table, parts, 2);
+    this->answer(this->table, this->shared);
+    const auto reports = this->table.collect_reports(this->now, false);
+    CHECK(reports.size() == 16);
+    CHECK(std::any_of(reports.begin(), reports.end(), [&](const auto& one) {
+        return one.request == this->shared && one.answered_age;
+    }));
+}
+
+} // namespace greengagedrum::quarantine
