Quarantine: a reset connection hides no later crash

After a lost connection to an upstream that was found alive, an entry ignored all peers' reports of crashes of that incarnation for ten minutes, also of crashes long after. Now it ignores those up to the time at which the upstream was alive, with the tolerance for ages, and none once the upstream is found gone.

crash_long_after_a_reset_connection_is_counted and crash_of_an_upstream_then_found_gone_is_counted: clear at the peer before, suspected now.

--- a/src/greengagedrum/quarantine/crash_record.cpp
+++ b/src/greengagedrum/quarantine/crash_record.cpp
@@ -13,11 +13,6 @@
 
 constexpr std::int64_t trial_delay_factor = 10;
 
-// Ages are relative to the time of sending and are read one network delay
-// later. A time that is later than the known one by less than this counts as
-// the same time, so that it isn't reported again.
-constexpr base::duration age_tolerance = std::chrono::milliseconds(400);
-
 base::duration trial_delay_after(std::size_t crashes,
                                  const trial_schedule& schedule)
 {
--- a/src/greengagedrum/quarantine/crash_record.hpp
+++ b/src/greengagedrum/quarantine/crash_record.hpp
@@ -24,6 +24,11 @@
 // An answer rules out crashes of its request for this long.
 inline constexpr base::duration answer_validity = std::chrono::seconds(10);
 
+// Ages are relative to the time of sending and are read one network delay
+// later. A time that is later than the known one by less than this counts as
+// the same time.
+inline constexpr base::duration age_tolerance = std::chrono::milliseconds(400);
+
 // When copies of a quarantined request are sent to test it.
 struct trial_schedule {
     // Delay from the last crash to the next trial; ten times as long after each
--- a/src/greengagedrum/quarantine/suspect_exchange.cpp
+++ b/src/greengagedrum/quarantine/suspect_exchange.cpp
@@ -131,11 +131,14 @@
 {
     bool changed = record.crashes.merge_times(received, now);
     for (const reported_crash& crash : received.crashes) {
-        if (this->known_alive.contains(crash.upstream))
+        const base::instant at = now - crash.age;
+        const auto alive = this->known_alive.find(crash.upstream);
+        if (alive != this->known_alive.end() &&
+            at <= alive->second + age_tolerance)
             continue;
-        if (!record.crashes.add(crash.upstream, now - crash.age, true))
+        if (!record.crashes.add(crash.upstream, at, true))
             continue;
-        this->presumed_gone.try_emplace(crash.upstream, now - crash.age);
+        this->presumed_gone.try_emplace(crash.upstream, at);
         changed = true;
     }
     const auto answered = this->answers.last_answer(received.request);
--- a/src/greengagedrum/quarantine/suspect_table.cpp
+++ b/src/greengagedrum/quarantine/suspect_table.cpp
@@ -329,6 +329,7 @@
 suspect_table::changes
 suspect_table::on_upstream_gone(base::upstream_id upstream, base::instant now)
 {
+    this->known_alive.erase(upstream);
     return this->change_all(
         now, [&](crash_record& crashes) { return crashes.confirm(upstream); });
 }
--- a/src/greengagedrum/quarantine/suspect_table.hpp
+++ b/src/greengagedrum/quarantine/suspect_table.hpp
@@ -155,7 +155,7 @@
     record_map records;
     std::map<base::workspace_id, std::size_t> record_counts;
     // Upstreams counted as crashed, and those that turned out to be alive
-    // since.
+    // since; earlier crashes of these are not taken over from peers.
     std::unordered_map<base::upstream_id, base::instant> presumed_gone;
     std::unordered_map<base::upstream_id, base::instant> known_alive;
     recent_answers answers;
--- a/src/greengagedrum/quarantine/test/suspect_exchange_test.cpp
+++ b/src/greengagedrum/quarantine/test/suspect_exchange_test.cpp
@@ -150,4 +150,33 @@
     }));
 }
 
+// An entry that lost a connection to the upstream a while ago would not learn
+// of its crash.
+TEST_CASE_FIXTURE(exchange_fixture,
+                  "crash_long_after_a_reset_connection_is_counted")
+{
+    this->peer.on_crash(
+        std::array{this->shared}, this->shop, upstream(1), this->now);
+    this->peer.on_upstream_reachable(upstream(1), this->now);
+    REQUIRE(this->state(this->peer) == quarantine_state::clear);
+    this->now += 1min;
+    this->crash(this->table, {this->shared}, 1);
+    this->send_reports(this->table, this->peer, false);
+    CHECK(this->state(this->peer) == quarantine_state::suspected);
+}
+
+// The upstream ends right after it took a connection.
+TEST_CASE_FIXTURE(exchange_fixture,
+                  "crash_of_an_upstream_then_found_gone_is_counted")
+{
+    this->peer.on_crash(
+        std::array{this->shared}, this->shop, upstream(1), this->now);
+    this->peer.on_upstream_reachable(upstream(1), this->now);
+    this->now += 100ms;
+    this->peer.on_upstream_gone(upstream(1), this->now);
+    this->crash(this->table, {this->shared}, 1);
+    this->send_reports(this->table, this->peer, false);
+    CHECK(this->state(this->peer) == quarantine_state::suspected);
+}
+
 } // namespace greengagedrum::quarantine
