Quarantine: a record known as a request's becomes a part's

The kind of a record was fixed by the first report of it. An older build relays the record of a part without its kind, so a new entry that heard of it there first kept it as a request's, also for its own crashes, and the part took no part in blame. Now a report or a crash of a part makes it a part's for good.

part_first_reported_as_a_request_becomes_a_part and part_reported_as_a_ request_crashes_here_becomes_a_part: listed as a request before, as a prompt part now.

--- a/src/greengagedrum/gossip/test/suspect_codec_test.cpp
+++ b/src/greengagedrum/gossip/test/suspect_codec_test.cpp
@@ -33,6 +33,24 @@
     CHECK(read->suspects.back().answered_age == 1ms);
 }
 
+// Decoded as a request, the record of a part would take no part in blame.
+TEST_CASE("suspects_of_both_kinds_decode_to_their_kinds")
+{
+    message sent;
+    sent.suspects = {{{1, 2}, base::workspace_id("shop"), {}, 1ms, {}},
+                     {{3, 4},
+                      base::workspace_id("shop"),
+                      {{base::upstream_id("i-1"), 50ms}},
+                      {},
+                      {},
+                      quarantine::suspect_kind::prompt_part}};
+    const auto read = decode_message(encode(sent));
+    REQUIRE(read);
+    REQUIRE(read->suspects.size() == 2);
+    CHECK(read->suspects.front().kind == quarantine::suspect_kind::request);
+    CHECK(read->suspects.back().kind == quarantine::suspect_kind::prompt_part);
+}
+
 TEST_CASE("message_without_suspects_decodes_to_none")
 {
     const auto read = decode_message(encode(message()));
--- a/src/greengagedrum/quarantine/crash_record.cpp
+++ b/src/greengagedrum/quarantine/crash_record.cpp
@@ -183,6 +183,14 @@
     return true;
 }
 
+bool crash_record::merge_kind(suspect_kind kind)
+{
+    if (kind == this->record_kind || kind != suspect_kind::prompt_part)
+        return false;
+    this->record_kind = kind;
+    return true;
+}
+
 bool crash_record::merge_times(const suspect_report& received,
                                base::instant now)
 {
--- a/src/greengagedrum/quarantine/crash_record.hpp
+++ b/src/greengagedrum/quarantine/crash_record.hpp
@@ -73,6 +73,9 @@
     bool confirm(base::upstream_id upstream);
     bool remove(base::upstream_id upstream);
     bool record_answer(base::instant at);
+    // A part stays a part: older builds report its record without its kind,
+    // which reads as that of a request.
+    bool merge_kind(suspect_kind kind);
     void record_trial(base::instant at) { this->trial_at = at; }
     // Takes over the times of the last answer and the last trial, but not the
     // crashes: the caller knows which upstreams turned out to be alive. Returns
--- a/src/greengagedrum/quarantine/suspect_exchange.cpp
+++ b/src/greengagedrum/quarantine/suspect_exchange.cpp
@@ -129,7 +129,8 @@
                                  const suspect_report& received,
                                  base::instant now)
 {
-    bool changed = record.crashes.merge_times(received, now);
+    bool changed = record.crashes.merge_kind(received.kind);
+    changed = record.crashes.merge_times(received, now) || changed;
     for (const reported_crash& crash : received.crashes) {
         const base::instant at = now - crash.age;
         const auto alive = this->known_alive.find(crash.upstream);
--- a/src/greengagedrum/quarantine/suspect_table.cpp
+++ b/src/greengagedrum/quarantine/suspect_table.cpp
@@ -214,6 +214,7 @@
     for (const base::request_digest& part : prompt_parts) {
         request_record& record =
             this->find_or_add(part, workspace, suspect_kind::prompt_part);
+        record.crashes.merge_kind(suspect_kind::prompt_part);
         if (const auto answered = this->answers.last_answer(part))
             record.crashes.record_answer(*answered);
         if (record.crashes.add(upstream, now, false))
--- a/src/greengagedrum/quarantine/test/suspect_exchange_test.cpp
+++ b/src/greengagedrum/quarantine/test/suspect_exchange_test.cpp
@@ -179,4 +179,42 @@
     CHECK(this->state(this->peer) == quarantine_state::suspected);
 }
 
+// An older build relays the record of a part as that of a request, which takes
+// no part in blame.
+TEST_CASE_FIXTURE(exchange_fixture,
+                  "part_first_reported_as_a_request_becomes_a_part")
+{
+    suspect_report report{this->shared,
+                          this->shop,
+                          {{upstream(1), 2s}, {upstream(2), 1s}},
+                          {},
+                          {}};
+    const auto kind = [&] {
+        const auto listed = this->table.list_quarantined(this->now);
+        REQUIRE(listed.size() == 1);
+        return listed.front().kind;
+    };
+    this->table.merge(std::array{report}, this->now);
+    CHECK(kind() == suspect_kind::request);
+    report.kind = suspect_kind::prompt_part;
+    this->table.merge(std::array{report}, this->now);
+    CHECK(kind() == suspect_kind::prompt_part);
+    report.kind = suspect_kind::request;
+    this->table.merge(std::array{report}, this->now);
+    CHECK(kind() == suspect_kind::prompt_part);
+}
+
+// The part's own crashes at this entry would be those of a request too.
+TEST_CASE_FIXTURE(exchange_fixture,
+                  "part_reported_as_a_request_crashes_here_becomes_a_part")
+{
+    const suspect_report report{
+        this->shared, this->shop, {{upstream(1), 1s}}, {}, {}};
+    this->table.merge(std::array{report}, this->now);
+    this->crash(this->table, {this->shared}, 2);
+    const auto listed = this->table.list_quarantined(this->now);
+    REQUIRE(listed.size() == 1);
+    CHECK(listed.front().kind == suspect_kind::prompt_part);
+}
+
 } // namespace greengagedrum::quarantine
