Platform: prompt parts are read once each, and from both ends

A part that was named twice counted as two parts whose trials were due, so requests with it were never tried; and parts from the 17th on were not seen, so a poison part there was never blamed. Now duplicates are dropped, and of more than 16 parts the first 8 and the last 8 are read.

prompt_part_named_twice_is_read_once and prompt_parts_of_a_long_prompt_first_ and_last_are_read: both failed, both pass now.

--- a/src/greengagedrum/platform/headers.cpp
+++ b/src/greengagedrum/platform/headers.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <unordered_set>
 
 namespace greengagedrum::platform
 {
@@ -101,22 +102,28 @@
     return text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
 }
 
-// Parts beyond these are not looked at.
-constexpr std::size_t max_prompt_parts = 16;
+// Of more parts, the first and the last ones are read: the first are shared
+// widely, and each of the last ones by the requests of one session.
+constexpr std::size_t max_first_parts = 8;
+constexpr std::size_t max_last_parts = 8;
 
 // "ID:TOKENS,ID:TOKENS", in the order of the prompt. The last part belongs to
-// the request itself, or to its session.
+// the request itself, or to its session. A part that is named again is not read
+// again.
 std::vector<std::string> shared_parts_from(std::string_view text)
 {
     std::vector<std::string> out;
-    for (std::size_t comma = text.find(',');
-         comma != std::string_view::npos && out.size() < max_prompt_parts;
+    std::unordered_set<std::string_view> seen;
+    for (std::size_t comma = text.find(','); comma != std::string_view::npos;
          comma = text.find(',')) {
         const std::string_view id =
             trimmed(text.substr(0, std::min(comma, text.find(':'))));
-        if (!id.empty())
-            out.emplace_back(id);
         text.remove_prefix(comma + 1);
+        if (id.empty() || !seen.insert(id).second)
+            continue;
+        if (out.size() == max_first_parts + max_last_parts)
+            out.erase(out.begin() + max_first_parts);
+        out.emplace_back(id);
     }
     return out;
 }
