Quarantine: nine simultaneous crashes are not reported for ever

A record keeps eight crashes. Two entries that noticed nine at nearly the same time dropped different ones; each report added the missing one in place of another, counted as a change, and had both records reported again without end, as ages grow by the network delay with each round. A further crash is now kept only if it is later than the oldest by more than the tolerance of ages, and only then it is a change. Exact ties were in the order of ids already.

nine_crashes_at_nearly_one_instant_are_not_repeated, with messages that take 20 ms: 20 of 40 checks failed, now none. Returning only whether the new crash is still there was tried first and failed the same 20.

--- a/src/greengagedrum/quarantine/crash_record.cpp
+++ b/src/greengagedrum/quarantine/crash_record.cpp
@@ -143,21 +143,27 @@
                : quarantine_state::trial_due;
 }
 
+// Failure guarded against: two entries that noticed nine crashes at nearly the
+// same time keep other eight of them. With each report that they exchange, the
+// missing one would replace another, which is then missing and reported next.
 bool crash_record::add(base::upstream_id upstream,
                        base::instant at,
                        bool confirmed)
 {
-    const auto [found, inserted] =
-        this->crashes.try_emplace(upstream, crash{at, confirmed});
-    if (!inserted)
+    if (this->crashes.contains(upstream))
         return confirmed && this->confirm(upstream);
-    if (this->crashes.size() > max_crashes)
-        this->crashes.erase(
+    if (this->crashes.size() == max_crashes) {
+        const auto oldest =
             std::min_element(this->crashes.begin(),
                              this->crashes.end(),
                              [](const auto& left, const auto& right) {
                                  return left.second.at < right.second.at;
-                             }));
+                             });
+        if (at <= oldest->second.at + age_tolerance)
+            return false;
+        this->crashes.erase(oldest);
+    }
+    this->crashes.emplace(upstream, crash{at, confirmed});
     return true;
 }
 
--- a/src/greengagedrum/quarantine/test/suspect_exchange_test.cpp
+++ b/src/greengagedrum/quarantine/test/suspect_exchange_test.cpp
@@ -217,4 +217,28 @@
     CHECK(listed.front().kind == suspect_kind::prompt_part);
 }
 
+// Two entries that keep other eight of nine crashes would report them to each
+// other for ever.
+TEST_CASE_FIXTURE(exchange_fixture,
+                  "nine_crashes_at_nearly_one_instant_are_not_repeated")
+{
+    for (int number = 1; number <= 9; ++number) {
+        this->crash(this->table, {this->shared}, number);
+        this->crash(this->peer, {this->shared}, 10 - number);
+        this->now += 1ms;
+    }
+    for (int round = 0; round < 2; ++round) {
+        this->exchange_reports();
+        this->now += 500ms;
+    }
+    for (int round = 0; round < 10; ++round) {
+        CHECK(this->table.collect_reports(this->now, false).empty());
+        CHECK(this->peer.collect_reports(this->now, false).empty());
+        this->exchange_reports();
+        CHECK(this->table.collect_reports(this->now, false).empty());
+        CHECK(this->peer.collect_reports(this->now, false).empty());
+        this->now += 500ms;
+    }
+}
+
 } // namespace greengagedrum::quarantine
