--- a/src/greengagedrum/quarantine/crash_record.cpp
+++ b/src/greengagedrum/quarantine/crash_record.cpp
@@ -13,11 +13,6 @@
 
 constexpr std::int64_t trial_delay_factor = 10;
 
-// Ages are relative to the time of sending and are read one network delay
-// later. A time that is later than the known one by less than this counts as
-// the same time, so that it isn't reported again.
-constexpr base::duration age_tolerance = std::chrono::milliseconds(400);
-
 base::duration trial_delay_after(std::size_t crashes,
                                  const trial_schedule& schedule)
 {
@@ -64,12 +59,14 @@
 
 bool crash_record::counts(const crash& one) const
 {
-    if (!this->answered_at)
-        return true;
-    const base::duration valid = this->record_kind == suspect_kind::request
-                                     ? answer_validity
-                                     : base::duration(0);
-    return one.at > *this->answered_at + valid;
+    return !this->answered_at ||
+           one.at > *this->answered_at + this->answer_valid_for();
+}
+
+base::duration crash_record::answer_valid_for() const
+{
+    return this->record_kind == suspect_kind::request ? answer_validity
+                                                      : base::duration(0);
 }
 
 std::vector<base::upstream_id> crash_record::counted_crashes() const
@@ -146,21 +143,27 @@
                : quarantine_state::trial_due;
 }
 
+// Failure guarded against: two entries that noticed nine crashes at nearly the
+// same time keep other eight of them. With each report that they exchange, the
+// missing one would replace another, which is then missing and reported next.
 bool crash_record::add(base::upstream_id upstream,
                        base::instant at,
                        bool confirmed)
 {
-    const auto [found, inserted] =
-        this->crashes.try_emplace(upstream, crash{at, confirmed});
-    if (!inserted)
+    if (this->crashes.contains(upstream))
         return confirmed && this->confirm(upstream);
-    if (this->crashes.size() > max_crashes)
-        this->crashes.erase(
+    if (this->crashes.size() == max_crashes) {
+        const auto oldest =
             std::min_element(this->crashes.begin(),
                              this->crashes.end(),
                              [](const auto& left, const auto& right) {
                                  return left.second.at < right.second.at;
-                             }));
+                             });
+        if (at <= oldest->second.at + age_tolerance)
+            return false;
+        this->crashes.erase(oldest);
+    }
+    this->crashes.emplace(upstream, crash{at, confirmed});
     return true;
 }
 
@@ -186,14 +189,23 @@
     return true;
 }
 
+bool crash_record::merge_kind(suspect_kind kind)
+{
+    if (kind == this->record_kind || kind != suspect_kind::prompt_part)
+        return false;
+    this->record_kind = kind;
+    return true;
+}
+
 bool crash_record::merge_times(const suspect_report& received,
                                base::instant now)
 {
     // A slightly later answer matters if it rules out a crash.
+    const base::duration valid = this->answer_valid_for();
     const bool answer_after_crash =
         received.answered_age && this->answered_at &&
-        this->has_crash_between(*this->answered_at,
-                                now - *received.answered_age);
+        this->has_crash_between(*this->answered_at + valid,
+                                now - *received.answered_age + valid);
     bool answer =
         update_if_later(this->answered_at, received.answered_age, now);
     if (!answer && answer_after_crash)
@@ -202,6 +214,23 @@
     return answer || trial;
 }
 
+bool crash_record::rules_out_crash_of(const suspect_report& received,
+                                      base::instant now) const
+{
+    if (!this->answered_at)
+        return false;
+    const base::duration valid = this->answer_valid_for();
+    return std::any_of(received.crashes.begin(),
+                       received.crashes.end(),
+                       [&](const reported_crash& one) {
+                           const bool known_to_sender =
+                               received.answered_age &&
+                               *received.answered_age <= one.age + valid;
+                           return !known_to_sender &&
+                                  now - one.age <= *this->answered_at + valid;
+                       });
+}
+
 // Only confirmed crashes are reported: a connection that was merely reset would
 // be counted as a crash by all peers.
 suspect_report crash_record::make_report(const base::request_digest& request,
--- a/src/greengagedrum/quarantine/crash_record.hpp
+++ b/src/greengagedrum/quarantine/crash_record.hpp
@@ -24,6 +24,11 @@
 // An answer rules out crashes of its request for this long.
 inline constexpr base::duration answer_validity = std::chrono::seconds(10);
 
+// Ages are relative to the time of sending and are read one network delay
+// later. A time that is later than the known one by less than this counts as
+// the same time.
+inline constexpr base::duration age_tolerance = std::chrono::milliseconds(400);
+
 // When copies of a quarantined request are sent to test it.
 struct trial_schedule {
     // Delay from the last crash to the next trial; ten times as long after each
@@ -68,12 +73,20 @@
     bool confirm(base::upstream_id upstream);
     bool remove(base::upstream_id upstream);
     bool record_answer(base::instant at);
+    // A part stays a part: older builds report its record without its kind,
+    // which reads as that of a request.
+    bool merge_kind(suspect_kind kind);
     void record_trial(base::instant at) { this->trial_at = at; }
     // Takes over the times of the last answer and the last trial, but not the
     // crashes: the caller knows which upstreams turned out to be alive. Returns
     // true if one of the times is later than the known one.
     bool merge_times(const suspect_report& received, base::instant now);
 
+    // Whether the last known answer rules out one of the reported crashes,
+    // which the answer known to the sender doesn't.
+    bool rules_out_crash_of(const suspect_report& received,
+                            base::instant now) const;
+
     suspect_report make_report(const base::request_digest& request,
                                base::instant now) const;
 
@@ -84,6 +97,8 @@
     };
 
     bool counts(const crash& one) const;
+    // An answer rules out crashes up to this much later.
+    base::duration answer_valid_for() const;
     bool has_crash_between(base::instant from, base::instant until) const;
 
     base::workspace_id workspace_id;
