Entry: the end of a stop resets a stream without framing

Cause: a stream to an HTTP/1.0 caller ends with its connection. Where memory is accounted for it is read from its upstream though the caller doesn't read, so it may have ended there while bytes are still to be written. The exit then closed the connection in order, and what had been written looked whole.

Change: before the exit such connections are reset.

--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -295,6 +295,8 @@
     const bool done = this->handler->in_flight() == 0 &&
                       this->handler->open_connections() == 0 &&
                       (!this->tunnels || this->tunnels->active() == 0);
+    if (phase == stop_phase::over)
+        this->handler->abort_unframed_responses();
     if (done || phase == stop_phase::over)
         this->context.stop();
 }
--- a/src/greengagedrum/entry/request_ending.cpp
+++ b/src/greengagedrum/entry/request_ending.cpp
@@ -80,6 +80,14 @@
     this->refuse_unread_requests();
 }
 
+void request_handler::abort_unframed_responses()
+{
+    const std::vector<relay::caller_ptr> connections(this->callers.begin(),
+                                                     this->callers.end());
+    for (const relay::caller_ptr& one : connections)
+        one->abort_unframed();
+}
+
 void request_handler::refuse_unread_requests()
 {
     const std::vector<relay::caller_ptr> connections(this->callers.begin(),
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -81,6 +81,8 @@
     void end_all();
     // Refuses requests that are read in part.
     void refuse_unread_requests();
+    // Resets connections of which the end would make a cut response look whole.
+    void abort_unframed_responses();
 
     // The number of entries, which all may keep connections to one upstream.
     void set_entry_count(std::size_t count) { this->entry_count = count; }
--- a/src/greengagedrum/entry/test/stop_test.cpp
+++ b/src/greengagedrum/entry/test/stop_test.cpp
@@ -28,7 +28,8 @@
     entry_fixture fixture;
     relay::asio::io_context context;
 
-    stop_fixture()
+    explicit stop_fixture(const fixture_options& options = {})
+        : fixture(options)
     {
         this->fixture.set_upstream_handler(
             [this](const httplib::Request& request,
@@ -52,12 +53,16 @@
     }
 
     // What a caller is sent until its connection closes or the time is over.
-    std::string read_all(relay::tcp::socket& from)
+    std::string read_all(relay::tcp::socket& from,
+                         relay::error_code* end = nullptr)
     {
         std::string out;
         relay::asio::async_read(from,
                                 relay::asio::dynamic_buffer(out),
-                                [](relay::error_code, std::size_t) {});
+                                [end](relay::error_code fault, std::size_t) {
+                                    if (end != nullptr)
+                                        *end = fault;
+                                });
         this->context.restart();
         this->context.run_for(2s);
         relay::error_code ignored;
@@ -70,6 +75,19 @@
     void stop() { this->fixture.entry_under_test->stop(); }
 };
 
+// Where memory is accounted for, a response is read from its upstream though
+// its caller doesn't read.
+struct limited_memory_stop_fixture : stop_fixture {
+    limited_memory_stop_fixture() : stop_fixture(options()) {}
+
+    static fixture_options options()
+    {
+        fixture_options out;
+        out.memory_bytes = std::uint64_t{1} << 30U;
+        return out;
+    }
+};
+
 bool is_refusal(const std::string& response)
 {
     return response.starts_with("HTTP/1.1 503") &&
@@ -128,6 +146,32 @@
     CHECK(response.find("stopping") != std::string::npos);
 }
 
+// Only the end of its connection ends such a stream, so that one cut by the end
+// of the process would look whole.
+TEST_CASE_FIXTURE(limited_memory_stop_fixture,
+                  "stream_without_framing_cut_by_the_end_of_a_stop_is_reset")
+{
+    const std::string event = "data: " + std::string(60'000, 'x') + "\n\n";
+    this->fixture.set_upstream_handler(
+        [&event](const httplib::Request& request, httplib::Response& response) {
+            std::string events;
+            for (int count = 0; count < 200; ++count)
+                events += event;
+            entry_fixture::write_signed_answer(request, response, "");
+            response.set_content(events, "text/event-stream");
+        });
+    relay::tcp::socket caller = this->connect();
+    std::string request = request_text("/stream/", 1);
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    write(caller, request);
+    std::this_thread::sleep_for(300ms);
+    this->stop();
+    std::this_thread::sleep_for(1500ms);
+    relay::error_code end;
+    CHECK_FALSE(this->read_all(caller, &end).empty());
+    CHECK(end == relay::asio::error::connection_reset);
+}
+
 // The end of the process drops a request whose body is not read whole.
 TEST_CASE_FIXTURE(stop_fixture,
                   "request_read_in_part_at_the_end_of_a_stop_is_refused")
--- a/src/greengagedrum/relay/caller_connection.cpp
+++ b/src/greengagedrum/relay/caller_connection.cpp
@@ -176,7 +176,8 @@
 {
     this->in_pieces = true;
     this->chunked = this->reader->head().version >= 11;
-    if (!this->chunked)
+    this->unframed = !this->chunked;
+    if (this->unframed)
         this->closing = true;
     this->announce_close(head);
     if (this->chunked)
--- a/src/greengagedrum/relay/caller_connection.hpp
+++ b/src/greengagedrum/relay/caller_connection.hpp
@@ -116,6 +116,9 @@
     // Ends a response in pieces that is not whole, in such a way that the
     // caller gets what was written and can't take it for whole.
     void break_off();
+    // Aborts a connection whose end is the end of its stream, if not all of the
+    // stream has been written: closed in order, it would look whole.
+    void abort_unframed();
     // Closes what was too slow or idle for too long.
     void check_time(base::instant now, const caller_bounds& bounds);
 
@@ -179,6 +182,7 @@
     bool busy = false;   // a request is worked on
     bool in_pieces = false;
     bool chunked = false;
+    bool unframed = false; // the end of the connection ends the response
     bool writes = false;
     bool reads = false;
     bool closing = false;         // after the answer under way
--- a/src/greengagedrum/relay/caller_connection_ending.cpp
+++ b/src/greengagedrum/relay/caller_connection_ending.cpp
@@ -75,6 +75,12 @@
     this->finish_answer();
 }
 
+void caller_connection::abort_unframed()
+{
+    if (this->unframed && (this->in_pieces || this->unsent() > 0))
+        this->abort();
+}
+
 void caller_connection::check_time(base::instant now,
                                    const caller_bounds& bounds)
 {
