--- a/src/greengagedrum/entry/fleet_test/fault_injection.cpp
+++ b/src/greengagedrum/entry/fleet_test/fault_injection.cpp
@@ -63,7 +63,12 @@
             std::chrono::duration<double>(this->plan.restart_gap).count();
     if (this->seconds() < due)
         return;
-    node* stopped = this->nodes[this->next_restart++].get();
+    this->begin_stop(this->next_restart++);
+}
+
+void virtual_fleet::begin_stop(std::size_t number)
+{
+    node* stopped = this->nodes[number].get();
     if (stopped == nullptr)
         return;
     stopped->state.stopping = true;
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.cpp
@@ -146,6 +146,7 @@
     peer_transport out;
     out.send = [this, &one](std::string_view bytes, gossip::ipv4_address to) {
         this->sent_bytes[one.number] += bytes.size();
+        this->largest_sent = std::max(this->largest_sent, bytes.size());
         this->send(one.address, to, bytes);
     };
     out.observe_queues = [this, &one] {
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
@@ -95,6 +95,8 @@
     void start();
     // Advances virtual time by 5 ms.
     void step();
+    // Stops the entry's process, if it runs, as at a restart.
+    void begin_stop(std::size_t number);
 
     std::size_t size() const { return this->nodes.size(); }
     // Null while the entry is down.
@@ -115,6 +117,7 @@
     double seconds() const;
     // Sent by the busiest entry over the whole run.
     std::uint64_t busiest_bytes() const;
+    std::size_t largest_datagram() const { return this->largest_sent; }
     // Sent to other regions over the whole run, in datagrams and transfers.
     std::uint64_t bytes_between_regions() const;
     std::size_t region_of(gossip::ipv4_address address) const;
@@ -173,6 +176,7 @@
     std::vector<datagram> held;         // for slowed processes
     bool strong_lost = false;
     std::vector<std::uint64_t> sent_bytes; // by entry number
+    std::size_t largest_sent = 0;          // datagram
     strong_entry_faults strong_faults;
     simulated_links links;
     std::uint64_t failures = 0; // of fetches
