Traffic: far upstreams by the entries that compete

An entry of more than eight used a random part of the upstreams of other data centres, 8 in as many as there are entries, so that entries with full upstreams nearby don't all choose the same far one.

The part now goes by the entries that have queues. When all have, it is as before.

--- a/src/greengagedrum/traffic/test/upstream_choice_test.cpp
+++ b/src/greengagedrum/traffic/test/upstream_choice_test.cpp
@@ -77,8 +77,71 @@
     }
 };
 
+// One of 40 entries, with eight engines of one slot in its own data centre and
+// 40 in another one.
+struct many_entries_fixture : scheduler_fixture {
+    many_entries_fixture()
+    {
+        this->join("hall", 8);
+        this->join("yard", 40);
+        this->tested.set_entry_count(40);
+    }
+
+    void join(const std::string& data_centre, int count)
+    {
+        for (int number = 0; number < count; ++number) {
+            routing::published_upstream one =
+                upstream_named(data_centre + std::to_string(number), 1);
+            one.data_centre = data_centre;
+            this->tested.upstream_joined(one, this->now);
+        }
+    }
+
+    void report_waiting_peers(int count)
+    {
+        const queue_report waiting[] = {{engines, {}}};
+        for (int number = 0; number < count; ++number)
+            this->tested.on_peer_report(
+                base::slot_id("peer-" + std::to_string(number)),
+                {},
+                waiting,
+                this->now);
+    }
+
+    // Of that many requests.
+    int sent_at_once(int requests)
+    {
+        int count = 0;
+        for (int number = 0; number < requests; ++number) {
+            this->arrive(stream_facts());
+            count += this->last_action<send_request>() != nullptr ? 1 : 0;
+        }
+        return count;
+    }
+};
+
 } // namespace
 
+// Failure guarded against: an entry that gets most connections uses a fifth of
+// the engines of other data centres, and its requests wait while slots are
+// free.
+TEST_CASE_FIXTURE(many_entries_fixture,
+                  "entry_without_waiting_peers_uses_all_upstreams")
+{
+    CHECK(this->sent_at_once(48) == 48);
+}
+
+// Failure guarded against: all entries have queues, and all choose the same
+// engine of another data centre that seems free.
+TEST_CASE_FIXTURE(many_entries_fixture,
+                  "entry_with_waiting_peers_uses_part_of_far_upstreams")
+{
+    this->report_waiting_peers(39);
+    const int sent = this->sent_at_once(48);
+    CHECK(sent > 8);
+    CHECK(sent <= 8 + 16);
+}
+
 // Streams run on the slow engine when a long prompt arrives. The engine
 // processes the prompt in chunks of a quarter of a second, and all streams
 // pause beyond their objective. Without the check the prompt is sent there,
--- a/src/greengagedrum/traffic/upstream_choice.cpp
+++ b/src/greengagedrum/traffic/upstream_choice.cpp
@@ -210,23 +210,29 @@
                  1 - many_entries_above / static_cast<double>(this->entries));
 }
 
-// With many entries, each uses a fixed random subset of the upstreams of other
-// data centres, as long as its own data centre has enough healthy ones. Load
-// reports from other data centres are old, and entries whose own slots were
-// taken all chose the same upstream that seemed free. A request that has failed
-// elsewhere may go to any upstream, and so may one that needs a version, which
-// may be rare nearby.
+// With many entries that have queues, each uses a random subset of the
+// upstreams of other data centres, as long as its own data centre has enough
+// healthy ones. Load reports from other data centres are old, and entries whose
+// own slots were taken all chose the same upstream that seemed free. An entry
+// whose peers have no queues competes with none of them: with a subset by the
+// number of all entries, one of 30 that got most connections refused a third of
+// its requests while slots were free. A request that has failed elsewhere may
+// go to any upstream, and so may one that needs a version, which may be rare
+// nearby.
 bool upstream_pool::may_use(base::upstream_id id,
                             const upstream& one,
                             const dispatch_query& query) const
 {
-    if (this->is_near(one) || this->entries <= far_users ||
-        !query.tried.empty() || query.allowed_data_centres.restricted ||
-        !query.version.empty())
+    const std::uint64_t competing =
+        std::min<std::uint64_t>(this->entries, this->waiting_peers + 1);
+    if (this->is_near(one) || competing <= far_users || !query.tried.empty() ||
+        query.allowed_data_centres.restricted || !query.version.empty())
         return true;
     const std::uint64_t lot =
         placement::mix(placement::mix(this->identity.salt, id.value), 1);
-    return lot % this->entries < far_users;
+    // The subset only shrinks as more entries compete.
+    constexpr std::uint64_t range = 1U << 20U;
+    return lot % range * competing < far_users * range;
 }
 
 std::size_t upstream_pool::healthy_nearby(const service_state& all) const
