--- a/src/greengagedrum/entry/fleet_test/connection_skew_dispatch.cpp
+++ b/src/greengagedrum/entry/fleet_test/connection_skew_dispatch.cpp
@@ -25,6 +25,8 @@
     out.configure = [this](node& one) { this->configure(one); };
     out.events = [this](node& one) { return this->events_of(one); };
     out.after_step = [this](node& one) {
+        if (one.state.scheduler.in_flight() == 0)
+            return;
         traffic::actions actions;
         one.state.scheduler.tick(this->fleet.time(), actions);
         this->execute(one, actions);
@@ -215,8 +217,9 @@
     started.process_id = process.process_id;
     started.request = action.request;
     started.send = action.send;
-    this->running[this->upstream_numbers.at(action.upstream)].push_back(
-        started);
+    const std::size_t number = this->upstream_numbers.at(action.upstream);
+    this->running[number].push_back(started);
+    this->record_send(number);
 }
 
 void connection_skew_fleet::execute_action(node& at,
--- a/src/greengagedrum/entry/fleet_test/connection_skew_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/connection_skew_fleet.cpp
@@ -27,12 +27,14 @@
 constexpr base::duration longest_run = 900ms;
 constexpr base::duration latency_objective = 500ms;
 constexpr base::duration time_left = 10s;
+constexpr base::duration limit_window = 4s;
 
 } // namespace
 
 connection_skew_fleet::connection_skew_fleet(const connection_skew_plan& plan)
     : plan(plan), random_engine(plan.seed), processes(plan.entries),
-      running(plan.upstreams), fleet(plan, this->hooks())
+      running(plan.upstreams), recent_sends(plan.upstreams),
+      fleet(plan, this->hooks())
 {
     for (std::size_t number = 0; number < plan.upstreams; ++number)
         this->upstream_numbers[this->published(number).id] = number;
@@ -174,6 +176,20 @@
         this->submit_event(*at, event);
 }
 
+// Before requests are counted, the entries still learn of the limits.
+void connection_skew_fleet::record_send(std::size_t upstream)
+{
+    if (this->fleet.seconds() < before_from)
+        return;
+    const base::instant now = this->fleet.time();
+    std::deque<base::instant>& sent = this->recent_sends[upstream];
+    sent.push_back(now);
+    while (now - sent.front() >= limit_window)
+        sent.pop_front();
+    this->result.most_in_window = std::max(
+        this->result.most_in_window, static_cast<std::uint32_t>(sent.size()));
+}
+
 // Events may start or cancel runs at any upstream, so due runs are copied.
 void connection_skew_fleet::advance_upstreams()
 {
--- a/src/greengagedrum/entry/fleet_test/connection_skew_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/connection_skew_fleet.hpp
@@ -48,6 +48,7 @@
     served_share before;
     served_share during; // from the end of the stability window on
     std::uint32_t most_per_second = 0;  // requests that one entry read
+    std::uint32_t most_in_window = 0;   // to one upstream within four seconds
     std::uint64_t bytes_per_second = 0; // of the busiest entry
     std::size_t largest_datagram = 0;
 
@@ -124,6 +125,7 @@
     void advance_upstreams();
     void advance(std::size_t number, run& one);
     void report(const run& one, const traffic::event& event);
+    void record_send(std::size_t upstream);
 
     bool is_affected(std::size_t entry) const;
     bool is_skewed() const;
@@ -141,6 +143,7 @@
     std::mt19937_64 random_engine;
     std::vector<process_state> processes;  // by entry
     std::vector<std::vector<run>> running; // by upstream, in order of arrival
+    std::vector<std::deque<base::instant>> recent_sends; // by upstream
     std::map<base::upstream_id, std::size_t> upstream_numbers;
     std::map<base::request_id, caller> callers; // of requests in progress
     std::multimap<base::instant, retry> retries;
