Quarantine: failing tests of the trials of a sound part

Three tests show the faults without the fleet: a trial that fails to connect is refused because of itself; a request that has another suspect of the same crashes is taken as a trial; and after such a trial has crashed an upstream the part isn't tried again for ten minutes.

--- a/src/greengagedrum/quarantine/test/prompt_part_test.cpp
+++ b/src/greengagedrum/quarantine/test/prompt_part_test.cpp
@@ -40,6 +40,19 @@
         this->now += 1s;
     }
 
+    // Both came with a sound part, one of them as a trial of that part.
+    void crash_with_two_poison_parts()
+    {
+        this->crash({this->first, this->poison});
+        this->crash({this->first, this->poison});
+        this->now += 1s;
+        const std::vector<base::request_digest> trial{this->first,
+                                                      this->companion};
+        REQUIRE(this->state(trial) == quarantine_state::trial_due);
+        this->table.on_sent(request_features{{}, trial}, this->now);
+        this->crash(trial);
+    }
+
     void answer(const std::vector<base::request_digest>& parts)
     {
         this->table.on_answer_begun(parts, this->now, this->now);
@@ -137,6 +150,33 @@
     CHECK(this->state(both) == quarantine_state::quarantined);
 }
 
+// A sound part that came with two poison parts would be refused for minutes
+// after a trial by a request with the second of them.
+TEST_CASE_FIXTURE(part_fixture, "part_of_two_poison_parts_tried_again_soon")
+{
+    this->crash_with_two_poison_parts();
+    this->now += 4s;
+    const std::vector<base::request_digest> sound{this->first, this->own};
+    REQUIRE(this->state(sound) == quarantine_state::trial_due);
+    this->answer(sound);
+    CHECK(this->state(sound) == quarantine_state::clear);
+    CHECK(this->state({this->first, this->poison}) ==
+          quarantine_state::confirming);
+}
+
+// A request with a poison part would fail the trial of a sound part.
+TEST_CASE_FIXTURE(part_fixture,
+                  "request_with_another_suspect_of_the_crashes_no_trial")
+{
+    this->crash_with_two_poison_parts();
+    this->now += 30min;
+    REQUIRE(this->state({this->first}) == quarantine_state::trial_due);
+    const std::vector<base::request_digest> both{this->first, this->poison};
+    CHECK(this->state(both) == quarantine_state::quarantined);
+    CHECK(this->table.time_until_trial(request_features{{}, both}, this->now) >=
+          1s);
+}
+
 TEST_CASE_FIXTURE(part_fixture, "part_trials_rarer_with_each_crash")
 {
     this->crash({this->poison});
--- a/src/greengagedrum/traffic/test/crash_quarantine_test.cpp
+++ b/src/greengagedrum/traffic/test/crash_quarantine_test.cpp
@@ -295,4 +295,25 @@
     CHECK(this->last_action<send_request>() != nullptr);
 }
 
+// The trial would be refused because of itself, and all later ones until it
+// times out.
+TEST_CASE_FIXTURE(prompt_part_fixture,
+                  "trial_that_did_not_connect_sent_to_another_upstream")
+{
+    this->upstreams(12, 2);
+    this->crash_with({"rare"});
+    this->crash_with({"rare"});
+    this->advance(4s);
+    const base::request_id trial = this->arrive_with({"rare"});
+    const send_request first = this->sent();
+    this->step(connect_failed{trial, first.send});
+    REQUIRE(this->last_action<send_request>() != nullptr);
+    const send_request second = this->sent();
+    CHECK(second.request == trial);
+    CHECK(second.upstream != first.upstream);
+    this->answer(trial, second.send);
+    this->arrive_with({"rare"});
+    CHECK(this->last_action<send_request>() != nullptr);
+}
+
 } // namespace greengagedrum::traffic
