Quarantine: trials of parts that tell something

Cause: a trial that failed to connect counted as one that runs. Its request was refused because of itself instead of being sent to another upstream, and all other trials of the part were blocked until it timed out. Besides, requests with a poison part whose crashes were explained by a sound part were taken as trials of the sound part, and after such a trial had crashed an upstream the sound part was refused for ten minutes.

Change: the trial of a request that did not run, since its connect failed or its upstream rejected it, is withdrawn. A request is no trial of a part if another of its parts could be blamed for some of the same crashes. A part of whose crashes fewer than two can't be explained by other parts is tried again after 2 to 4 s. A request refused for such a reason is told to wait a second at least instead of none. The expiry of records moves to the file of the table's bounds, unchanged.

--- a/src/greengagedrum/quarantine/blame.cpp
+++ b/src/greengagedrum/quarantine/blame.cpp
@@ -1,6 +1,7 @@
 #include <greengagedrum/quarantine/blame.hpp>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace greengagedrum::quarantine
@@ -11,6 +12,12 @@
 
 using upstream_set = std::set<base::upstream_id>;
 
+bool has_enough_crashes(const blame_candidate& candidate)
+{
+    return candidate.crashes.size() >=
+           std::max<std::size_t>(1, candidate.threshold);
+}
+
 upstream_set unexplained(const blame_candidate& candidate,
                          const upstream_set& explained)
 {
@@ -59,7 +66,7 @@
     for (std::size_t at = 0; at < candidates.size(); ++at) {
         const blame_candidate& one = candidates[at];
         if (at == blamed || decided[at] != blame::open ||
-            one.crashes.size() < std::max<std::size_t>(1, one.threshold))
+            !has_enough_crashes(one))
             continue;
         const bool overlaps =
             std::any_of(one.crashes.begin(),
@@ -102,4 +109,26 @@
     return out;
 }
 
+std::vector<std::size_t>
+count_own_crashes(std::span<const blame_candidate> candidates)
+{
+    std::map<base::upstream_id, std::size_t> explanations;
+    for (const blame_candidate& one : candidates) {
+        if (!has_enough_crashes(one))
+            continue;
+        for (const base::upstream_id id : one.crashes)
+            explanations[id] += 1;
+    }
+    std::vector<std::size_t> out;
+    for (const blame_candidate& one : candidates) {
+        const std::size_t by_itself = has_enough_crashes(one) ? 1 : 0;
+        const auto own = std::count_if(
+            one.crashes.begin(), one.crashes.end(), [&](base::upstream_id id) {
+                return explanations[id] == by_itself;
+            });
+        out.push_back(static_cast<std::size_t>(own));
+    }
+    return out;
+}
+
 } // namespace greengagedrum::quarantine
--- a/src/greengagedrum/quarantine/blame.hpp
+++ b/src/greengagedrum/quarantine/blame.hpp
@@ -35,4 +35,9 @@
 // The result for each candidate, in their order.
 std::vector<blame> assign_blame(std::span<const blame_candidate> candidates);
 
+// For each candidate, how many of its crashes could not be explained by another
+// one that has enough crashes to be blamed.
+std::vector<std::size_t>
+count_own_crashes(std::span<const blame_candidate> candidates);
+
 } // namespace greengagedrum::quarantine
--- a/src/greengagedrum/quarantine/crash_record.cpp
+++ b/src/greengagedrum/quarantine/crash_record.cpp
@@ -138,7 +138,7 @@
                              const trial_schedule& schedule) const
 {
     const bool trying =
-        this->trial_at &&
+        this->trial_at && !this->trial_withdrawn &&
         now - *this->trial_at<schedule.timeout&&* this->trial_at> this
                    ->last_crash();
     return trying || now < this->trial_due_at(trial_jitter, schedule)
@@ -186,6 +186,18 @@
     return true;
 }
 
+void crash_record::record_trial(base::instant at)
+{
+    this->trial_at = at;
+    this->trial_withdrawn = false;
+}
+
+void crash_record::withdraw_trial(base::instant sent_at)
+{
+    if (this->trial_at == sent_at)
+        this->trial_withdrawn = true;
+}
+
 bool crash_record::merge_times(const suspect_report& received,
                                base::instant now)
 {
@@ -199,6 +211,8 @@
     if (!answer && answer_after_crash)
         answer = this->record_answer(now - *received.answered_age);
     const bool trial = update_if_later(this->trial_at, received.trial_age, now);
+    if (trial)
+        this->trial_withdrawn = false;
     return answer || trial;
 }
 
@@ -215,7 +229,7 @@
     }
     if (this->answered_at)
         out.answered_age = now - *this->answered_at;
-    if (this->trial_at)
+    if (this->trial_at && !this->trial_withdrawn)
         out.trial_age = now - *this->trial_at;
     return out;
 }
--- a/src/greengagedrum/quarantine/crash_record.hpp
+++ b/src/greengagedrum/quarantine/crash_record.hpp
@@ -68,7 +68,10 @@
     bool confirm(base::upstream_id upstream);
     bool remove(base::upstream_id upstream);
     bool record_answer(base::instant at);
-    void record_trial(base::instant at) { this->trial_at = at; }
+    void record_trial(base::instant at);
+    // The trial sent at that time did not run on any upstream. Peers that know
+    // of it don't bring it back.
+    void withdraw_trial(base::instant sent_at);
     // Takes over the times of the last answer and the last trial, but not the
     // crashes: the caller knows which upstreams turned out to be alive. Returns
     // true if one of the times is later than the known one.
@@ -91,6 +94,7 @@
     std::map<base::upstream_id, crash> crashes;
     std::optional<base::instant> answered_at;
     std::optional<base::instant> trial_at;
+    bool trial_withdrawn = false; // the one at `trial_at`
 };
 
 } // namespace greengagedrum::quarantine
--- a/src/greengagedrum/quarantine/suspect_bounds.cpp
+++ b/src/greengagedrum/quarantine/suspect_bounds.cpp
@@ -1,8 +1,9 @@
 // The bounds of the table of suspects: how many records it keeps for each
-// workspace, and which it evicts.
+// workspace, which it evicts, and for how long it keeps them.
 #include <greengagedrum/quarantine/suspect_table.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace greengagedrum::quarantine
 {
@@ -13,6 +14,11 @@
 constexpr std::size_t max_records = 2048;
 constexpr std::size_t max_records_per_workspace = max_records / 4;
 
+// Records are dropped this long after their last crash or change.
+constexpr base::duration suspect_retention = std::chrono::minutes(10);
+constexpr base::duration quarantine_retention = std::chrono::hours(48);
+constexpr base::duration cleanup_interval = std::chrono::seconds(1);
+
 } // namespace
 
 // In a full table, reports of single crashes would only evict each other again
@@ -43,7 +49,8 @@
                  request_record{crash_record(workspace, kind),
                                 base::instant(),
                                 blame::open,
-                                base::instant()})
+                                base::instant(),
+                                0})
         .first->second;
 }
 
@@ -94,4 +101,26 @@
     this->records.erase(record);
 }
 
+void suspect_table::remove_expired(base::instant now)
+{
+    if (now < this->cleaned_up_at + cleanup_interval)
+        return;
+    this->cleaned_up_at = now;
+    for (auto entry = this->records.begin(); entry != this->records.end();) {
+        const auto next = std::next(entry);
+        const request_record& record = entry->second;
+        const base::duration idle =
+            now - std::max(record.crashes.last_crash(), record.changed_at);
+        if (idle > (record.is_quarantined() ? quarantine_retention
+                                            : suspect_retention))
+            this->erase(entry);
+        entry = next;
+    }
+    const auto expired = [&](const auto& entry) {
+        return now - entry.second > suspect_retention;
+    };
+    std::erase_if(this->presumed_gone, expired);
+    std::erase_if(this->known_alive, expired);
+}
+
 } // namespace greengagedrum::quarantine
--- a/src/greengagedrum/quarantine/suspect_table.cpp
+++ b/src/greengagedrum/quarantine/suspect_table.cpp
@@ -2,7 +2,6 @@
 #include <greengagedrum/quarantine/suspect_table.hpp>
 
 #include <algorithm>
-#include <iterator>
 
 namespace greengagedrum::quarantine
 {
@@ -14,11 +13,6 @@
 // later.
 constexpr base::duration late_read_margin = std::chrono::milliseconds(100);
 
-// Records are dropped this long after their last crash or change.
-constexpr base::duration suspect_retention = std::chrono::minutes(10);
-constexpr base::duration quarantine_retention = std::chrono::hours(48);
-constexpr base::duration cleanup_interval = std::chrono::seconds(1);
-
 // A blamed part is held for this long before requests with it are refused, so
 // that peers can report answers that clear it.
 constexpr base::duration confirmation_time = std::chrono::milliseconds(300);
@@ -34,7 +28,11 @@
                                       : part_threshold;
 }
 
-// No more crashes than its threshold are weak evidence against a part.
+// The shortest time until a trial that callers are told.
+constexpr base::duration least_time_until_trial = std::chrono::seconds(1);
+
+// No more crashes than its threshold are weak evidence against a part, and so
+// are more, if all but one of them could be explained by other parts.
 constexpr trial_schedule weak_evidence_trials{
     std::chrono::seconds(2), std::chrono::seconds(2), std::chrono::seconds(5)};
 // A part that others explain as well is as likely to be sound, however often
@@ -67,9 +65,10 @@
         return {};
     if (record.verdict == blame::ambiguous)
         return ambiguous_trials;
-    return record.crashes.crash_count() <= threshold_of(record.crashes)
-               ? weak_evidence_trials
-               : trial_schedule();
+    const bool weak =
+        record.crashes.crash_count() <= threshold_of(record.crashes) ||
+        record.own_crashes < part_threshold;
+    return weak ? weak_evidence_trials : trial_schedule();
 }
 
 quarantine_state suspect_table::state_of(const base::request_digest& digest,
@@ -101,6 +100,30 @@
                : this->state_of(digest, found->second, now);
 }
 
+// Whether the request has another part that could be blamed for some crashes of
+// this one.
+bool suspect_table::has_other_suspect(const request_features& request,
+                                      const base::request_digest& part) const
+{
+    const std::vector<base::upstream_id> crashes =
+        this->records.at(part).crashes.counted_crashes();
+    const auto shares_crash = [&](base::upstream_id id) {
+        return std::find(crashes.begin(), crashes.end(), id) != crashes.end();
+    };
+    return std::any_of(
+        request.prompt_parts.begin(),
+        request.prompt_parts.end(),
+        [&](const base::request_digest& other) {
+            const auto found = this->records.find(other);
+            if (other == part || found == this->records.end())
+                return false;
+            const crash_record& record = found->second.crashes;
+            const std::vector<base::upstream_id> its = record.counted_crashes();
+            return its.size() >= threshold_of(record) &&
+                   std::any_of(its.begin(), its.end(), shares_crash);
+        });
+}
+
 quarantine_state suspect_table::state_of(const request_features& request,
                                          base::instant now) const
 {
@@ -108,8 +131,12 @@
     std::size_t trials = 0;
     for (const base::request_digest& part : request.prompt_parts) {
         const quarantine_state one = this->state_of(part, now);
-        trials += one == quarantine_state::trial_due ? 1 : 0;
         out = std::max(out, one);
+        if (one != quarantine_state::trial_due)
+            continue;
+        trials += 1;
+        if (this->has_other_suspect(request, part))
+            return quarantine_state::quarantined;
     }
     return trials > 1 ? quarantine_state::quarantined : out;
 }
@@ -118,7 +145,6 @@
 suspect_table::time_until_trial(const base::request_digest& digest,
                                 base::instant now) const
 {
-    constexpr base::duration least = std::chrono::seconds(1);
     const auto found = this->records.find(digest);
     if (found == this->records.end() ||
         this->state_of(digest, found->second, now) !=
@@ -126,13 +152,16 @@
         return base::duration(0);
     const base::instant due = found->second.crashes.trial_due_at(
         this->trial_jitter(digest), schedule_of(found->second));
-    return std::max(due - now, least);
+    return std::max(due - now, least_time_until_trial);
 }
 
 base::duration suspect_table::time_until_trial(const request_features& request,
                                                base::instant now) const
 {
-    base::duration out = this->time_until_trial(request.request, now);
+    if (this->state_of(request, now) != quarantine_state::quarantined)
+        return base::duration(0);
+    base::duration out = std::max(this->time_until_trial(request.request, now),
+                                  least_time_until_trial);
     for (const base::request_digest& part : request.prompt_parts)
         out = std::max(out, this->time_until_trial(part, now));
     return out;
@@ -168,10 +197,12 @@
             {crashes.counted_crashes(), threshold_of(crashes)});
     }
     const std::vector<blame> verdicts = assign_blame(candidates);
+    const std::vector<std::size_t> own_crashes = count_own_crashes(candidates);
     for (std::size_t at = 0; at < parts.size(); ++at) {
         request_record& record = parts[at]->second;
         const bool before = record.is_quarantined();
         record.verdict = verdicts[at];
+        record.own_crashes = own_crashes[at];
         if (record.is_quarantined() == before)
             continue;
         record.blamed_at = now;
@@ -284,6 +315,19 @@
         record_trial(part);
 }
 
+void suspect_table::on_not_run(const request_features& request,
+                               base::instant sent_at)
+{
+    const auto withdraw_trial = [&](const base::request_digest& digest) {
+        const auto found = this->records.find(digest);
+        if (found != this->records.end())
+            found->second.crashes.withdraw_trial(sent_at);
+    };
+    withdraw_trial(request.request);
+    for (const base::request_digest& part : request.prompt_parts)
+        withdraw_trial(part);
+}
+
 template <class Change>
 suspect_table::changes suspect_table::change_all(base::instant now,
                                                  const Change& apply)
@@ -333,28 +377,6 @@
         now, [&](crash_record& crashes) { return crashes.confirm(upstream); });
 }
 
-void suspect_table::remove_expired(base::instant now)
-{
-    if (now < this->cleaned_up_at + cleanup_interval)
-        return;
-    this->cleaned_up_at = now;
-    for (auto entry = this->records.begin(); entry != this->records.end();) {
-        const auto next = std::next(entry);
-        const request_record& record = entry->second;
-        const base::duration idle =
-            now - std::max(record.crashes.last_crash(), record.changed_at);
-        if (idle > (record.is_quarantined() ? quarantine_retention
-                                            : suspect_retention))
-            this->erase(entry);
-        entry = next;
-    }
-    const auto expired = [&](const auto& entry) {
-        return now - entry.second > suspect_retention;
-    };
-    std::erase_if(this->presumed_gone, expired);
-    std::erase_if(this->known_alive, expired);
-}
-
 suspect_table::changes suspect_table::list_quarantined(base::instant now) const
 {
     changes out;
--- a/src/greengagedrum/quarantine/suspect_table.hpp
+++ b/src/greengagedrum/quarantine/suspect_table.hpp
@@ -48,8 +48,9 @@
 
     quarantine_state state_of(const base::request_digest& digest,
                               base::instant now) const;
-    // The strictest state of all features. A request with several quarantined
-    // parts is no trial of any, since its result would not tell them apart.
+    // The strictest state of all features. A request is no trial of a part if
+    // it has another one that is quarantined, or that could be blamed for some
+    // of the same crashes: its result would not tell them apart.
     quarantine_state state_of(const request_features& request,
                               base::instant now) const;
     // Zero if it isn't quarantined; else one second at least.
@@ -79,6 +80,9 @@
                             base::instant now);
     // The request is sent; where a trial is due, this is the trial.
     void on_sent(const request_features& request, base::instant now);
+    // The request sent at that time did not run. If it was a trial, another one
+    // is due; peers wait for the trial's timeout, or for the next trial.
+    void on_not_run(const request_features& request, base::instant sent_at);
     // The upstream has answered any request.
     changes on_upstream_answered(base::upstream_id upstream, base::instant now);
     // After connections to the upstream were lost, a new connection to it
@@ -109,6 +113,8 @@
         // Of a prompt part; `blamed_at`: since when it is blamed.
         blame verdict = blame::open;
         base::instant blamed_at;
+        // Crashes that no other part could explain.
+        std::size_t own_crashes = 0;
 
         bool is_quarantined() const;
     };
@@ -121,6 +127,8 @@
                               const request_record& record,
                               base::instant now) const;
     static trial_schedule schedule_of(const request_record& record);
+    bool has_other_suspect(const request_features& request,
+                           const base::request_digest& part) const;
     bool record_answer(const base::request_digest& digest,
                        base::instant at,
                        base::instant now,
--- a/src/greengagedrum/quarantine/test/blame_test.cpp
+++ b/src/greengagedrum/quarantine/test/blame_test.cpp
@@ -96,4 +96,18 @@
     CHECK(this->assign() == verdicts{blame::explained, blame::sole});
 }
 
+// A part with one crash is no explanation, or each request's own part would
+// be one.
+TEST_CASE_FIXTURE(blame_fixture,
+                  "own_crashes_without_those_of_blamable_parts_counted")
+{
+    this->add({1, 2, 3});
+    this->add({1, 2});
+    this->add({3});
+    this->add({4, 5}, 3);
+    this->add({4, 5});
+    CHECK(count_own_crashes(this->candidates) ==
+          std::vector<std::size_t>{1, 0, 0, 0, 2});
+}
+
 } // namespace greengagedrum::quarantine
--- a/src/greengagedrum/quarantine/test/prompt_part_test.cpp
+++ b/src/greengagedrum/quarantine/test/prompt_part_test.cpp
@@ -177,6 +177,38 @@
           1s);
 }
 
+// A poison part would crash an upstream every few seconds if a sound part that
+// came with it twice made its evidence weak for good.
+TEST_CASE_FIXTURE(part_fixture, "part_with_crashes_of_its_own_tried_rarely")
+{
+    this->crash_with_two_poison_parts();
+    CHECK(this->table.time_until_trial(this->first, this->now) <= 4s);
+    this->crash({this->first, this->own});
+    CHECK(this->table.time_until_trial(this->first, this->now) >= 10min);
+}
+
+// Peers that still know of the trial would bring it back.
+TEST_CASE_FIXTURE(part_fixture, "trial_that_did_not_run_due_again")
+{
+    this->crash({this->poison});
+    this->crash({this->poison});
+    this->now += 4s;
+    const std::vector<base::request_digest> parts{this->poison};
+    const request_features trial{{}, parts};
+    REQUIRE(this->state(parts) == quarantine_state::trial_due);
+    const base::instant sent_at = this->now;
+    this->table.on_sent(trial, sent_at);
+    this->exchange_reports();
+    CHECK(this->state(parts) == quarantine_state::quarantined);
+    this->now += 100ms;
+    this->table.on_not_run(trial, sent_at);
+    this->exchange_reports();
+    CHECK(this->state(parts) == quarantine_state::trial_due);
+    this->table.on_sent(trial, this->now);
+    this->exchange_reports();
+    CHECK(this->state(parts) == quarantine_state::quarantined);
+}
+
 TEST_CASE_FIXTURE(part_fixture, "part_trials_rarer_with_each_crash")
 {
     this->crash({this->poison});
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -140,6 +140,7 @@
     if (item == nullptr)
         return;
     this->record_connect_failure(*item);
+    this->suspects.on_not_run(features_of(*item), item->sent_at);
     exclude(*item, item->upstream);
     readmit_silent(*item);
     this->end_send(*item);
@@ -162,6 +163,7 @@
     if (what.cause == rejection::not_run)
         this->record_reached(*item);
     this->pool.probe_inconclusive(item->upstream);
+    this->suspects.on_not_run(features_of(*item), item->sent_at);
     exclude(*item, item->upstream);
     this->end_send(*item);
     item->uncertain -= 1;
--- a/src/greengagedrum/traffic/test/crash_quarantine_test.cpp
+++ b/src/greengagedrum/traffic/test/crash_quarantine_test.cpp
@@ -316,4 +316,18 @@
     CHECK(this->last_action<send_request>() != nullptr);
 }
 
+// Requests would be refused until the trial times out, though nothing runs.
+TEST_CASE_FIXTURE(prompt_part_fixture, "trial_that_was_rejected_next_one_sent")
+{
+    this->upstreams(12, 2);
+    this->crash_with({"rare"});
+    this->crash_with({"rare"});
+    this->advance(4s);
+    const base::request_id trial = this->arrive_with({"rare"});
+    this->step(send_rejected{trial, this->sent().send, rejection::not_run});
+    REQUIRE(this->verdict().why == base::reason::overloaded);
+    this->arrive_with({"rare"});
+    CHECK(this->last_action<send_request>() != nullptr);
+}
+
 } // namespace greengagedrum::traffic
