--- a/src/greengagedrum/quarantine/crash_record.hpp
+++ b/src/greengagedrum/quarantine/crash_record.hpp
@@ -76,7 +76,10 @@
     // A part stays a part: older builds report its record without its kind,
     // which reads as that of a request.
     bool merge_kind(suspect_kind kind);
-    void record_trial(base::instant at) { this->trial_at = at; }
+    void record_trial(base::instant at);
+    // The trial sent at that time did not run on any upstream. Peers that know
+    // of it don't bring it back.
+    void withdraw_trial(base::instant sent_at);
     // Takes over the times of the last answer and the last trial, but not the
     // crashes: the caller knows which upstreams turned out to be alive. Returns
     // true if one of the times is later than the known one.
@@ -106,6 +109,7 @@
     std::map<base::upstream_id, crash> crashes;
     std::optional<base::instant> answered_at;
     std::optional<base::instant> trial_at;
+    bool trial_withdrawn = false; // the one at `trial_at`
 };
 
 } // namespace greengagedrum::quarantine
