Entry tests: no shared string in a test of stops

Cause: the handler of the fake upstream read a string of the test, which ended before the handler's thread: a race that the thread sanitizer found in the test program, not in the entry.

Change: the handler makes its string. A comment on the far upstreams says why, without the case that led to it.

Result: test-entry's cases of stops pass under the thread sanitizer without a report; before, it reported the race with all 147 cases passing.

--- a/src/greengagedrum/entry/test/stop_test.cpp
+++ b/src/greengagedrum/entry/test/stop_test.cpp
@@ -151,15 +151,15 @@
 TEST_CASE_FIXTURE(limited_memory_stop_fixture,
                   "stream_without_framing_cut_by_the_end_of_a_stop_is_reset")
 {
-    const std::string event = "data: " + std::string(60'000, 'x') + "\n\n";
-    this->fixture.set_upstream_handler(
-        [&event](const httplib::Request& request, httplib::Response& response) {
-            std::string events;
-            for (int count = 0; count < 200; ++count)
-                events += event;
-            entry_fixture::write_signed_answer(request, response, "");
-            response.set_content(events, "text/event-stream");
-        });
+    this->fixture.set_upstream_handler([](const httplib::Request& request,
+                                          httplib::Response& response) {
+        const std::string event = "data: " + std::string(60'000, 'x') + "\n\n";
+        std::string events;
+        for (int count = 0; count < 200; ++count)
+            events += event;
+        entry_fixture::write_signed_answer(request, response, "");
+        response.set_content(events, "text/event-stream");
+    });
     relay::tcp::socket caller = this->connect();
     std::string request = request_text("/stream/", 1);
     request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
--- a/src/greengagedrum/traffic/upstream_choice.cpp
+++ b/src/greengagedrum/traffic/upstream_choice.cpp
@@ -214,11 +214,10 @@
 // upstreams of other data centres, as long as its own data centre has enough
 // healthy ones. Load reports from other data centres are old, and entries whose
 // own slots were taken all chose the same upstream that seemed free. An entry
-// whose peers have no queues competes with none of them: with a subset by the
-// number of all entries, one of 30 that got most connections refused a third of
-// its requests while slots were free. A request that has failed elsewhere may
-// go to any upstream, and so may one that needs a version, which may be rare
-// nearby.
+// whose peers have no queues competes with none of them, and a subset would
+// leave slots unused while its own queue grows. A request that has failed
+// elsewhere may go to any upstream, and so may one that needs a version, which
+// may be rare nearby.
 bool upstream_pool::may_use(base::upstream_id id,
                             const upstream& one,
                             const dispatch_query& query) const
