--- a/src/greengagedrum/quarantine/test/suspect_exchange_test.cpp
+++ b/src/greengagedrum/quarantine/test/suspect_exchange_test.cpp
@@ -204,7 +204,8 @@
     CHECK(kind() == suspect_kind::prompt_part);
 }
 
-// The part's own crashes at this entry would be those of a request too.
+// A part that an older peer reported as a request would never be blamed, even
+// after crashes that this entry itself has seen.
 TEST_CASE_FIXTURE(exchange_fixture,
                   "part_reported_as_a_request_crashes_here_becomes_a_part")
 {
@@ -217,8 +218,8 @@
     CHECK(listed.front().kind == suspect_kind::prompt_part);
 }
 
-// Two entries that keep other eight of nine crashes would report them to each
-// other for ever.
+// Two entries that each keep a different eight of nine crashes would report
+// them to each other for ever.
 TEST_CASE_FIXTURE(exchange_fixture,
                   "nine_crashes_at_nearly_one_instant_are_not_repeated")
 {
