Entry: a stop counts from the earliest time of its signal

Callers saw a request cut that was sent more than 3 s after the signal: the phases of a stop counted from the moment at which the event loop noticed the signal, and accepting ended exactly 3 s later, so that any delay of the loop moved the end of accepting past the bound that callers rely on.

The schedule now counts from the loop's turn before the last one (shutdown/loop_turns): the last turn may have begun with the signal pending. Accepting ends 0.5 s before the limit, 2.5 s of 8 s, and in proportion where the timeout is shorter. A signal noticed more than 0.5 s late was held up by a freeze or a suspension: nothing is taken from then on, since a refused request only has to be sent again, and the end counts from 0.5 s before the notice, as an earlier one would cut running requests for certain.

Existing tests: the bound in stop_phases_eight_seconds_end_before_the_kill moved from 3 s to 2.5 s. Two tests of stops reached the time estimate instead of the state that they name, since no answer of their kind was known. One is served first now. With requests taken in every phase, request_read_late_in_a_stop_is_refused_as_not_run fails (it is run: 2 == 1). requests_waiting_at_the_end_of_a_stop_are_refused also checks that none is answered 400 ms after the stop; without the first answer that fails (147 bytes are there).

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -92,6 +92,7 @@
     this->last_store_answer = this->state.clock();
     this->last_tick = this->state.clock();
     this->total_suspended = suspended_time();
+    this->turns.emplace(this->last_tick, this->total_suspended);
     this->make_stream_versions();
     this->make_request_handler();
     this->peer_datagram_socket = std::make_unique<peer_socket>(
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -14,7 +14,7 @@
 #include <greengagedrum/entry/stream_versions.hpp>
 #include <greengagedrum/relay/small_server.hpp>
 #include <greengagedrum/relay/tunnel_server.hpp>
-#include <greengagedrum/shutdown/stop_schedule.hpp>
+#include <greengagedrum/shutdown/loop_turns.hpp>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -102,6 +102,7 @@
     std::unique_ptr<relay::small_server> metrics_server;
     base::instant last_store_answer;
     base::instant last_tick;
+    std::optional<shutdown::loop_turns> turns;
     base::instant last_timeout_check;
     base::instant last_settings_check;
     std::optional<base::instant> store_measured_at;
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -144,6 +144,7 @@
     const base::instant now = this->state.clock();
     this->detect_pause(now);
     this->last_tick = now;
+    this->turns->on_turn(now, this->total_suspended);
     this->apply_changes(this->state.cluster.expire(now), "lapse");
     if (this->tunnels)
         this->tunnel_room.resize(this->tunnels->active() *
@@ -259,8 +260,9 @@
 
 void entry::begin_stop(int number)
 {
-    this->stopping.emplace(this->state.clock(),
-                           this->own_settings.bounds.stop_timeout);
+    const shutdown::signal_window signal =
+        this->turns->signal_noticed(this->state.clock(), suspended_time());
+    this->stopping.emplace(signal, this->own_settings.bounds.stop_timeout);
     this->state.stopping = true;
     this->handler->begin_stop(*this->stopping);
     this->peers->begin_stop();
@@ -268,7 +270,9 @@
         logs::level::info,
         "entry",
         "stopping",
-        {{"signal", number}, {"in_flight", this->handler->in_flight()}});
+        {{"signal", number},
+         {"sent_before_ms", to_milliseconds(signal.noticed - signal.earliest)},
+         {"in_flight", this->handler->in_flight()}});
 }
 
 void entry::check_stop()
--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -129,9 +129,8 @@
     this->upstream_server.start();
     this->publish(options);
     this->store_server.start();
-    this->entry_under_test =
-        std::make_unique<entry>(settings_for(this->store_server.port, options),
-                                [] { return std::nullopt; });
+    this->entry_under_test = std::make_unique<entry>(
+        settings_for(this->store_server.port, options), options.load_settings);
     this->thread = std::thread([this] { this->entry_under_test->run(); });
     this->wait_until_configured();
     const std::lock_guard lock(this->mutex);
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -50,6 +50,8 @@
     std::string ip = "127.0.0.1";
     std::uint64_t memory_bytes = 0; // 0: not limited
     base::duration stop_timeout = std::chrono::seconds(1);
+    // Called on the entry's event loop.
+    entry::settings_loader load_settings = [] { return std::nullopt; };
 };
 
 class entry_fixture
--- a/src/greengagedrum/entry/test/stop_test.cpp
+++ b/src/greengagedrum/entry/test/stop_test.cpp
@@ -24,7 +24,7 @@
 
 // Connections of callers to an entry whose upstream takes `upstream_time`.
 struct stop_fixture {
-    std::chrono::milliseconds upstream_time{1800};
+    std::atomic<std::chrono::milliseconds> upstream_time{1800ms};
     entry_fixture fixture;
     relay::asio::io_context context;
 
@@ -34,7 +34,7 @@
         this->fixture.set_upstream_handler(
             [this](const httplib::Request& request,
                    httplib::Response& response) {
-                std::this_thread::sleep_for(this->upstream_time);
+                std::this_thread::sleep_for(this->upstream_time.load());
                 entry_fixture::write_signed_answer(request, response, "answer");
             });
     }
@@ -72,6 +72,19 @@
         return out;
     }
 
+    // Without an answer of its kind the estimate refuses a request, whatever
+    // the phase.
+    void serve_quickly(const std::string& target)
+    {
+        const auto usual = this->upstream_time.exchange(0ms);
+        relay::tcp::socket caller = this->connect();
+        std::string request = request_text(target, 0);
+        request.insert(request.find("\r\n\r\n"), "\r\nConnection: close");
+        write(caller, request);
+        CHECK(this->read_all(caller).starts_with("HTTP/1.1 200"));
+        this->upstream_time = usual;
+    }
+
     void stop() { this->fixture.entry_under_test->stop(); }
 };
 
@@ -88,6 +101,47 @@
     }
 };
 
+// The event loop can be held up.
+struct busy_loop_stop_fixture : stop_fixture {
+    static constexpr auto held_time = 350ms;
+
+    struct loop_hold {
+        std::atomic<bool> asked = false;
+        std::atomic<bool> begun = false;
+    };
+    std::shared_ptr<loop_hold> hold;
+
+    busy_loop_stop_fixture()
+        : busy_loop_stop_fixture(std::make_shared<loop_hold>())
+    {
+    }
+
+    explicit busy_loop_stop_fixture(const std::shared_ptr<loop_hold>& hold)
+        : stop_fixture(options(hold)), hold(hold)
+    {
+    }
+
+    static fixture_options options(const std::shared_ptr<loop_hold>& hold)
+    {
+        fixture_options out;
+        out.load_settings = [hold]() -> std::optional<settings> {
+            if (hold->asked.exchange(false)) {
+                hold->begun = true;
+                std::this_thread::sleep_for(held_time);
+            }
+            return std::nullopt;
+        };
+        return out;
+    }
+
+    void hold_loop()
+    {
+        this->hold->asked = true;
+        while (!this->hold->begun)
+            std::this_thread::sleep_for(1ms);
+    }
+};
+
 bool is_refusal(const std::string& response)
 {
     return response.starts_with("HTTP/1.1 503") &&
@@ -101,6 +155,7 @@
 TEST_CASE_FIXTURE(stop_fixture,
                   "request_read_late_in_a_stop_is_refused_as_not_run")
 {
+    this->serve_quickly("/once/");
     relay::tcp::socket caller = this->connect();
     const std::string request = request_text("/once/", 1);
     write(caller, request.substr(0, request.size() / 2));
@@ -109,7 +164,24 @@
     std::this_thread::sleep_for(450ms);
     write(caller, request.substr(request.size() / 2));
     CHECK(is_refusal(this->read_all(caller)));
-    CHECK(this->fixture.received_requests().empty());
+    CHECK(this->fixture.received_requests().size() == 1);
+}
+
+// The bound counts from the notice of a signal that the loop was late to see.
+TEST_CASE_FIXTURE(busy_loop_stop_fixture,
+                  "request_after_a_signal_noticed_late_is_refused_as_not_run")
+{
+    this->serve_quickly("/once/");
+    this->upstream_time = 0ms;
+    relay::tcp::socket caller = this->connect();
+    const std::string request = request_text("/once/", 1);
+    write(caller, request.substr(0, request.size() / 2));
+    this->hold_loop();
+    this->stop();
+    std::this_thread::sleep_for(held_time + 20ms);
+    write(caller, request.substr(request.size() / 2));
+    CHECK(is_refusal(this->read_all(caller)));
+    CHECK(this->fixture.received_requests().size() == 1);
 }
 
 // The end of the process drops requests that still wait for a slot.
@@ -118,6 +190,7 @@
 {
     constexpr int count = 9;
     constexpr int slots = 5;
+    this->serve_quickly("/again/");
     std::vector<relay::tcp::socket> callers;
     for (int number = 0; number < count; ++number) {
         callers.push_back(this->connect());
@@ -125,12 +198,15 @@
     }
     std::this_thread::sleep_for(100ms);
     this->stop();
+    std::this_thread::sleep_for(400ms);
+    for (const relay::tcp::socket& one : callers)
+        CHECK(one.available() == 0);
     std::vector<std::string> responses;
     for (relay::tcp::socket& one : callers)
         responses.push_back(this->read_all(one));
     CHECK(std::count_if(responses.begin(), responses.end(), is_refusal) ==
           count - slots);
-    CHECK(this->fixture.received_requests().size() == slots);
+    CHECK(this->fixture.received_requests().size() == 1 + slots);
 }
 
 // The end of the process cuts a running request without a final answer.
--- a/src/greengagedrum/shutdown/stop_schedule.cpp
+++ b/src/greengagedrum/shutdown/stop_schedule.cpp
@@ -8,11 +8,18 @@
 namespace
 {
 
-// The load balancer probes once a second and needs two negative answers to stop
-// sending. A short timeout leaves less for that.
-constexpr base::duration accept_most = std::chrono::milliseconds(3000);
-constexpr int accept_numerator = 3; // of the timeout
-constexpr int accept_denominator = 8;
+// A request that is sent later than this after the signal, and is taken, must
+// get its whole answer.
+constexpr base::duration accept_limit = std::chrono::milliseconds(3000);
+// For a request that is sent before the limit and read after it.
+constexpr base::duration accept_margin = std::chrono::milliseconds(500);
+constexpr base::duration accept_most = accept_limit - accept_margin;
+// The timeout that leaves so long; a shorter one leaves less in proportion.
+constexpr base::duration usual_timeout = std::chrono::seconds(8);
+
+// A signal that is noticed later than this was held up by a freeze, and may
+// have come at its start or just now.
+constexpr base::duration notice_most = std::chrono::milliseconds(500);
 
 // Before the process is killed: the last responses are written, and their
 // callers close the connections.
@@ -21,14 +28,21 @@
 
 } // namespace
 
-stop_schedule::stop_schedule(base::instant begun, base::duration timeout)
-    : begun_at(begun),
-      accept_until(begun +
-                   std::min(accept_most,
-                            timeout * accept_numerator / accept_denominator)),
-      end_at(std::max(this->accept_until, begun + timeout - ending_time)),
-      over_at(std::max(this->end_at, begun + timeout - exit_margin))
+// After a freeze nothing is taken, since a refused request only has to be sent
+// again. The end counts from at most `notice_most` ago: it cuts running
+// requests for certain, while a signal that came earlier than that is only
+// possible.
+stop_schedule::stop_schedule(signal_window signal, base::duration timeout)
+    : begun_at(std::max(signal.earliest, signal.noticed - notice_most)),
+      accept_until(this->begun_at + std::min(accept_most,
+                                             timeout * accept_most.count() /
+                                                 usual_timeout.count())),
+      end_at(
+          std::max(this->accept_until, this->begun_at + timeout - ending_time)),
+      over_at(std::max(this->end_at, this->begun_at + timeout - exit_margin))
 {
+    if (signal.earliest < this->begun_at)
+        this->accept_until = std::min(this->accept_until, signal.noticed);
 }
 
 stop_phase stop_schedule::at(base::instant now) const
--- a/src/greengagedrum/shutdown/stop_schedule.hpp
+++ b/src/greengagedrum/shutdown/stop_schedule.hpp
@@ -15,14 +15,23 @@
     over,      // the process exits, whatever is left
 };
 
+// A signal was sent in this time.
+struct signal_window {
+    base::instant earliest;
+    base::instant noticed;
+};
+
 class stop_schedule
 {
 public:
     // `timeout`: the process is killed that long after the signal.
-    stop_schedule(base::instant begun, base::duration timeout);
+    stop_schedule(signal_window signal, base::duration timeout);
 
     stop_phase at(base::instant now) const;
+    // The time of the signal that the phases count from.
     base::instant begun() const { return this->begun_at; }
+    // When no request is taken any more.
+    base::instant accept_end() const { return this->accept_until; }
     // When requests that still run are ended.
     base::instant end() const { return this->end_at; }
 
--- a/src/greengagedrum/shutdown/test/stop_schedule_test.cpp
+++ b/src/greengagedrum/shutdown/test/stop_schedule_test.cpp
@@ -12,7 +12,7 @@
 
 struct stop_schedule_fixture {
     base::instant begun{1h};
-    stop_schedule tested{this->begun, 8s};
+    stop_schedule tested{{this->begun, this->begun}, 8s};
 };
 
 } // namespace
@@ -21,18 +21,51 @@
                   "stop_phases_eight_seconds_end_before_the_kill")
 {
     CHECK(this->tested.at(this->begun) == stop_phase::accepting);
-    CHECK(this->tested.at(this->begun + 2999ms) == stop_phase::accepting);
-    CHECK(this->tested.at(this->begun + 3s) == stop_phase::finishing);
+    CHECK(this->tested.at(this->begun + 2499ms) == stop_phase::accepting);
+    CHECK(this->tested.at(this->begun + 2500ms) == stop_phase::finishing);
     CHECK(this->tested.at(this->tested.end()) == stop_phase::ending);
     CHECK(this->tested.at(this->begun + 7900ms) == stop_phase::over);
 }
 
+// A signal that is noticed late moves the bound past what its sender counts on.
+TEST_CASE_FIXTURE(
+    stop_schedule_fixture,
+    "stop_phases_signal_noticed_late_count_from_its_earliest_time")
+{
+    const stop_schedule late({this->begun, this->begun + 400ms}, 8s);
+    CHECK(late.begun() == this->begun);
+    CHECK(late.at(this->begun + 2499ms) == stop_phase::accepting);
+    CHECK(late.at(this->begun + 2500ms) == stop_phase::finishing);
+    CHECK(late.end() == this->tested.end());
+}
+
+// A request is taken after a freeze in which the signal was sent seconds ago.
+TEST_CASE_FIXTURE(stop_schedule_fixture,
+                  "stop_phases_signal_noticed_after_a_freeze_take_nothing")
+{
+    const base::instant noticed = this->begun + 4s;
+    const stop_schedule frozen({this->begun, noticed}, 8s);
+    CHECK(frozen.at(noticed) == stop_phase::finishing);
+    CHECK(frozen.end() >= noticed + 7s);
+    CHECK(frozen.end() < noticed + 7600ms);
+}
+
+// The share of a short timeout is as long as that of a usual one.
+TEST_CASE_FIXTURE(stop_schedule_fixture,
+                  "stop_phases_shorter_timeout_accept_in_proportion")
+{
+    const stop_schedule brief({this->begun, this->begun}, 4s);
+    const stop_schedule lasting({this->begun, this->begun}, 30s);
+    CHECK(brief.accept_end() == this->begun + 1250ms);
+    CHECK(lasting.accept_end() == this->begun + 2500ms);
+}
+
 // A short timeout is spent on taking requests that can't end.
 TEST_CASE_FIXTURE(stop_schedule_fixture,
                   "stop_phases_short_timeout_keep_their_order")
 {
     for (const base::duration timeout : {0ms, 100ms, 500ms, 1000ms}) {
-        const stop_schedule brief(this->begun, timeout);
+        const stop_schedule brief({this->begun, this->begun}, timeout);
         stop_phase last = stop_phase::accepting;
         for (base::duration after{0}; after <= timeout; after += 1ms) {
             const stop_phase phase = brief.at(this->begun + after);
