Entry: accepting ends once two readiness probes were answered negatively

A stopping entry went on taking requests until a fixed time, also when the balancer had been told twice that it is not ready and sends nothing more. What arrives then comes from kept connections and late callers, and has less time than it would have elsewhere.

Accepting now ends 0.5 s after the second negative answer since the signal, with the bound by the clock as the upper limit, on new and old connections alike. Answers less than 0.5 s apart count as one: probes come once a second, so these went to different probers. `stop_accept_ended` gives `why`: probes or time.

Before the fix (new tests, with the answers not acted on; excerpt):

stop_phases_two_negative_probes_end_accepting CHECK( this->tested.at(this->begun + 1800ms) == stop_phase::finishing ) values: CHECK( 0 == 1 ) test-shutdown: 10 | 8 passed | 2 failed requests_after_two_negative_probes_are_refused_as_not_run CHECK( is_refusal(this->read_all(earlier)) ) values: CHECK( false ) CHECK( is_refusal(this->read_all(later)) ) values: CHECK( false ) CHECK( this->fixture.received_requests().size() == 1 ) values: CHECK( 3 == 1 )

After it: test-shutdown 10, test-entry 151, test-relay 62 and test-traffic 183 cases pass. The log line has no test.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -282,10 +282,14 @@
     return !this->state.stopping && this->state.cluster.routes() != nullptr;
 }
 
-relay::small_answer entry::answer_readiness() const
+relay::small_answer entry::answer_readiness()
 {
     if (this->ready())
         return {200, "text/plain", "ready\n"};
+    if (this->stopping) {
+        this->stopping->on_negative_probe(this->state.clock());
+        this->handler->set_stop_schedule(*this->stopping);
+    }
     return {503, "text/plain", "not ready\n"};
 }
 
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -44,6 +44,10 @@
     {
         return this->handler->address();
     }
+    base::ip_endpoint readiness_address() const
+    {
+        return this->readiness_server->address();
+    }
 
 private:
     peer_events make_peer_events();
@@ -58,7 +62,7 @@
     void begin_stop(int number);
     void check_stop();
     // Logs what the entry still holds.
-    void log_stop(const char* what) const;
+    void log_stop(const char* what, const char* why = "") const;
     void schedule_tick();
     void tick();
     void detect_pause(base::instant now);
@@ -76,7 +80,7 @@
     void measure_store_connect(base::instant now);
     void apply_slow_start_limits();
     relay::small_answer answer_control(std::string_view target);
-    relay::small_answer answer_readiness() const;
+    relay::small_answer answer_readiness();
     std::string metrics_text() const;
     bool ready() const;
 
@@ -110,6 +114,7 @@
     base::duration total_suspended{0};
     std::optional<base::instant> pause_detected_at;
     std::optional<shutdown::stop_schedule> stopping; // from the signal on
+    bool accepting_requests = true;
     bool accepting_connections = true;
     bool requests_ended = false; // by the stop
     bool store_unreachable = false;
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -278,13 +278,21 @@
 void entry::check_stop()
 {
     using shutdown::stop_phase;
-    const stop_phase phase = this->stopping->at(this->state.clock());
+    const base::instant now = this->state.clock();
+    const stop_phase phase = this->stopping->at(now);
     if (phase == stop_phase::accepting)
         return;
+    if (this->accepting_requests) {
+        this->accepting_requests = false;
+        this->log_stop("stop_accept_ended",
+                       this->stopping->accept_ends_by_probes() ? "probes"
+                                                               : "time");
+    }
+    if (phase == stop_phase::finishing && this->stopping->listens(now))
+        return;
     if (this->accepting_connections) {
         this->accepting_connections = false;
         this->handler->stop_accepting();
-        this->log_stop("stop_accept_ended");
     }
     this->handler->close_idle_connections();
     if (phase >= stop_phase::ending && !this->requests_ended) {
@@ -305,13 +313,14 @@
         this->context.stop();
 }
 
-void entry::log_stop(const char* what) const
+void entry::log_stop(const char* what, const char* why) const
 {
     const base::instant now = this->state.clock();
     logs::write(logs::level::info,
                 "entry",
                 what,
-                {{"after_ms",
+                {{"why", why},
+                 {"after_ms",
                   to_milliseconds(this->stopping ? now - this->stopping->begun()
                                                  : base::duration(0))},
                  {"in_flight", this->handler->in_flight()},
--- a/src/greengagedrum/entry/request_ending.cpp
+++ b/src/greengagedrum/entry/request_ending.cpp
@@ -33,13 +33,18 @@
 
 void request_handler::begin_stop(const shutdown::stop_schedule& schedule)
 {
-    this->stop = schedule;
+    this->set_stop_schedule(schedule);
     this->kept.shut_down();
-    this->state.scheduler.set_stop_time(schedule.end());
     for (const relay::caller_ptr& one : this->callers)
         one->set_closing();
 }
 
+void request_handler::set_stop_schedule(const shutdown::stop_schedule& schedule)
+{
+    this->stop = schedule;
+    this->state.scheduler.set_stop_time(schedule.end());
+}
+
 void request_handler::stop_accepting()
 {
     // Connections that the kernel has accepted are refused rather than reset.
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -73,6 +73,8 @@
     // From now on responses announce that their connections close. Requests
     // that may not end in time are refused, and after a while all.
     void begin_stop(const shutdown::stop_schedule& schedule);
+    // The schedule of the stop has changed.
+    void set_stop_schedule(const shutdown::stop_schedule& schedule);
     // Stops accepting connections.
     void stop_accepting();
     // Closes connections without a request, for which nothing more is done.
--- a/src/greengagedrum/entry/test/stop_test.cpp
+++ b/src/greengagedrum/entry/test/stop_test.cpp
@@ -142,6 +142,26 @@
     }
 };
 
+struct usual_timeout_stop_fixture : stop_fixture {
+    usual_timeout_stop_fixture() : stop_fixture(options()) {}
+
+    static fixture_options options()
+    {
+        fixture_options out;
+        out.stop_timeout = 8s;
+        return out;
+    }
+
+    int probe() const
+    {
+        const base::ip_endpoint address =
+            this->fixture.entry_under_test->readiness_address();
+        httplib::Client client(address.ip, address.port);
+        const auto response = client.Get("/");
+        return response ? response->status : 0;
+    }
+};
+
 bool is_refusal(const std::string& response)
 {
     return response.starts_with("HTTP/1.1 503") &&
@@ -184,6 +204,29 @@
     CHECK(this->fixture.received_requests().size() == 1);
 }
 
+// Requests are taken although the balancer has stopped sending.
+TEST_CASE_FIXTURE(usual_timeout_stop_fixture,
+                  "requests_after_two_negative_probes_are_refused_as_not_run")
+{
+    this->serve_quickly("/once/");
+    this->upstream_time = 0ms;
+    relay::tcp::socket earlier = this->connect();
+    const std::string request = request_text("/once/", 1);
+    write(earlier, request.substr(0, request.size() / 2));
+    std::this_thread::sleep_for(50ms);
+    this->stop();
+    CHECK(this->probe() == 503);
+    std::this_thread::sleep_for(600ms);
+    CHECK(this->probe() == 503);
+    std::this_thread::sleep_for(600ms);
+    relay::tcp::socket later = this->connect();
+    write(earlier, request.substr(request.size() / 2));
+    write(later, request_text("/once/", 2));
+    CHECK(is_refusal(this->read_all(earlier)));
+    CHECK(is_refusal(this->read_all(later)));
+    CHECK(this->fixture.received_requests().size() == 1);
+}
+
 // The end of the process drops requests that still wait for a slot.
 TEST_CASE_FIXTURE(stop_fixture,
                   "requests_waiting_at_the_end_of_a_stop_are_refused")
--- a/src/greengagedrum/relay/small_server.cpp
+++ b/src/greengagedrum/relay/small_server.cpp
@@ -70,6 +70,12 @@
     from->answer(std::move(head), given.body);
 }
 
+base::ip_endpoint small_server::address() const
+{
+    const tcp::endpoint local = this->acceptor.local_endpoint();
+    return {local.address().to_string(), local.port()};
+}
+
 void small_server::check_time(base::instant now)
 {
     const std::vector<caller_ptr> all(this->callers.begin(),
--- a/src/greengagedrum/relay/small_server.hpp
+++ b/src/greengagedrum/relay/small_server.hpp
@@ -35,6 +35,9 @@
                  std::function<base::instant()> clock,
                  handler answer);
 
+    // The listening address, with the actual port if it was configured as 0.
+    base::ip_endpoint address() const;
+
     // Closes what is idle or too slow.
     void check_time(base::instant now);
 
--- a/src/greengagedrum/shutdown/stop_schedule.cpp
+++ b/src/greengagedrum/shutdown/stop_schedule.cpp
@@ -21,11 +21,23 @@
 // have come at its start or just now.
 constexpr base::duration notice_most = std::chrono::milliseconds(500);
 
+// The load balancer probes once a second and sends nothing after two negative
+// answers. Answers closer together went to different probers.
+constexpr base::duration probe_spacing = std::chrono::milliseconds(500);
+// For connections and requests that are on their way at the second answer.
+constexpr base::duration probe_margin = std::chrono::milliseconds(500);
+
 // Before the process is killed: the last responses are written, and their
 // callers close the connections.
 constexpr base::duration ending_time = std::chrono::milliseconds(400);
 constexpr base::duration exit_margin = std::chrono::milliseconds(100);
 
+base::duration share_of(base::duration timeout, base::duration of_usual)
+{
+    return std::min(of_usual,
+                    timeout * of_usual.count() / usual_timeout.count());
+}
+
 } // namespace
 
 // After a freeze nothing is taken, since a refused request only has to be sent
@@ -34,17 +46,29 @@
 // possible.
 stop_schedule::stop_schedule(signal_window signal, base::duration timeout)
     : begun_at(std::max(signal.earliest, signal.noticed - notice_most)),
-      accept_until(this->begun_at + std::min(accept_most,
-                                             timeout * accept_most.count() /
-                                                 usual_timeout.count())),
+      accept_until(this->begun_at + share_of(timeout, accept_most)),
       end_at(
           std::max(this->accept_until, this->begun_at + timeout - ending_time)),
-      over_at(std::max(this->end_at, this->begun_at + timeout - exit_margin))
+      over_at(std::max(this->end_at, this->begun_at + timeout - exit_margin)),
+      listen_until(this->begun_at + share_of(timeout, accept_limit))
 {
     if (signal.earliest < this->begun_at)
         this->accept_until = std::min(this->accept_until, signal.noticed);
 }
 
+void stop_schedule::on_negative_probe(base::instant now)
+{
+    if (!this->first_probe) {
+        this->first_probe = now;
+        return;
+    }
+    if (now - *this->first_probe < probe_spacing ||
+        now + probe_margin >= this->accept_until)
+        return;
+    this->accept_until = now + probe_margin;
+    this->ended_by_probes = true;
+}
+
 stop_phase stop_schedule::at(base::instant now) const
 {
     if (now < this->accept_until)
--- a/src/greengagedrum/shutdown/stop_schedule.hpp
+++ b/src/greengagedrum/shutdown/stop_schedule.hpp
@@ -4,6 +4,7 @@
 #include <greengagedrum/base/time.hpp>
 
 #include <cstdint>
+#include <optional>
 
 namespace greengagedrum::shutdown
 {
@@ -32,14 +33,25 @@
     base::instant begun() const { return this->begun_at; }
     // When no request is taken any more.
     base::instant accept_end() const { return this->accept_until; }
+    bool accept_ends_by_probes() const { return this->ended_by_probes; }
+    // Until then connections are accepted, so that their requests are refused
+    // with an answer.
+    bool listens(base::instant now) const { return now < this->listen_until; }
     // When requests that still run are ended.
     base::instant end() const { return this->end_at; }
 
+    // A readiness probe was answered negatively. The second answer ends
+    // accepting, a while later.
+    void on_negative_probe(base::instant now);
+
 private:
     base::instant begun_at;
     base::instant accept_until;
     base::instant end_at;
     base::instant over_at;
+    base::instant listen_until;
+    std::optional<base::instant> first_probe;
+    bool ended_by_probes = false;
 };
 
 } // namespace greengagedrum::shutdown
--- a/src/greengagedrum/shutdown/test/stop_schedule_test.cpp
+++ b/src/greengagedrum/shutdown/test/stop_schedule_test.cpp
@@ -60,6 +60,44 @@
     CHECK(lasting.accept_end() == this->begun + 2500ms);
 }
 
+// Requests are taken for a second although no balancer sends any.
+TEST_CASE_FIXTURE(stop_schedule_fixture,
+                  "stop_phases_two_negative_probes_end_accepting")
+{
+    this->tested.on_negative_probe(this->begun + 300ms);
+    this->tested.on_negative_probe(this->begun + 1300ms);
+    CHECK(this->tested.at(this->begun + 1799ms) == stop_phase::accepting);
+    CHECK(this->tested.at(this->begun + 1800ms) == stop_phase::finishing);
+    CHECK(this->tested.accept_ends_by_probes());
+    CHECK(this->tested.listens(this->begun + 2999ms));
+    CHECK_FALSE(this->tested.listens(this->begun + 3s));
+}
+
+// Two probers that ask once each are taken for one that asks twice.
+TEST_CASE_FIXTURE(stop_schedule_fixture,
+                  "stop_phases_probes_close_together_count_as_one")
+{
+    this->tested.on_negative_probe(this->begun + 300ms);
+    this->tested.on_negative_probe(this->begun + 400ms);
+    CHECK(this->tested.at(this->begun + 2499ms) == stop_phase::accepting);
+    CHECK_FALSE(this->tested.accept_ends_by_probes());
+}
+
+// Late or further probes move the end of accepting back.
+TEST_CASE_FIXTURE(stop_schedule_fixture,
+                  "stop_phases_late_probes_do_not_prolong_accepting")
+{
+    this->tested.on_negative_probe(this->begun + 300ms);
+    this->tested.on_negative_probe(this->begun + 1300ms);
+    this->tested.on_negative_probe(this->begun + 1700ms);
+    CHECK(this->tested.accept_end() == this->begun + 1800ms);
+    stop_schedule late({this->begun, this->begun}, 8s);
+    late.on_negative_probe(this->begun + 1200ms);
+    late.on_negative_probe(this->begun + 2200ms);
+    CHECK(late.accept_end() == this->begun + 2500ms);
+    CHECK_FALSE(late.accept_ends_by_probes());
+}
+
 // A short timeout is spent on taking requests that can't end.
 TEST_CASE_FIXTURE(stop_schedule_fixture,
                   "stop_phases_short_timeout_keep_their_order")
