Entry: a stop waits for runs whose callers have left

A request that may run only once goes on at its upstream after its caller has left. The exit of a stopping entry looked at requests, connections and tunnels only, so it cut such a run although there was time left; nobody may send that request again.

The request handler keeps the exchanges that were left running (weakly; those whose call has ended don't count), and the exit waits for them until the end of the schedule. The log lines of a stop give their number as `abandoned`.

Before the fix (new test, the number not waited for; the upstream still works 2 s after the signal, and the process has exited):

request_run_once_without_caller_is_waited_for CHECK( this->probe() == 503 ) values: CHECK( 0 == 503 )

The test also checks that the process exits once the run has ended.

--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -305,6 +305,7 @@
     if (phase >= stop_phase::ending)
         this->handler->refuse_unread_requests();
     const bool done = this->handler->in_flight() == 0 &&
+                      this->handler->abandoned_running() == 0 &&
                       this->handler->open_connections() == 0 &&
                       (!this->tunnels || this->tunnels->active() == 0);
     if (phase == stop_phase::over)
@@ -324,6 +325,7 @@
                   to_milliseconds(this->stopping ? now - this->stopping->begun()
                                                  : base::duration(0))},
                  {"in_flight", this->handler->in_flight()},
+                 {"abandoned", this->handler->abandoned_running()},
                  {"waiting", this->state.scheduler.waiting()},
                  {"connections", this->handler->open_connections()},
                  {"tunnels", this->tunnels ? this->tunnels->active() : 0}});
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -85,6 +85,8 @@
     // cancelled; any other runs to its end on the upstream, and its response is
     // discarded.
     void abandon();
+    // A call to an upstream is under way.
+    bool has_call() const { return this->call != nullptr; }
 
     // Resumes reading from the upstream once the caller has received most of
     // what was sent.
--- a/src/greengagedrum/entry/request_ending.cpp
+++ b/src/greengagedrum/entry/request_ending.cpp
@@ -2,6 +2,7 @@
 // stops.
 #include <greengagedrum/entry/request_handler.hpp>
 
+#include <algorithm>
 #include <vector>
 
 namespace greengagedrum::entry
@@ -16,6 +17,12 @@
 // The first request of a connection accepted last may still be on its way.
 constexpr base::duration first_request_time = std::chrono::milliseconds(250);
 
+bool is_running(const std::weak_ptr<exchange>& one)
+{
+    const auto found = one.lock();
+    return found && found->has_call();
+}
+
 } // namespace
 
 relay::own_answer request_handler::refusal_while_stopping()
@@ -67,6 +74,20 @@
         one->close_idle(first_request_time);
 }
 
+void request_handler::keep_abandoned(const std::shared_ptr<exchange>& running)
+{
+    std::erase_if(this->abandoned,
+                  [](const auto& one) { return !is_running(one); });
+    if (running->has_call())
+        this->abandoned.push_back(running);
+}
+
+std::size_t request_handler::abandoned_running() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->abandoned.begin(), this->abandoned.end(), is_running));
+}
+
 void request_handler::end_all()
 {
     this->processing_events = true;
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -320,6 +320,7 @@
          {"after_ms",
           to_milliseconds(this->state.clock() - request->second.arrived)}});
     http_exchange->abandon();
+    this->keep_abandoned(http_exchange);
     if (!request->second.sent_at)
         this->refund_cost(request->second);
     this->requests.erase(request);
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -99,6 +99,8 @@
 
     std::size_t in_flight() const { return this->requests.size(); }
     std::size_t open_connections() const { return this->callers.size(); }
+    // Requests whose callers have left, and which run to their end.
+    std::size_t abandoned_running() const;
 
     // Called when the slots taken on upstreams or the queued requests have
     // changed.
@@ -162,6 +164,7 @@
     void add_caller(relay::tcp::socket socket);
     void on_request(const relay::caller_ptr& from, base::duration waited);
     void on_caller_left(const relay::caller_ptr& from);
+    void keep_abandoned(const std::shared_ptr<exchange>& running);
     // Returns the error response for a request that is not admitted; otherwise
     // fills `out`.
     std::optional<relay::own_answer> admit(const relay::request_head& head,
@@ -254,6 +257,7 @@
     std::unordered_set<relay::caller_ptr> callers;
     std::unordered_map<base::request_id, active_request> requests;
     std::unordered_map<relay::caller_connection*, base::request_id> by_caller;
+    std::vector<std::weak_ptr<exchange>> abandoned;
     std::unordered_map<base::request_id, base::upstream_id> sent_to;
     std::unordered_set<base::upstream_id> connect_checks; // in progress
     dispatch::member_request_table members;
--- a/src/greengagedrum/entry/test/stop_test.cpp
+++ b/src/greengagedrum/entry/test/stop_test.cpp
@@ -85,6 +85,17 @@
         this->upstream_time = usual;
     }
 
+    // The status of the readiness; 0 once the entry has exited.
+    int probe() const
+    {
+        const base::ip_endpoint address =
+            this->fixture.entry_under_test->readiness_address();
+        httplib::Client client(address.ip, address.port);
+        client.set_read_timeout(200ms);
+        const auto response = client.Get("/");
+        return response ? response->status : 0;
+    }
+
     void stop() { this->fixture.entry_under_test->stop(); }
 };
 
@@ -142,23 +153,25 @@
     }
 };
 
-struct usual_timeout_stop_fixture : stop_fixture {
-    usual_timeout_stop_fixture() : stop_fixture(options()) {}
+struct longer_timeout_stop_fixture : stop_fixture {
+    longer_timeout_stop_fixture() : stop_fixture(options()) {}
 
     static fixture_options options()
     {
         fixture_options out;
-        out.stop_timeout = 8s;
+        out.stop_timeout = 4s;
         return out;
     }
+};
 
-    int probe() const
+struct usual_timeout_stop_fixture : stop_fixture {
+    usual_timeout_stop_fixture() : stop_fixture(options()) {}
+
+    static fixture_options options()
     {
-        const base::ip_endpoint address =
-            this->fixture.entry_under_test->readiness_address();
-        httplib::Client client(address.ip, address.port);
-        const auto response = client.Get("/");
-        return response ? response->status : 0;
+        fixture_options out;
+        out.stop_timeout = 8s;
+        return out;
     }
 };
 
@@ -252,6 +265,23 @@
     CHECK(this->fixture.received_requests().size() == 1 + slots);
 }
 
+// The exit cuts the only run that a request may have, with time left.
+TEST_CASE_FIXTURE(longer_timeout_stop_fixture,
+                  "request_run_once_without_caller_is_waited_for")
+{
+    this->upstream_time = 2500ms;
+    relay::tcp::socket caller = this->connect();
+    write(caller, request_text("/once/", 1));
+    std::this_thread::sleep_for(100ms);
+    caller.close();
+    std::this_thread::sleep_for(50ms);
+    this->stop();
+    std::this_thread::sleep_for(2000ms);
+    CHECK(this->probe() == 503);
+    std::this_thread::sleep_for(700ms);
+    CHECK(this->probe() == 0);
+}
+
 // The end of the process cuts a running request without a final answer.
 TEST_CASE_FIXTURE(stop_fixture,
                   "request_running_at_the_end_of_a_stop_gets_a_final_answer")
