Entry: a stop keeps a timeout that is shortened after its signal

A stop kept the timeout that was in force at its signal. Where the settings shortened it afterwards, by SIGHUP or by the periodic check, requests under way got no final answer before the kill.

A reload now passes the timeout to the schedule, which takes the earlier time for each phase, from the same start. A longer timeout, or one that goes back to the first, changes nothing: nobody says which of them ends the process. As each time can only become earlier, no phase that has ended begins again.

--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -235,6 +235,10 @@
     this->state.scheduler.set_regions(changed->regions);
     this->apply_bounds();
     this->peers->apply_settings(*changed);
+    if (this->stopping) {
+        this->stopping->on_timeout_changed(changed->bounds.stop_timeout);
+        this->handler->set_stop_schedule(*this->stopping);
+    }
     logs::write(logs::level::info, "entry", "settings_reloaded");
 }
 
--- a/src/greengagedrum/entry/test/stop_test.cpp
+++ b/src/greengagedrum/entry/test/stop_test.cpp
@@ -175,6 +175,40 @@
     }
 };
 
+// The settings can be given another timeout, which the entry reads within a
+// second.
+struct changed_timeout_stop_fixture : stop_fixture {
+    using chosen_timeout = std::atomic<std::chrono::milliseconds>;
+    std::shared_ptr<chosen_timeout> chosen;
+
+    changed_timeout_stop_fixture()
+        : changed_timeout_stop_fixture(std::make_shared<chosen_timeout>(0ms))
+    {
+    }
+
+    explicit changed_timeout_stop_fixture(
+        const std::shared_ptr<chosen_timeout>& chosen)
+        : stop_fixture(options(chosen)), chosen(chosen)
+    {
+    }
+
+    static fixture_options
+    options(const std::shared_ptr<chosen_timeout>& chosen)
+    {
+        fixture_options out;
+        out.stop_timeout = 8s;
+        out.load_settings = [chosen]() -> std::optional<settings> {
+            const auto timeout = chosen->exchange(0ms);
+            if (timeout == 0ms)
+                return std::nullopt;
+            settings changed;
+            changed.bounds.stop_timeout = timeout;
+            return changed;
+        };
+        return out;
+    }
+};
+
 bool is_refusal(const std::string& response)
 {
     return response.starts_with("HTTP/1.1 503") &&
@@ -295,6 +329,22 @@
     CHECK(response.find("stopping") != std::string::npos);
 }
 
+// A timeout that is shortened after the signal kills the process with requests
+// under way.
+TEST_CASE_FIXTURE(changed_timeout_stop_fixture,
+                  "request_running_at_a_shortened_end_gets_a_final_answer")
+{
+    relay::tcp::socket caller = this->connect();
+    write(caller, request_text("/once/", 1));
+    std::this_thread::sleep_for(50ms);
+    this->stop();
+    std::this_thread::sleep_for(50ms);
+    *this->chosen = 1000ms;
+    const std::string response = this->read_all(caller);
+    CHECK(response.starts_with("HTTP/1.1 502"));
+    CHECK(response.find("stopping") != std::string::npos);
+}
+
 // Only the end of its connection ends such a stream, so that one cut by the end
 // of the process would look whole.
 TEST_CASE_FIXTURE(limited_memory_stop_fixture,
--- a/src/greengagedrum/shutdown/stop_schedule.cpp
+++ b/src/greengagedrum/shutdown/stop_schedule.cpp
@@ -69,6 +69,17 @@
     this->ended_by_probes = true;
 }
 
+void stop_schedule::on_timeout_changed(base::duration timeout)
+{
+    const stop_schedule changed({this->begun_at, this->begun_at}, timeout);
+    if (changed.accept_until < this->accept_until)
+        this->ended_by_probes = false;
+    this->accept_until = std::min(this->accept_until, changed.accept_until);
+    this->end_at = std::min(this->end_at, changed.end_at);
+    this->over_at = std::min(this->over_at, changed.over_at);
+    this->listen_until = std::min(this->listen_until, changed.listen_until);
+}
+
 stop_phase stop_schedule::at(base::instant now) const
 {
     if (now < this->accept_until)
--- a/src/greengagedrum/shutdown/stop_schedule.hpp
+++ b/src/greengagedrum/shutdown/stop_schedule.hpp
@@ -44,6 +44,10 @@
     // accepting, a while later.
     void on_negative_probe(base::instant now);
 
+    // The timeout has changed. The shortest one counts: which of them ends the
+    // process is not known.
+    void on_timeout_changed(base::duration timeout);
+
 private:
     base::instant begun_at;
     base::instant accept_until;
--- a/src/greengagedrum/shutdown/test/stop_schedule_test.cpp
+++ b/src/greengagedrum/shutdown/test/stop_schedule_test.cpp
@@ -98,6 +98,41 @@
     CHECK_FALSE(late.accept_ends_by_probes());
 }
 
+// The process is killed by a shorter timeout with requests under way.
+TEST_CASE_FIXTURE(stop_schedule_fixture,
+                  "stop_phases_shorter_timeout_later_shortens_those_ahead")
+{
+    const stop_schedule brief({this->begun, this->begun}, 4s);
+    this->tested.on_timeout_changed(4s);
+    CHECK(this->tested.begun() == this->begun);
+    CHECK(this->tested.accept_end() == brief.accept_end());
+    CHECK(this->tested.end() == brief.end());
+    CHECK(this->tested.at(this->begun + 3899ms) == stop_phase::ending);
+    CHECK(this->tested.at(this->begun + 3900ms) == stop_phase::over);
+}
+
+// The process is killed by the timeout of the signal, which it forgot.
+TEST_CASE_FIXTURE(stop_schedule_fixture,
+                  "stop_phases_longer_timeout_later_changes_nothing")
+{
+    const stop_schedule before = this->tested;
+    this->tested.on_timeout_changed(30s);
+    CHECK(this->tested.accept_end() == before.accept_end());
+    CHECK(this->tested.end() == before.end());
+    CHECK(this->tested.at(this->begun + 7900ms) == stop_phase::over);
+}
+
+// Requests are taken again after they were refused.
+TEST_CASE_FIXTURE(stop_schedule_fixture,
+                  "stop_phases_timeout_back_to_the_first_opens_no_past_phase")
+{
+    this->tested.on_timeout_changed(4s);
+    CHECK(this->tested.at(this->begun + 1250ms) == stop_phase::finishing);
+    this->tested.on_timeout_changed(8s);
+    CHECK(this->tested.at(this->begun + 1250ms) == stop_phase::finishing);
+    CHECK(this->tested.at(this->begun + 3900ms) == stop_phase::over);
+}
+
 // A short timeout is spent on taking requests that can't end.
 TEST_CASE_FIXTURE(stop_schedule_fixture,
                   "stop_phases_short_timeout_keep_their_order")
