--- a/src/greengagedrum/entry/test/stop_test.cpp
+++ b/src/greengagedrum/entry/test/stop_test.cpp
@@ -85,6 +85,17 @@
         this->upstream_time = usual;
     }
 
+    // The status of the readiness; 0 once the entry has exited.
+    int probe() const
+    {
+        const base::ip_endpoint address =
+            this->fixture.entry_under_test->readiness_address();
+        httplib::Client client(address.ip, address.port);
+        client.set_read_timeout(200ms);
+        const auto response = client.Get("/");
+        return response ? response->status : 0;
+    }
+
     void stop() { this->fixture.entry_under_test->stop(); }
 };
 
@@ -142,6 +153,62 @@
     }
 };
 
+struct longer_timeout_stop_fixture : stop_fixture {
+    longer_timeout_stop_fixture() : stop_fixture(options()) {}
+
+    static fixture_options options()
+    {
+        fixture_options out;
+        out.stop_timeout = 4s;
+        return out;
+    }
+};
+
+struct usual_timeout_stop_fixture : stop_fixture {
+    usual_timeout_stop_fixture() : stop_fixture(options()) {}
+
+    static fixture_options options()
+    {
+        fixture_options out;
+        out.stop_timeout = 8s;
+        return out;
+    }
+};
+
+// The settings can be given another timeout, which the entry reads within a
+// second.
+struct changed_timeout_stop_fixture : stop_fixture {
+    using chosen_timeout = std::atomic<std::chrono::milliseconds>;
+    std::shared_ptr<chosen_timeout> chosen;
+
+    changed_timeout_stop_fixture()
+        : changed_timeout_stop_fixture(std::make_shared<chosen_timeout>(0ms))
+    {
+    }
+
+    explicit changed_timeout_stop_fixture(
+        const std::shared_ptr<chosen_timeout>& chosen)
+        : stop_fixture(options(chosen)), chosen(chosen)
+    {
+    }
+
+    static fixture_options
+    options(const std::shared_ptr<chosen_timeout>& chosen)
+    {
+        fixture_options out;
+        out.stop_timeout = 8s;
+        out.load_settings = [chosen]() -> std::optional<settings> {
+            const auto timeout = chosen->exchange(0ms);
+            if (timeout == 0ms)
+                return std::nullopt;
+            settings changed;
+            changed.bounds.stop_timeout = timeout;
+            return changed;
+        };
+        return out;
+    }
+};
+
 bool is_refusal(const std::string& response)
 {
     return response.starts_with("HTTP/1.1 503") &&
@@ -184,6 +251,29 @@
     CHECK(this->fixture.received_requests().size() == 1);
 }
 
+// Requests are taken although the balancer has stopped sending.
+TEST_CASE_FIXTURE(usual_timeout_stop_fixture,
+                  "requests_after_two_negative_probes_are_refused_as_not_run")
+{
+    this->serve_quickly("/once/");
+    this->upstream_time = 0ms;
+    relay::tcp::socket earlier = this->connect();
+    const std::string request = request_text("/once/", 1);
+    write(earlier, request.substr(0, request.size() / 2));
+    std::this_thread::sleep_for(50ms);
+    this->stop();
+    CHECK(this->probe() == 503);
+    std::this_thread::sleep_for(600ms);
+    CHECK(this->probe() == 503);
+    std::this_thread::sleep_for(600ms);
+    relay::tcp::socket later = this->connect();
+    write(earlier, request.substr(request.size() / 2));
+    write(later, request_text("/once/", 2));
+    CHECK(is_refusal(this->read_all(earlier)));
+    CHECK(is_refusal(this->read_all(later)));
+    CHECK(this->fixture.received_requests().size() == 1);
+}
+
 // The end of the process drops requests that still wait for a slot.
 TEST_CASE_FIXTURE(stop_fixture,
                   "requests_waiting_at_the_end_of_a_stop_are_refused")
@@ -209,6 +299,23 @@
     CHECK(this->fixture.received_requests().size() == 1 + slots);
 }
 
+// The exit cuts the only run that a request may have, with time left.
+TEST_CASE_FIXTURE(longer_timeout_stop_fixture,
+                  "request_run_once_without_caller_is_waited_for")
+{
+    this->upstream_time = 2500ms;
+    relay::tcp::socket caller = this->connect();
+    write(caller, request_text("/once/", 1));
+    std::this_thread::sleep_for(100ms);
+    caller.close();
+    std::this_thread::sleep_for(50ms);
+    this->stop();
+    std::this_thread::sleep_for(2000ms);
+    CHECK(this->probe() == 503);
+    std::this_thread::sleep_for(700ms);
+    CHECK(this->probe() == 0);
+}
+
 // The end of the process cuts a running request without a final answer.
 TEST_CASE_FIXTURE(stop_fixture,
                   "request_running_at_the_end_of_a_stop_gets_a_final_answer")
@@ -222,6 +329,22 @@
     CHECK(response.find("stopping") != std::string::npos);
 }
 
+// A timeout that is shortened after the signal kills the process with requests
+// under way.
+TEST_CASE_FIXTURE(changed_timeout_stop_fixture,
+                  "request_running_at_a_shortened_end_gets_a_final_answer")
+{
+    relay::tcp::socket caller = this->connect();
+    write(caller, request_text("/once/", 1));
+    std::this_thread::sleep_for(50ms);
+    this->stop();
+    std::this_thread::sleep_for(50ms);
+    *this->chosen = 1000ms;
+    const std::string response = this->read_all(caller);
+    CHECK(response.starts_with("HTTP/1.1 502"));
+    CHECK(response.find("stopping") != std::string::npos);
+}
+
 // Only the end of its connection ends such a stream, so that one cut by the end
 // of the process would look whole.
 TEST_CASE_FIXTURE(limited_memory_stop_fixture,
