Relay: the idle time-out starts when the response has been written

Seen: a caller that took a long response slowly found its connection closed right after the last byte. A request that it sent at that moment got neither an answer nor a refusal. A shorter idle time-out makes it more likely.

Cause: the idle time began when the response was handed to the connection. While it was being written the connection wasn't closed, but the time ran on, so the next check after the last write closed it.

Evidence, before the fix:

TEST CASE: idle_time_out_counts_from_the_end_of_a_response_taken_slowly ERROR: CHECK_FALSE( this->closed ) is NOT correct! ERROR: CHECK( this->requests == 2 ) is NOT correct!

The idle time now starts again when all of a response has been written and no further request has begun. Bytes that only the kernel holds still count as taken by the caller.

--- a/src/greengagedrum/relay/caller_connection.cpp
+++ b/src/greengagedrum/relay/caller_connection.cpp
@@ -304,7 +304,10 @@
     if (!this->outbox.empty())
         return this->write();
     if (this->lingering)
-        this->linger();
+        return this->linger();
+    // A caller can't use the connection again before it has the response.
+    if (!this->busy && !this->is_reading())
+        this->since = this->events.clock();
 }
 
 } // namespace greengagedrum::relay
--- a/src/greengagedrum/relay/test/caller_connection_test.cpp
+++ b/src/greengagedrum/relay/test/caller_connection_test.cpp
@@ -157,4 +157,33 @@
     CHECK(this->requests == 1);
 }
 
+// A connection is closed as soon as its caller has taken a long response, while
+// the caller sends its next request.
+TEST_CASE_FIXTURE(
+    idle_connection_fixture,
+    "idle_time_out_counts_from_the_end_of_a_response_taken_slowly")
+{
+    // More than the kernel takes of a connection on loopback.
+    const std::string body(16U << 20U, 'x');
+    this->events.request = [&](const caller_ptr& from, base::duration) {
+        this->requests += 1;
+        from->answer("HTTP/1.1 200 OK\r\n", body);
+    };
+    this->write_request();
+    this->run();
+    REQUIRE(this->connection->unsent() > 0);
+    this->now += this->bounds.idle_timeout + 2s;
+    std::string taken(body.size(), '\0');
+    asio::async_read(
+        this->caller, asio::buffer(taken), [](error_code, std::size_t) {});
+    while (this->connection->unsent() > 0)
+        this->run();
+    this->connection->check_time(this->now, this->bounds);
+    this->run();
+    CHECK_FALSE(this->closed);
+    this->write_request();
+    this->run();
+    CHECK(this->requests == 2);
+}
+
 } // namespace greengagedrum::relay
