--- a/src/greengagedrum/entry/test/configuration_change_fixture.cpp
+++ b/src/greengagedrum/entry/test/configuration_change_fixture.cpp
@@ -92,7 +92,7 @@
         own.metrics_address = {"127.0.0.1", 0};
     own.store_address = {"127.0.0.1",
                          static_cast<std::uint16_t>(this->store_server.port)};
-    own.bounds.stop_timeout = 1s;
+    own.bounds.stop_timeout = 300ms;
     own.bounds.retry_slack = 100;
     this->entry_under_test = std::make_unique<entry>(own, [this] {
         const std::lock_guard lock(this->mutex);
--- a/src/greengagedrum/entry/test/configuration_change_test.cpp
+++ b/src/greengagedrum/entry/test/configuration_change_test.cpp
@@ -42,7 +42,7 @@
 }
 
 // Bounds the threads of the test.
-constexpr std::size_t entries_at_once = 6;
+constexpr std::size_t entries_at_once = 10;
 
 // Each combination at an entry of its own.
 void check_all(const std::vector<change_list>& combinations)
@@ -74,4 +74,45 @@
     check_all(combinations);
 }
 
+// A second change reaches requests that the first one has left in progress.
+TEST_CASE("request_in_any_state_at_two_close_changes_is_answered_or_refused")
+{
+    // Each change once as the first and once as the second one, beside a
+    // different change in each distance.
+    std::vector<change_list> combinations;
+    const std::vector<configuration_change>& all = changes();
+    for (const std::size_t distance : {1U, 5U}) {
+        for (std::size_t at = 0; at < all.size(); ++at)
+            combinations.push_back(
+                {&all[at], &all[(at + distance) % all.size()]});
+    }
+    check_all(combinations);
+}
+
+// The store delivers a document that a newer one has replaced. It must not come
+// into force again.
+TEST_CASE("request_in_any_state_at_an_older_change_is_answered_or_refused")
+{
+    configuration_change older =
+        *std::find_if(changes().begin(), changes().end(), [](const auto& one) {
+            return one.name == "routes_go";
+        });
+    older.name = "routes_go_and_come_then_go_late";
+    older.refuses_all = false;
+    // The requests go on after all of it, with their routes in force.
+    older.refusals.clear();
+    older.apply = [](configuration_change_fixture& to) {
+        const nlohmann::json newer = to.configuration;
+        to.configuration["routes"] = nlohmann::json::array();
+        to.publish_configuration();
+        std::this_thread::sleep_for(change_interval);
+        to.configuration = newer;
+        to.publish_configuration();
+        to.wait_until_in_force();
+        to.publish_former_configuration();
+        std::this_thread::sleep_for(2 * change_interval);
+    };
+    check_all({{&older}});
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/test/configuration_changes.cpp
+++ b/src/greengagedrum/entry/test/configuration_changes.cpp
@@ -59,8 +59,11 @@
          true},
         {"route_comes",
          [](fixture& to) {
-             json added = to.configuration["routes"][0];
-             added["name"] = added["prefix"] = "/once/deeper/";
+             const json added = {{"name", "/once/deeper/"},
+                                 {"hostname", "hall.example"},
+                                 {"prefix", "/once/deeper/"},
+                                 {"routeType", "idempotent"},
+                                 {"service", "models"}};
              to.configuration["routes"].push_back(added);
              to.publish_configuration();
          },
