Entry tests: changes of a configuration at an entry with a dispatcher

The 17 changes meet the 11 states once more at an entry whose requests a dispatcher grants slots. One of them waits for its grant; after an evacuation the dispatcher denies it.

--- a/src/greengagedrum/entry/test/configuration_change_fixture.cpp
+++ b/src/greengagedrum/entry/test/configuration_change_fixture.cpp
@@ -15,7 +15,7 @@
 
 // A caller or an upstream gives up after it.
 constexpr auto answer_timeout = 5s;
-constexpr std::size_t upstream_threads = 16;
+constexpr std::size_t upstream_threads = 12;
 
 std::string base64_of(const std::string& text)
 {
@@ -76,7 +76,7 @@
 
 } // namespace
 
-configuration_change_fixture::configuration_change_fixture()
+configuration_change_fixture::configuration_change_fixture(dispatch_place where)
     : configuration(first_configuration())
 {
     for (fake_http_server& one : this->upstream_servers)
@@ -94,19 +94,28 @@
                          static_cast<std::uint16_t>(this->store_server.port)};
     own.bounds.stop_timeout = 300ms;
     own.bounds.retry_slack = 100;
+    own.peer_port =
+        where == dispatch_place::dispatcher ? this->dispatcher.port() : 0;
     this->entry_under_test = std::make_unique<entry>(own, [this] {
         const std::lock_guard lock(this->mutex);
         return std::exchange(this->next_settings, std::nullopt);
     });
     this->thread = std::thread([this] { this->entry_under_test->run(); });
     this->wait_until_in_force();
+    if (where == dispatch_place::dispatcher)
+        this->wait_for_dispatcher();
 }
 
 configuration_change_fixture::~configuration_change_fixture()
 {
     this->release();
+    this->dispatcher.stop_sending();
     this->entry_under_test->stop();
     this->thread.join();
+    // Together, since each waits for its idle connections.
+    this->store_server.server.stop();
+    for (fake_http_server& one : this->upstream_servers)
+        one.server.stop();
     for (fake_http_server& one : this->upstream_servers)
         one.stop();
     this->store_server.stop();
@@ -198,6 +207,7 @@
     {
         const std::lock_guard lock(this->mutex);
         this->revision += 1;
+        this->evacuated = evacuated;
         if (evacuated)
             this->add_event(item(key, json::object(), this->revision));
         else
--- a/src/greengagedrum/entry/test/configuration_change_fixture.hpp
+++ b/src/greengagedrum/entry/test/configuration_change_fixture.hpp
@@ -4,6 +4,7 @@
 
 #include <greengagedrum/entry/test/change_caller.hpp>
 #include <greengagedrum/entry/test/entry_fixture.hpp>
+#include <greengagedrum/entry/test/fake_dispatcher.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -13,10 +14,14 @@
 namespace greengagedrum::entry
 {
 
+// Who decides which upstream gets a request.
+enum class dispatch_place : std::uint8_t { entry, dispatcher };
+
 class configuration_change_fixture
 {
 public:
-    configuration_change_fixture();
+    explicit configuration_change_fixture(
+        dispatch_place where = dispatch_place::entry);
     ~configuration_change_fixture();
     configuration_change_fixture(const configuration_change_fixture&) = delete;
     configuration_change_fixture&
@@ -38,6 +43,8 @@
     // Runs of the request that upstreams began.
     int runs(const std::string& attempt) const;
     bool wait_until_received(const std::string& attempt) const;
+    // By the dispatcher.
+    int granted() const;
     // Lets the upstreams answer.
     void release();
 
@@ -47,6 +54,9 @@
         std::string text;
     };
 
+    void decide(const dispatch::slot_request& wanted,
+                dispatch::dispatcher_reply& into);
+    void wait_for_dispatcher();
     void serve_store();
     void serve_upstream(fake_http_server& server);
     void respond(const httplib::Request& request, httplib::Response& response);
@@ -59,6 +69,10 @@
     mutable std::mutex mutex;
     mutable std::condition_variable changed;
     bool released = false;
+    bool evacuated = false;
+    int grants = 0;
+    // The request that the dispatcher gave the only slot of its service.
+    std::optional<base::request_id> slot_holder;
     std::map<std::string, int> received;
     std::map<std::string, int> run_counts;
     int version = 0;
@@ -68,6 +82,7 @@
     std::string published_configuration;
     std::optional<settings> next_settings;
     settings first_settings;
+    fake_dispatcher dispatcher;
     fake_http_server store_server;
     std::array<fake_http_server, 2> upstream_servers;
     std::unique_ptr<entry> entry_under_test;
--- a/src/greengagedrum/entry/test/configuration_change_test.cpp
+++ b/src/greengagedrum/entry/test/configuration_change_test.cpp
@@ -15,13 +15,20 @@
 const request_state slot_holder = {
     "holding_the_slot", "/narrow/slow", sent_part::whole, true};
 
-void check_all_states(const change_list& made)
+void check_all_states(const change_list& made, dispatch_place where)
 {
-    configuration_change_fixture fixture;
+    configuration_change_fixture fixture(where);
     pending_request holder(fixture, slot_holder);
     std::vector<std::unique_ptr<pending_request>> requests;
     for (const request_state& one : states())
         requests.push_back(std::make_unique<pending_request>(fixture, one));
+    // All requests at upstreams have been granted.
+    const auto sent =
+        std::count_if(states().begin(),
+                      states().end(),
+                      [](const request_state& one) { return one.at_upstream; });
+    if (where == dispatch_place::dispatcher)
+        CHECK(fixture.granted() > sent);
     std::this_thread::sleep_for(change_interval);
     std::chrono::milliseconds rest{0};
     for (const configuration_change* one : made) {
@@ -42,22 +49,23 @@
 }
 
 // Bounds the threads of the test.
-constexpr std::size_t entries_at_once = 10;
+constexpr std::size_t entries_at_once = 17;
 
 // Each combination at an entry of its own.
-void check_all(const std::vector<change_list>& combinations)
+void check_all(const std::vector<change_list>& combinations,
+               dispatch_place where = dispatch_place::entry)
 {
     std::vector<std::future<void>> running;
     for (std::size_t begin = 0; begin < entries_at_once; ++begin)
         running.push_back(
-            std::async(std::launch::async, [&combinations, begin] {
+            std::async(std::launch::async, [&combinations, where, begin] {
                 for (std::size_t at = begin; at < combinations.size();
                      at += entries_at_once) {
                     std::string names;
                     for (const configuration_change* one : combinations[at])
                         names += one->name + " ";
                     INFO("changes: ", names);
-                    check_all_states(combinations[at]);
+                    check_all_states(combinations[at], where);
                 }
             }));
     for (std::future<void>& one : running)
@@ -74,6 +82,15 @@
     check_all(combinations);
 }
 
+// There a request waits for a grant, which a change may contradict.
+TEST_CASE("request_in_any_state_at_a_member_is_answered_or_refused")
+{
+    std::vector<change_list> combinations;
+    for (const configuration_change& one : changes())
+        combinations.push_back({&one});
+    check_all(combinations, dispatch_place::dispatcher);
+}
+
 // A second change reaches requests that the first one has left in progress.
 TEST_CASE("request_in_any_state_at_two_close_changes_is_answered_or_refused")
 {
