Entry: a response ended for want of memory is no failure of its upstream

Callers saw sound upstreams avoided after an entry had run short of memory: it breaks off the largest response that hasn't come whole, and reported that as a malformed answer, which the outlier detection counts. After three the upstream was suspected. A dispatcher was told the same. Also, a request that the entry didn't read and that its caller gave up after two seconds was taken for one that might have crashed its upstream.

Such an end has a cause of its own now. It counts as a failure only if the response alone takes more than a workspace's share, so that one without end still does. A dispatcher is told of it by the status that counts no failure, so the wire doesn't change. The upstream may be sent the retry.

--- a/src/greengagedrum/dispatch/send_status_log.cpp
+++ b/src/greengagedrum/dispatch/send_status_log.cpp
@@ -37,6 +37,8 @@
     send_status operator()(const traffic::answer_interrupted& event) const
     {
         switch (event.cause) {
+        // Neither says anything about the upstream.
+        case traffic::interruption_cause::memory_short:
         case traffic::interruption_cause::reused_connection_lost:
             return send_status::reused_connection_lost;
         case traffic::interruption_cause::write_stalled:
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -93,7 +93,8 @@
     // The bytes held are those of a response that hasn't come whole, and not of
     // one that its caller doesn't read.
     bool holds_unfinished_response() const;
-    // Breaks such a response off, as the upstream's failure.
+    // Breaks such a response off. It is the upstream's failure only if the
+    // response alone takes more than a workspace may.
     void end_for_memory();
 
     // Bytes of the request's body.
--- a/src/greengagedrum/entry/exchange_memory.cpp
+++ b/src/greengagedrum/entry/exchange_memory.cpp
@@ -38,9 +38,14 @@
 
 void exchange::end_for_memory()
 {
+    const bool too_long = this->response_room.bytes() >
+                          this->events.memory->levels().workspace_share;
     this->stop_send();
-    this->on_broken(traffic::interruption_cause::malformed,
-                    "response longer than the memory allows");
+    if (too_long)
+        return this->on_broken(traffic::interruption_cause::malformed,
+                               "response longer than the memory allows");
+    this->on_broken(traffic::interruption_cause::memory_short,
+                    "ended for want of memory");
 }
 
 memory::unread_response exchange::unread(base::instant now) const
--- a/src/greengagedrum/entry/test/memory_fixture.hpp
+++ b/src/greengagedrum/entry/test/memory_fixture.hpp
@@ -45,6 +45,13 @@
         return this->state.metrics.of(what);
     }
 
+    // Of the upstream; 0 while it is suspected.
+    std::uint32_t healthy_slots() const
+    {
+        return this->state.scheduler.upstreams().total_slots(
+            this->state.cluster.routes()->config().services.front().id);
+    }
+
     std::string response; // of the upstream; empty: none
     std::size_t upstream_requests = 0;
     relay::asio::io_context context;
--- a/src/greengagedrum/entry/test/memory_test.cpp
+++ b/src/greengagedrum/entry/test/memory_test.cpp
@@ -200,10 +200,6 @@
 TEST_CASE_FIXTURE(memory_fixture,
                   "upstream_left_unread_for_memory_is_not_suspected")
 {
-    const auto healthy_slots = [this] {
-        return this->state.scheduler.upstreams().total_slots(
-            this->state.cluster.routes()->config().services.front().id);
-    };
     this->response = marks + "Content-Type: text/event-stream\r\n"
                              "Content-Length: 100000\r\n\r\n"
                              "data: 1\n\n";
@@ -215,10 +211,31 @@
         return memory_fixture::received(caller).find("data: 1") !=
                std::string::npos;
     }));
-    REQUIRE(healthy_slots() == 4);
+    REQUIRE(this->healthy_slots() == 4);
     this->run_for(1500ms);
     REQUIRE(this->state.scheduler.in_flight() == 1);
-    CHECK(healthy_slots() == 4);
+    CHECK(this->healthy_slots() == 4);
+}
+
+// Responses that others leave no room for count as failures of the upstream.
+TEST_CASE_FIXTURE(memory_fixture,
+                  "upstream_of_responses_ended_for_memory_is_not_suspected")
+{
+    this->response =
+        marks + "Content-Length: 700000\r\n\r\n" + std::string(100'000, 'x');
+    memory::reservation others(this->state.memory, memory::kind::gossip);
+    for (int count = 0; count < 5; ++count) {
+        others.resize(0);
+        auto& caller = this->call(request("/bulk/", 10));
+        REQUIRE(this->run_until([&] {
+            return this->account.held(memory::kind::responses) >= 100'000;
+        }));
+        others.resize(this->account.levels().end_response);
+        REQUIRE(
+            this->run_until([&] { return starts_with_status(caller, "502"); }));
+    }
+    CHECK(this->counted(counter::memory_responses_ended) == 5);
+    CHECK(this->healthy_slots() == 4);
 }
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/traffic/crash_quarantine.cpp
+++ b/src/greengagedrum/traffic/crash_quarantine.cpp
@@ -97,7 +97,8 @@
     if (!item.facts.delegated)
         this->queues[item.facts.service].record_cut(item.facts.kind,
                                                     this->now - item.sent_at);
-    if (this->now - item.sent_at >= silence_least &&
+    // An answer that the entry doesn't read may well be coming.
+    if (!item.paused_at && this->now - item.sent_at >= silence_least &&
         this->pool.progress_at(item.upstream) < item.sent_at)
         this->record_crash(item);
 }
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -124,6 +124,8 @@
     // A kept connection ended before any byte of the answer arrived, or it
     // delivered the answer to another request. A fresh one may serve.
     reused_connection_lost,
+    // This entry broke the answer off for want of memory.
+    memory_short,
 };
 
 // The answer was interrupted or never started. The request may have run.
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -256,8 +256,9 @@
     request* item = this->find_active_send(what.request, what.send);
     if (item == nullptr)
         return;
-    if (what.cause == interruption_cause::reused_connection_lost) {
-        // The same upstream may serve the next send on a fresh connection.
+    if (what.cause == interruption_cause::reused_connection_lost ||
+        what.cause == interruption_cause::memory_short) {
+        // The same upstream may serve the next send.
         this->pool.probe_inconclusive(item->upstream);
     } else {
         this->record_failure(item->upstream, failure_kind::broken);
--- a/src/greengagedrum/traffic/test/paused_reading_test.cpp
+++ b/src/greengagedrum/traffic/test/paused_reading_test.cpp
@@ -78,4 +78,19 @@
     CHECK(this->tested.own_load(this->now).front().event_gap <= 110ms);
 }
 
+// A request that its slow caller gives up is taken for one that crashed its
+// upstream.
+TEST_CASE_FIXTURE(silence_fixture,
+                  "caller_that_leaves_paused_reading_is_no_sign_of_a_crash")
+{
+    this->upstreams(1, 1);
+    request_facts facts = stream_facts();
+    facts.digest = base::request_digest{7};
+    const auto id = this->arrive(facts);
+    this->step(reading_paused{id, 1});
+    this->now += 3s;
+    this->step(caller_left{id});
+    CHECK(this->last_action<check_upstream>() == nullptr);
+}
+
 } // namespace greengagedrum::traffic
