--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -107,6 +107,13 @@
     std::uint32_t send = 0;
 };
 
+// The entry that carries this send to its upstream stops, which ends the send
+// unless the answer comes first.
+struct carrier_stopping {
+    base::request_id request;
+    std::uint32_t send = 0;
+};
+
 // The upstream's whole answer arrived. An unsuccessful answer may still be
 // replaced by a retry on another upstream.
 struct answer_received {
@@ -124,6 +131,8 @@
     // A kept connection ended before any byte of the answer arrived, or it
     // delivered the answer to another request. A fresh one may serve.
     reused_connection_lost,
+    // This entry broke the answer off for want of memory.
+    memory_short,
 };
 
 // The answer was interrupted or never started. The request may have run.
@@ -169,6 +178,7 @@
                            events_received,
                            reading_paused,
                            reading_resumed,
+                           carrier_stopping,
                            answer_received,
                            answer_interrupted,
                            upstream_checked,
@@ -199,6 +209,7 @@
 enum class cancel_cause : std::uint8_t {
     request_ended,
     upstream_silent,
+    carrier_stopping,
 };
 
 // Close the connection of this send. Data that still arrives on it is
