Announced limits: entries give what they do not use

Callers saw: where most new connections go to one entry, it refuses requests for upstreams that announce a rate limit, while the limits are far from used up.

Cause: each entry has a fixed part of an announced limit, and parts of entries without requests are idle.

An entry whose queue waits for limited upstreams states its need in its load messages. Another one whose own queue is less than half as long counts requests as sent by itself, and only then tells that entry that it may send them. The permit expires up to half a second after the receiver sent the message that was answered, by the receiver's own clock.

Why the bound holds: each request that is sent was counted by one entry once, at most the permit's lifetime before. Permits are not returned, so a lost grant is unused; one that is doubled, overtaken, late, or of another incarnation adds nothing. The lifetime is chosen so that bursts and permits together take up no more than what upstreams tolerate. Entries of earlier builds state no need and get no permits.

--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -173,6 +173,7 @@
              {"store_revision", message->store_revision}});
     this->merge_suspects(*message, now);
     this->merge_rate_limits(*message, now);
+    this->accept_limit_grant(*message, now);
     this->peer_store_answer_at =
         std::max(this->peer_store_answer_at, now - message->store_age);
     switch (message->kind) {
@@ -304,6 +305,7 @@
     out.queue_reports = this->state.scheduler.own_queue_reports(now);
     out.workspace_usage = this->state.limiter.own_usage(now);
     out.rate_limits = this->state.scheduler.announced_limits().recent(now);
+    this->state_limit_needs(out, now);
     out.known_entries = this->table.select_known_entries(recipients, now);
     out.suspects = this->suspects_to_send(
         this->suspects_sent_at.at(static_cast<std::size_t>(recipients)), now);
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -178,6 +178,9 @@
     void fetch_from_followed(const gossip::message& received,
                              base::instant now);
     void on_limits(const gossip::message& received, base::instant now);
+    void state_limit_needs(gossip::message& sent, base::instant now);
+    void answer_limit_needs(const gossip::message& received, base::instant now);
+    void accept_limit_grant(const gossip::message& received, base::instant now);
     std::size_t unheard_in_data_centre(base::instant now) const;
     std::size_t members_reporting(base::instant now) const;
     double unreported_share(base::instant now) const;
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -102,6 +102,7 @@
                                        across_regions
                                            ? gossip::region_liveness_timeout
                                            : quota::silence_timeout);
+    this->answer_limit_needs(received, now);
     if (this->state.scheduler.waiting() > 0)
         this->events.peer_load_changed();
 }
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -52,6 +52,13 @@
 
 struct RateLimit;
 
+struct LimitNeed;
+
+struct LimitPermit;
+
+struct LimitGrant;
+struct LimitGrantBuilder;
+
 struct StreamVersion;
 
 struct VersionQuestion;
@@ -512,6 +519,63 @@
 };
 FLATBUFFERS_STRUCT_END(RateLimit, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LimitNeed FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t service_;
+  uint32_t requests_;
+  int32_t padding0__;
+
+ public:
+  LimitNeed()
+      : service_(0),
+        requests_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  LimitNeed(uint64_t _service, uint32_t _requests)
+      : service_(flatbuffers::EndianScalar(_service)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
+  uint32_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LimitNeed, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) LimitPermit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t upstream_;
+  uint32_t requests_;
+  uint32_t lifetime_ms_;
+
+ public:
+  LimitPermit()
+      : upstream_(0),
+        requests_(0),
+        lifetime_ms_(0) {
+  }
+  LimitPermit(uint64_t _upstream, uint32_t _requests, uint32_t _lifetime_ms)
+      : upstream_(flatbuffers::EndianScalar(_upstream)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        lifetime_ms_(flatbuffers::EndianScalar(_lifetime_ms)) {
+  }
+  uint64_t upstream() const {
+    return flatbuffers::EndianScalar(upstream_);
+  }
+  uint32_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+  uint32_t lifetime_ms() const {
+    return flatbuffers::EndianScalar(lifetime_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LimitPermit, 16);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) StreamVersion FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t stream_;
@@ -1048,6 +1112,81 @@
       report_taken);
 }
 
+struct LimitGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LimitGrantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECEIVER_LIFE = 4,
+    VT_NEED_SEQUENCE = 6,
+    VT_PERMITS = 8
+  };
+  uint64_t receiver_life() const {
+    return GetField<uint64_t>(VT_RECEIVER_LIFE, 0);
+  }
+  uint64_t need_sequence() const {
+    return GetField<uint64_t>(VT_NEED_SEQUENCE, 0);
+  }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::LimitPermit *> *permits() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::LimitPermit *> *>(VT_PERMITS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_RECEIVER_LIFE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NEED_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_PERMITS) &&
+           verifier.VerifyVector(permits()) &&
+           verifier.EndTable();
+  }
+};
+
+struct LimitGrantBuilder {
+  typedef LimitGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_receiver_life(uint64_t receiver_life) {
+    fbb_.AddElement<uint64_t>(LimitGrant::VT_RECEIVER_LIFE, receiver_life, 0);
+  }
+  void add_need_sequence(uint64_t need_sequence) {
+    fbb_.AddElement<uint64_t>(LimitGrant::VT_NEED_SEQUENCE, need_sequence, 0);
+  }
+  void add_permits(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::LimitPermit *>> permits) {
+    fbb_.AddOffset(LimitGrant::VT_PERMITS, permits);
+  }
+  explicit LimitGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LimitGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LimitGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LimitGrant> CreateLimitGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t receiver_life = 0,
+    uint64_t need_sequence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::LimitPermit *>> permits = 0) {
+  LimitGrantBuilder builder_(_fbb);
+  builder_.add_need_sequence(need_sequence);
+  builder_.add_receiver_life(receiver_life);
+  builder_.add_permits(permits);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LimitGrant> CreateLimitGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t receiver_life = 0,
+    uint64_t need_sequence = 0,
+    const std::vector<greengagedrum::gossip::wire::LimitPermit> *permits = nullptr) {
+  auto permits__ = permits ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::LimitPermit>(*permits) : 0;
+  return greengagedrum::gossip::wire::CreateLimitGrant(
+      _fbb,
+      receiver_life,
+      need_sequence,
+      permits__);
+}
+
 struct StreamVersions FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StreamVersionsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1175,7 +1314,9 @@
     VT_LINK_BYTES_PER_SECOND = 74,
     VT_KNOWN_CONGESTED = 76,
     VT_STREAM_VERSIONS = 78,
-    VT_SUSPECT_KINDS = 80
+    VT_SUSPECT_KINDS = 80,
+    VT_LIMIT_NEEDS = 82,
+    VT_LIMIT_GRANT = 84
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1291,6 +1432,12 @@
   const flatbuffers::Vector<uint8_t> *suspect_kinds() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_SUSPECT_KINDS);
   }
+  const flatbuffers::Vector<const greengagedrum::gossip::wire::LimitNeed *> *limit_needs() const {
+    return GetPointer<const flatbuffers::Vector<const greengagedrum::gossip::wire::LimitNeed *> *>(VT_LIMIT_NEEDS);
+  }
+  const greengagedrum::gossip::wire::LimitGrant *limit_grant() const {
+    return GetPointer<const greengagedrum::gossip::wire::LimitGrant *>(VT_LIMIT_GRANT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -1350,6 +1497,10 @@
            verifier.VerifyTable(stream_versions()) &&
            VerifyOffset(verifier, VT_SUSPECT_KINDS) &&
            verifier.VerifyVector(suspect_kinds()) &&
+           VerifyOffset(verifier, VT_LIMIT_NEEDS) &&
+           verifier.VerifyVector(limit_needs()) &&
+           VerifyOffset(verifier, VT_LIMIT_GRANT) &&
+           verifier.VerifyTable(limit_grant()) &&
            verifier.EndTable();
   }
 };
@@ -1472,6 +1623,12 @@
   void add_suspect_kinds(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> suspect_kinds) {
     fbb_.AddOffset(Message::VT_SUSPECT_KINDS, suspect_kinds);
   }
+  void add_limit_needs(flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::LimitNeed *>> limit_needs) {
+    fbb_.AddOffset(Message::VT_LIMIT_NEEDS, limit_needs);
+  }
+  void add_limit_grant(flatbuffers::Offset<greengagedrum::gossip::wire::LimitGrant> limit_grant) {
+    fbb_.AddOffset(Message::VT_LIMIT_GRANT, limit_grant);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1522,7 +1679,9 @@
     uint64_t link_bytes_per_second = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known_congested = 0,
     flatbuffers::Offset<greengagedrum::gossip::wire::StreamVersions> stream_versions = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> suspect_kinds = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> suspect_kinds = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::LimitNeed *>> limit_needs = 0,
+    flatbuffers::Offset<greengagedrum::gossip::wire::LimitGrant> limit_grant = 0) {
   MessageBuilder builder_(_fbb);
   builder_.add_link_bytes_per_second(link_bytes_per_second);
   builder_.add_digest(digest);
@@ -1532,6 +1691,8 @@
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_limit_grant(limit_grant);
+  builder_.add_limit_needs(limit_needs);
   builder_.add_suspect_kinds(suspect_kinds);
   builder_.add_stream_versions(stream_versions);
   builder_.add_known_congested(known_congested);
@@ -1604,7 +1765,9 @@
     uint64_t link_bytes_per_second = 0,
     const std::vector<uint8_t> *known_congested = nullptr,
     flatbuffers::Offset<greengagedrum::gossip::wire::StreamVersions> stream_versions = 0,
-    const std::vector<uint8_t> *suspect_kinds = nullptr) {
+    const std::vector<uint8_t> *suspect_kinds = nullptr,
+    const std::vector<greengagedrum::gossip::wire::LimitNeed> *limit_needs = nullptr,
+    flatbuffers::Offset<greengagedrum::gossip::wire::LimitGrant> limit_grant = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1621,6 +1784,7 @@
   auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::RateLimit>(*rate_limits) : 0;
   auto known_congested__ = known_congested ? _fbb.CreateVector<uint8_t>(*known_congested) : 0;
   auto suspect_kinds__ = suspect_kinds ? _fbb.CreateVector<uint8_t>(*suspect_kinds) : 0;
+  auto limit_needs__ = limit_needs ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::LimitNeed>(*limit_needs) : 0;
   return greengagedrum::gossip::wire::CreateMessage(
       _fbb,
       life,
@@ -1660,7 +1824,9 @@
       link_bytes_per_second,
       known_congested__,
       stream_versions,
-      suspect_kinds__);
+      suspect_kinds__,
+      limit_needs__,
+      limit_grant);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -180,6 +180,8 @@
     if (sent.kind == message_kind::reply)
         reply = write_reply(builder, sent.reply);
     const suspect_offsets suspects = write_suspects(builder, sent.suspects);
+    const auto limit_needs = write_limit_needs(builder, sent.limit_needs);
+    const auto limit_grant = write_limit_grant(builder, sent.limit_grant);
     const auto root = wire::CreateMessage(
         builder,
         sent.incarnation.value,
@@ -219,7 +221,9 @@
         sent.link_bytes_per_second,
         write_known_congestion(builder, sent),
         {}, // stream versions are messages of their own
-        suspects.kinds);
+        suspects.kinds,
+        limit_needs,
+        limit_grant);
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -265,6 +269,8 @@
         out.report = read_report(*report);
     out.suspects = read_suspects(*root);
     out.rate_limits = read_rate_limits(*root);
+    out.limit_needs = read_limit_needs(*root);
+    out.limit_grant = read_limit_grant(*root);
     out.store_latency = base::duration(root->store_latency_us());
     out.accepts_compressed = root->reads_packed();
     out.report.sequence = out.sequence;
--- a/src/greengagedrum/gossip/message.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -88,6 +88,10 @@
     std::vector<quarantine::suspect_report> suspects;
     // What the sender's entries have recently read in upstreams' responses.
     std::vector<traffic::announced_limit> rate_limits;
+    // Permits that the sender needs for limited upstreams, and those that it
+    // gives to the recipient alone.
+    std::vector<traffic::limit_need> limit_needs;
+    traffic::limit_grant limit_grant;
     // The sender reads compressed messages, and sends to entries of other
     // regions at the longer interval. False for entries of earlier versions.
     bool accepts_compressed = false;
--- a/src/greengagedrum/gossip/rate_limit_codec.hpp
+++ b/src/greengagedrum/gossip/rate_limit_codec.hpp
@@ -1,4 +1,5 @@
-// Encodes the rate limits that upstreams announce into gossip messages.
+// Encodes the rate limits that upstreams announce, and permits for such
+// upstreams, into gossip messages.
 #pragma once
 
 #include <greengagedrum/gossip/gossip_generated.h>
@@ -22,4 +23,16 @@
 std::vector<traffic::announced_limit>
 read_rate_limits(const wire::Message& from);
 
+flatbuffers::Offset<flatbuffers::Vector<const wire::LimitNeed*>>
+write_limit_needs(flatbuffers::FlatBufferBuilder& builder,
+                  std::span<const traffic::limit_need> sent);
+std::vector<traffic::limit_need> read_limit_needs(const wire::Message& from);
+
+// A null offset if there are no permits.
+flatbuffers::Offset<wire::LimitGrant>
+write_limit_grant(flatbuffers::FlatBufferBuilder& builder,
+                  const traffic::limit_grant& sent);
+// Its giver and number are those of the message.
+traffic::limit_grant read_limit_grant(const wire::Message& from);
+
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/test/rate_limit_codec_test.cpp
+++ b/src/greengagedrum/gossip/test/rate_limit_codec_test.cpp
@@ -36,4 +36,39 @@
     CHECK(read->rate_limits.empty());
 }
 
+TEST_CASE("limit_needs_and_grant_encoded_decode_to_same_fields")
+{
+    message sent;
+    sent.incarnation.value = 3;
+    sent.sequence = 12;
+    sent.limit_needs = {{base::upstream_class_id("engines"), 9}};
+    sent.limit_grant.receiver.value = 5;
+    sent.limit_grant.need_number = 11;
+    sent.limit_grant.permits = {{base::upstream_id("i-1"), 2, 400ms}};
+    const auto read = decode_message(encode(sent));
+    REQUIRE(read);
+    REQUIRE(read->limit_needs.size() == 1);
+    CHECK(read->limit_needs.front().service ==
+          base::upstream_class_id("engines"));
+    CHECK(read->limit_needs.front().requests == 9);
+    const traffic::limit_grant& grant = read->limit_grant;
+    CHECK(grant.giver.value == 3);
+    CHECK(grant.number == 12);
+    CHECK(grant.receiver.value == 5);
+    CHECK(grant.need_number == 11);
+    REQUIRE(grant.permits.size() == 1);
+    CHECK(grant.permits.front().upstream == base::upstream_id("i-1"));
+    CHECK(grant.permits.front().requests == 2);
+    CHECK(grant.permits.front().lifetime == 400ms);
+}
+
+// As from an entry of an earlier build.
+TEST_CASE("message_without_limit_fields_has_no_need_and_no_grant")
+{
+    const auto read = decode_message(encode(message()));
+    REQUIRE(read);
+    CHECK(read->limit_needs.empty());
+    CHECK(read->limit_grant.permits.empty());
+}
+
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/traffic/announced_limits.cpp
+++ b/src/greengagedrum/traffic/announced_limits.cpp
@@ -1,6 +1,7 @@
 #include <greengagedrum/placement/mix.hpp>
 #include <greengagedrum/placement/seconds.hpp>
 #include <greengagedrum/traffic/announced_limits.hpp>
+#include <greengagedrum/traffic/limit_permits.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -27,6 +28,16 @@
 // Part of a second's requests that may be sent at once.
 constexpr double burst_seconds = 0.25;
 
+// What upstreams tolerate in any window: a multiple of the limit and a number
+// of requests.
+constexpr double window_seconds = 4;
+constexpr double window_overshoot = 1.5;
+constexpr double window_slack = 5;
+
+// Part of that tolerance that permits may take up, beside the bursts; the rest
+// is kept for changes of parts.
+constexpr double permit_share = 0.5;
+
 double burst_of(double rate)
 {
     return std::max(1.0, rate * burst_seconds);
@@ -85,15 +96,57 @@
     return found == nullptr ? 0 : found->per_second;
 }
 
+double announced_limits::sharers_of(double per_second) const
+{
+    return std::clamp(std::floor(per_second * sharers_per_request),
+                      1.0,
+                      static_cast<double>(this->share.entries));
+}
+
+// Requests that were counted up to one lifetime before a window may be sent
+// within it.
+base::duration announced_limits::permit_lifetime(double per_second) const
+{
+    const double sharers = this->sharers_of(per_second);
+    const double room = window_seconds * per_second * (window_overshoot - 1) +
+                        window_slack - sharers * burst_of(per_second / sharers);
+    return std::min(
+        duration_of(std::max(0.0, permit_share * room / per_second)),
+        limit_permits::max_lifetime);
+}
+
+limit_permit announced_limits::give(base::upstream_id upstream,
+                                    std::uint32_t requests_most,
+                                    base::instant now)
+{
+    limit_permit out{upstream};
+    out.requests = std::min(requests_most, this->allowance(upstream, now));
+    for (std::uint32_t given = 0; given < out.requests; ++given)
+        this->on_sent(upstream, now);
+    if (out.requests > 0)
+        out.lifetime = this->permit_lifetime(this->limit_of(upstream, now));
+    return out;
+}
+
+// The parts of all ranks add up to the need. They change with each message, so
+// that entries with nothing left to give are not asked over and over.
+std::uint32_t announced_limits::requested_part(std::uint32_t need,
+                                               std::uint64_t need_number) const
+{
+    if (this->share.entries == 0)
+        return 0;
+    const auto turn = static_cast<std::uint32_t>(
+        (this->share.rank + placement::mix(need_number)) % this->share.entries);
+    return need / this->share.entries +
+           (turn < need % this->share.entries ? 1 : 0);
+}
+
 double announced_limits::own_rate(base::upstream_id upstream,
                                   double per_second) const
 {
     if (this->share.entries == 0 || per_second <= 0)
         return 0;
-    const double sharers =
-        std::clamp(std::floor(per_second * sharers_per_request),
-                   1.0,
-                   static_cast<double>(this->share.entries));
+    const double sharers = this->sharers_of(per_second);
     // Differs between upstreams, so that the same entries do not get a part of
     // every limit.
     const std::uint64_t place =
--- a/src/greengagedrum/traffic/announced_limits.hpp
+++ b/src/greengagedrum/traffic/announced_limits.hpp
@@ -5,11 +5,13 @@
 // Every entry tells the others what it has read in responses. Only the entries
 // of the upstream's own data centre that dispatch requests send to it, each
 // with a fixed part of the limit. No more entries get a part than the limit has
-// room for, since each may exceed its rate by a request.
+// room for, since each may exceed its rate by a request. What an entry does not
+// use of its part it may give to others, a request at a time (limit_permits).
 #pragma once
 
 #include <greengagedrum/base/ids.hpp>
 #include <greengagedrum/base/time.hpp>
+#include <greengagedrum/traffic/limit_grant.hpp>
 #include <greengagedrum/traffic/slow_start.hpp>
 
 #include <cstdint>
@@ -52,6 +54,16 @@
                             base::instant now) const;
     void on_sent(base::upstream_id upstream, base::instant now);
 
+    // Counts up to that many requests as sent by this entry and returns a
+    // permit for another entry to send them.
+    limit_permit give(base::upstream_id upstream,
+                      std::uint32_t requests_most,
+                      base::instant now);
+    // What this entry is asked to give of a need that it and all others with a
+    // part received by the same message.
+    std::uint32_t requested_part(std::uint32_t need,
+                                 std::uint64_t need_number) const;
+
     // What the own group has read recently. Reports of peers are not passed on:
     // a limit that has ended would be renewed from entry to entry.
     std::vector<announced_limit> recent(base::instant now) const;
@@ -71,6 +83,8 @@
                                            base::instant now) const;
     // Requests a second that this entry may send.
     double own_rate(base::upstream_id upstream, double per_second) const;
+    double sharers_of(double per_second) const;
+    base::duration permit_lifetime(double per_second) const;
     void remove_expired(base::instant now);
 
     slow_start_share share{0, 1};
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -166,6 +166,17 @@
         return this->pool.announced_limits();
     }
 
+    traffic::limit_permits& limit_permits()
+    {
+        return this->pool.limit_permits();
+    }
+    // Queued requests for which other entries could give permits.
+    std::vector<limit_need> limit_needs(base::instant now) const;
+    // Permits for another entry, whose message of that number stated its needs.
+    std::vector<limit_permit> give_permits(std::span<const limit_need> needs,
+                                           std::uint64_t need_number,
+                                           base::instant now);
+
     std::size_t in_flight() const { return this->requests.size(); }
     std::size_t waiting() const;
     const scheduler_counters& counters() const { return this->count; }
--- a/src/greengagedrum/traffic/upstream_choice.cpp
+++ b/src/greengagedrum/traffic/upstream_choice.cpp
@@ -217,7 +217,7 @@
 // whose peers have no queues competes with none of them, and a subset would
 // leave slots unused while its own queue grows. A request that has failed
 // elsewhere may go to any upstream, and so may one that needs a version, which
-// may be rare nearby.
+// may be rare nearby. Entries do not compete for what a permit allows.
 bool upstream_pool::may_use(base::upstream_id id,
                             const upstream& one,
                             const dispatch_query& query) const
@@ -257,7 +257,8 @@
     for (const base::upstream_id id : all.members) {
         const upstream& one = this->upstreams.at(id);
         if (!fits(id, one, query) ||
-            (enough_nearby && !this->may_use(id, one, query)) ||
+            (enough_nearby && this->permits.available(id, now) == 0 &&
+             !this->may_use(id, one, query)) ||
             (!reaches_all && this->reach.avoids(query.sender, id, now)))
             continue;
         const bool probe = now >= all.probe_at && one.outliers.may_probe(now);
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -244,7 +244,9 @@
     own->own_pending_prefill += prompt_tokens;
     if (this->services[own->service].cold_rate > 0)
         own->recent.add(now);
-    this->limits.on_sent(where.upstream, now);
+    if (this->limits.limit_of(where.upstream, now) <= 0 ||
+        !this->permits.use(where.upstream, now))
+        this->limits.on_sent(where.upstream, now);
     if (!where.probe)
         return;
     own->outliers.probe_sent();
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -14,6 +14,7 @@
 #include <greengagedrum/traffic/announced_limits.hpp>
 #include <greengagedrum/traffic/crossing_estimator.hpp>
 #include <greengagedrum/traffic/inter_event_time.hpp>
+#include <greengagedrum/traffic/limit_permits.hpp>
 #include <greengagedrum/traffic/messages.hpp>
 #include <greengagedrum/traffic/outlier_detector.hpp>
 #include <greengagedrum/traffic/prefill_interference.hpp>
@@ -144,6 +145,18 @@
         return this->limits;
     }
 
+    // Permits of other entries to send to upstreams with such a limit.
+    traffic::limit_permits& limit_permits() { return this->permits; }
+    // Of so many queued requests of a service, those that need permits.
+    std::uint32_t unmet_limit_need(base::upstream_class_id service,
+                                   std::size_t queued,
+                                   base::instant now) const;
+    // Gives what this entry does not use of its parts, as far as it is asked
+    // to.
+    std::vector<limit_permit> give_permits(const limit_need& need,
+                                           std::uint64_t need_number,
+                                           base::instant now);
+
     // Nothing when no suitable upstream has a free slot.
     std::optional<dispatch_choice> choose(const dispatch_query& query,
                                           base::instant now) const;
@@ -351,6 +364,7 @@
     std::unordered_map<base::slot_id, peer_load> peer_loads;
     base::instant silence_checked_at;
     traffic::announced_limits limits;
+    traffic::limit_permits permits;
     traffic::reachability reach;
 };
 
--- a/src/greengagedrum/traffic/upstream_slots.cpp
+++ b/src/greengagedrum/traffic/upstream_slots.cpp
@@ -77,10 +77,11 @@
     std::uint32_t open = one.slots - std::min(one.slots, taken);
     if (now < one.cold_until)
         open = std::min(open, this->cold_allowance(one, now));
-    if (this->limits.limit_of(id, now) > 0)
-        open = this->is_near(one)
-                   ? std::min(open, this->limits.allowance(id, now))
-                   : 0;
+    if (this->limits.limit_of(id, now) > 0) {
+        const std::uint32_t part =
+            this->is_near(one) ? this->limits.allowance(id, now) : 0;
+        open = std::min(open, part + this->permits.available(id, now));
+    }
     return open;
 }
 
