Fleet tests: poison parts at entries that start or were cut off

Callers saw upstreams crash one after the other although a part of the prompt was quarantined: an entry that had just started, or came back from a partition, sent requests with the part again. The fleet tests did not count sends of entries that had run for less than three seconds.

The new tests count the sends of all entries.

--- a/src/greengagedrum/entry/fleet_test/fault_injection.cpp
+++ b/src/greengagedrum/entry/fleet_test/fault_injection.cpp
@@ -43,6 +43,12 @@
     this->restart_at[number] = this->now + start_duration;
 }
 
+void virtual_fleet::kill(std::size_t number, base::duration down_for)
+{
+    this->stop_process(number);
+    this->restart_at[number] = this->now + down_for;
+}
+
 void virtual_fleet::restart_due_entries()
 {
     for (std::size_t number = 0; number < this->nodes.size(); ++number) {
--- a/src/greengagedrum/entry/fleet_test/prompt_part_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/prompt_part_fleet.cpp
@@ -13,13 +13,17 @@
 
 constexpr base::duration poison_after = 5s; // of the start
 constexpr std::uint32_t counted_crash = 5;
-// Time after the fifth crash, and age of a process, from which a send counts as
-// late.
+// Time after the fifth crash from which a send counts as late.
 constexpr base::duration late_after = 3s;
 // Time after the fifth crash from which the shares of sent requests are
 // counted, until this long before the end: a queued request waits two seconds.
 constexpr base::duration settled_after = 6s;
 constexpr base::duration queued_at_most = 2500ms;
+// Entries that are killed in turn, and poison requests aimed at one.
+constexpr base::duration kill_interval = 1100ms;
+constexpr base::duration down_time = 500ms;
+constexpr base::duration aimed_for = 1500ms;
+constexpr base::duration aimed_interval = 50ms;
 // Fewer requests than this say nothing about their share.
 constexpr std::uint32_t fewest_requests = 4;
 
@@ -125,7 +129,7 @@
     one.crashes = true;
     one.ends_at = now + 150ms +
                   std::chrono::microseconds(this->fleet.random()() % 50'000);
-    if (!this->fleet.is_informed(one.entry, late_after))
+    if (!this->fleet.is_informed(one.entry, this->plan.informed_after))
         return;
     for (const std::size_t number : request.parts) {
         part_record& record = this->parts[number];
@@ -222,6 +226,50 @@
 void prompt_part_fleet::send_poison_request()
 {
     const std::size_t entry = this->fleet.random()() % this->fleet.size();
+    if (!this->is_spared(entry))
+        this->send_poison_request(entry);
+}
+
+bool prompt_part_fleet::is_spared(std::size_t entry) const
+{
+    return this->plan.poison_on_return && !this->returned &&
+           this->fleet.is_behind_partition(entry);
+}
+
+void prompt_part_fleet::kill_entries_in_turn()
+{
+    const base::instant now = this->fleet.time();
+    if (!this->plan.kills_after_fifth_crash || now < this->next_kill ||
+        this->parts.front().crashes < counted_crash)
+        return;
+    const std::size_t entry = this->fleet.random()() % this->fleet.size();
+    this->next_kill = now + kill_interval;
+    this->fleet.kill(entry, down_time);
+    this->targets.push_back({entry, now + down_time + aimed_for});
+}
+
+void prompt_part_fleet::send_poison_to_targets()
+{
+    const base::instant now = this->fleet.time();
+    if (this->plan.poison_on_return && !this->returned &&
+        this->fleet.seconds() >= this->plan.cut_from + this->plan.cut_for) {
+        this->returned = true;
+        for (std::size_t entry = 0; entry < this->fleet.size(); ++entry) {
+            if (this->fleet.is_behind_partition(entry))
+                this->targets.push_back({entry, now + aimed_for});
+        }
+    }
+    std::erase_if(this->targets,
+                  [&](const target& one) { return one.until <= now; });
+    if (now < this->next_to_targets)
+        return;
+    this->next_to_targets = now + aimed_interval;
+    for (const target& one : this->targets)
+        this->send_poison_request(one.entry);
+}
+
+void prompt_part_fleet::send_poison_request(std::size_t entry)
+{
     if (!this->fleet.is_serving(entry))
         return;
     const bool poison_is_first = this->plan.kind == poison_part_kind::first;
@@ -302,6 +350,8 @@
         this->forget_crashes_when_all_are_killed();
         this->send_sound_requests();
         this->send_poison_requests();
+        this->kill_entries_in_turn();
+        this->send_poison_to_targets();
     }
     this->count_shares();
     for (const part_record& one : this->parts)
--- a/src/greengagedrum/entry/fleet_test/prompt_part_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/prompt_part_fleet.hpp
@@ -28,6 +28,14 @@
     double poison_requests = 1.2; // a second, in total
     double requests = 2.2;        // sound ones, a second and upstream
     bool resumable = false;       // streams are resumed, in two sends at most
+    // Sends of an entry count from this long after its start or its return.
+    base::duration informed_after = std::chrono::seconds(3);
+    // From the fifth crash on, one entry after another is killed and started,
+    // and is sent poison requests from its first moment.
+    bool kills_after_fifth_crash = false;
+    // No poison requests go to entries behind the partition until it ends, and
+    // many do from then on.
+    bool poison_on_return = false;
 };
 
 // Sound requests and those of them that an upstream got at their first attempt.
@@ -115,6 +123,10 @@
     void send_sound_request();
     void send_poison_requests();
     void send_poison_request();
+    void send_poison_request(std::size_t entry);
+    void kill_entries_in_turn();
+    void send_poison_to_targets();
+    bool is_spared(std::size_t entry) const;
     void count_shares();
 
     prompt_part_plan plan;
@@ -125,8 +137,18 @@
     base::instant poison_from;
     base::instant next_poison;
     origin poison_origin;
+    // An entry that poison requests are aimed at, until that time.
+    struct target {
+        std::size_t entry = 0;
+        base::instant until;
+    };
+
     std::uint64_t next_body = 0;
     bool forgot = false;
+    std::vector<target> targets;
+    base::instant next_kill;
+    base::instant next_to_targets;
+    bool returned = false;
     prompt_part_result result;
 };
 
--- a/src/greengagedrum/entry/fleet_test/upstream_crash_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/upstream_crash_fleet.hpp
@@ -58,6 +58,16 @@
     {
         return this->fleet.serving(entry) != nullptr;
     }
+    // On the smaller side of the plan's network partition.
+    bool is_behind_partition(std::size_t entry) const
+    {
+        return this->fleet.is_behind_partition(entry);
+    }
+    // Kills the entry's process; another one starts after that time.
+    void kill(std::size_t entry, base::duration down_for)
+    {
+        this->fleet.kill(entry, down_for);
+    }
     // Time since the entry's process started.
     base::duration age(std::size_t entry) const
     {
--- a/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/virtual_fleet.hpp
@@ -97,6 +97,8 @@
     void step();
     // Stops the entry's process, if it runs, as at a restart.
     void begin_stop(std::size_t number);
+    // Kills the entry's process; another one starts after that time.
+    void kill(std::size_t number, base::duration down_for);
 
     std::size_t size() const { return this->nodes.size(); }
     // Null while the entry is down.
