Quarantine: an entry that starts asks first what is quarantined

Callers saw upstreams crash on a part of the prompt that all other entries refused: an entry that had just started was ready as soon as it had a configuration, and records of the quarantine reached it by turns, eight each 250 ms. Until then it sent what it got.

An entry that starts now asks its peers for all records, and until one has told it all it is not ready, and keeps requests that could be quarantined in its queue; open connections are used before readiness is looked at. The answer comes in messages of at most 1,000 bytes of records, eight a question; the entry asks again after the last digest before a gap. Why it ended is logged (quarantine_known), and readiness names the reason meanwhile.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -278,13 +278,16 @@
 
 bool entry::ready() const
 {
-    return !this->state.stopping && this->state.cluster.routes() != nullptr;
+    return !this->state.stopping && this->state.cluster.routes() != nullptr &&
+           !this->peers->awaits_quarantine();
 }
 
 relay::small_answer entry::answer_readiness() const
 {
     if (this->ready())
         return {200, "text/plain", "ready\n"};
+    if (this->peers->awaits_quarantine())
+        return {503, "text/plain", "not ready: quarantine not known\n"};
     return {503, "text/plain", "not ready\n"};
 }
 
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -55,6 +55,7 @@
 {
     state.scheduler.set_slow_start_share(this->current_share);
     this->apply_settings(given);
+    this->begin_suspect_inquiry(state.clock());
 }
 
 void peer_protocol::apply_settings(const settings& given)
@@ -196,6 +197,12 @@
         break;
     case gossip::message_kind::dispatcher_query_reply:
         break;
+    case gossip::message_kind::suspect_query:
+        this->answer_suspect_query(*message, now);
+        break;
+    case gossip::message_kind::suspect_page:
+        this->on_suspect_page(*message, now);
+        break;
     }
     if (update != gossip::peer_update::none)
         this->update_role(now);
@@ -241,6 +248,7 @@
     if (this->uses_dispatchers)
         this->send_replies();
     this->send_due();
+    this->advance_suspect_inquiry(this->state.clock());
     this->set_timer();
 }
 
@@ -365,6 +373,7 @@
     const base::instant now = this->state.clock();
     this->observe_load(now);
     this->send_due();
+    this->advance_suspect_inquiry(now);
     if (now - this->checked_at < check_interval)
         return;
     this->checked_at = now;
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -20,6 +20,7 @@
 #include <greengagedrum/gossip/duty_fitness.hpp>
 #include <greengagedrum/gossip/gossip_schedule.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
+#include <greengagedrum/quarantine/suspect_inquiry.hpp>
 #include <greengagedrum/versions/messages.hpp>
 
 #include <algorithm>
@@ -111,6 +112,10 @@
         this->own_store_answer_at = this->state.clock();
     }
 
+    // Whether this entry still asks peers what is quarantined. It is not ready
+    // before, and sends no request that could be.
+    bool awaits_quarantine() const { return this->inquiry.pending(); }
+
     // The body of the answer to a peer's query: items, or a referral.
     std::string answer(const item_query& query);
 
@@ -169,6 +174,13 @@
     void merge_rate_limits(const gossip::message& received, base::instant now);
     std::vector<quarantine::suspect_report>
     suspects_to_send(base::instant& sent_all_at, base::instant now);
+    void begin_suspect_inquiry(base::instant now);
+    void advance_suspect_inquiry(base::instant now);
+    quarantine::suspect_inquiry::peers peers_to_ask(base::instant now) const;
+    void send_suspect_query(const quarantine::suspect_inquiry::question& sent);
+    void answer_suspect_query(const gossip::message& received,
+                              base::instant now);
+    void on_suspect_page(const gossip::message& received, base::instant now);
     void on_load(const gossip::message& received, base::instant now);
     void on_report(const gossip::message& received, base::instant now);
     void on_reply(const gossip::message& received, base::instant now);
@@ -245,6 +257,7 @@
     // When unchanged crash suspects were last sent.
     std::array<base::instant, gossip::recipient_group_count> suspects_sent_at{};
     base::instant member_suspects_sent_at;
+    quarantine::suspect_inquiry inquiry;
 
     // A position in the change history of one incarnation of a peer.
     struct change_position {
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -50,6 +50,10 @@
 
 struct Crash;
 
+struct SuspectsWanted;
+
+struct SuspectPage;
+
 struct RateLimit;
 
 struct StreamVersion;
@@ -478,6 +482,76 @@
 };
 FLATBUFFERS_STRUCT_END(Crash, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) SuspectsWanted FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t after_high_;
+  uint64_t after_low_;
+
+ public:
+  SuspectsWanted()
+      : after_high_(0),
+        after_low_(0) {
+  }
+  SuspectsWanted(uint64_t _after_high, uint64_t _after_low)
+      : after_high_(flatbuffers::EndianScalar(_after_high)),
+        after_low_(flatbuffers::EndianScalar(_after_low)) {
+  }
+  uint64_t after_high() const {
+    return flatbuffers::EndianScalar(after_high_);
+  }
+  uint64_t after_low() const {
+    return flatbuffers::EndianScalar(after_low_);
+  }
+};
+FLATBUFFERS_STRUCT_END(SuspectsWanted, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) SuspectPage FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t after_high_;
+  uint64_t after_low_;
+  uint64_t last_high_;
+  uint64_t last_low_;
+  uint32_t state_;
+  uint32_t to_come_;
+
+ public:
+  SuspectPage()
+      : after_high_(0),
+        after_low_(0),
+        last_high_(0),
+        last_low_(0),
+        state_(0),
+        to_come_(0) {
+  }
+  SuspectPage(uint64_t _after_high, uint64_t _after_low, uint64_t _last_high, uint64_t _last_low, uint32_t _state, uint32_t _to_come)
+      : after_high_(flatbuffers::EndianScalar(_after_high)),
+        after_low_(flatbuffers::EndianScalar(_after_low)),
+        last_high_(flatbuffers::EndianScalar(_last_high)),
+        last_low_(flatbuffers::EndianScalar(_last_low)),
+        state_(flatbuffers::EndianScalar(_state)),
+        to_come_(flatbuffers::EndianScalar(_to_come)) {
+  }
+  uint64_t after_high() const {
+    return flatbuffers::EndianScalar(after_high_);
+  }
+  uint64_t after_low() const {
+    return flatbuffers::EndianScalar(after_low_);
+  }
+  uint64_t last_high() const {
+    return flatbuffers::EndianScalar(last_high_);
+  }
+  uint64_t last_low() const {
+    return flatbuffers::EndianScalar(last_low_);
+  }
+  uint32_t state() const {
+    return flatbuffers::EndianScalar(state_);
+  }
+  uint32_t to_come() const {
+    return flatbuffers::EndianScalar(to_come_);
+  }
+};
+FLATBUFFERS_STRUCT_END(SuspectPage, 40);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RateLimit FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t upstream_;
@@ -1175,7 +1249,9 @@
     VT_LINK_BYTES_PER_SECOND = 74,
     VT_KNOWN_CONGESTED = 76,
     VT_STREAM_VERSIONS = 78,
-    VT_SUSPECT_KINDS = 80
+    VT_SUSPECT_KINDS = 80,
+    VT_SUSPECTS_WANTED = 82,
+    VT_SUSPECT_PAGE = 84
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1291,6 +1367,12 @@
   const flatbuffers::Vector<uint8_t> *suspect_kinds() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_SUSPECT_KINDS);
   }
+  const greengagedrum::gossip::wire::SuspectsWanted *suspects_wanted() const {
+    return GetStruct<const greengagedrum::gossip::wire::SuspectsWanted *>(VT_SUSPECTS_WANTED);
+  }
+  const greengagedrum::gossip::wire::SuspectPage *suspect_page() const {
+    return GetStruct<const greengagedrum::gossip::wire::SuspectPage *>(VT_SUSPECT_PAGE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -1350,6 +1432,8 @@
            verifier.VerifyTable(stream_versions()) &&
            VerifyOffset(verifier, VT_SUSPECT_KINDS) &&
            verifier.VerifyVector(suspect_kinds()) &&
+           VerifyField<greengagedrum::gossip::wire::SuspectsWanted>(verifier, VT_SUSPECTS_WANTED, 8) &&
+           VerifyField<greengagedrum::gossip::wire::SuspectPage>(verifier, VT_SUSPECT_PAGE, 8) &&
            verifier.EndTable();
   }
 };
@@ -1472,6 +1556,12 @@
   void add_suspect_kinds(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> suspect_kinds) {
     fbb_.AddOffset(Message::VT_SUSPECT_KINDS, suspect_kinds);
   }
+  void add_suspects_wanted(const greengagedrum::gossip::wire::SuspectsWanted *suspects_wanted) {
+    fbb_.AddStruct(Message::VT_SUSPECTS_WANTED, suspects_wanted);
+  }
+  void add_suspect_page(const greengagedrum::gossip::wire::SuspectPage *suspect_page) {
+    fbb_.AddStruct(Message::VT_SUSPECT_PAGE, suspect_page);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1522,7 +1612,9 @@
     uint64_t link_bytes_per_second = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> known_congested = 0,
     flatbuffers::Offset<greengagedrum::gossip::wire::StreamVersions> stream_versions = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> suspect_kinds = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> suspect_kinds = 0,
+    const greengagedrum::gossip::wire::SuspectsWanted *suspects_wanted = nullptr,
+    const greengagedrum::gossip::wire::SuspectPage *suspect_page = nullptr) {
   MessageBuilder builder_(_fbb);
   builder_.add_link_bytes_per_second(link_bytes_per_second);
   builder_.add_digest(digest);
@@ -1532,6 +1624,8 @@
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_suspect_page(suspect_page);
+  builder_.add_suspects_wanted(suspects_wanted);
   builder_.add_suspect_kinds(suspect_kinds);
   builder_.add_stream_versions(stream_versions);
   builder_.add_known_congested(known_congested);
@@ -1604,7 +1698,9 @@
     uint64_t link_bytes_per_second = 0,
     const std::vector<uint8_t> *known_congested = nullptr,
     flatbuffers::Offset<greengagedrum::gossip::wire::StreamVersions> stream_versions = 0,
-    const std::vector<uint8_t> *suspect_kinds = nullptr) {
+    const std::vector<uint8_t> *suspect_kinds = nullptr,
+    const greengagedrum::gossip::wire::SuspectsWanted *suspects_wanted = nullptr,
+    const greengagedrum::gossip::wire::SuspectPage *suspect_page = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1660,7 +1756,9 @@
       link_bytes_per_second,
       known_congested__,
       stream_versions,
-      suspect_kinds__);
+      suspect_kinds__,
+      suspects_wanted,
+      suspect_page);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -92,8 +92,10 @@
 // needs no answer.
 message_kind kind_of(std::uint8_t from)
 {
-    constexpr auto last = message_kind::dispatcher_load;
-    return from <= static_cast<std::uint8_t>(last)
+    const auto kind = static_cast<message_kind>(from);
+    return from <= static_cast<std::uint8_t>(message_kind::dispatcher_load) ||
+                   kind == message_kind::suspect_query ||
+                   kind == message_kind::suspect_page
                ? static_cast<message_kind>(from)
                : message_kind::dispatcher_query_reply;
 }
@@ -179,6 +181,8 @@
     flatbuffers::Offset<wire::Reply> reply;
     if (sent.kind == message_kind::reply)
         reply = write_reply(builder, sent.reply);
+    const wire::SuspectsWanted wanted = wire_query_of(sent.suspect_query);
+    const wire::SuspectPage page = wire_page_of(sent.suspect_page);
     const suspect_offsets suspects = write_suspects(builder, sent.suspects);
     const auto root = wire::CreateMessage(
         builder,
@@ -219,7 +223,9 @@
         sent.link_bytes_per_second,
         write_known_congestion(builder, sent),
         {}, // stream versions are messages of their own
-        suspects.kinds);
+        suspects.kinds,
+        sent.kind == message_kind::suspect_query ? &wanted : nullptr,
+        sent.kind == message_kind::suspect_page ? &page : nullptr);
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -264,6 +270,10 @@
     if (const auto* report = root->report())
         out.report = read_report(*report);
     out.suspects = read_suspects(*root);
+    if (const auto* wanted = root->suspects_wanted())
+        out.suspect_query = suspect_query_of(*wanted);
+    if (const auto* page = root->suspect_page())
+        out.suspect_page = suspect_page_of(*page);
     out.rate_limits = read_rate_limits(*root);
     out.store_latency = base::duration(root->store_latency_us());
     out.accepts_compressed = root->reads_packed();
--- a/src/greengagedrum/gossip/message.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -46,6 +46,10 @@
     dispatcher_query_reply,
     // A load message of a dispatcher, for its whole data centre.
     dispatcher_load,
+    // Asks for all records of crash suspects. The number before it is that of
+    // the messages about versions of streams.
+    suspect_query = 7,
+    suspect_page, // one message of the answer
 };
 
 struct message {
@@ -86,6 +90,8 @@
     dispatch::member_report report;
     dispatch::dispatcher_reply reply;
     std::vector<quarantine::suspect_report> suspects;
+    quarantine::suspect_query suspect_query; // of that kind of message
+    quarantine::suspect_page suspect_page;   // describes `suspects`
     // What the sender's entries have recently read in upstreams' responses.
     std::vector<traffic::announced_limit> rate_limits;
     // The sender reads compressed messages, and sends to entries of other
--- a/src/greengagedrum/gossip/peer_table.cpp
+++ b/src/greengagedrum/gossip/peer_table.cpp
@@ -90,6 +90,24 @@
     return out;
 }
 
+peer_table::peers_by_liveness peer_table::by_liveness(base::instant now) const
+{
+    peers_by_liveness out;
+    std::size_t nearby = 0;
+    for (const auto& [address, one] : this->peers) {
+        if (!is_live(one, now)) {
+            out.silent.push_back(address);
+        } else if (one.in_own_data_centre && !one.stopping) {
+            out.live.insert(out.live.begin() +
+                                static_cast<std::ptrdiff_t>(nearby++),
+                            address);
+        } else if (!one.stopping) {
+            out.live.push_back(address);
+        }
+    }
+    return out;
+}
+
 recipient_group peer_table::group_of(const peer& known_peer, base::instant now)
 {
     if (!is_live(known_peer, now))
--- a/src/greengagedrum/gossip/peer_table.hpp
+++ b/src/greengagedrum/gossip/peer_table.hpp
@@ -85,6 +85,13 @@
     {
         return this->peers.contains(address);
     }
+    // Live peers that do not stop, those of the own data centre first, and
+    // seeds and other peers that are not live.
+    struct peers_by_liveness {
+        std::vector<ipv4_address> live;
+        std::vector<ipv4_address> silent;
+    };
+    peers_by_liveness by_liveness(base::instant now) const;
     // Number of seeds and listed peers from which no message has come yet.
     std::size_t never_heard_count() const;
     bool has_never_heard_seed() const;
--- a/src/greengagedrum/gossip/suspect_codec.cpp
+++ b/src/greengagedrum/gossip/suspect_codec.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+enum class page_state : std::uint32_t { more_follow, complete, uninformed };
+
 constexpr std::uint32_t never = std::numeric_limits<std::uint32_t>::max();
 
 // Capped at 49 days, the largest value below `never`.
@@ -90,4 +92,37 @@
     return out;
 }
 
+wire::SuspectsWanted wire_query_of(const quarantine::suspect_query& sent)
+{
+    return {sent.after.high, sent.after.low};
+}
+
+quarantine::suspect_query suspect_query_of(const wire::SuspectsWanted& from)
+{
+    return {{from.after_high(), from.after_low()}};
+}
+
+wire::SuspectPage wire_page_of(const quarantine::suspect_page& sent)
+{
+    const page_state state = sent.uninformed ? page_state::uninformed
+                             : sent.complete ? page_state::complete
+                                             : page_state::more_follow;
+    return {sent.after.high,
+            sent.after.low,
+            sent.last.high,
+            sent.last.low,
+            static_cast<std::uint32_t>(state),
+            sent.pages_to_come};
+}
+
+quarantine::suspect_page suspect_page_of(const wire::SuspectPage& from)
+{
+    const auto state = static_cast<page_state>(from.state());
+    return {{from.after_high(), from.after_low()},
+            {from.last_high(), from.last_low()},
+            state == page_state::complete,
+            state == page_state::uninformed,
+            from.to_come()};
+}
+
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/suspect_codec.hpp
+++ b/src/greengagedrum/gossip/suspect_codec.hpp
@@ -24,4 +24,10 @@
 std::vector<quarantine::suspect_report>
 read_suspects(const wire::Message& from);
 
+wire::SuspectsWanted wire_query_of(const quarantine::suspect_query& sent);
+quarantine::suspect_query suspect_query_of(const wire::SuspectsWanted& from);
+
+wire::SuspectPage wire_page_of(const quarantine::suspect_page& sent);
+quarantine::suspect_page suspect_page_of(const wire::SuspectPage& from);
+
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/gossip/test/suspect_codec_test.cpp
+++ b/src/greengagedrum/gossip/test/suspect_codec_test.cpp
@@ -58,4 +58,31 @@
     CHECK(read->suspects.empty());
 }
 
+TEST_CASE("suspect_query_and_page_decode_to_same_fields")
+{
+    message sent;
+    sent.kind = message_kind::suspect_query;
+    sent.suspect_query.after = {5, 6};
+    const auto query = decode_message(encode(sent));
+    REQUIRE(query);
+    CHECK(query->kind == message_kind::suspect_query);
+    CHECK(query->suspect_query.after == base::request_digest{5, 6});
+
+    sent.kind = message_kind::suspect_page;
+    sent.suspect_page = {{1, 2}, {3, 4}, true, false, 7};
+    const auto page = decode_message(encode(sent));
+    REQUIRE(page);
+    CHECK(page->kind == message_kind::suspect_page);
+    CHECK(page->suspect_page.after == base::request_digest{1, 2});
+    CHECK(page->suspect_page.last == base::request_digest{3, 4});
+    CHECK(page->suspect_page.complete);
+    CHECK_FALSE(page->suspect_page.uninformed);
+    CHECK(page->suspect_page.pages_to_come == 7);
+
+    sent.suspect_page.uninformed = true;
+    const auto uninformed = decode_message(encode(sent));
+    REQUIRE(uninformed);
+    CHECK(uninformed->suspect_page.uninformed);
+}
+
 } // namespace greengagedrum::gossip
--- a/src/greengagedrum/quarantine/messages.hpp
+++ b/src/greengagedrum/quarantine/messages.hpp
@@ -40,6 +40,21 @@
     suspect_kind kind = suspect_kind::request;
 };
 
+// Asks a peer for all records with a digest above `after`, in their order.
+struct suspect_query {
+    base::request_digest after;
+};
+
+// Describes the records in one of the messages that answer a query.
+struct suspect_page {
+    base::request_digest after; // the records follow this one,
+    base::request_digest last;  // up to this one
+    bool complete = false;      // there are none after `last`
+    // The sender has just started and doesn't know the records either.
+    bool uninformed = false;
+    std::uint32_t pages_to_come = 0; // in answer to the same query
+};
+
 enum class quarantine_state : std::uint8_t {
     clear,
     suspected,   // one copy runs at a time
--- a/src/greengagedrum/quarantine/suspect_exchange.cpp
+++ b/src/greengagedrum/quarantine/suspect_exchange.cpp
@@ -19,6 +19,11 @@
 constexpr std::size_t quarantined_per_round = 8;
 constexpr std::size_t others_per_round = 4;
 
+// Sizes in a message. A page fits a packet together with the other fields.
+constexpr std::size_t page_bytes = 1000;
+constexpr std::size_t record_bytes = 33;
+constexpr std::size_t crash_bytes = 12;
+
 } // namespace
 
 std::vector<suspect_report>
@@ -101,6 +106,32 @@
     }
 }
 
+std::vector<suspect_report>
+suspect_table::collect_page(const base::request_digest& after,
+                            base::instant now,
+                            suspect_page& page) const
+{
+    std::vector<suspect_report> out;
+    page.after = after;
+    page.last = after;
+    std::size_t bytes = 0;
+    for (auto next = this->records.upper_bound(after);
+         next != this->records.end();
+         ++next) {
+        if (next->second.crashes.crash_count() == 0)
+            continue;
+        suspect_report report =
+            next->second.crashes.make_report(next->first, now);
+        bytes += record_bytes + crash_bytes * report.crashes.size();
+        if (bytes > page_bytes)
+            return out;
+        page.last = next->first;
+        out.push_back(std::move(report));
+    }
+    page.complete = true;
+    return out;
+}
+
 suspect_table::changes
 suspect_table::merge(std::span<const suspect_report> received,
                      base::instant now)
--- a/src/greengagedrum/quarantine/suspect_table.hpp
+++ b/src/greengagedrum/quarantine/suspect_table.hpp
@@ -95,6 +95,11 @@
     // other records, round robin over successive calls.
     std::vector<suspect_report> collect_reports(base::instant now,
                                                 bool include_unchanged);
+    // Records with crashes that count, in the order of their digests, as many
+    // as one message may hold; describes them in `page`.
+    std::vector<suspect_report> collect_page(const base::request_digest& after,
+                                             base::instant now,
+                                             suspect_page& page) const;
     changes merge(std::span<const suspect_report> received, base::instant now);
 
     // Drops records whose retention time has passed.
--- a/src/greengagedrum/traffic/crash_quarantine.cpp
+++ b/src/greengagedrum/traffic/crash_quarantine.cpp
@@ -36,6 +36,9 @@
 // begun. Its result decides whether another may run.
 bool scheduler::waits_for_copy(const request& item) const
 {
+    if (!this->quarantine_known &&
+        (!item.facts.digest.empty() || !item.facts.prompt_parts.empty()))
+        return true;
     if (this->suspects.empty())
         return false;
     const quarantine_state state =
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -133,6 +133,10 @@
     // Pauses sending while the known state of the cluster is stale.
     void set_paused(bool paused) { this->paused = paused; }
 
+    // While it isn't known what peers have quarantined, requests that may be
+    // wait in the queue.
+    void set_quarantine_known(bool known) { this->quarantine_known = known; }
+
     // Sets the upstreams to which an entry keeps an idle connection.
     void set_kept_upstreams(base::slot_id sender,
                             std::vector<base::upstream_id> upstreams);
@@ -308,6 +312,7 @@
     std::size_t peers_with_queues = 0;
     std::size_t entries = 1;
     bool paused = false;
+    bool quarantine_known = true;
     bool delegating = false;
     std::optional<base::instant> stop_at;
     scheduler_counters count;
