--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -279,7 +279,8 @@
 
 bool entry::ready() const
 {
-    return !this->state.stopping && this->state.cluster.routes() != nullptr;
+    return !this->state.stopping && this->state.cluster.routes() != nullptr &&
+           !this->peers->awaits_quarantine();
 }
 
 relay::small_answer entry::answer_readiness()
@@ -290,6 +291,8 @@
         this->stopping->on_negative_probe(this->state.clock());
         this->handler->set_stop_schedule(*this->stopping);
     }
+    if (this->peers->awaits_quarantine())
+        return {503, "text/plain", "not ready: quarantine not known\n"};
     return {503, "text/plain", "not ready\n"};
 }
 
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -50,6 +50,10 @@
 
 struct Crash;
 
+struct SuspectsWanted;
+
+struct SuspectPage;
+
 struct RateLimit;
 
 struct LimitNeed;
@@ -485,6 +489,76 @@
 };
 FLATBUFFERS_STRUCT_END(Crash, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) SuspectsWanted FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t after_high_;
+  uint64_t after_low_;
+
+ public:
+  SuspectsWanted()
+      : after_high_(0),
+        after_low_(0) {
+  }
+  SuspectsWanted(uint64_t _after_high, uint64_t _after_low)
+      : after_high_(flatbuffers::EndianScalar(_after_high)),
+        after_low_(flatbuffers::EndianScalar(_after_low)) {
+  }
+  uint64_t after_high() const {
+    return flatbuffers::EndianScalar(after_high_);
+  }
+  uint64_t after_low() const {
+    return flatbuffers::EndianScalar(after_low_);
+  }
+};
+FLATBUFFERS_STRUCT_END(SuspectsWanted, 16);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) SuspectPage FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t after_high_;
+  uint64_t after_low_;
+  uint64_t last_high_;
+  uint64_t last_low_;
+  uint32_t state_;
+  uint32_t to_come_;
+
+ public:
+  SuspectPage()
+      : after_high_(0),
+        after_low_(0),
+        last_high_(0),
+        last_low_(0),
+        state_(0),
+        to_come_(0) {
+  }
+  SuspectPage(uint64_t _after_high, uint64_t _after_low, uint64_t _last_high, uint64_t _last_low, uint32_t _state, uint32_t _to_come)
+      : after_high_(flatbuffers::EndianScalar(_after_high)),
+        after_low_(flatbuffers::EndianScalar(_after_low)),
+        last_high_(flatbuffers::EndianScalar(_last_high)),
+        last_low_(flatbuffers::EndianScalar(_last_low)),
+        state_(flatbuffers::EndianScalar(_state)),
+        to_come_(flatbuffers::EndianScalar(_to_come)) {
+  }
+  uint64_t after_high() const {
+    return flatbuffers::EndianScalar(after_high_);
+  }
+  uint64_t after_low() const {
+    return flatbuffers::EndianScalar(after_low_);
+  }
+  uint64_t last_high() const {
+    return flatbuffers::EndianScalar(last_high_);
+  }
+  uint64_t last_low() const {
+    return flatbuffers::EndianScalar(last_low_);
+  }
+  uint32_t state() const {
+    return flatbuffers::EndianScalar(state_);
+  }
+  uint32_t to_come() const {
+    return flatbuffers::EndianScalar(to_come_);
+  }
+};
+FLATBUFFERS_STRUCT_END(SuspectPage, 40);
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RateLimit FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t upstream_;
@@ -1316,7 +1390,9 @@
     VT_STREAM_VERSIONS = 78,
     VT_SUSPECT_KINDS = 80,
     VT_LIMIT_NEEDS = 82,
-    VT_LIMIT_GRANT = 84
+    VT_LIMIT_GRANT = 84,
+    VT_SUSPECTS_WANTED = 86,
+    VT_SUSPECT_PAGE = 88
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1438,6 +1514,12 @@
   const greengagedrum::gossip::wire::LimitGrant *limit_grant() const {
     return GetPointer<const greengagedrum::gossip::wire::LimitGrant *>(VT_LIMIT_GRANT);
   }
+  const greengagedrum::gossip::wire::SuspectsWanted *suspects_wanted() const {
+    return GetStruct<const greengagedrum::gossip::wire::SuspectsWanted *>(VT_SUSPECTS_WANTED);
+  }
+  const greengagedrum::gossip::wire::SuspectPage *suspect_page() const {
+    return GetStruct<const greengagedrum::gossip::wire::SuspectPage *>(VT_SUSPECT_PAGE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -1501,6 +1583,8 @@
            verifier.VerifyVector(limit_needs()) &&
            VerifyOffset(verifier, VT_LIMIT_GRANT) &&
            verifier.VerifyTable(limit_grant()) &&
+           VerifyField<greengagedrum::gossip::wire::SuspectsWanted>(verifier, VT_SUSPECTS_WANTED, 8) &&
+           VerifyField<greengagedrum::gossip::wire::SuspectPage>(verifier, VT_SUSPECT_PAGE, 8) &&
            verifier.EndTable();
   }
 };
@@ -1629,6 +1713,12 @@
   void add_limit_grant(flatbuffers::Offset<greengagedrum::gossip::wire::LimitGrant> limit_grant) {
     fbb_.AddOffset(Message::VT_LIMIT_GRANT, limit_grant);
   }
+  void add_suspects_wanted(const greengagedrum::gossip::wire::SuspectsWanted *suspects_wanted) {
+    fbb_.AddStruct(Message::VT_SUSPECTS_WANTED, suspects_wanted);
+  }
+  void add_suspect_page(const greengagedrum::gossip::wire::SuspectPage *suspect_page) {
+    fbb_.AddStruct(Message::VT_SUSPECT_PAGE, suspect_page);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1681,7 +1771,9 @@
     flatbuffers::Offset<greengagedrum::gossip::wire::StreamVersions> stream_versions = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> suspect_kinds = 0,
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::LimitNeed *>> limit_needs = 0,
-    flatbuffers::Offset<greengagedrum::gossip::wire::LimitGrant> limit_grant = 0) {
+    flatbuffers::Offset<greengagedrum::gossip::wire::LimitGrant> limit_grant = 0,
+    const greengagedrum::gossip::wire::SuspectsWanted *suspects_wanted = nullptr,
+    const greengagedrum::gossip::wire::SuspectPage *suspect_page = nullptr) {
   MessageBuilder builder_(_fbb);
   builder_.add_link_bytes_per_second(link_bytes_per_second);
   builder_.add_digest(digest);
@@ -1691,6 +1783,8 @@
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_life(life);
+  builder_.add_suspect_page(suspect_page);
+  builder_.add_suspects_wanted(suspects_wanted);
   builder_.add_limit_grant(limit_grant);
   builder_.add_limit_needs(limit_needs);
   builder_.add_suspect_kinds(suspect_kinds);
@@ -1767,7 +1861,9 @@
     flatbuffers::Offset<greengagedrum::gossip::wire::StreamVersions> stream_versions = 0,
     const std::vector<uint8_t> *suspect_kinds = nullptr,
     const std::vector<greengagedrum::gossip::wire::LimitNeed> *limit_needs = nullptr,
-    flatbuffers::Offset<greengagedrum::gossip::wire::LimitGrant> limit_grant = 0) {
+    flatbuffers::Offset<greengagedrum::gossip::wire::LimitGrant> limit_grant = 0,
+    const greengagedrum::gossip::wire::SuspectsWanted *suspects_wanted = nullptr,
+    const greengagedrum::gossip::wire::SuspectPage *suspect_page = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1826,7 +1922,9 @@
       stream_versions,
       suspect_kinds__,
       limit_needs__,
-      limit_grant);
+      limit_grant,
+      suspects_wanted,
+      suspect_page);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
