Entry: an inquiry about the quarantine stays in the own region

An entry that starts asked live and silent peers of any region for the records of the quarantine. With 300 entries that start at once the questions and answers crossed between the regions: two_regions_gossip_takes_a_fraction_of_the_bytes failed with 13,463,252 bytes where 12,804,896 are allowed.

--- a/src/greengagedrum/entry/peer_counting.cpp
+++ b/src/greengagedrum/entry/peer_counting.cpp
@@ -115,4 +115,23 @@
     });
 }
 
+void peer_protocol::count_request_bytes(base::data_centre_id upstream,
+                                        const std::string& peer,
+                                        std::uint64_t bytes)
+{
+    if (!this->regions.spans_regions())
+        return;
+    const bool crosses =
+        this->regions.to(upstream) == routing::distance::other_region;
+    relay::error_code fault;
+    const auto address = relay::asio::ip::make_address_v4(peer, fault);
+    const bool peer_crosses =
+        !fault && this->election.is_in_other_region(address.to_uint());
+    if (crosses || peer_crosses)
+        this->state.metrics.add(telemetry::process_count{
+            peer.empty() ? telemetry::counter::region_request_bytes
+                         : telemetry::counter::region_tunnel_bytes,
+            bytes});
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -119,25 +119,6 @@
                       this->election.is_stopping(address.to_uint()));
 }
 
-void peer_protocol::count_request_bytes(base::data_centre_id upstream,
-                                        const std::string& peer,
-                                        std::uint64_t bytes)
-{
-    if (!this->regions.spans_regions())
-        return;
-    const bool crosses =
-        this->regions.to(upstream) == routing::distance::other_region;
-    relay::error_code fault;
-    const auto address = relay::asio::ip::make_address_v4(peer, fault);
-    const bool peer_crosses =
-        !fault && this->election.is_in_other_region(address.to_uint());
-    if (crosses || peer_crosses)
-        this->state.metrics.add(telemetry::process_count{
-            peer.empty() ? telemetry::counter::region_request_bytes
-                         : telemetry::counter::region_tunnel_bytes,
-            bytes});
-}
-
 bool peer_protocol::knows_entry(const std::string& ip) const
 {
     relay::error_code fault;
--- a/src/greengagedrum/entry/peer_suspects.cpp
+++ b/src/greengagedrum/entry/peer_suspects.cpp
@@ -2,6 +2,8 @@
 #include <greengagedrum/entry/peer_protocol.hpp>
 #include <greengagedrum/entry/to_milliseconds.hpp>
 
+#include <algorithm>
+
 namespace greengagedrum::entry
 {
 
@@ -29,6 +31,14 @@
 peer_protocol::peers_to_ask(base::instant now) const
 {
     auto known = this->table.by_liveness(now);
+    const auto is_far = [this](gossip::ipv4_address one) {
+        return this->election.is_in_other_region(one);
+    };
+    // An entry of the own region answers as well, and spares the shared link.
+    if (!std::all_of(known.live.begin(), known.live.end(), is_far)) {
+        std::erase_if(known.live, is_far);
+        std::erase_if(known.silent, is_far);
+    }
     return {std::move(known.live), std::move(known.silent)};
 }
 
