--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -92,6 +92,7 @@
     this->last_store_answer = this->state.clock();
     this->last_tick = this->state.clock();
     this->total_suspended = suspended_time();
+    this->turns.emplace(this->last_tick, this->total_suspended);
     this->make_stream_versions();
     this->make_request_handler();
     this->peer_datagram_socket = std::make_unique<peer_socket>(
@@ -278,13 +279,20 @@
 
 bool entry::ready() const
 {
-    return !this->state.stopping && this->state.cluster.routes() != nullptr;
+    return !this->state.stopping && this->state.cluster.routes() != nullptr &&
+           !this->peers->awaits_quarantine();
 }
 
-relay::small_answer entry::answer_readiness() const
+relay::small_answer entry::answer_readiness()
 {
     if (this->ready())
         return {200, "text/plain", "ready\n"};
+    if (this->stopping) {
+        this->stopping->on_negative_probe(this->state.clock());
+        this->handler->set_stop_schedule(*this->stopping);
+    }
+    if (this->peers->awaits_quarantine())
+        return {503, "text/plain", "not ready: quarantine not known\n"};
     return {503, "text/plain", "not ready\n"};
 }
 
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -14,7 +14,7 @@
 #include <greengagedrum/entry/stream_versions.hpp>
 #include <greengagedrum/relay/small_server.hpp>
 #include <greengagedrum/relay/tunnel_server.hpp>
-#include <greengagedrum/shutdown/stop_schedule.hpp>
+#include <greengagedrum/shutdown/loop_turns.hpp>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -44,6 +44,10 @@
     {
         return this->handler->address();
     }
+    base::ip_endpoint readiness_address() const
+    {
+        return this->readiness_server->address();
+    }
 
 private:
     peer_events make_peer_events();
@@ -58,7 +62,7 @@
     void begin_stop(int number);
     void check_stop();
     // Logs what the entry still holds.
-    void log_stop(const char* what) const;
+    void log_stop(const char* what, const char* why = "") const;
     void schedule_tick();
     void tick();
     void detect_pause(base::instant now);
@@ -76,7 +80,7 @@
     void measure_store_connect(base::instant now);
     void apply_slow_start_limits();
     relay::small_answer answer_control(std::string_view target);
-    relay::small_answer answer_readiness() const;
+    relay::small_answer answer_readiness();
     std::string metrics_text() const;
     bool ready() const;
 
@@ -102,6 +106,7 @@
     std::unique_ptr<relay::small_server> metrics_server;
     base::instant last_store_answer;
     base::instant last_tick;
+    std::optional<shutdown::loop_turns> turns;
     base::instant last_timeout_check;
     base::instant last_settings_check;
     std::optional<base::instant> store_measured_at;
@@ -109,6 +114,7 @@
     base::duration total_suspended{0};
     std::optional<base::instant> pause_detected_at;
     std::optional<shutdown::stop_schedule> stopping; // from the signal on
+    bool accepting_requests = true;
     bool accepting_connections = true;
     bool requests_ended = false; // by the stop
     bool store_unreachable = false;
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -144,6 +144,7 @@
     const base::instant now = this->state.clock();
     this->detect_pause(now);
     this->last_tick = now;
+    this->turns->on_turn(now, this->total_suspended);
     this->apply_changes(this->state.cluster.expire(now), "lapse");
     if (this->tunnels)
         this->tunnel_room.resize(this->tunnels->active() *
@@ -234,6 +235,10 @@
     this->state.scheduler.set_regions(changed->regions);
     this->apply_bounds();
     this->peers->apply_settings(*changed);
+    if (this->stopping) {
+        this->stopping->on_timeout_changed(changed->bounds.stop_timeout);
+        this->handler->set_stop_schedule(*this->stopping);
+    }
     logs::write(logs::level::info, "entry", "settings_reloaded");
 }
 
@@ -259,8 +264,9 @@
 
 void entry::begin_stop(int number)
 {
-    this->stopping.emplace(this->state.clock(),
-                           this->own_settings.bounds.stop_timeout);
+    const shutdown::signal_window signal =
+        this->turns->signal_noticed(this->state.clock(), suspended_time());
+    this->stopping.emplace(signal, this->own_settings.bounds.stop_timeout);
     this->state.stopping = true;
     this->handler->begin_stop(*this->stopping);
     this->peers->begin_stop();
@@ -268,19 +274,29 @@
         logs::level::info,
         "entry",
         "stopping",
-        {{"signal", number}, {"in_flight", this->handler->in_flight()}});
+        {{"signal", number},
+         {"sent_before_ms", to_milliseconds(signal.noticed - signal.earliest)},
+         {"in_flight", this->handler->in_flight()}});
 }
 
 void entry::check_stop()
 {
     using shutdown::stop_phase;
-    const stop_phase phase = this->stopping->at(this->state.clock());
+    const base::instant now = this->state.clock();
+    const stop_phase phase = this->stopping->at(now);
     if (phase == stop_phase::accepting)
         return;
+    if (this->accepting_requests) {
+        this->accepting_requests = false;
+        this->log_stop("stop_accept_ended",
+                       this->stopping->accept_ends_by_probes() ? "probes"
+                                                               : "time");
+    }
+    if (phase == stop_phase::finishing && this->stopping->listens(now))
+        return;
     if (this->accepting_connections) {
         this->accepting_connections = false;
         this->handler->stop_accepting();
-        this->log_stop("stop_accept_ended");
     }
     this->handler->close_idle_connections();
     if (phase >= stop_phase::ending && !this->requests_ended) {
@@ -293,6 +309,7 @@
     if (phase >= stop_phase::ending)
         this->handler->refuse_unread_requests();
     const bool done = this->handler->in_flight() == 0 &&
+                      this->handler->abandoned_running() == 0 &&
                       this->handler->open_connections() == 0 &&
                       (!this->tunnels || this->tunnels->active() == 0);
     if (phase == stop_phase::over)
@@ -301,16 +318,18 @@
         this->context.stop();
 }
 
-void entry::log_stop(const char* what) const
+void entry::log_stop(const char* what, const char* why) const
 {
     const base::instant now = this->state.clock();
     logs::write(logs::level::info,
                 "entry",
                 what,
-                {{"after_ms",
+                {{"why", why},
+                 {"after_ms",
                   to_milliseconds(this->stopping ? now - this->stopping->begun()
                                                  : base::duration(0))},
                  {"in_flight", this->handler->in_flight()},
+                 {"abandoned", this->handler->abandoned_running()},
                  {"waiting", this->state.scheduler.waiting()},
                  {"connections", this->handler->open_connections()},
                  {"tunnels", this->tunnels ? this->tunnels->active() : 0}});
--- a/src/greengagedrum/entry/exchange_memory.cpp
+++ b/src/greengagedrum/entry/exchange_memory.cpp
@@ -12,8 +12,7 @@
     if (!this->events.memory || !this->call ||
         !this->events.memory->must_end_response())
         return;
-    this->reading_paused = true;
-    this->call->pause(true);
+    this->pause_reading();
 }
 
 void exchange::buffer_body(std::string_view bytes)
@@ -39,9 +38,14 @@
 
 void exchange::end_for_memory()
 {
+    const bool too_long = this->response_room.bytes() >
+                          this->events.memory->levels().workspace_share;
     this->stop_send();
-    this->on_broken(traffic::interruption_cause::malformed,
-                    "response longer than the memory allows");
+    if (too_long)
+        return this->on_broken(traffic::interruption_cause::malformed,
+                               "response longer than the memory allows");
+    this->on_broken(traffic::interruption_cause::memory_short,
+                    "ended for want of memory");
 }
 
 memory::unread_response exchange::unread(base::instant now) const
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -55,6 +55,7 @@
 {
     state.scheduler.set_slow_start_share(this->current_share);
     this->apply_settings(given);
+    this->begin_suspect_inquiry(state.clock());
 }
 
 void peer_protocol::apply_settings(const settings& given)
@@ -110,23 +111,12 @@
     return out;
 }
 
-void peer_protocol::count_request_bytes(base::data_centre_id upstream,
-                                        const std::string& peer,
-                                        std::uint64_t bytes)
+bool peer_protocol::is_stopping(const std::string& ip) const
 {
-    if (!this->regions.spans_regions())
-        return;
-    const bool crosses =
-        this->regions.to(upstream) == routing::distance::other_region;
     relay::error_code fault;
-    const auto address = relay::asio::ip::make_address_v4(peer, fault);
-    const bool peer_crosses =
-        !fault && this->election.is_in_other_region(address.to_uint());
-    if (crosses || peer_crosses)
-        this->state.metrics.add(telemetry::process_count{
-            peer.empty() ? telemetry::counter::region_request_bytes
-                         : telemetry::counter::region_tunnel_bytes,
-            bytes});
+    const auto address = relay::asio::ip::make_address_v4(ip, fault);
+    return !fault && (this->table.is_stopping(address.to_uint()) ||
+                      this->election.is_stopping(address.to_uint()));
 }
 
 bool peer_protocol::knows_entry(const std::string& ip) const
@@ -173,6 +163,7 @@
              {"store_revision", message->store_revision}});
     this->merge_suspects(*message, now);
     this->merge_rate_limits(*message, now);
+    this->accept_limit_grant(*message, now);
     this->peer_store_answer_at =
         std::max(this->peer_store_answer_at, now - message->store_age);
     switch (message->kind) {
@@ -196,6 +187,12 @@
         break;
     case gossip::message_kind::dispatcher_query_reply:
         break;
+    case gossip::message_kind::suspect_query:
+        this->answer_suspect_query(*message, now);
+        break;
+    case gossip::message_kind::suspect_page:
+        this->on_suspect_page(*message, now);
+        break;
     }
     if (update != gossip::peer_update::none)
         this->update_role(now);
@@ -241,6 +238,7 @@
     if (this->uses_dispatchers)
         this->send_replies();
     this->send_due();
+    this->advance_suspect_inquiry(this->state.clock());
     this->set_timer();
 }
 
@@ -304,6 +302,7 @@
     out.queue_reports = this->state.scheduler.own_queue_reports(now);
     out.workspace_usage = this->state.limiter.own_usage(now);
     out.rate_limits = this->state.scheduler.announced_limits().recent(now);
+    this->state_limit_needs(out, now);
     out.known_entries = this->table.select_known_entries(recipients, now);
     out.suspects = this->suspects_to_send(
         this->suspects_sent_at.at(static_cast<std::size_t>(recipients)), now);
@@ -365,6 +364,7 @@
     const base::instant now = this->state.clock();
     this->observe_load(now);
     this->send_due();
+    this->advance_suspect_inquiry(now);
     if (now - this->checked_at < check_interval)
         return;
     this->checked_at = now;
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -20,6 +20,7 @@
 #include <greengagedrum/gossip/duty_fitness.hpp>
 #include <greengagedrum/gossip/gossip_schedule.hpp>
 #include <greengagedrum/gossip/peer_table.hpp>
+#include <greengagedrum/quarantine/suspect_inquiry.hpp>
 #include <greengagedrum/versions/messages.hpp>
 
 #include <algorithm>
@@ -111,6 +112,10 @@
         this->own_store_answer_at = this->state.clock();
     }
 
+    // Whether this entry still asks peers what is quarantined. It is not ready
+    // before, and sends no request that could be.
+    bool awaits_quarantine() const { return this->inquiry.pending(); }
+
     // The body of the answer to a peer's query: items, or a referral.
     std::string answer(const item_query& query);
 
@@ -120,6 +125,8 @@
     // Entries that may take this entry's requests, with the port at which they
     // do.
     std::vector<reachable_peer> serving_peers() const;
+    // False for an entry that isn't known.
+    bool is_stopping(const std::string& ip) const;
     // The same entries, for records of streams.
     std::vector<versions::known_entry> entries_for_records() const;
     void send_stream_message(const versions::message& sent,
@@ -169,6 +176,13 @@
     void merge_rate_limits(const gossip::message& received, base::instant now);
     std::vector<quarantine::suspect_report>
     suspects_to_send(base::instant& sent_all_at, base::instant now);
+    void begin_suspect_inquiry(base::instant now);
+    void advance_suspect_inquiry(base::instant now);
+    quarantine::suspect_inquiry::peers peers_to_ask(base::instant now) const;
+    void send_suspect_query(const quarantine::suspect_inquiry::question& sent);
+    void answer_suspect_query(const gossip::message& received,
+                              base::instant now);
+    void on_suspect_page(const gossip::message& received, base::instant now);
     void on_load(const gossip::message& received, base::instant now);
     void on_report(const gossip::message& received, base::instant now);
     void on_reply(const gossip::message& received, base::instant now);
@@ -178,6 +192,9 @@
     void fetch_from_followed(const gossip::message& received,
                              base::instant now);
     void on_limits(const gossip::message& received, base::instant now);
+    void state_limit_needs(gossip::message& sent, base::instant now);
+    void answer_limit_needs(const gossip::message& received, base::instant now);
+    void accept_limit_grant(const gossip::message& received, base::instant now);
     std::size_t unheard_in_data_centre(base::instant now) const;
     std::size_t members_reporting(base::instant now) const;
     double unreported_share(base::instant now) const;
@@ -245,6 +262,7 @@
     // When unchanged crash suspects were last sent.
     std::array<base::instant, gossip::recipient_group_count> suspects_sent_at{};
     base::instant member_suspects_sent_at;
+    quarantine::suspect_inquiry inquiry;
 
     // A position in the change history of one incarnation of a peer.
     struct change_position {
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -320,6 +320,7 @@
          {"after_ms",
           to_milliseconds(this->state.clock() - request->second.arrived)}});
     http_exchange->abandon();
+    this->keep_abandoned(http_exchange);
     if (!request->second.sent_at)
         this->refund_cost(request->second);
     this->requests.erase(request);
@@ -382,8 +383,14 @@
         one->check_time(now, limits);
     this->keep_to_memory();
     this->renew_version_records();
-    for (auto& [id, request] : this->requests)
+    // An event processed at once could end requests.
+    this->processing_events = true;
+    for (auto& [id, request] : this->requests) {
         request.http_exchange->resume_reading();
+        request.http_exchange->check_carrier();
+    }
+    this->process_pending_events();
+    this->processing_events = false;
 }
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/test/memory_test.cpp
+++ b/src/greengagedrum/entry/test/memory_test.cpp
@@ -196,4 +196,46 @@
     CHECK(this->run_until([&] { return this->account.held() == before; }));
 }
 
+// An entry short of memory stops reading, and takes the upstream for silent.
+TEST_CASE_FIXTURE(memory_fixture,
+                  "upstream_left_unread_for_memory_is_not_suspected")
+{
+    this->response = marks + "Content-Type: text/event-stream\r\n"
+                             "Content-Length: 100000\r\n\r\n"
+                             "data: 1\n\n";
+    this->run_for(20ms);
+    memory::reservation others(this->state.memory, memory::kind::gossip);
+    others.resize(this->account.levels().end_response + 10'000);
+    auto& caller = this->call(memory_fixture::head("/stream/", 0));
+    REQUIRE(this->run_until([&] {
+        return memory_fixture::received(caller).find("data: 1") !=
+               std::string::npos;
+    }));
+    REQUIRE(this->healthy_slots() == 4);
+    this->run_for(1500ms);
+    REQUIRE(this->state.scheduler.in_flight() == 1);
+    CHECK(this->healthy_slots() == 4);
+}
+
+// Responses that others leave no room for count as failures of the upstream.
+TEST_CASE_FIXTURE(memory_fixture,
+                  "upstream_of_responses_ended_for_memory_is_not_suspected")
+{
+    this->response =
+        marks + "Content-Length: 700000\r\n\r\n" + std::string(100'000, 'x');
+    memory::reservation others(this->state.memory, memory::kind::gossip);
+    for (int count = 0; count < 5; ++count) {
+        others.resize(0);
+        auto& caller = this->call(request("/bulk/", 10));
+        REQUIRE(this->run_until([&] {
+            return this->account.held(memory::kind::responses) >= 100'000;
+        }));
+        others.resize(this->account.levels().end_response);
+        REQUIRE(
+            this->run_until([&] { return starts_with_status(caller, "502"); }));
+    }
+    CHECK(this->counted(counter::memory_responses_ended) == 5);
+    CHECK(this->healthy_slots() == 4);
+}
+
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/traffic/crash_quarantine.cpp
+++ b/src/greengagedrum/traffic/crash_quarantine.cpp
@@ -36,6 +36,9 @@
 // begun. Its result decides whether another may run.
 bool scheduler::waits_for_copy(const request& item) const
 {
+    if (!this->quarantine_known &&
+        (!item.facts.digest.empty() || !item.facts.prompt_parts.empty()))
+        return true;
     if (this->suspects.empty())
         return false;
     const quarantine_state state =
@@ -97,7 +100,8 @@
     if (!item.facts.delegated)
         this->queues[item.facts.service].record_cut(item.facts.kind,
                                                     this->now - item.sent_at);
-    if (this->now - item.sent_at >= silence_least &&
+    // An answer that the entry doesn't read may well be coming.
+    if (!item.paused_at && this->now - item.sent_at >= silence_least &&
         this->pool.progress_at(item.upstream) < item.sent_at)
         this->record_crash(item);
 }
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -95,6 +95,25 @@
     std::uint32_t events = 0;
 };
 
+// The entry stopped reading from the upstream, since the caller takes too
+// little or memory is short. Until reading_resumed the upstream can't be heard.
+struct reading_paused {
+    base::request_id request;
+    std::uint32_t send = 0;
+};
+
+struct reading_resumed {
+    base::request_id request;
+    std::uint32_t send = 0;
+};
+
+// The entry that carries this send to its upstream stops, which ends the send
+// unless the answer comes first.
+struct carrier_stopping {
+    base::request_id request;
+    std::uint32_t send = 0;
+};
+
 // The upstream's whole answer arrived. An unsuccessful answer may still be
 // replaced by a retry on another upstream.
 struct answer_received {
@@ -112,6 +131,8 @@
     // A kept connection ended before any byte of the answer arrived, or it
     // delivered the answer to another request. A fresh one may serve.
     reused_connection_lost,
+    // This entry broke the answer off for want of memory.
+    memory_short,
 };
 
 // The answer was interrupted or never started. The request may have run.
@@ -155,6 +176,9 @@
                            connect_failed,
                            send_rejected,
                            events_received,
+                           reading_paused,
+                           reading_resumed,
+                           carrier_stopping,
                            answer_received,
                            answer_interrupted,
                            upstream_checked,
@@ -185,6 +209,7 @@
 enum class cancel_cause : std::uint8_t {
     request_ended,
     upstream_silent,
+    carrier_stopping,
 };
 
 // Close the connection of this send. Data that still arrives on it is
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -202,8 +202,11 @@
         item->upstream, what.events - item->events, gap, this->now);
     item->events = what.events;
     item->progress_at = this->now;
+    if (item->paused_at)
+        item->paused_at = this->now;
     item->silence_reported = false;
-    this->leave_queue(*item);
+    if (!item->carrier_stops)
+        this->leave_queue(*item);
     this->record_answer_begun(*item);
     this->bind_to_version(*item);
 }
@@ -254,8 +257,9 @@
     request* item = this->find_active_send(what.request, what.send);
     if (item == nullptr)
         return;
-    if (what.cause == interruption_cause::reused_connection_lost) {
-        // The same upstream may serve the next send on a fresh connection.
+    if (what.cause == interruption_cause::reused_connection_lost ||
+        what.cause == interruption_cause::memory_short) {
+        // The same upstream may serve the next send.
         this->pool.probe_inconclusive(item->upstream);
     } else {
         this->record_failure(item->upstream, failure_kind::broken);
@@ -349,6 +353,7 @@
 void scheduler::upstream_left(base::upstream_id upstream)
 {
     this->pool.leave(upstream);
+    this->upstream_missing = true;
 }
 
 void scheduler::on_peer_report(base::slot_id peer,
--- a/src/greengagedrum/traffic/scheduler.hpp
+++ b/src/greengagedrum/traffic/scheduler.hpp
@@ -133,6 +133,10 @@
     // Pauses sending while the known state of the cluster is stale.
     void set_paused(bool paused) { this->paused = paused; }
 
+    // While it isn't known what peers have quarantined, requests that may be
+    // wait in the queue.
+    void set_quarantine_known(bool known) { this->quarantine_known = known; }
+
     // Sets the upstreams to which an entry keeps an idle connection.
     void set_kept_upstreams(base::slot_id sender,
                             std::vector<base::upstream_id> upstreams);
@@ -166,6 +170,17 @@
         return this->pool.announced_limits();
     }
 
+    traffic::limit_permits& limit_permits()
+    {
+        return this->pool.limit_permits();
+    }
+    // Queued requests for which other entries could give permits.
+    std::vector<limit_need> limit_needs(base::instant now) const;
+    // Permits for another entry, whose message of that number stated its needs.
+    std::vector<limit_permit> give_permits(std::span<const limit_need> needs,
+                                           std::uint64_t need_number,
+                                           base::instant now);
+
     std::size_t in_flight() const { return this->requests.size(); }
     std::size_t waiting() const;
     const scheduler_counters& counters() const { return this->count; }
@@ -199,6 +214,9 @@
         double expected = 0; // seconds to the first event, estimated when sent
         std::uint32_t events = 0;
         bool silence_reported = false;
+        std::optional<base::instant> paused_at; // reading from the upstream
+        bool carrier_stops =
+            false; // the peer that the active send goes through
         base::instant denied_until; // asks for no other slot before
         bool parts_cleared = false; // its answer went on for a while
         bool ends_without_version = false;
@@ -214,6 +232,9 @@
     void on(const connect_failed& what);
     void on(const send_rejected& what);
     void on(const events_received& what);
+    void on(const reading_paused& what);
+    void on(const reading_resumed& what);
+    void on(const carrier_stopping& what);
     void on(const answer_received& what);
     void on(const answer_interrupted& what);
     void on(const upstream_checked& what);
@@ -248,6 +269,7 @@
                        base::upstream_id except = {}) const;
     void end_without_version(request& item);
     void end_queued_without_version();
+    void refuse_queued_without_upstream();
     std::span<const base::upstream_id>
     kept_upstreams_for(const request& item) const;
     void use_kept_upstream(const request& item);
@@ -277,6 +299,7 @@
     void check_time(request& item);
     void check_silence(request& item);
     bool is_silent(const request& item) const;
+    bool should_move(const request& item) const;
     bool may_move(const request& item);
     bool give_up_silent_send(request& item);
     bool outlasts_stop(const request& item) const;
@@ -308,7 +331,9 @@
     std::size_t peers_with_queues = 0;
     std::size_t entries = 1;
     bool paused = false;
+    bool quarantine_known = true;
     bool delegating = false;
+    bool upstream_missing = false; // perhaps, for a queued request
     std::optional<base::instant> stop_at;
     scheduler_counters count;
 
