--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 
 namespace greengagedrum::gossip
 {
@@ -141,6 +142,28 @@
     return out;
 }
 
+// The usage of workspaces as the parallel vectors of a message.
+struct usage_fields {
+    std::vector<wire::WorkspaceUse> uses;
+    std::vector<std::uint32_t> waiting;
+    std::vector<std::uint32_t> sent_in_window;
+    std::vector<std::uint32_t> sent_in_window_by_all;
+};
+
+usage_fields usage_fields_of(std::span<const quota::workspace_usage> workspaces)
+{
+    usage_fields out;
+    for (const auto& workspace : workspaces) {
+        out.uses.emplace_back(workspace.workspace.value, workspace.sent_total);
+        out.waiting.push_back(workspace.waiting);
+        out.sent_in_window.push_back(workspace.sent_in_window);
+        out.sent_in_window_by_all.insert(out.sent_in_window_by_all.end(),
+                                         workspace.all_sent_in_window.begin(),
+                                         workspace.all_sent_in_window.end());
+    }
+    return out;
+}
+
 } // namespace
 
 std::string encode(const message& sent)
@@ -156,19 +179,7 @@
     std::vector<wire::WaitingLevels> waiting;
     for (const auto& queue : sent.queue_reports)
         waiting.push_back(wire_queue_of(queue));
-    std::vector<wire::WorkspaceUse> workspace_uses;
-    std::vector<std::uint32_t> workspace_waiting;
-    std::vector<std::uint32_t> workspace_recent;
-    std::vector<std::uint32_t> workspace_recent_of_all;
-    for (const auto& workspace : sent.workspace_usage) {
-        workspace_uses.emplace_back(workspace.workspace.value,
-                                    workspace.sent_total);
-        workspace_waiting.push_back(workspace.waiting);
-        workspace_recent.push_back(workspace.sent_in_window);
-        workspace_recent_of_all.insert(workspace_recent_of_all.end(),
-                                       workspace.all_sent_in_window.begin(),
-                                       workspace.all_sent_in_window.end());
-    }
+    const usage_fields usage = usage_fields_of(sent.workspace_usage);
     std::vector<wire::Known> known;
     std::vector<wire::Standing> standings;
     for (const auto& listed : sent.known_entries) {
@@ -197,15 +208,15 @@
         sent.configuration_revision,
         sent.store_revision,
         builder.CreateVectorOfStructs(uses),
-        builder.CreateVectorOfStructs(workspace_uses),
+        builder.CreateVectorOfStructs(usage.uses),
         builder.CreateVectorOfStructs(known),
         builder.CreateVector(gaps),
         builder.CreateVectorOfStructs(waiting),
         sent.change_revision,
         milliseconds_of(sent.store_age),
-        builder.CreateVector(workspace_waiting),
-        builder.CreateVector(workspace_recent),
-        builder.CreateVector(workspace_recent_of_all),
+        builder.CreateVector(usage.waiting),
+        builder.CreateVector(usage.sent_in_window),
+        builder.CreateVector(usage.sent_in_window_by_all),
         sent.cpu_millicores,
         builder.CreateVectorOfStructs(standings),
         static_cast<std::uint8_t>(sent.kind),
