--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -97,7 +97,7 @@
                   5,
                   "127.61.1.3",
                   answer);
-    entries all(platform.at(), folder);
+    entries all(platform.at(), folder, one_region());
     all.add("edge-1", "kenitra-hall", "127.61.1.9");
     all.start_all();
     if (!all.at(0).wait_ready(10s)) {
--- a/review/support/harness.hpp
+++ b/review/support/harness.hpp
@@ -683,8 +683,86 @@
     std::uint16_t frontend = 0;
     std::uint16_t readiness = 0;
     std::uint16_t inner = 0;
+    double processors = 0.25;
 };
 
+// What the settings of all machines of a deployment have in common.
+struct deployment {
+    std::string contracts; // a TOML list
+    // Name of a zone and of its region.
+    std::vector<std::pair<std::string, std::string>> zones;
+    std::string bounds; // lines of the table
+    unsigned memory_mb = 260;
+};
+
+// Of `tasrih-llm`, as DEPLOY.md shows it.
+inline deployment one_region()
+{
+    return {R"(["base","drain","config","cost","retry","recover","engine",)"
+            R"("stream","tenants","quota","platform"])",
+            {{"kenitra-hall", "gharb-rabat"}, {"sidi-kacem", "gharb-rabat"}},
+            R"(seedLagS = 3
+addressReuseS = 2
+stabilityWindowMs = 3000
+ackTimeoutMs = 4000
+catchUpS = 4
+drainMs = 2000
+graceS = 8
+lossSlackMs = 200
+configApplyMs = 2000
+rollbackSlackMs = 250
+maxSkewMs = 5000
+revokeFailClosed = false
+revokeMs = 5000
+retryBudgetRatio = 0.2
+retryWindowS = 10
+retrySlack = 56
+quotaWindowS = 8
+quotaOvershoot = 0.25
+quotaSlack = 190000
+recoveryS = 12
+iterationMs = 120
+retryAfterS = 10
+)",
+            260};
+}
+
+// Of `whitcombe-kilns-grown`, with one zone in each region.
+inline deployment two_regions()
+{
+    return {R"(["base","drain","config","cost","retry","recover","health",)"
+            R"("pool","engine","stream","tenants","quota","places",)"
+            R"("platform"])",
+            {{"worcester", "mass-east"}, {"burlington", "vt-north"}},
+            R"(seedLagS = 3
+addressReuseS = 2
+stabilityWindowMs = 4000
+ackTimeoutMs = 6000
+catchUpS = 6
+drainMs = 4000
+graceS = 8
+lossSlackMs = 200
+configApplyMs = 4000
+rollbackSlackMs = 250
+maxSkewMs = 6000
+revokeFailClosed = false
+revokeMs = 5000
+retryBudgetRatio = 0.2
+retryWindowS = 10
+retrySlack = 174
+quotaWindowS = 8
+quotaOvershoot = 0.25
+quotaSlack = 190000
+warmupOvershoot = 1.5
+warmupSlack = 5
+evacuationMs = 5000
+recoveryS = 15
+iterationMs = 300
+retryAfterS = 10
+)",
+            260};
+}
+
 // One entry as a process, with the command of the deploy file.
 class entry_process
 {
@@ -775,14 +853,17 @@
 class entries
 {
 public:
-    entries(const address& store_at, std::string folder)
-        : store_at(store_at), folder(std::move(folder))
+    entries(const address& store_at, std::string folder, deployment common)
+        : store_at(store_at), folder(std::move(folder)),
+          common(std::move(common))
     {
     }
 
     // Ports are the same on all machines.
-    void
-    add(const std::string& name, const std::string& zone, const std::string& ip)
+    void add(const std::string& name,
+             const std::string& zone,
+             const std::string& ip,
+             double processors = 0.25)
     {
         if (this->places.empty())
             this->ports = {name,
@@ -796,6 +877,7 @@
         place.name = name;
         place.zone = zone;
         place.ip = ip;
+        place.processors = processors;
         this->places.push_back(place);
     }
 
@@ -809,6 +891,7 @@
     }
 
     entry_process& at(std::size_t number) { return *this->all.at(number); }
+    std::size_t size() const { return this->all.size(); }
 
 private:
     std::string settings_of(const entry_place& of) const
@@ -820,42 +903,45 @@
         out << "nodeName = \"" << of.name << "\"\nrole = \"entry\"\n"
             << "machineClass = \"edge\"\nserves = [\"edge\",\"control\"]\n"
             << "ip = \"" << of.ip << "\"\nzone = \"" << of.zone
-            << "\"\nregion = \"gharb-rabat\"\ninternalPortRange = [" << of.inner
-            << "," << of.inner + 15 << "]\nseedNodes = [";
+            << "\"\nregion = \"" << this->region_of(of.zone)
+            << "\"\ninternalPortRange = [" << of.inner << "," << of.inner + 15
+            << "]\nseedNodes = [";
         for (std::size_t at = 0; at < this->places.size() && at < 3; ++at)
             out << (at == 0 ? "\"" : ",\"") << this->places[at].ip << ":"
                 << of.control << "\"";
         out << "]\nbootstrap = true\nlossCounts = false\n"
             << "discovery = \"platform\"\nentry = \"virtual_ip\"\n"
-            << "heartbeatMs = 1200\ncontracts = [\"base\",\"drain\","
-            << "\"config\",\"cost\",\"retry\",\"recover\",\"engine\","
-            << "\"stream\",\"tenants\",\"quota\",\"platform\"]\n[zones]\n"
-            << "kenitra-hall = \"gharb-rabat\"\n"
-            << "sidi-kacem = \"gharb-rabat\"\n[listen]\nfrontend = "
-            << endpoint(of.frontend)
+            << "heartbeatMs = 1200\ncontracts = " << this->common.contracts
+            << "\n[zones]\n";
+        for (const auto& [zone, region] : this->common.zones)
+            out << zone << " = \"" << region << "\"\n";
+        out << "[listen]\nfrontend = " << endpoint(of.frontend)
             << "\nreadiness = " << endpoint(of.readiness)
             << "\ncontrolPlane = " << endpoint(of.control)
-            << "\n[limits]\ncpuQuota = 0.25\ncores = 1\nmemoryMb = 260\n"
-            << "maxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n"
+            << "\n[limits]\ncpuQuota = " << of.processors
+            << "\ncores = 1\nmemoryMb = " << this->common.memory_mb
+            << "\nmaxFds = 4100\nlinkMbps = 200.0\ndiskMb = 0\n"
             << "[faultTolerance]\nmachines = 1\nzones = 1\nregions = 0\n"
-            << "[bounds]\nseedLagS = 3\naddressReuseS = 2\n"
-            << "stabilityWindowMs = 3000\nackTimeoutMs = 4000\n"
-            << "catchUpS = 4\ndrainMs = 2000\ngraceS = 8\n"
-            << "lossSlackMs = 200\nconfigApplyMs = 2000\n"
-            << "rollbackSlackMs = 250\nmaxSkewMs = 5000\n"
-            << "revokeFailClosed = false\nrevokeMs = 5000\n"
-            << "retryBudgetRatio = 0.2\nretryWindowS = 10\n"
-            << "retrySlack = 56\nquotaWindowS = 8\nquotaOvershoot = 0.25\n"
-            << "quotaSlack = 190000\nrecoveryS = 12\niterationMs = 120\n"
-            << "retryAfterS = 10\n[platform]\naddress = \""
+            << "[bounds]\n"
+            << this->common.bounds << "[platform]\naddress = \""
             << this->store_at.text()
             << "\"\nform = \"read\"\nwritesPerS = 400\nreadsPerS = 2000\n"
             << "historyS = 20\nmaxValueBytes = 1048576\nminTtlMs = 1000\n";
         return out.str();
     }
 
+    std::string region_of(const std::string& zone) const
+    {
+        for (const auto& [name, region] : this->common.zones) {
+            if (name == zone)
+                return region;
+        }
+        return {};
+    }
+
     address store_at;
     std::string folder;
+    deployment common;
     entry_place ports;
     std::vector<entry_place> places;
     std::vector<std::unique_ptr<entry_process>> all;
