--- a/review/support/harness.hpp
+++ b/review/support/harness.hpp
@@ -611,23 +611,38 @@
     const std::string name;
     std::atomic<bool> reports = true;
 
+    // As the server writes it in the store, with another service or state.
+    std::string entry_with(const std::string& service_name,
+                           const std::string& state)
+    {
+        std::ostringstream out;
+        out << "{\"service\":\"" << service_name << "\",\"address\":\""
+            << this->path.at().text() << "\",\"zone\":\"" << this->zone
+            << "\",\"version\":\"v1\",\"slots\":" << this->slots
+            << ",\"state\":\"" << state
+            << "\",\"warmupRemainingMs\":0,\"sequence\":" << ++this->sequence
+            << ",\"born\":" << this->born << "}";
+        return out.str();
+    }
+
+    void write_entry()
+    {
+        this->known.put("servers/" + this->name,
+                        this->entry_with(this->service,
+                                         this->drains ? "draining" : "ready"));
+    }
+
+    std::atomic<bool> drains = false;
+
     // The link between the entries and this server.
     link& way() { return this->path; }
 
 private:
     void report()
     {
-        for (std::uint64_t sequence = 1;; ++sequence) {
-            if (this->reports) {
-                std::ostringstream out;
-                out << "{\"service\":\"" << this->service << "\",\"address\":\""
-                    << this->path.at().text() << "\",\"zone\":\"" << this->zone
-                    << "\",\"version\":\"v1\",\"slots\":" << this->slots
-                    << ",\"state\":\"ready\",\"warmupRemainingMs\":0,"
-                    << "\"sequence\":" << sequence << ",\"born\":" << this->born
-                    << "}";
-                this->known.put("servers/" + this->name, out.str());
-            }
+        while (true) {
+            if (this->reports)
+                this->write_entry();
             pause_for(1200ms);
         }
     }
@@ -653,6 +668,7 @@
     std::string zone;
     std::uint32_t slots;
     std::uint64_t born;
+    std::atomic<std::uint64_t> sequence = 0;
     handler answer;
     listener listening;
     link path;
