--- a/review/support/harness.hpp
+++ b/review/support/harness.hpp
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -139,13 +140,15 @@
 
     // Appends what comes next. False at the end, at a fault, and when nothing
     // came in time.
-    bool read(std::string& into, std::chrono::milliseconds within) const
+    bool read(std::string& into, std::chrono::milliseconds within)
     {
         pollfd one{this->descriptor, POLLIN, 0};
         if (::poll(&one, 1, static_cast<int>(within.count())) != 1)
             return false;
         char bytes[16384];
         const ssize_t count = ::recv(this->descriptor, bytes, sizeof(bytes), 0);
+        if (count < 0)
+            this->was_reset = true;
         if (count <= 0)
             return false;
         into.append(bytes, static_cast<std::size_t>(count));
@@ -153,7 +156,7 @@
     }
 
     // Waits until the other side has closed or reset.
-    bool wait_closed(std::chrono::milliseconds within) const
+    bool wait_closed(std::chrono::milliseconds within)
     {
         const auto end = steady::now() + within;
         while (steady::now() < end) {
@@ -165,7 +168,15 @@
         return false;
     }
 
-    void shut_down() const { ::shutdown(this->descriptor, SHUT_RDWR); }
+    void shut_down() const { ::shutdown(this->descriptor, SHUT_WR); }
+
+    // Resets the connection while another thread may read from it.
+    void reset_now() const
+    {
+        sockaddr none{};
+        none.sa_family = AF_UNSPEC;
+        ::connect(this->descriptor, &none, sizeof(none));
+    }
 
     void reset()
     {
@@ -176,6 +187,9 @@
         this->descriptor = -1;
     }
 
+    // A read found that the other side has reset the connection.
+    std::atomic<bool> was_reset = false;
+
 private:
     int descriptor;
 };
@@ -289,8 +303,11 @@
                 break;
             bytes.clear();
         }
-        if (!this->cut)
-            to->shut_down();
+        if (this->cut)
+            return;
+        if (from->was_reset)
+            return to->reset_now();
+        to->shut_down();
     }
 
     std::function<address()> target;
@@ -340,7 +357,7 @@
 }
 
 // A request with a length or without a body. The entry sends no other.
-inline std::optional<message> read_request(const connection& from,
+inline std::optional<message> read_request(connection& from,
                                            std::string& inbox,
                                            std::chrono::milliseconds within)
 {
@@ -413,7 +430,7 @@
 
 } // namespace detail
 
-inline answer_read read_answer(const connection& from,
+inline answer_read read_answer(connection& from,
                                std::chrono::milliseconds within)
 {
     answer_read out;
@@ -801,6 +818,8 @@
         this->process = ::fork();
         if (this->process != 0)
             return;
+        // Ends with this program, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::setenv("GREENGAGEDRUM_BOOT", settings.c_str(), 1);
         FILE* out = std::fopen(log.c_str(), "a");
         ::dup2(::fileno(out), STDOUT_FILENO);
