--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -102,14 +102,14 @@
     all.start_all();
     if (!all.at(0).wait_ready(10s)) {
         record.line("the entry isn't ready");
-        return 2;
+        finish(all, 2);
     }
     pause_for(500ms);
 
     bool broken = false;
     const connection_ptr client = connect_to(all.at(0).frontend());
     if (!client)
-        return 2;
+        finish(all, 2);
     const std::string body(600, 'p');
     record.line("client sends q-1");
     client->write("POST /dossier/a HTTP/1.1\r\nHost: hall.example\r\n"
@@ -140,5 +140,5 @@
         broken = true;
     }
     record.line(broken ? "result: broken" : "result: held");
-    return broken ? 1 : 0;
+    finish(all, broken ? 1 : 0);
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -136,7 +136,7 @@
     for (std::size_t each = 0; each < all.size(); ++each) {
         if (!all.at(each).wait_ready(10s)) {
             record.line("an entry isn't ready");
-            return 2;
+            finish(all, 2);
         }
     }
     pause_for(14s); // traffic starts so long after the machines
@@ -184,8 +184,5 @@
     record.line(std::to_string(state.wrong) +
                 " requests were run by a service that their route never had");
     record.line(broken ? "result: broken" : "result: held");
-    if (const char* keep = std::getenv("KEEP"))
-        std::system(("cp -r " + folder + " " + keep).c_str());
-    std::cout.flush();
-    return broken ? 1 : 0;
+    finish(all, broken ? 1 : 0);
 }
--- a/review/support/harness.hpp
+++ b/review/support/harness.hpp
@@ -628,16 +628,18 @@
     const std::string name;
     std::atomic<bool> reports = true;
 
-    // As the server writes it in the store, with another service or state.
+    // As the server writes it in the store, but for what is given.
     std::string entry_with(const std::string& service_name,
-                           const std::string& state)
+                           const std::string& state,
+                           unsigned warmup_ms = 0)
     {
         std::ostringstream out;
         out << "{\"service\":\"" << service_name << "\",\"address\":\""
             << this->path.at().text() << "\",\"zone\":\"" << this->zone
             << "\",\"version\":\"v1\",\"slots\":" << this->slots
             << ",\"state\":\"" << state
-            << "\",\"warmupRemainingMs\":0,\"sequence\":" << ++this->sequence
+            << "\",\"warmupRemainingMs\":" << warmup_ms
+            << ",\"sequence\":" << ++this->sequence
             << ",\"born\":" << this->born << "}";
         return out.str();
     }
@@ -925,6 +927,12 @@
         }
     }
 
+    void kill_all()
+    {
+        for (const auto& one : this->all)
+            one->kill();
+    }
+
     entry_process& at(std::size_t number) { return *this->all.at(number); }
     std::size_t size() const { return this->all.size(); }
 
@@ -982,6 +990,15 @@
     std::vector<std::unique_ptr<entry_process>> all;
 };
 
+// Ends the entries and this program. Threads of stand-ins may still run, so
+// nothing is destroyed.
+[[noreturn]] inline void finish(entries& started, int status)
+{
+    started.kill_all();
+    std::cout.flush();
+    std::_Exit(status);
+}
+
 inline bool disrupted()
 {
     const char* value = std::getenv("TROUBLE");
