--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,6 +1,6 @@
-// A member of a dispatcher is killed and starts again while the dispatcher's
-// machine is frozen. What the dispatcher then says of requests of the first
-// life must not be taken for an order about requests of the second one.
+// The link to a server is cut in the middle of a stream that may be resumed.
+// The other server, to which the entry turns, answers with its own 500. The
+// client must get an answer of the protocol, or a connection that breaks off.
 #include "../support/harness.hpp"
 
 namespace
@@ -8,16 +8,15 @@
 
 using namespace review;
 
+constexpr unsigned events_all = 12;
+constexpr unsigned events_before_cut = 4;
+
 const char* const configuration = R"({"version":7,
-"routes":[{"name":"studio-chat","hostname":"kiln.example",
-"prefix":"/chat/","routeType":"streaming","streamResume":false,
-"sessionAffinity":true,"service":"kiln-advisor","timeoutMs":10000,
-"targetLatencyMs":800,"targetGapMs":300,"maxAttempts":1,"priority":1},
-{"name":"book-kiln","hostname":"kiln.example",
-"prefix":"/book/","routeType":"non_idempotent","service":"booking-desk",
-"timeoutMs":3000,"targetLatencyMs":300,"maxAttempts":1,"priority":1}],
-"services":[{"name":"kiln-advisor","maxConnections":720,
-"healthCheckPath":"/healthz"},{"name":"booking-desk","maxConnections":460,
+"routes":[{"name":"dossier-review","hostname":"hall.example",
+"prefix":"/dossier/","routeType":"streaming","streamResume":true,
+"sessionAffinity":true,"service":"tasrih-models","timeoutMs":12000,
+"targetLatencyMs":800,"targetGapMs":200,"maxAttempts":2,"priority":0}],
+"services":[{"name":"tasrih-models","maxConnections":370,
 "healthCheckPath":"/healthz"}],
 "tenants":[{"name":"gate","apiKeys":["key-1"]}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
@@ -25,63 +24,49 @@
 
 struct run {
     record_file& record;
-    std::atomic<int> wrong = 0;
-    std::atomic<int> active = 0;
+    std::mutex mutex;
+    // The server that got the first send of each request.
+    std::map<std::string, std::string> first;
+    bool trouble = false;
 
-    // `prefix`: of the routes that lead to this service.
-    bool answer(const std::string& service,
-                const std::string& prefix,
-                std::chrono::milliseconds work,
-                server& at,
-                const message& request,
-                const connection_ptr& to)
+    bool answer(server& at, const message& request, const connection_ptr& to)
     {
         const std::string id = request.header("X-Attempt-Id");
-        this->record.line("server " + at.name + " of " + service + " runs " +
-                          id + " " + request.target());
-        if (request.target().rfind(prefix, 0) != 0) {
-            this->record.line("ROUTE: " + request.target() +
-                              " is run by a server of " + service);
-            this->wrong += 1;
+        const std::string after = request.header("Last-Event-Id");
+        bool is_first = false;
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            is_first = this->first.emplace(id, at.name).second;
         }
-        pause_for(work);
-        const bool stream = prefix == "/chat/";
-        const std::string body = stream ? event_text(1) + event_text(2)
-                                        : "{\"by\":\"" + service + "\"}";
-        return to->write(signed_head(200, request) +
-                         (stream ? "Content-Type: text/event-stream\r\n"
-                                 : "Content-Type: application/json\r\n") +
-                         "Content-Length: " + std::to_string(body.size()) +
-                         "\r\n\r\n" + body);
-    }
-
-    void send(const address& to, const std::string& path, const std::string& id)
-    {
-        this->active += 1;
-        std::thread([this, to, path, id] {
-            this->call(to, path, id);
-            this->active -= 1;
-        }).detach();
-    }
-
-    void call(const address& to, const std::string& path, const std::string& id)
-    {
-        const bool stream = path.rfind("/chat/", 0) == 0;
-        const connection_ptr client = connect_to(to);
-        if (!client)
-            return this->record.line("client " + id + ": no connection");
-        client->write(
-            "POST " + path +
-            " HTTP/1.1\r\nHost: kiln.example\r\nX-Attempt-Id: " + id +
-            "\r\nApi-Key: key-1\r\nX-Deadline-Ms: " +
-            (stream ? "10000" : "3000") +
-            (stream ? "\r\nX-Model: m\r\nX-Token-Usage: 1110,80" : "") +
-            "\r\nContent-Length: 2\r\n\r\n{}");
-        const answer_read got = read_answer(*client, stream ? 10s : 3s);
-        this->record.line("client " + id + " " + path + ": " +
-                          (got.complete ? std::to_string(got.head.status()) +
-                                              " " + shown(got.head.body, 60)
-                                        : std::string("no whole answer")));
+        this->record.line("server " + at.name + " runs " + id +
+                          " Last-Event-Id=" + (after.empty() ? "-" : after));
+        if (!is_first) {
+            // The server's own failure.
+            const std::string body = "{\"error\":\"out of memory\"}";
+            const std::string text = signed_head(500, request) +
+                                     "Content-Type: application/json\r\n"
+                                     "Content-Length: " +
+                                     std::to_string(body.size()) + "\r\n\r\n" +
+                                     body;
+            this->record.line("server " + at.name + " answers " + id +
+                              " with its own 500");
+            return to->write(text);
+        }
+        to->write(signed_head(200, request) +
+                  "Content-Type: text/event-stream\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n");
+        for (unsigned event = 1; event <= events_all; ++event) {
+            if (this->trouble && event == events_before_cut + 1) {
+                this->record.line("the link to " + at.name + " is cut after " +
+                                  std::to_string(event - 1) + " events of " +
+                                  id);
+                at.way().cut = true;
+            }
+            if (!to->write(chunk(event_text(event))))
+                return false;
+            pause_for(40ms);
+        }
+        return to->write("0\r\n\r\n");
     }
 };
 
@@ -89,100 +74,71 @@
 
 int main(int, char** arguments)
 {
-    const std::string folder = arguments[1]; // for the entries' files
+    const std::string folder = arguments[1]; // for the entry's files
     record_file record(arguments[2]);
-    const bool trouble = disrupted();
-    run state{record};
-    store platform("127.62.1.1");
+    run state{record, {}, {}, disrupted()};
+    store platform("127.61.1.1");
     platform.put("op/config", configuration);
-    const auto chat = [&](server& at,
-                          const message& request,
-                          const connection_ptr& to) {
-        return state.answer("kiln-advisor", "/chat/", 300ms, at, request, to);
-    };
-    const auto book = [&](server& at,
-                          const message& request,
-                          const connection_ptr& to) {
-        return state.answer("booking-desk", "/book/", 1500ms, at, request, to);
-    };
-    std::vector<std::unique_ptr<server>> servers;
-    const auto add_server = [&](const std::string& id,
-                                const std::string& service,
-                                const std::string& ip,
-                                const server::handler& answer) {
-        servers.push_back(std::make_unique<server>(
-            platform, id, service, "worcester", 5, ip, answer));
-    };
-    add_server("k-1", "kiln-advisor", "127.62.1.2", chat);
-    add_server("k-2", "kiln-advisor", "127.62.1.3", chat);
-    add_server("b-1", "booking-desk", "127.62.1.4", book);
-    add_server("b-2", "booking-desk", "127.62.1.5", book);
-
-    // The first one has the largest share of a processor, and so dispatches for
-    // its zone. The second and third take requests as well; the fifth is the
-    // one that is killed.
-    entries all(platform.at(), folder, two_regions());
-    for (int each = 0; each < 6; ++each)
-        all.add("edge-worcester-" + std::to_string(each),
-                "worcester",
-                "127.62.2." + std::to_string(each + 1),
-                each == 0 ? 0.5 : 0.12);
-    for (int each = 0; each < 6; ++each)
-        all.add("edge-burlington-" + std::to_string(each),
-                "burlington",
-                "127.62.3." + std::to_string(each + 1),
-                0.12);
+    const auto answer =
+        [&](server& at, const message& request, const connection_ptr& to) {
+            return state.answer(at, request, to);
+        };
+    server first(platform,
+                 "m-1",
+                 "tasrih-models",
+                 "kenitra-hall",
+                 5,
+                 "127.61.1.2",
+                 answer);
+    server second(platform,
+                  "m-2",
+                  "tasrih-models",
+                  "kenitra-hall",
+                  5,
+                  "127.61.1.3",
+                  answer);
+    entries all(platform.at(), folder, one_region());
+    all.add("edge-1", "kenitra-hall", "127.61.1.9");
     all.start_all();
-    for (std::size_t each = 0; each < all.size(); ++each) {
-        if (!all.at(each).wait_ready(10s)) {
-            record.line("an entry isn't ready");
-            finish(all, 2);
-        }
+    if (!all.at(0).wait_ready(10s)) {
+        record.line("the entry isn't ready");
+        finish(all, 2);
     }
-    pause_for(14s); // traffic starts so long after the machines
-    entry_process& dispatcher = all.at(0);
-    entry_process& member = all.at(4);
+    pause_for(500ms);
 
-    for (int each = 0; each < 24; ++each) {
-        const std::string number = std::to_string(each);
-        state.send(member.frontend(), "/chat/m" + number, "old-" + number);
-        state.send(all.at(1).frontend(), "/chat/x" + number, "x-" + number);
-        state.send(all.at(2).frontend(), "/chat/y" + number, "y-" + number);
-    }
-    pause_for(250ms);
-    for (int each = 0; each < 6; ++each) {
-        const std::string number = std::to_string(each);
-        state.send(all.at(1).frontend(), "/book/x" + number, "bx-" + number);
-        state.send(all.at(2).frontend(), "/book/y" + number, "by-" + number);
-    }
-    pause_for(200ms);
-    if (trouble) {
-        record.line("SIGKILL of the member");
-        member.kill();
-        pause_for(250ms);
-        record.line("SIGSTOP of the dispatcher");
-        dispatcher.signal(SIGSTOP);
-        pause_for(150ms);
-        record.line("the member starts again");
-        member.start();
-        pause_for(250ms);
+    bool broken = false;
+    const connection_ptr client = connect_to(all.at(0).frontend());
+    if (!client)
+        finish(all, 2);
+    const std::string body(600, 'p');
+    record.line("client sends q-1");
+    client->write("POST /dossier/a HTTP/1.1\r\nHost: hall.example\r\n"
+                  "X-Attempt-Id: q-1\r\nX-Model: m\r\n"
+                  "X-Token-Usage: 1460,80\r\n"
+                  "X-Prompt-Prefix: 5c1e07a2:60,e4402b7d:1400\r\n"
+                  "X-Deadline-Ms: 12000\r\nApi-Key: key-1\r\n"
+                  "Content-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body);
+    const answer_read got = read_answer(*client, 14s);
+    record.line("client got: " + shown(got.raw, 4000));
+    if (!got.not_protocol.empty()) {
+        record.line("MIXED: bytes that are no answer in the protocol: " +
+                    got.not_protocol);
+        broken = true;
+    } else if (got.complete) {
+        record.line("the answer is complete");
+    } else if (got.closed) {
+        record.line("the connection broke off");
     } else {
-        pause_for(650ms);
+        record.line("neither an answer nor an end came in time");
     }
-    for (int each = 0; each < 24; ++each) {
-        const std::string number = std::to_string(each);
-        state.send(member.frontend(), "/book/n" + number, "new-" + number);
-    }
-    pause_for(500ms);
-    if (trouble) {
-        record.line("SIGCONT of the dispatcher");
-        dispatcher.signal(SIGCONT);
+    if (!state.trouble && !got.complete)
+        broken = true;
+    const auto ended = all.at(0).ended();
+    if (ended) {
+        record.line("the entry ended with status " + std::to_string(*ended));
+        broken = true;
     }
-    for (int waited = 0; waited < 150 && state.active > 0; ++waited)
-        pause_for(100ms);
-    const bool broken = state.wrong > 0;
-    record.line(std::to_string(state.wrong) +
-                " requests were run by a service that their route never had");
     record.line(broken ? "result: broken" : "result: held");
     finish(all, broken ? 1 : 0);
 }
