--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -103,7 +103,7 @@
     const auto book = [&](server& at,
                           const message& request,
                           const connection_ptr& to) {
-        return state.answer("booking-desk", "/book/", 1500ms, at, request, to);
+        return state.answer("booking-desk", "/book/", 1800ms, at, request, to);
     };
     std::vector<std::unique_ptr<server>> servers;
     const auto add_server = [&](const std::string& id,
@@ -143,9 +143,11 @@
     entry_process& dispatcher = all.at(0);
     entry_process& member = all.at(4);
 
-    for (int each = 0; each < 24; ++each) {
+    for (int each = 0; each < 36; ++each) {
         const std::string number = std::to_string(each);
         state.send(member.frontend(), "/chat/m" + number, "old-" + number);
+        if (each % 2 != 0)
+            continue;
         state.send(all.at(1).frontend(), "/chat/x" + number, "x-" + number);
         state.send(all.at(2).frontend(), "/chat/y" + number, "y-" + number);
     }
@@ -159,21 +161,21 @@
     if (trouble) {
         record.line("SIGKILL of the member");
         member.kill();
-        pause_for(250ms);
+        pause_for(400ms);
         record.line("SIGSTOP of the dispatcher");
         dispatcher.signal(SIGSTOP);
-        pause_for(150ms);
+        pause_for(100ms);
         record.line("the member starts again");
         member.start();
         pause_for(250ms);
     } else {
-        pause_for(650ms);
+        pause_for(750ms);
     }
-    for (int each = 0; each < 24; ++each) {
+    for (int each = 0; each < 36; ++each) {
         const std::string number = std::to_string(each);
         state.send(member.frontend(), "/book/n" + number, "new-" + number);
     }
-    pause_for(500ms);
+    pause_for(450ms);
     if (trouble) {
         record.line("SIGCONT of the dispatcher");
         dispatcher.signal(SIGCONT);
