--- a/review/support/harness.hpp
+++ b/review/support/harness.hpp
@@ -735,7 +735,9 @@
 {
     return {R"(["base","drain","config","cost","retry","recover","engine",)"
             R"("stream","tenants","quota","platform"])",
-            {{"kenitra-hall", "gharb-rabat"}, {"sidi-kacem", "gharb-rabat"}},
+            {{"kenitra-hall", "gharb-rabat"},
+             {"sidi-kacem", "gharb-rabat"},
+             {"rabat-agdal", "gharb-rabat"}},
             R"(seedLagS = 3
 addressReuseS = 2
 stabilityWindowMs = 3000
