--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -27,7 +27,7 @@
     std::mutex mutex;
     // The server that got the first send of each request.
     std::map<std::string, std::string> first;
-    bool trouble = false;
+    std::atomic<bool> trouble = false;
 
     bool answer(server& at, const message& request, const connection_ptr& to)
     {
@@ -106,6 +106,27 @@
     }
     pause_for(500ms);
 
+    // Sound requests before, so that one run of a server in five fails.
+    state.trouble = false;
+    for (int each = 0; each < 3; ++each) {
+        const connection_ptr one = connect_to(all.at(0).frontend());
+        if (!one)
+            finish(all, 2);
+        one->write("POST /dossier/a HTTP/1.1\r\nHost: hall.example\r\n"
+                   "X-Attempt-Id: sound-" +
+                   std::to_string(each) +
+                   "\r\nX-Model: m\r\nX-Token-Usage: 1460,80\r\n"
+                   "X-Deadline-Ms: 12000\r\nApi-Key: key-1\r\n"
+                   "Content-Length: 2\r\n\r\n{}");
+        const answer_read got = read_answer(*one, 14s);
+        record.line("client got the whole answer of sound-" +
+                    std::to_string(each) + ": " +
+                    (got.complete ? "yes" : "no"));
+        if (!got.complete)
+            finish(all, 2);
+    }
+    state.trouble = disrupted();
+
     bool broken = false;
     const connection_ptr client = connect_to(all.at(0).frontend());
     if (!client)
