Gossip: an answer names the process that asked

Callers got another service's answer with 200: a request ran at a service to which its route never led (ROUTE). A dispatcher's reply names requests by the numbers that its member's process gives them, from 1 on in each process, and nothing named that process. A member that was killed and started again took slots of its former requests, which a frozen dispatcher sent once more, for slots of its new ones; neither the member nor the sending end compared the upstream's service.

Ruled out: the dispatcher's own table, which drops the former process's requests with the first report of the new one, and member_request ids, which don't leave the dispatcher.

Change: every answer between entries (replies, answers about dispatchers, pages of quarantined requests, permits, handed-over limits) carries the incarnation of the process that it is for; one place drops those of an earlier process before anything reads them. Answers of older builds have no such field and pass. Late messages of a peer's former process are dropped while the new one lives. Two further checks hold whoever was wrong: a member uses no slot at an upstream of another service, and right before each send service and data centre are compared with what the request was admitted under.

Red before: slot_on_upstream_of_other_service_not_used (the slot was used), denial_for_process_before_restart_does_not_end_request (429 for 200).

--- a/src/greengagedrum/entry/limit_sharing.cpp
+++ b/src/greengagedrum/entry/limit_sharing.cpp
@@ -29,8 +29,8 @@
         return;
     grant.receiver = received.incarnation;
     grant.need_number = received.sequence;
-    gossip::message out =
-        this->make_message(gossip::message_kind::dispatcher_query_reply);
+    gossip::message out = this->make_answer(
+        gossip::message_kind::dispatcher_query_reply, received.incarnation);
     out.limit_grant = std::move(grant);
     this->send_datagram(gossip::encode(out), received.address);
 }
--- a/src/greengagedrum/entry/member_requests.cpp
+++ b/src/greengagedrum/entry/member_requests.cpp
@@ -1,6 +1,7 @@
 // Requests that this entry dispatches for its members, and own requests that
 // another entry dispatches.
 #include <greengagedrum/entry/request_handler.hpp>
+#include <greengagedrum/entry/send_check.hpp>
 #include <greengagedrum/entry/to_milliseconds.hpp>
 
 namespace greengagedrum::entry
@@ -162,6 +163,23 @@
         *route, table->find_workspace(facts.workspace), this->state.regions);
 }
 
+bool request_handler::may_send(const active_request& request,
+                               const routing::published_upstream& to) const
+{
+    const request_info& info = request.http_exchange->info();
+    const std::string_view objection =
+        send_objection({request.service, info.allowed_data_centres}, to);
+    if (objection.empty())
+        return true;
+    this->state.log.write(this->state.clock(),
+                          "scheduler",
+                          "send_prevented",
+                          {{"request", info.marks.attempt},
+                           {"upstream", to.name},
+                           {"why", objection}});
+    return false;
+}
+
 void request_handler::grant_slot(const traffic::send_request& order)
 {
     const base::instant now = this->state.clock();
--- a/src/greengagedrum/entry/peer_protocol.cpp
+++ b/src/greengagedrum/entry/peer_protocol.cpp
@@ -146,6 +146,12 @@
     const auto message = gossip::decode_message(bytes);
     if (!message)
         return this->log_unreadable(bytes, from);
+    if (this->is_for_another_process(*message))
+        return this->state.log.write(
+            now,
+            "peers",
+            "message_for_earlier_process",
+            {{"peer", message->instance}, {"life", message->recipient.value}});
     const gossip::peer_update update = this->table.on_message(*message, now);
     if (update == gossip::peer_update::outdated)
         return;
--- a/src/greengagedrum/entry/peer_protocol.hpp
+++ b/src/greengagedrum/entry/peer_protocol.hpp
@@ -170,6 +170,9 @@
     void announce_congestion(bool congested, base::instant now);
     bool paused_lately(base::instant now) const;
     gossip::message make_message(gossip::message_kind kind);
+    gossip::message make_answer(gossip::message_kind kind,
+                                base::incarnation recipient);
+    bool is_for_another_process(const gossip::message& received) const;
     gossip::message make_load_message(gossip::recipient_group recipients);
 
     void merge_suspects(const gossip::message& received, base::instant now);
@@ -272,6 +275,7 @@
 
     struct member {
         gossip::ipv4_address address = 0;
+        base::incarnation incarnation;
         base::instant heard_at;
         std::uint64_t configuration_revision = 0;
         std::uint64_t link_bytes_per_second = 0; // 0: unknown
--- a/src/greengagedrum/entry/peer_roles.cpp
+++ b/src/greengagedrum/entry/peer_roles.cpp
@@ -121,6 +121,7 @@
         return;
     }
     this->members[slot] = {received.address,
+                           received.incarnation,
                            now,
                            received.configuration_revision,
                            received.link_bytes_per_second,
@@ -177,8 +178,8 @@
     if (now - answered < query_answer_interval)
         return;
     answered = now;
-    gossip::message out =
-        this->make_message(gossip::message_kind::dispatcher_query_reply);
+    gossip::message out = this->make_answer(
+        gossip::message_kind::dispatcher_query_reply, received.incarnation);
     out.known_entries = this->election.select_known_entries(
         base::data_centre_id(received.data_centre), now);
     this->send_datagram(gossip::encode(out), received.address);
--- a/src/greengagedrum/entry/peer_sending.cpp
+++ b/src/greengagedrum/entry/peer_sending.cpp
@@ -29,6 +29,23 @@
 
 } // namespace
 
+// Requests are numbered from one in each process, so what an answer says of
+// them holds only for the process that it names.
+gossip::message peer_protocol::make_answer(gossip::message_kind kind,
+                                           base::incarnation recipient)
+{
+    gossip::message out = this->make_message(kind);
+    out.recipient = recipient;
+    return out;
+}
+
+bool peer_protocol::is_for_another_process(
+    const gossip::message& received) const
+{
+    return received.recipient != base::incarnation() &&
+           received.recipient != this->incarnation;
+}
+
 // Unchanged suspects are repeated at intervals, so that an entry that has just
 // started, or was partitioned, learns of them within a second.
 std::vector<quarantine::suspect_report>
@@ -62,7 +79,9 @@
 {
     if (!this->dispatcher)
         return;
-    gossip::message out = this->make_message(gossip::message_kind::reply);
+    gossip::message out =
+        this->make_answer(gossip::message_kind::reply,
+                          this->table.incarnation_of(*this->dispatcher));
     out.delegating = true;
     out.workspace_usage = this->state.limiter.window_usage(now);
     this->send_datagram(gossip::encode(out), *this->dispatcher);
@@ -211,7 +230,8 @@
     for (const auto& [slot, one] : this->members) {
         if (now - one.heard_at > member_max_silence)
             continue;
-        gossip::message out = this->make_message(gossip::message_kind::reply);
+        gossip::message out =
+            this->make_answer(gossip::message_kind::reply, one.incarnation);
         out.known_entries = known;
         out.suspects = suspects;
         out.rate_limits = rate_limits;
@@ -231,8 +251,10 @@
         const auto found = this->members.find(slot);
         gossip::message out = this->make_message(gossip::message_kind::reply);
         out.reply = this->events.make_reply(slot);
-        if (found != this->members.end())
-            this->send_datagram(gossip::encode(out), found->second.address);
+        if (found == this->members.end())
+            continue;
+        out.recipient = found->second.incarnation;
+        this->send_datagram(gossip::encode(out), found->second.address);
     }
 }
 
--- a/src/greengagedrum/entry/peer_suspects.cpp
+++ b/src/greengagedrum/entry/peer_suspects.cpp
@@ -82,8 +82,8 @@
     page.uninformed = this->inquiry.pending();
     for (std::uint32_t left = pages_per_answer; left > 0 && !page.complete;
          --left) {
-        gossip::message out =
-            this->make_message(gossip::message_kind::suspect_page);
+        gossip::message out = this->make_answer(
+            gossip::message_kind::suspect_page, received.incarnation);
         page.pages_to_come = left - 1;
         if (!page.uninformed)
             out.suspects = this->state.scheduler.crash_suspects().collect_page(
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -269,6 +269,7 @@
     active_request& active = this->requests[id];
     active.arrived = now - waited;
     active.workspace = request.workspace;
+    active.service = request.facts.service;
     active.cost = request.cost;
     active.priority = request.facts.priority;
     active.counted_here = counted_here;
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -130,6 +130,7 @@
         base::instant arrived;
         base::instant end_at;
         base::workspace_id workspace;
+        base::upstream_class_id service; // that the request's route led to
         base::request_digest digest;
         double cost = 0; // counted against the workspace's limit
         std::uint32_t priority = 0;
@@ -160,6 +161,8 @@
     };
 
     bool takes_requests() const;
+    bool may_send(const active_request& request,
+                  const routing::published_upstream& to) const;
     void accept();
     void add_caller(relay::tcp::socket socket);
     void on_request(const relay::caller_ptr& from, base::duration waited);
--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -157,8 +157,9 @@
     const base::instant now = this->state.clock();
     const routing::published_upstream* to =
         this->state.cluster.upstreams().find_usable(action.upstream);
-    if (to == nullptr) {
-        // The upstream was removed earlier in this iteration of the loop.
+    if (to == nullptr || !this->may_send(request, *to)) {
+        // The upstream was removed earlier in this iteration of the loop, or is
+        // not one of the request's.
         return this->submit_event(
             traffic::connect_failed{action.request, action.send});
     }
--- a/src/greengagedrum/entry/test/dispatch_test.cpp
+++ b/src/greengagedrum/entry/test/dispatch_test.cpp
@@ -79,6 +79,23 @@
     this->stop_sending();
 }
 
+// Failure guarded against: a dispatcher that was frozen answers requests of the
+// process before a restart, and the new one takes that for its own requests.
+TEST_CASE_FIXTURE(member_fixture,
+                  "denial_for_process_before_restart_does_not_end_request")
+{
+    this->begin_and_wait([](const dispatch::slot_request& wanted,
+                            dispatch::dispatcher_reply& into) {
+        into.denials.push_back({wanted.id, base::reason::limit_reached, 3s});
+    });
+    this->answers_former_process = true;
+    auto asked = this->client();
+    const auto got = asked.Get("/again/", headers());
+    REQUIRE(got);
+    CHECK(got->status == 200);
+    this->stop_sending();
+}
+
 // The dispatcher dies while it holds a request of the member. No other
 // dispatcher answers, so the member dispatches the request by itself within a
 // second.
--- a/src/greengagedrum/entry/test/fake_dispatcher.hpp
+++ b/src/greengagedrum/entry/test/fake_dispatcher.hpp
@@ -48,6 +48,8 @@
     }
 
     std::atomic<int> reports{0};
+    // Whether replies name the process before the one that reports.
+    std::atomic<bool> answers_former_process{false};
 
 private:
     void serve()
@@ -55,6 +57,9 @@
         while (!this->ended) {
             gossip::message out = this->own_message();
             this->take_reports(out.reply);
+            out.recipient = this->member;
+            if (this->answers_former_process)
+                out.recipient.value -= 1;
             const std::string bytes = gossip::encode(out);
             relay::error_code ignored; // the entry may not listen yet
             this->socket.send_to(
@@ -98,6 +103,7 @@
             if (!received || received->kind != gossip::message_kind::report)
                 continue;
             this->reports += 1;
+            this->member = received->incarnation;
             into = {};
             into.acked_report = received->report.sequence;
             for (const dispatch::slot_request& one :
@@ -110,6 +116,7 @@
     relay::udp::socket socket;
     alignas(std::uint64_t) std::array<char, 65'536> buffer{};
     std::uint64_t sequence = 0;
+    base::incarnation member; // that reported last
     decision decide;
     std::atomic<bool> ended{false};
     std::thread thread;
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -1392,7 +1392,8 @@
     VT_LIMIT_NEEDS = 82,
     VT_LIMIT_GRANT = 84,
     VT_SUSPECTS_WANTED = 86,
-    VT_SUSPECT_PAGE = 88
+    VT_SUSPECT_PAGE = 88,
+    VT_RECIPIENT_LIFE = 90
   };
   uint64_t life() const {
     return GetField<uint64_t>(VT_LIFE, 0);
@@ -1520,6 +1521,9 @@
   const greengagedrum::gossip::wire::SuspectPage *suspect_page() const {
     return GetStruct<const greengagedrum::gossip::wire::SuspectPage *>(VT_SUSPECT_PAGE);
   }
+  uint64_t recipient_life() const {
+    return GetField<uint64_t>(VT_RECIPIENT_LIFE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_LIFE, 8) &&
@@ -1585,6 +1589,7 @@
            verifier.VerifyTable(limit_grant()) &&
            VerifyField<greengagedrum::gossip::wire::SuspectsWanted>(verifier, VT_SUSPECTS_WANTED, 8) &&
            VerifyField<greengagedrum::gossip::wire::SuspectPage>(verifier, VT_SUSPECT_PAGE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RECIPIENT_LIFE, 8) &&
            verifier.EndTable();
   }
 };
@@ -1719,6 +1724,9 @@
   void add_suspect_page(const greengagedrum::gossip::wire::SuspectPage *suspect_page) {
     fbb_.AddStruct(Message::VT_SUSPECT_PAGE, suspect_page);
   }
+  void add_recipient_life(uint64_t recipient_life) {
+    fbb_.AddElement<uint64_t>(Message::VT_RECIPIENT_LIFE, recipient_life, 0);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1773,8 +1781,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const greengagedrum::gossip::wire::LimitNeed *>> limit_needs = 0,
     flatbuffers::Offset<greengagedrum::gossip::wire::LimitGrant> limit_grant = 0,
     const greengagedrum::gossip::wire::SuspectsWanted *suspects_wanted = nullptr,
-    const greengagedrum::gossip::wire::SuspectPage *suspect_page = nullptr) {
+    const greengagedrum::gossip::wire::SuspectPage *suspect_page = nullptr,
+    uint64_t recipient_life = 0) {
   MessageBuilder builder_(_fbb);
+  builder_.add_recipient_life(recipient_life);
   builder_.add_link_bytes_per_second(link_bytes_per_second);
   builder_.add_digest(digest);
   builder_.add_changes(changes);
@@ -1863,7 +1873,8 @@
     const std::vector<greengagedrum::gossip::wire::LimitNeed> *limit_needs = nullptr,
     flatbuffers::Offset<greengagedrum::gossip::wire::LimitGrant> limit_grant = 0,
     const greengagedrum::gossip::wire::SuspectsWanted *suspects_wanted = nullptr,
-    const greengagedrum::gossip::wire::SuspectPage *suspect_page = nullptr) {
+    const greengagedrum::gossip::wire::SuspectPage *suspect_page = nullptr,
+    uint64_t recipient_life = 0) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto uses__ = uses ? _fbb.CreateVectorOfStructs<greengagedrum::gossip::wire::Use>(*uses) : 0;
@@ -1924,7 +1935,8 @@
       limit_needs__,
       limit_grant,
       suspects_wanted,
-      suspect_page);
+      suspect_page,
+      recipient_life);
 }
 
 struct Item FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/greengagedrum/gossip/message.cpp
+++ b/src/greengagedrum/gossip/message.cpp
@@ -240,7 +240,8 @@
         limit_needs,
         limit_grant,
         sent.kind == message_kind::suspect_query ? &wanted : nullptr,
-        sent.kind == message_kind::suspect_page ? &page : nullptr);
+        sent.kind == message_kind::suspect_page ? &page : nullptr,
+        sent.recipient.value);
     builder.Finish(root);
     return bytes_of(builder);
 }
@@ -255,6 +256,7 @@
     const auto* root = flatbuffers::GetRoot<wire::Message>(bytes.data());
     message out;
     out.incarnation.value = root->life();
+    out.recipient.value = root->recipient_life();
     out.sequence = root->sequence();
     out.instance = string_of(root->instance());
     out.data_centre = string_of(root->data_centre());
--- a/src/greengagedrum/gossip/message.hpp
+++ b/src/greengagedrum/gossip/message.hpp
@@ -59,6 +59,9 @@
     // The sender is a dispatcher: it dispatches the requests of other entries.
     bool dispatching = false;
     base::incarnation incarnation;
+    // Of an answer: the process that it is for. 0: any process at the address,
+    // as from an entry of an earlier build.
+    base::incarnation recipient;
     std::uint64_t sequence = 0; // increases with each message of an incarnation
     std::string instance;
     std::string data_centre;
--- a/src/greengagedrum/gossip/peer_table.cpp
+++ b/src/greengagedrum/gossip/peer_table.cpp
@@ -55,6 +55,13 @@
         heard_before && known_peer.incarnation == received.incarnation;
     if (same_incarnation && received.sequence <= known_peer.sequence)
         return peer_update::outdated;
+    // Numbers don't tell which process is the later one: the clock may have
+    // been set back in between.
+    if (received.incarnation == known_peer.former_incarnation &&
+        is_live(known_peer, now))
+        return peer_update::outdated;
+    if (heard_before && !same_incarnation)
+        known_peer.former_incarnation = known_peer.incarnation;
     const bool was_live = known_peer.reported_live;
     known_peer.instance = received.instance;
     known_peer.in_own_data_centre = received.data_centre == this->data_centre;
@@ -90,6 +97,13 @@
     return out;
 }
 
+base::incarnation peer_table::incarnation_of(ipv4_address address) const
+{
+    const auto found = this->peers.find(address);
+    return found == this->peers.end() ? base::incarnation()
+                                      : found->second.incarnation;
+}
+
 bool peer_table::is_stopping(ipv4_address address) const
 {
     const auto found = this->peers.find(address);
--- a/src/greengagedrum/gossip/peer_table.hpp
+++ b/src/greengagedrum/gossip/peer_table.hpp
@@ -124,6 +124,8 @@
     // Whether a live peer of the own data centre has a lower address. That peer
     // then reads the store for both.
     bool has_store_reader_in_data_centre(base::instant now) const;
+    // Of the peer's process that was last heard from; 0: none was.
+    base::incarnation incarnation_of(ipv4_address address) const;
     // The entry has announced that it stops.
     bool is_stopping(ipv4_address address) const;
 
@@ -136,6 +138,9 @@
         // In another region, and sent to at the interval for these.
         bool across_regions = false;
         base::incarnation incarnation;
+        // Of the process heard before this one. While this one lives, late
+        // messages of the other are dropped. Empty: none.
+        std::optional<base::incarnation> former_incarnation;
         std::uint64_t sequence = 0;
         std::optional<base::instant>
             received_at; // empty: only listed by others
--- a/src/greengagedrum/traffic/delegation.cpp
+++ b/src/greengagedrum/traffic/delegation.cpp
@@ -77,13 +77,15 @@
         return;
     }
     if (!this->pool.is_available(what.upstream,
+                                 item->facts.service,
                                  item->facts.allowed_data_centres,
                                  item->facts.version)) {
-        // The upstream has left, is outside the request's allowed data centres
-        // or has another version, as this entry already knows, or is not known
-        // here yet. Another slot is requested under the next send number. The
-        // next report no longer lists this one, so the dispatcher frees its
-        // slot and counts no failure of the upstream.
+        // The upstream has left, is of another service, is outside the
+        // request's allowed data centres or has another version, as this entry
+        // already knows, or is not known here yet. Another slot is requested
+        // under the next send number. The next report no longer lists this one,
+        // so the dispatcher frees its slot and counts no failure of the
+        // upstream.
         exclude(*item, what.upstream);
         item->connects += 1;
         return;
--- a/src/greengagedrum/traffic/test/delegation_test.cpp
+++ b/src/greengagedrum/traffic/test/delegation_test.cpp
@@ -87,6 +87,23 @@
     CHECK(waiting[0].tried == std::vector{engine});
 }
 
+// Failure guarded against: a grant that was meant for another request runs this
+// one at a service that its route doesn't lead to.
+TEST_CASE_FIXTURE(delegating_fixture,
+                  "slot_on_upstream_of_other_service_not_used")
+{
+    routing::published_upstream other = upstream_named("b-0", 1);
+    other.service = base::upstream_class_id("bookings");
+    this->tested.upstream_joined(other, this->now);
+    const auto id = this->arrive(stream_facts());
+    slot_granted wrong = this->granted(id);
+    wrong.upstream = other.id;
+    this->step(wrong);
+    CHECK(this->last_action<send_request>() == nullptr);
+    this->step(this->granted(id, 2));
+    CHECK(this->last_action<send_request>() != nullptr);
+}
+
 TEST_CASE_FIXTURE(delegating_fixture, "request_denied_refused_with_retry_delay")
 {
     const auto id = this->arrive(stream_facts());
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -109,17 +109,19 @@
                        found->second.members.end(),
                        [&](base::upstream_id id) {
                            return this->is_available(
-                               id, allowed_data_centres, version);
+                               id, service, allowed_data_centres, version);
                        });
 }
 
 bool upstream_pool::is_available(
     base::upstream_id id,
+    base::upstream_class_id service,
     const routing::data_centre_constraint& allowed_data_centres,
     base::version_id version) const
 {
     const auto found = this->upstreams.find(id);
     return found != this->upstreams.end() && found->second.listed &&
+           found->second.service == service &&
            allowed_data_centres.allows(found->second.data_centre) &&
            (version.empty() || found->second.version == version);
 }
--- a/src/greengagedrum/traffic/upstream_pool.hpp
+++ b/src/greengagedrum/traffic/upstream_pool.hpp
@@ -214,10 +214,11 @@
     has_upstream(base::upstream_class_id service,
                  const routing::data_centre_constraint& allowed_data_centres,
                  base::version_id version) const;
-    // True when the upstream is published, takes requests, is in an allowed
-    // data centre and has that version.
+    // True when the upstream is published for the service, takes requests, is
+    // in an allowed data centre and has that version.
     bool
     is_available(base::upstream_id upstream,
+                 base::upstream_class_id service,
                  const routing::data_centre_constraint& allowed_data_centres,
                  base::version_id version) const;
     // True when an upstream other than `except` may be sent the request, at
