Exchange: a response under way never gets a second head

Callers got a chunked stream with another response, head and all, where the size of the next chunk was due (MIXED): a stream was resumed at a second upstream, which answered with an error. exchange::deliver() looked at what the last send had brought, and not at whether the caller had a part already; two other places looked.

Change: only caller_connection::answer() and begin_pieces() write a head, and both look whether one has been written, so that no end of a request can write a second one: the response is broken off and its connection closed. A whole answer to a send that resumes a stream is a failed attempt, with a cause of its own (stream_not_resumed, which counts as an error answer against the upstream, at the dispatcher too): the stream is resumed elsewhere while attempts, budget and time are left, and broken off otherwise. That holds for a 4xx as well, which was passed on at once before.

--- a/src/greengagedrum/dispatch/send_status_log.cpp
+++ b/src/greengagedrum/dispatch/send_status_log.cpp
@@ -43,6 +43,8 @@
             return send_status::reused_connection_lost;
         case traffic::interruption_cause::write_stalled:
             return send_status::write_stalled;
+        case traffic::interruption_cause::stream_not_resumed:
+            return send_status::error_answer;
         case traffic::interruption_cause::connection_lost:
         case traffic::interruption_cause::malformed:
             break;
--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -199,8 +199,7 @@
     }
     if (pieces.empty())
         return;
-    if (!this->caller->pieces_begun())
-        this->caller->begin_pieces(this->caller_response_head());
+    this->caller->begin_pieces(this->caller_response_head());
     this->caller->send_piece(pieces);
     if (!this->events.memory && this->caller->unsent() > unsent_high_water)
         this->pause_reading();
@@ -302,6 +301,10 @@
     const std::string fault = this->head_error();
     if (!fault.empty())
         return this->on_broken(traffic::interruption_cause::malformed, fault);
+    // The caller has the first part of a stream, which this doesn't go on with.
+    if (this->caller->pieces_begun())
+        return this->on_broken(traffic::interruption_cause::stream_not_resumed,
+                               "stream not resumed");
     if (this->ends_inside_event())
         return this->on_broken(traffic::interruption_cause::connection_lost,
                                std::string(closed_inside_event));
@@ -370,8 +373,7 @@
         this->response_room.resize(0);
         return this->caller->answer(this->caller_response_head(), body);
     }
-    if (!this->caller->pieces_begun())
-        this->caller->begin_pieces(this->caller_response_head());
+    this->caller->begin_pieces(this->caller_response_head());
     this->caller->send_piece(this->splitter.take_rest());
     this->caller->end_pieces();
 }
--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -44,10 +44,11 @@
             {"service", "models"}};
 }
 
-json configuration(double limit_per_second)
+json configuration(const fixture_options& options)
 {
     json resumable = route("/stream/", "streaming");
     resumable["streamResume"] = true;
+    resumable["maxAttempts"] = options.stream_attempts;
     return {{"version", 1},
             {"routes",
              {route("/once/", "non_idempotent"),
@@ -60,8 +61,8 @@
                {"apiKeys", {"key-1"}},
                {"unit", "tokens"},
                {"uncachedTokens", 200},
-               {"ratePerS", limit_per_second},
-               {"burst", limit_per_second}}}}};
+               {"ratePerS", options.limit_per_second},
+               {"burst", options.limit_per_second}}}}};
 }
 
 settings settings_for(int store_port, const fixture_options& options)
@@ -154,7 +155,7 @@
 void entry_fixture::publish(const fixture_options& options)
 {
     json entries = {
-        item("op/config", configuration(options.limit_per_second), 1)};
+        item("op/config", configuration(options), 1)};
     std::vector<int> ports = options.upstream_ports;
     if (ports.empty())
         ports = {this->upstream_server.port};
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -47,6 +47,7 @@
     // Their versions by position; "v1" for those without one here.
     std::vector<std::string> upstream_versions{};
     double retry_slack = 0; // retries that need not be earned
+    unsigned stream_attempts = 2;
     std::string ip = "127.0.0.1";
     std::uint64_t memory_bytes = 0; // 0: not limited
     base::duration stop_timeout = std::chrono::seconds(1);
--- a/src/greengagedrum/entry/test/raw_upstream.cpp
+++ b/src/greengagedrum/entry/test/raw_upstream.cpp
@@ -86,9 +86,15 @@
             return;
     }
     this->requests += 1;
+    std::string rest = this->respond(head);
+    std::string status_line = "HTTP/1.1 200 OK\r\n";
+    if (rest.starts_with("HTTP/1.1 ")) {
+        status_line = rest.substr(0, rest.find('\n') + 1);
+        rest.erase(0, status_line.size());
+    }
     const std::string bytes =
-        "HTTP/1.1 200 OK\r\nX-Response-Signature: signed\r\nX-Attempt-Id: " +
-        header_value(head, "X-Attempt-Id") + "\r\n" + this->respond(head);
+        status_line + "X-Response-Signature: signed\r\nX-Attempt-Id: " +
+        header_value(head, "X-Attempt-Id") + "\r\n" + rest;
     asio::write(connection, asio::buffer(bytes), fault);
 }
 
--- a/src/greengagedrum/entry/test/raw_upstream.hpp
+++ b/src/greengagedrum/entry/test/raw_upstream.hpp
@@ -16,7 +16,8 @@
 {
 public:
     // Given the head of a request, returns the bytes after the headers that
-    // every upstream sends.
+    // every upstream sends, or a status line, other than that of a success, and
+    // those bytes.
     using responder = std::function<std::string(const std::string& head)>;
 
     explicit raw_upstream(responder respond);
--- a/src/greengagedrum/relay/caller_connection.cpp
+++ b/src/greengagedrum/relay/caller_connection.cpp
@@ -156,8 +156,12 @@
         head += "Connection: close\r\n";
 }
 
+// Both functions that write a head look whether one has been written: what
+// follows the first part of a response is more of it, its end, or a break.
 void caller_connection::answer(std::string head, std::string_view body)
 {
+    if (this->in_pieces)
+        return this->break_off();
     this->announce_close(head);
     head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (this->reader->head().method != "HEAD")
@@ -174,6 +178,8 @@
 
 void caller_connection::begin_pieces(std::string head)
 {
+    if (this->in_pieces)
+        return;
     this->in_pieces = true;
     this->chunked = this->reader->head().version >= 11;
     this->unframed = !this->chunked;
--- a/src/greengagedrum/relay/test/caller_connection_test.cpp
+++ b/src/greengagedrum/relay/test/caller_connection_test.cpp
@@ -186,4 +186,40 @@
     CHECK(this->requests == 2);
 }
 
+// Failure guarded against: a second head in the middle of a response.
+TEST_CASE_FIXTURE(idle_connection_fixture,
+                  "response_begun_another_answer_breaks_it_off")
+{
+    this->events.request = [](const caller_ptr& from, base::duration) {
+        from->begin_pieces("HTTP/1.1 200 OK\r\n");
+        from->send_piece("first");
+        from->answer(own_answer{503, "test", std::nullopt});
+    };
+    this->write_request();
+    this->write_request();
+    this->run();
+    this->caller.shutdown(tcp::socket::shutdown_send);
+    this->run();
+    const std::string response = this->received();
+    CHECK(response.ends_with("5\r\nfirst\r\n"));
+    CHECK(response.find("503") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(idle_connection_fixture,
+                  "response_begun_twice_has_the_first_head")
+{
+    this->events.request = [](const caller_ptr& from, base::duration) {
+        from->begin_pieces("HTTP/1.1 200 OK\r\n");
+        from->begin_pieces("HTTP/1.1 500 Error\r\n");
+        from->end_pieces();
+    };
+    this->write_request();
+    this->run();
+    this->caller.shutdown(tcp::socket::shutdown_send);
+    this->run();
+    const std::string response = this->received();
+    CHECK(response.starts_with("HTTP/1.1 200 OK"));
+    CHECK(response.find("500") == std::string::npos);
+}
+
 } // namespace greengagedrum::relay
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -133,6 +133,8 @@
     reused_connection_lost,
     // This entry broke the answer off for want of memory.
     memory_short,
+    // A whole answer to the resumption of a stream, but not the rest of it.
+    stream_not_resumed,
 };
 
 // The answer was interrupted or never started. The request may have run.
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -262,9 +262,15 @@
         // The same upstream may serve the next send.
         this->pool.probe_inconclusive(item->upstream);
     } else {
-        this->record_failure(item->upstream, failure_kind::broken);
+        this->record_failure(item->upstream,
+                             what.cause ==
+                                     interruption_cause::stream_not_resumed
+                                 ? failure_kind::failing
+                                 : failure_kind::broken);
         exclude(*item, item->upstream);
     }
+    if (what.cause == interruption_cause::stream_not_resumed)
+        this->record_reached(*item);
     if (what.cause == interruption_cause::connection_lost)
         this->record_crash(*item);
     this->end_send(*item);
