Exchange: a response that nothing frames isn't whole without a byte or an event

The report of a server that stops in the middle of its head led to the same end of a plain response: a success with neither length nor chunks whose connection closed after the head reached the caller as a 200 with a body of length 0.

Change: exchange::unfinished_end() says in one place why such an end is none.

--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -143,9 +143,12 @@
     void keep_to_memory();
     void classify_answer();
     bool is_event_stream() const;
-    // An upstream that crashes inside an event may close its connection in
-    // order. Where nothing else frames the body, that looks like its end.
-    bool ends_inside_event() const;
+    // An upstream that crashes may close its connection in order, which looks
+    // like the end of a body that nothing else frames. Why it is none, where
+    // the body shows it: it has no byte, or ends inside an event. A stream that
+    // is resumed has no event of its own either where its upstream crashes
+    // before it goes on. Empty: the body may be whole.
+    std::string_view unfinished_end() const;
     // Empty if the response head can belong to this request.
     std::string head_error() const;
     bool has_success_status() const;
--- a/src/greengagedrum/entry/test/cut_off_entry_test.cpp
+++ b/src/greengagedrum/entry/test/cut_off_entry_test.cpp
@@ -147,6 +147,26 @@
     CHECK_FALSE(ask());
 }
 
+// Failure guarded against: an upstream behind a peer stops in the middle of its
+// head, and the caller gets a success without a body.
+TEST_CASE("head_cut_behind_a_peer_is_no_answer")
+{
+    const std::string head = "Content-Length: 2\r\nX-A: 1\r\n";
+    std::atomic<std::size_t> size{0};
+    const cut_off_fixture test(
+        [&](const std::string& /* request */) { return head.substr(0, size); });
+    for (; size <= head.size(); size += 3) {
+        CAPTURE(size);
+        for (const char* target : {"/once/", "/stream/"}) {
+            const auto response = test.cut_off.client().Post(
+                target, entry_fixture::headers(), "", "text/plain");
+            REQUIRE(response);
+            CHECK(response->status >= 500);
+        }
+    }
+    CHECK(test.request_count() > 0);
+}
+
 // The request may have run: it is not sent a second way.
 TEST_CASE("request_whose_peer_is_lost_is_not_sent_again")
 {
