Upstreams: one that changes its service leaves the former one

Without a warm-up the process ended once the upstream left, since the former service's members kept its id.

Change: the upstream moves from one service's members to the other's. A change of its data centre is a change as well; before, the pool kept the former one, also for requests that may not leave some data centres. Slots and versions were taken over already; of other lookups that throw, none is over values of the store (by reading).

--- a/src/greengagedrum/routing/test/routing_test.cpp
+++ b/src/greengagedrum/routing/test/routing_test.cpp
@@ -153,6 +153,19 @@
     CHECK(directory.find_usable(entry.id) == nullptr);
 }
 
+// Failure guarded against: requests that may not leave some data centres go to
+// an upstream that has moved.
+TEST_CASE("upstream_that_changes_its_data_centre_is_updated")
+{
+    upstream_directory directory;
+    published_upstream entry = upstream_at("i-1", 5);
+    entry.data_centre = "hall";
+    CHECK(directory.update(entry) == upstream_change::joined);
+    entry.data_centre = "yard";
+    entry.revision = 6;
+    CHECK(directory.update(entry) == upstream_change::updated);
+}
+
 TEST_CASE("removed_upstream_older_update_ignored")
 {
     upstream_directory directory;
--- a/src/greengagedrum/routing/upstream_directory.cpp
+++ b/src/greengagedrum/routing/upstream_directory.cpp
@@ -99,6 +99,7 @@
     const bool updated = previous.address != record.published.address ||
                          previous.slots != record.published.slots ||
                          previous.service != record.published.service ||
+                         previous.data_centre != record.published.data_centre ||
                          previous.version != record.published.version ||
                          (published.id == record.published.id &&
                           published.revision == record.published.revision &&
--- a/src/greengagedrum/traffic/upstream_pool.cpp
+++ b/src/greengagedrum/traffic/upstream_pool.cpp
@@ -39,6 +39,9 @@
     if (added || !own.listed) {
         this->services[entry.service].members.push_back(entry.id);
         own.paced_at = now;
+    } else if (own.service != entry.service) {
+        std::erase(this->services[own.service].members, entry.id);
+        this->services[entry.service].members.push_back(entry.id);
     }
     own.service = entry.service;
     own.slots = entry.slots;
