Gossip: a test that answers of an earlier build are taken

Answers without a recipient, as those of a dispatcher of an earlier build, must pass while a fleet is being replaced; no test showed it. The fake dispatcher names the process that reports, the one before it, or none.

--- a/src/greengagedrum/entry/test/dispatch_test.cpp
+++ b/src/greengagedrum/entry/test/dispatch_test.cpp
@@ -88,7 +88,7 @@
                             dispatch::dispatcher_reply& into) {
         into.denials.push_back({wanted.id, base::reason::limit_reached, 3s});
     });
-    this->answers_former_process = true;
+    this->answers = recipient::former;
     auto asked = this->client();
     const auto got = asked.Get("/again/", headers());
     REQUIRE(got);
@@ -96,6 +96,23 @@
     this->stop_sending();
 }
 
+// Failure guarded against: members refuse the dispatcher's decisions while a
+// fleet is being replaced.
+TEST_CASE_FIXTURE(member_fixture,
+                  "denial_by_dispatcher_of_earlier_build_is_taken")
+{
+    this->answers = recipient::none;
+    this->begin_and_wait([](const dispatch::slot_request& wanted,
+                            dispatch::dispatcher_reply& into) {
+        into.denials.push_back({wanted.id, base::reason::limit_reached, 3s});
+    });
+    auto asked = this->client();
+    const auto got = asked.Get("/again/", headers());
+    REQUIRE(got);
+    CHECK(got->status == 429);
+    this->stop_sending();
+}
+
 // The dispatcher dies while it holds a request of the member. No other
 // dispatcher answers, so the member dispatches the request by itself within a
 // second.
--- a/src/greengagedrum/entry/test/fake_dispatcher.hpp
+++ b/src/greengagedrum/entry/test/fake_dispatcher.hpp
@@ -48,8 +48,10 @@
     }
 
     std::atomic<int> reports{0};
-    // Whether replies name the process before the one that reports.
-    std::atomic<bool> answers_former_process{false};
+    // The process that replies name: the one that reports, the one before it,
+    // or none, as a dispatcher of an earlier build.
+    enum class recipient : std::uint8_t { reporting, former, none };
+    std::atomic<recipient> answers{recipient::reporting};
 
 private:
     void serve()
@@ -57,8 +59,9 @@
         while (!this->ended) {
             gossip::message out = this->own_message();
             this->take_reports(out.reply);
-            out.recipient = this->member;
-            if (this->answers_former_process)
+            if (this->answers != recipient::none)
+                out.recipient = this->member;
+            if (this->answers == recipient::former)
                 out.recipient.value -= 1;
             const std::string bytes = gossip::encode(out);
             relay::error_code ignored; // the entry may not listen yet
