Entry tests: fewer threads in the tests of configuration changes

On arm64 the sanitizer has 8 GiB of address space for the histories of threads; the tests of changes had up to 491 threads at once when it ran out. On x86-64 there is room for thousands, so earlier runs there passed.

17 entries ran at once, each with its store and two upstreams. Now nine do, and the pool of the store no longer grows with the processors of the machine. All combinations of changes and states are tested as before.

Before, on arm64 under the thread sanitizer: three of three tests of changes ended in that check, as did test-entry as a whole. After: at most 344 threads; test-entry passes, 171 cases, 7,056 checks, in 190 s.

--- a/src/greengagedrum/entry/test/configuration_change_fixture.cpp
+++ b/src/greengagedrum/entry/test/configuration_change_fixture.cpp
@@ -16,6 +16,7 @@
 // A caller or an upstream gives up after it.
 constexpr auto answer_timeout = 5s;
 constexpr std::size_t upstream_threads = 12;
+constexpr std::size_t store_threads = 8;
 
 std::string base64_of(const std::string& text)
 {
@@ -69,6 +70,14 @@
               {{"name", "other"}, {"apiKeys", {"key-0"}}}}}};
 }
 
+// The default pool has a thread for each processor of the machine.
+void use_threads(fake_http_server& server, std::size_t count)
+{
+    server.server.new_task_queue = [count] {
+        return new httplib::ThreadPool(count);
+    };
+}
+
 std::string probe_prefix(int version)
 {
     return "/version-" + std::to_string(version) + "/";
@@ -143,6 +152,7 @@
 
 void configuration_change_fixture::serve_store()
 {
+    use_threads(this->store_server, store_threads);
     const json entries = {this->upstream(1, "models", 20),
                           this->upstream(2, "models", 20),
                           this->upstream(3, "narrow", 1),
@@ -258,9 +268,7 @@
 
 void configuration_change_fixture::serve_upstream(fake_http_server& server)
 {
-    server.server.new_task_queue = [] {
-        return new httplib::ThreadPool(upstream_threads);
-    };
+    use_threads(server, upstream_threads);
     const auto handle = [this](const httplib::Request& request,
                                httplib::Response& response) {
         this->respond(request, response);
--- a/src/greengagedrum/entry/test/configuration_change_test.cpp
+++ b/src/greengagedrum/entry/test/configuration_change_test.cpp
@@ -48,8 +48,9 @@
     }
 }
 
-// Bounds the threads of the test.
-constexpr std::size_t entries_at_once = 17;
+// Bounds the threads of the test: the thread sanitizer has room for fewer than
+// 500 on arm64.
+constexpr std::size_t entries_at_once = 9;
 
 // Each combination at an entry of its own.
 void check_all(const std::vector<change_list>& combinations,
