Entry tests: a caller goes on reading after the process was stopped

A receive with a time-out ends with EINTR once the process has been stopped and continued. The caller of the tests of configuration changes took that for a missing answer and then read the answers of earlier requests for those of later ones.

--- a/src/greengagedrum/entry/test/change_caller.cpp
+++ b/src/greengagedrum/entry/test/change_caller.cpp
@@ -4,7 +4,9 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
+#include <cerrno>
 #include <chrono>
+#include <span>
 
 namespace greengagedrum::entry
 {
@@ -16,6 +18,16 @@
 
 constexpr auto answer_timeout = 5s;
 
+// A system call with a time-out isn't restarted after the process was stopped.
+ssize_t receive(int socket, std::span<char> into)
+{
+    ssize_t count = 0;
+    do {
+        count = ::recv(socket, into.data(), into.size(), 0);
+    } while (count < 0 && errno == EINTR);
+    return count;
+}
+
 } // namespace
 
 bool caller_outcome::says_not_run() const
@@ -56,8 +68,7 @@
         if (parser.is_done() ||
             (fault && fault != http::make_error_code(http::error::need_more)))
             break;
-        const ssize_t count =
-            ::recv(this->socket.native_handle(), piece.data(), piece.size(), 0);
+        const ssize_t count = receive(this->socket.native_handle(), piece);
         if (count <= 0)
             break;
         this->unread.append(piece.data(), static_cast<std::size_t>(count));
