Fleet tests: several services, killed members and frozen dispatchers

The postmortem of slots that a restarted member took for its own had one gap left: no random test kills members and freezes dispatchers while the members have requests of several services. The simulated fleet also gave each request a number of its own over all processes, where the numbers of a real process begin at one, so it could not show that fault.

The fleet now numbers the requests of each process from one, has several services, kills shares of the members while their dispatcher is frozen, and counts sends to upstreams of another service.

--- a/src/greengagedrum/entry/fleet_test/connection_skew_dispatch.cpp
+++ b/src/greengagedrum/entry/fleet_test/connection_skew_dispatch.cpp
@@ -14,11 +14,15 @@
 using namespace std::chrono_literals;
 using dispatch::member_request_table;
 
-const base::upstream_class_id engines("engines");
 constexpr std::uint32_t attempts_most = 3;
 
 } // namespace
 
+base::upstream_class_id service_name(std::size_t number)
+{
+    return base::upstream_class_id("service-" + std::to_string(number));
+}
+
 virtual_fleet::hooks connection_skew_fleet::hooks()
 {
     virtual_fleet::hooks out;
@@ -45,7 +49,8 @@
     routing::published_upstream out;
     out.name = "upstream-" + std::to_string(number);
     out.id = base::upstream_id(out.name);
-    out.service = engines;
+    out.service =
+        service_name(number / this->plan.data_centres % this->plan.services);
     out.slots = slots_of_upstream;
     out.data_centre =
         "centre-" + std::to_string(number % this->plan.data_centres);
@@ -113,6 +118,12 @@
     return out;
 }
 
+connection_skew_fleet::caller_key
+connection_skew_fleet::key_of(const node& at, base::request_id request) const
+{
+    return {this->processes[at.number].process_id, request};
+}
+
 dispatch::member_report connection_skew_fleet::make_report(node& member)
 {
     dispatch::member_report out;
@@ -218,6 +229,10 @@
     started.request = action.request;
     started.send = action.send;
     const std::size_t number = this->upstream_numbers.at(action.upstream);
+    const caller& from = this->callers.at(this->key_of(at, action.request));
+    this->result.sends += 1;
+    if (this->published(number).service != from.service)
+        this->result.sends_to_other_service += 1;
     this->running[number].push_back(started);
     this->record_send(number);
 }
@@ -235,9 +250,9 @@
 }
 
 void connection_skew_fleet::execute_action(
-    node&, const traffic::deliver_answer& action)
+    node& at, const traffic::deliver_answer& action)
 {
-    const auto found = this->callers.find(action.request);
+    const auto found = this->callers.find(this->key_of(at, action.request));
     if (found == this->callers.end())
         return;
     if (found->second.counted_in != nullptr)
@@ -253,7 +268,7 @@
                                                      action.verdict);
         return;
     }
-    const auto found = this->callers.find(action.request);
+    const auto found = this->callers.find(this->key_of(at, action.request));
     if (found == this->callers.end())
         return;
     retry next{found->second, at.number};
--- a/src/greengagedrum/entry/fleet_test/connection_skew_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/connection_skew_fleet.cpp
@@ -11,7 +11,6 @@
 
 using namespace std::chrono_literals;
 
-const base::upstream_class_id engines("engines");
 constexpr double skewed_share = 0.9;
 // Seconds from the start. Requests are counted by their first attempt, before
 // the skew and from the end of the stability window on.
@@ -111,6 +110,9 @@
         const std::size_t home = this->random_engine() % this->plan.entries;
         caller from;
         from.arrived = this->fleet.time();
+        if (this->plan.services > 1)
+            from.service =
+                service_name(this->random_engine() % this->plan.services);
         if (this->is_affected(home))
             from.counted_in = this->share_now();
         if (from.counted_in != nullptr)
@@ -145,15 +147,15 @@
     this->result.most_per_second = std::max(
         this->result.most_per_second, static_cast<std::uint32_t>(read.size()));
     traffic::request_facts facts;
-    facts.service = engines;
+    facts.service = from.service;
     facts.kind = base::kind_id("chat");
     facts.stream = true;
     facts.prompt_tokens = 200;
     facts.output_tokens = 20;
     facts.latency_objective = latency_objective;
     facts.time_left = time_left - (now - from.arrived);
-    const base::request_id id{this->next_request++};
-    this->callers[id] = from;
+    const base::request_id id{this->processes[entry].next_request++};
+    this->callers[this->key_of(*to, id)] = from;
     this->submit_event(*to, traffic::request_arrived{id, facts});
 }
 
@@ -229,7 +231,7 @@
 {
     const bool ended = one.ends_at <= this->fleet.time();
     if (one.events == 1) {
-        const auto found = this->callers.find(one.request);
+        const auto found = this->callers.find({one.process_id, one.request});
         served_share* share =
             found == this->callers.end() ? nullptr : found->second.counted_in;
         if (share != nullptr &&
@@ -259,6 +261,22 @@
         this->dispatcher_restarted = true;
         this->fleet.begin_stop(0);
     }
+    this->kill_members();
+}
+
+void connection_skew_fleet::kill_members()
+{
+    const std::vector<double>& times = this->plan.members_killed_at;
+    if (this->next_member_kill >= times.size() ||
+        this->fleet.seconds() < times[this->next_member_kill])
+        return;
+    this->next_member_kill += 1;
+    for (std::size_t number = 0; number < this->fleet.size(); ++number) {
+        const node* one = this->fleet.serving(number);
+        if (one != nullptr && one->state.delegating &&
+            this->draw() < this->plan.killed_share)
+            this->fleet.kill(number, this->plan.down_for);
+    }
 }
 
 connection_skew_result connection_skew_fleet::simulate()
--- a/src/greengagedrum/entry/fleet_test/connection_skew_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/connection_skew_fleet.hpp
@@ -18,6 +18,8 @@
 
 inline constexpr std::uint32_t slots_of_upstream = 5;
 
+base::upstream_class_id service_name(std::size_t number);
+
 struct connection_skew_plan : fault_plan {
     std::size_t upstreams = 8;
     // Of the upstreams' slots or, if they announce limits, of these.
@@ -28,6 +30,13 @@
     // Seconds from the start.
     double favoured_leaves_at = 1e9;
     double dispatcher_restarts_at = 1e9;
+    // Equally many upstreams and requests are of each service.
+    std::size_t services = 1;
+    // Times, in seconds, at which that share of the members is killed, and how
+    // long they are down.
+    std::vector<double> members_killed_at;
+    double killed_share = 0.5;
+    base::duration down_for = std::chrono::milliseconds(500);
 };
 
 // First attempts of requests of the callers that the skew affects.
@@ -47,8 +56,10 @@
 struct connection_skew_result {
     served_share before;
     served_share during; // from the end of the stability window on
-    std::uint32_t most_per_second = 0;  // requests that one entry read
-    std::uint32_t most_in_window = 0;   // to one upstream within four seconds
+    std::uint32_t most_per_second = 0; // requests that one entry read
+    std::uint32_t most_in_window = 0;  // to one upstream within four seconds
+    std::uint32_t sends = 0;
+    std::uint32_t sends_to_other_service = 0;
     std::uint64_t bytes_per_second = 0; // of the busiest entry
     std::size_t largest_datagram = 0;
 
@@ -70,6 +81,15 @@
         // Counts the first attempt; null: not counted.
         served_share* counted_in = nullptr;
         std::uint32_t attempts = 1;
+        base::upstream_class_id service = service_name(0);
+    };
+
+    // The numbers of requests are unique within one process.
+    struct caller_key {
+        std::uint64_t process_id = 0;
+        base::request_id request;
+
+        auto operator<=>(const caller_key&) const = default;
     };
 
     // A request whose caller comes back after a refusal.
@@ -92,6 +112,7 @@
 
     struct process_state {
         std::uint64_t process_id = 0;
+        std::uint64_t next_request = 1;
         dispatch::member_request_table members;
         dispatch::send_status_log statuses;
         std::size_t waiting_before = 0;
@@ -136,6 +157,8 @@
     void send_retries();
     void submit(std::size_t entry, const caller& from);
     void inject_faults();
+    void kill_members();
+    caller_key key_of(const node& at, base::request_id request) const;
     served_share* share_now();
     double draw(); // from 0 to 1
 
@@ -145,13 +168,13 @@
     std::vector<std::vector<run>> running; // by upstream, in order of arrival
     std::vector<std::deque<base::instant>> recent_sends; // by upstream
     std::map<base::upstream_id, std::size_t> upstream_numbers;
-    std::map<base::request_id, caller> callers; // of requests in progress
+    std::map<caller_key, caller> callers; // of requests in progress
     std::multimap<base::instant, retry> retries;
     virtual_fleet fleet;
     std::size_t favoured = 0;
     bool favoured_left = false;
     bool dispatcher_restarted = false;
-    std::uint64_t next_request = 1;
+    std::size_t next_member_kill = 0;
     std::uint64_t next_process = 1;
     connection_skew_result result;
 };
