--- a/test/soak/caller.cpp
+++ b/test/soak/caller.cpp
@@ -45,7 +45,7 @@
 
 task caller::send(request_plan plan)
 {
-    this->records.sent(plan.attempt, plan.route != "/once/");
+    this->records.sent(plan.attempt, plan.repeatable());
     outcome out;
     out.began = clock::now();
     const auto socket = std::make_shared<tcp::socket>(this->context);
--- a/test/soak/caller.hpp
+++ b/test/soak/caller.hpp
@@ -19,13 +19,17 @@
 
 struct request_plan {
     std::string attempt;
-    std::string route; // "/once/", "/again/", "/east/" or "/stream/"
+    std::string route; // "/once/", "/again/", "/east/", "/book/" or "/stream/"
     body_sizes sizes;
     prompt announced{};
     bool crashing = false; // its prompt has the crashing part
     manner behaviour = manner::reading;
 
     bool stream() const { return this->route == "/stream/"; }
+    bool repeatable() const
+    {
+        return this->route != "/once/" && this->route != "/book/";
+    }
 };
 
 struct outcome {
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -44,7 +44,7 @@
 
 void run::add_all_faults()
 {
-    for (std::size_t each = 0; each < world::entry_count; ++each)
+    for (std::size_t each = 0; each < this->given.entries; ++each)
         this->add_entry_faults(each);
     for (std::size_t each = 0; each < world::upstream_count; ++each)
         this->add_upstream_faults(each);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -20,6 +20,8 @@
 constexpr std::int64_t seconds_most = 3600;
 constexpr std::int64_t rate_most = 5000;
 constexpr std::int64_t memory_most = 100'000;
+constexpr std::int64_t entries_least = 2; // the large ones
+constexpr std::int64_t entries_most = 90; // addresses before the upstreams'
 
 const settings::setting_table& table()
 {
@@ -44,6 +46,10 @@
          .help = "Megabytes that each entry may use.",
          .type = settings::integer_type{1, memory_most},
          .fallback = "160"},
+        {.name = "entries",
+         .help = "Processes of entries; from nine on, they use dispatchers.",
+         .type = settings::integer_type{entries_least, entries_most},
+         .fallback = "4"},
         {.name = "crashing-part",
          .help = "Upstreams crash on requests with one part of the prompt.",
          .type = settings::switch_type{},
@@ -90,6 +96,8 @@
     given.rate = static_cast<double>(parsed.get<std::int64_t>("rate"));
     given.memory_mb =
         static_cast<std::size_t>(parsed.get<std::int64_t>("memory"));
+    given.entries =
+        static_cast<std::size_t>(parsed.get<std::int64_t>("entries"));
     given.crashing_part = parsed.get<bool>("crashing-part");
     std::vector<std::int64_t> failed;
     for (std::int64_t seed = first; seed < first + seeds; ++seed) {
--- a/test/soak/part_fault.cpp
+++ b/test/soak/part_fault.cpp
@@ -40,8 +40,8 @@
     const std::uint64_t first = this->prompts.draw_first();
     const std::uint64_t part = this->prompts.draw_unused();
     this->crashing = std::make_unique<crashing_part>(
-        part, first, world::entry_count, this->records);
-    for (std::size_t each = 0; each < world::entry_count; ++each)
+        part, first, this->given.entries, this->records);
+    for (std::size_t each = 0; each < this->given.entries; ++each)
         this->crashing->entry_restarted(each);
     for (std::size_t each = 0; each < world::upstream_count; ++each)
         this->observe_upstream(each);
@@ -83,7 +83,7 @@
     this->crashing->begin();
     while (clock::now() < end) {
         const request_plan plan = this->draw_crashing_request();
-        const std::size_t entry = this->part_dice() % world::entry_count;
+        const std::size_t entry = this->part_dice() % this->given.entries;
         if (this->all.entries.at(entry)->takes_callers()) {
             this->records.count("requests with the crashing part");
             this->crashing->sent(plan.attempt, entry);
@@ -140,7 +140,7 @@
 
 void run::change_all_contacts(bool lost)
 {
-    for (std::size_t each = 0; each < world::entry_count; ++each)
+    for (std::size_t each = 0; each < this->given.entries; ++each)
         this->change_contact(each, lost);
 }
 
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -29,8 +29,8 @@
                                                 {8, {100'000, 60'000}},
                                                 {3, {1'000'000, 300'000}}}};
 
-constexpr std::array<const char*, 4> routes = {
-    "/once/", "/again/", "/stream/", "/east/"};
+constexpr std::array<const char*, 5> routes = {
+    "/once/", "/again/", "/stream/", "/east/", "/book/"};
 
 // Of callers that don't read: their bodies are near the largest allowed.
 constexpr body_sizes slow_sizes{4'000'000, 1'000'000};
@@ -39,10 +39,11 @@
 
 run::run(options given)
     : given(std::move(given)), all(this->context, this->given, this->records),
-      fault_dice(this->given.seed), load_dice(this->given.seed),
-      part_dice(this->given.seed), prompts(this->given.seed)
+      entry_disturbed(this->given.entries), fault_dice(this->given.seed),
+      load_dice(this->given.seed), part_dice(this->given.seed),
+      prompts(this->given.seed)
 {
-    for (std::size_t each = 0; each < world::entry_count; ++each) {
+    for (std::size_t each = 0; each < this->given.entries; ++each) {
         this->callers.push_back(std::make_unique<caller>(
             this->context,
             world::callers_address(each),
@@ -56,7 +57,7 @@
 
 bool run::pass()
 {
-    for (std::size_t each = 0; each < world::entry_count; ++each)
+    for (std::size_t each = 0; each < this->given.entries; ++each)
         this->restart(each);
     start(this->context, this->watch_entries());
     start(this->context, this->load());
@@ -89,7 +90,7 @@
         error_code ignored;
         co_await timer.async_wait(into(ignored));
         const request_plan plan = this->draw_request();
-        const std::size_t entry = this->load_dice() % world::entry_count;
+        const std::size_t entry = this->load_dice() % this->given.entries;
         if (!this->all.entries.at(entry)->takes_callers())
             continue;
         if (this->counts(plan, clock::now()))
--- a/test/soak/soak.hpp
+++ b/test/soak/soak.hpp
@@ -110,7 +110,7 @@
     ledger records;
     world all;
     std::vector<std::unique_ptr<caller>> callers; // by entry
-    std::array<disturbance, world::entry_count> entry_disturbed;
+    std::vector<disturbance> entry_disturbed;     // by entry
     disturbance upstreams_disturbed;
     // By kind, so that a kind with many faults isn't drawn more often.
     std::array<std::vector<fault>, 4> faults;
--- a/test/soak/upstream.cpp
+++ b/test/soak/upstream.cpp
@@ -166,6 +166,9 @@
     this->records.began(attempt);
     if (head.target.starts_with("/east/") && this->place.region != "east")
         this->records.violation(attempt + " ran in " + this->place.region);
+    if (head.target.starts_with("/book/") != (this->place.service == bookings))
+        this->records.violation(attempt + " ran at a server of " +
+                                this->place.service);
 }
 
 std::string upstream::head_for(const std::string& status,
--- a/test/soak/upstream.hpp
+++ b/test/soak/upstream.hpp
@@ -37,9 +37,13 @@
     "rejecting",
     "crashed"};
 
+// Its upstreams run the requests of "/book/", and no others.
+inline constexpr const char* bookings = "bookings";
+
 struct upstream_place {
     std::string name;
     std::string region;
+    std::string service;
     tcp::endpoint address;
 };
 
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -54,7 +54,15 @@
     return number % regions.size();
 }
 
-json route(const char* prefix, const char* type)
+constexpr const char* models = "models";
+constexpr std::size_t model_upstreams = 4; // the first ones
+
+const char* service_of(std::size_t upstream)
+{
+    return upstream < model_upstreams ? models : bookings;
+}
+
+json route(const char* prefix, const char* type, const char* service = models)
 {
     return {{"name", prefix},
             {"hostname", "hall.example"},
@@ -63,7 +71,7 @@
             {"timeoutMs", 3000},
             {"targetLatencyMs", 500},
             {"maxAttempts", 3},
-            {"service", "models"}};
+            {"service", service}};
 }
 
 json configuration()
@@ -76,9 +84,12 @@
             {"routes",
              {route("/once/", "non_idempotent"),
               route("/again/", "idempotent"),
+              route("/book/", "non_idempotent", bookings),
               regional,
               resumable}},
-            {"services", {{{"name", "models"}, {"maxConnections", 200}}}},
+            {"services",
+             {{{"name", models}, {"maxConnections", 200}},
+              {{"name", bookings}, {"maxConnections", 200}}}},
             {"limits", {{"maxBodyBytes", 4U << 20U}}},
             {"tenants", {{{"name", "gate"}, {"apiKeys", {"key-1"}}}}}};
 }
@@ -98,7 +109,7 @@
     }
     for (std::size_t each = 0; each < upstream_count; ++each)
         this->add_upstream(each);
-    for (std::size_t each = 0; each < entry_count; ++each)
+    for (std::size_t each = 0; each < given.entries; ++each)
         this->add_entry(each);
 }
 
@@ -118,6 +129,7 @@
         std::make_unique<upstream>(this->context,
                                    upstream_place{"u-" + std::to_string(number),
                                                   regions.at(region_of(number)),
+                                                  service_of(number),
                                                   address},
                                    this->records));
     this->upstream_links.push_back(
@@ -176,7 +188,7 @@
     const std::uint64_t life = ++this->lives.at(number);
     this->published.put(
         "servers/" + this->upstreams.at(number)->name(),
-        {{"service", "models"},
+        {{"service", service_of(number)},
          {"address", text_of(upstreams_begin + number, upstream_link_port)},
          {"zone", data_centres.at(region_of(number))},
          {"version", "v1"},
--- a/test/soak/world.hpp
+++ b/test/soak/world.hpp
@@ -27,16 +27,16 @@
     std::chrono::seconds length{8}; // of the time with faults
     double rate = 150;              // requests per second
     std::size_t memory_mb = 160;    // that each entry may use
-    bool crashing_part = false;     // upstreams have that fault
-    std::string folder;             // of settings and logs; exists
+    std::size_t entries = 4;
+    bool crashing_part = false; // upstreams have that fault
+    std::string folder;         // of settings and logs; exists
 };
 
 class world
 {
 public:
-    static constexpr std::size_t entry_count = 4;
     static constexpr std::size_t large_entries = 2; // the first ones
-    static constexpr std::size_t upstream_count = 4;
+    static constexpr std::size_t upstream_count = 6;
 
     world(asio::io_context& context, const options& given, ledger& ledger);
     world(const world&) = delete;
