--- a/src/greengagedrum/entry/fleet_test/several_services_fleet_test.cpp
+++ b/src/greengagedrum/entry/fleet_test/several_services_fleet_test.cpp
@@ -1,5 +1,6 @@
 // Requests of several services at members whose processes are killed, and whose
-// dispatchers are frozen, in an order drawn from a seed.
+// dispatchers are frozen, in an order drawn from a seed. For some of the time,
+// one entry gets most connections, and has many requests at its dispatcher.
 #include <greengagedrum/entry/fleet_test/connection_skew_fleet.hpp>
 
 #include <doctest/doctest.h>
