Routing: an odd start time ends with the upstream's own reports

Callers: none were lost, but an upstream was served no more, or requests went to an address that another program had written, until the entry's restart. Cause: the newest start of an upstream only grew. An item of another program whose start lies far ahead made the upstream's own next reports, and its next starts, count as late ones of an older incarnation, also after its removal. Change: incarnation_history keeps the reports of the last four incarnations. An older one that has reported three times since the newer one last did counts again. What counts is a function of the reports, not of their order.

--- a/src/greengagedrum/routing/upstream_directory.cpp
+++ b/src/greengagedrum/routing/upstream_directory.cpp
@@ -6,15 +6,6 @@
 namespace greengagedrum::routing
 {
 
-base::upstream_id incarnation_id(std::string_view name,
-                                 std::optional<std::uint64_t> started_unix_ms)
-{
-    if (!started_unix_ms)
-        return base::upstream_id(name);
-    return base::upstream_id(std::string(name) + '#' +
-                             std::to_string(*started_unix_ms));
-}
-
 std::optional<base::upstream_id>
 upstream_directory::latest_incarnation(std::string_view name) const
 {
@@ -34,11 +25,11 @@
 
 bool upstream_directory::is_alive(const upstream_record& record)
 {
-    const bool outdated =
-        record.newest_start_unix_ms &&
-        record.published.started_unix_ms < record.newest_start_unix_ms;
-    return !record.removed && !outdated &&
-           record.leaving_incarnation != record.published.id;
+    if (record.removed)
+        return false;
+    const published_upstream* counted = record.incarnations.counted();
+    return counted != nullptr && counted->id == record.published.id &&
+           !record.incarnations.has_announced_leaving(counted->id);
 }
 
 bool upstream_directory::is_usable(const upstream_record& record) const
@@ -48,41 +39,24 @@
 }
 
 // The result does not depend on the order of updates and removals: of the
-// newest incarnation, the highest revision counts, if it is above the revision
-// of every removal.
-//
-// Failures guarded against: a report of an older incarnation, or one from
-// before an incarnation announced that it leaves, is written late and has the
-// highest revision.
+// incarnation that counts, the highest revision counts, if it is above the
+// revision of every removal.
 void upstream_directory::apply(upstream_record& record,
-                               const published_upstream& published)
+                               const published_upstream& report)
 {
-    record.newest_start_unix_ms =
-        std::max(record.newest_start_unix_ms, published.started_unix_ms);
-    if (published.started_unix_ms < record.newest_start_unix_ms)
-        return;
-    if (published.leaving)
-        record.leaving_incarnation = published.id;
-    const bool same_incarnation = record.published.id == published.id;
-    if (published.revision <= record.removal_revision ||
-        (same_incarnation && published.revision <= record.published.revision))
+    record.incarnations.add(report);
+    const published_upstream& counted = *record.incarnations.counted();
+    const bool same_incarnation = record.published.id == counted.id;
+    if (counted.revision <= record.removal_revision ||
+        (same_incarnation && counted.revision <= record.published.revision))
         return;
     this->names_by_id.erase(record.published.id);
-    this->names_by_id[published.id] = published.name;
-    record.published = published;
+    this->names_by_id[counted.id] = counted.name;
+    record.published = counted;
     record.removed = false;
     record.expires_at.reset();
 }
 
-base::version_id service_version_id(std::string_view service,
-                                    std::string_view version)
-{
-    // No name has a line break.
-    std::string name(service);
-    name.append("\n").append(version);
-    return base::version_id(name);
-}
-
 upstream_change upstream_directory::update(const published_upstream& published)
 {
     upstream_record& record = this->records[published.name];
--- a/src/greengagedrum/routing/upstream_directory.hpp
+++ b/src/greengagedrum/routing/upstream_directory.hpp
@@ -8,16 +8,18 @@
 // An upstream may restart under its name. Each incarnation, identified by its
 // start time, has its own id and counts as an upstream of its own, so that
 // nothing known of one incarnation (from this entry or from peers) is applied
-// to another. An older incarnation's update never replaces a newer one's, and
-// an incarnation that announced that it leaves never returns.
+// to another. An older incarnation's late update doesn't replace a newer one's
+// (see incarnation_history), and an incarnation that announced that it leaves
+// never returns.
 //
 // Upstreams of an evacuated data centre stay known, but are given no requests
 // until the evacuation ends.
 #pragma once
 
 #include <greengagedrum/base/ids.hpp>
-#include <greengagedrum/base/ip_address.hpp>
 #include <greengagedrum/base/time.hpp>
+#include <greengagedrum/routing/incarnation_history.hpp>
+#include <greengagedrum/routing/published_upstream.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -31,30 +33,6 @@
 namespace greengagedrum::routing
 {
 
-struct published_upstream {
-    std::string name;
-    base::upstream_id id; // of this incarnation, see incarnation_id()
-    // Start time by the upstream's own clock.
-    std::optional<std::uint64_t> started_unix_ms;
-    base::upstream_class_id service;
-    base::version_id version; // of its software, not of its models' weights
-    base::ip_endpoint address;
-    std::string data_centre;
-    std::uint32_t slots = 1;
-    bool leaving = false;
-    base::duration warmup{0};   // remaining time for which it is cold
-    std::uint64_t revision = 0; // of the store
-};
-
-// The id of one incarnation of an upstream. Without a start time a name has a
-// single incarnation.
-base::upstream_id incarnation_id(std::string_view name,
-                                 std::optional<std::uint64_t> started_unix_ms);
-
-// Versions of different services differ, whatever their names.
-base::version_id service_version_id(std::string_view service,
-                                    std::string_view version);
-
 enum class upstream_change : std::uint8_t {
     none,
     joined,
@@ -117,13 +95,11 @@
 
 private:
     struct upstream_record {
-        published_upstream published; // of the newest incarnation
+        incarnation_history incarnations;
+        published_upstream published;
         bool removed = true;
         std::optional<base::instant> expires_at;
         std::uint64_t removal_revision = 0; // revision of the last removal
-        std::optional<std::uint64_t> newest_start_unix_ms;
-        // Announced that it leaves.
-        std::optional<base::upstream_id> leaving_incarnation;
     };
 
     static bool is_alive(const upstream_record& record);
