Cluster state: one item with a start time removes no other upstreams

Callers: in a deployment whose upstreams publish no start time, one odd item with one removed all upstreams for good, at every entry that read it. Cause: the first start time seen set a flag that was never reset, and with it every item without a start time counted as another program's. Change: start_time_usage counts the present items of both kinds. An item without a start time is another program's while at least as many have one, so the removal of the odd item, or the upstreams' own reports, end it. Remains: beside a single upstream without a start time, one odd item with one removes that upstream until the odd item goes.

--- a/src/greengagedrum/entry/cluster_state.cpp
+++ b/src/greengagedrum/entry/cluster_state.cpp
@@ -145,6 +145,7 @@
     this->change_numbers.erase(oldest->first);
     this->update_digest(oldest->first, 0);
     this->item_hashes.erase(oldest->first);
+    this->start_times.forget(oldest->first);
     this->items.erase(oldest);
 }
 
@@ -217,6 +218,7 @@
     bool readable = true;
     std::uint64_t hash = 0; // the item describes no upstream
     if (item.removed) {
+        this->start_times.forget(item.key);
         change = this->directory.remove(
             name, item.revision, this->removal_deadline(now));
     } else if (const auto read = this->read_upstream(item, out)) {
@@ -253,25 +255,28 @@
     this->change_numbers[key] = this->applied_changes;
 }
 
-// Once upstreams publish a start time, an item without one is not an
-// upstream's.
 tl::expected<routing::published_upstream, std::string>
 cluster_state::read_upstream(const routing::store_item& item,
                              cluster_changes& out)
 {
     auto read = platform::read_upstream(item);
-    if (!read)
+    if (!read) {
+        this->start_times.forget(item.key);
+        return read;
+    }
+    const bool was_expected = this->start_times.is_expected();
+    this->start_times.record(item.key, read->started_unix_ms.has_value());
+    if (!this->start_times.is_expected())
         return read;
-    if (read->started_unix_ms && !this->start_times_published)
+    if (!was_expected)
         this->drop_upstreams_without_start_time(out);
-    if (this->start_times_published && !read->started_unix_ms)
+    if (!read->started_unix_ms)
         return tl::unexpected(std::string("no start time"));
     return read;
 }
 
 void cluster_state::drop_upstreams_without_start_time(cluster_changes& out)
 {
-    this->start_times_published = true;
     std::vector<routing::published_upstream> without_start_time;
     this->directory.for_each_usable(
         [&](const routing::published_upstream& one) {
--- a/src/greengagedrum/entry/cluster_state.hpp
+++ b/src/greengagedrum/entry/cluster_state.hpp
@@ -5,6 +5,7 @@
 // only by one of a higher revision, so the state never goes back.
 #pragma once
 
+#include <greengagedrum/entry/start_time_usage.hpp>
 #include <greengagedrum/gossip/message.hpp>
 #include <greengagedrum/routing/route_table.hpp>
 #include <greengagedrum/routing/upstream_directory.hpp>
@@ -146,7 +147,7 @@
     std::unordered_map<std::string, std::uint64_t> change_numbers;
     std::uint64_t combined_digest = 0;
     std::unordered_map<std::string, std::uint64_t> item_hashes; // by item key
-    bool start_times_published = false; // by some upstream
+    start_time_usage start_times;
     std::optional<base::instant> store_failing_since;
     base::instant removals_deferred_until;
 };
