Stream versions: a history counts only with the store's present state

Callers: a stream that was taken up at an entry out of step with the store or the others, without a record of its first part, went on at another version. Cause: that all upstreams had one version was concluded from views that may be up to five seconds old, by an entry that knew no other one at once, and by peers behind the same cut. The question is not how long a view has had no gap, but whether it is younger than the take-up. Change: a version that histories have decided is verified by a read of the store that begins after the take-up (store_reader::read_through, a watch that doesn't wait, shared by the take-ups that come meanwhile). If the store is silent, or shows another version, the take-up is refused as not run. Records still decide alone, so they serve while the store is away. Price: one call to the store for each take-up without a record.

--- a/src/greengagedrum/entry/entry_streams.cpp
+++ b/src/greengagedrum/entry/entry_streams.cpp
@@ -19,6 +19,9 @@
                 this->streams->on_timer();
         });
     };
+    out.read_store = [this](std::function<void(bool)> on_end) {
+        this->store->read_through(std::move(on_end));
+    };
     this->streams = std::make_unique<stream_versions>(
         this->state,
         base::data_centre_id(this->own_settings.data_centre),
--- a/src/greengagedrum/entry/fleet_test/stream_version_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/stream_version_fleet.cpp
@@ -103,22 +103,43 @@
         this->schedule_at(
             number, after, [](node& one) { one.versions->on_timer(); });
     };
+    out.read_store = [this, number](std::function<void(bool)> on_end) {
+        this->read_store(number, std::move(on_end));
+    };
     fresh.versions = std::make_unique<stream_versions>(
         fresh.state, this->data_centre_of(number), std::move(out));
     this->changed_at[number] = this->now;
+    this->read_all_items(fresh);
+    this->tick(number);
+}
+
+void stream_version_fleet::read_all_items(node& one)
+{
     routing::store_item_list listing;
     for (const auto& [key, item] : this->items)
         listing.push_back(item);
-    const cluster_changes changes = fresh.state.cluster.apply(
-        listing, this->store_revision, true, this->now);
-    fresh.versions->on_upstreams_changed(changes);
-    this->tick(number);
+    one.versions->on_upstreams_changed(one.state.cluster.apply(
+        listing, this->store_revision, true, this->now));
+}
+
+// The store answers within a few milliseconds, or not at all.
+void stream_version_fleet::read_store(std::size_t number,
+                                      std::function<void(bool)> on_end)
+{
+    if (!this->nodes[number]->hears_store)
+        return this->schedule_at(
+            number, 600ms, [on_end](node&) { on_end(false); });
+    this->schedule_at(
+        number, this->random_time(2ms, 8ms), [this, on_end](node& one) {
+            this->read_all_items(one);
+            on_end(true);
+        });
 }
 
 void stream_version_fleet::tick(std::size_t number)
 {
     node& one = *this->nodes[number];
-    one.versions->tick(one.cut_off ? one.cut_off_at : this->now);
+    one.versions->tick(one.is_up_to_date() ? this->now : one.cut_off_at);
     this->schedule_at(
         number, tick_interval, [this, number](node&) { this->tick(number); });
 }
@@ -153,21 +174,45 @@
 
 void stream_version_fleet::cut_off(std::size_t number)
 {
-    this->nodes[number]->cut_off = true;
+    this->cut_off_from_store(number);
+    this->cut_off_from_entries(number);
+}
+
+void stream_version_fleet::cut_off_from_store(std::size_t number)
+{
+    this->nodes[number]->hears_store = false;
     this->nodes[number]->cut_off_at = this->now;
 }
 
+void stream_version_fleet::cut_off_from_entries(std::size_t number)
+{
+    this->nodes[number]->hears_entries = false;
+    this->nodes[number]->cut_off_at = this->now;
+}
+
+void stream_version_fleet::reconnect(std::size_t number)
+{
+    node& one = *this->nodes[number];
+    one.hears_store = true;
+    one.hears_entries = true;
+    this->read_all_items(one);
+}
+
 bool stream_version_fleet::are_apart(std::size_t from, std::size_t to) const
 {
-    return this->nodes[from]->cut_off || this->nodes[to]->cut_off;
+    return !this->nodes[from]->hears_entries || !this->nodes[to]->hears_entries;
 }
 
-// An entry that was killed stays known for a while, and one that has started is
-// not known at once.
+// An entry that was killed or cut off stays known for a while, and one that has
+// started is not known at once.
 std::vector<versions::known_entry>
 stream_version_fleet::known_to(std::size_t number) const
 {
     std::vector<versions::known_entry> out;
+    const node* own = this->nodes[number].get();
+    if (own != nullptr && !own->hears_entries &&
+        this->now - own->cut_off_at >= detection_time)
+        return out;
     for (std::size_t other = 0; other < this->nodes.size(); ++other) {
         const bool noticed =
             this->now - this->changed_at[other] >= detection_time;
@@ -204,7 +249,7 @@
             number,
             this->random_time(5ms, max_listing_delay),
             [this, item](node& one) {
-                if (!one.cut_off)
+                if (one.is_up_to_date())
                     one.versions->on_upstreams_changed(one.state.cluster.apply(
                         {item}, item.revision, false, this->now));
             });
--- a/src/greengagedrum/entry/fleet_test/stream_version_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/stream_version_fleet.hpp
@@ -35,6 +35,10 @@
     void restart(std::size_t number);
     // From the store and all other entries.
     void cut_off(std::size_t number);
+    void cut_off_from_store(std::size_t number);
+    void cut_off_from_entries(std::size_t number);
+    // Ends all cuts of the entry, which then reads what it has missed.
+    void reconnect(std::size_t number);
     bool is_up(std::size_t number) const
     {
         return this->nodes[number] != nullptr;
@@ -67,8 +71,15 @@
         shared_state state;
         std::unique_ptr<stream_versions> versions;
         std::uint64_t incarnation = 0;
-        bool cut_off = false;
+        bool hears_store = true;
+        bool hears_entries = true;
         base::instant cut_off_at;
+
+        // Directly or by others.
+        bool is_up_to_date() const
+        {
+            return this->hears_store || this->hears_entries;
+        }
     };
 
     struct event {
@@ -96,6 +107,8 @@
     std::vector<versions::known_entry> known_to(std::size_t number) const;
     bool are_apart(std::size_t from, std::size_t to) const;
     void apply(const routing::store_item& item);
+    void read_all_items(node& one);
+    void read_store(std::size_t number, std::function<void(bool)> on_end);
     base::duration random_time(base::duration from, base::duration to);
     static versions::entry_address address_of(std::size_t number);
     base::data_centre_id data_centre_of(std::size_t number) const;
--- a/src/greengagedrum/entry/store_reader.cpp
+++ b/src/greengagedrum/entry/store_reader.cpp
@@ -22,6 +22,12 @@
 // The store answers a watch within this time even if nothing changed.
 constexpr auto watch_timeout = std::chrono::milliseconds(500);
 
+// A call that only brings the state up to date doesn't wait for changes. Its
+// callers have been promised an answer.
+constexpr auto read_through_wait = std::chrono::milliseconds(1);
+constexpr relay::answer_limits read_through_limits{
+    std::chrono::milliseconds(600), std::chrono::seconds(2)};
+
 // The delay after a failure grows by one step per failure, so that many entries
 // together leave the store room to recover.
 constexpr auto backoff_step = std::chrono::milliseconds(100);
@@ -36,6 +42,7 @@
                            const base::ip_endpoint& store,
                            store_events events)
     : timer(context), client(std::make_shared<relay::http_get>(context)),
+      read_through_client(std::make_shared<relay::http_get>(context)),
       store(store), events(std::move(events))
 {
     this->set_update_bound(default_bound);
@@ -78,6 +85,53 @@
     this->stopped = true;
     this->timer.cancel();
     this->client->stop();
+    this->read_through_client->stop();
+}
+
+void store_reader::read_through(read_handler on_end)
+{
+    this->awaiting_read_through.push_back(std::move(on_end));
+    if (!this->reading_through)
+        this->start_read_through();
+}
+
+void store_reader::start_read_through()
+{
+    std::vector<read_handler> served =
+        std::exchange(this->awaiting_read_through, {});
+    if (this->stopped || this->last_revision == 0) {
+        for (const read_handler& one : served)
+            one(false);
+        return;
+    }
+    this->reading_through = true;
+    this->read_through_client->ask(
+        this->store,
+        platform::watch_target("", this->last_revision, read_through_wait),
+        read_through_limits,
+        [this, served = std::move(served)](
+            const tl::expected<relay::fetched, std::string>& response) {
+            this->reading_through = false;
+            const bool complete = this->apply_read_through(response);
+            for (const read_handler& one : served)
+                one(complete);
+            if (!this->awaiting_read_through.empty() && !this->reading_through)
+                this->start_read_through();
+        });
+}
+
+bool store_reader::apply_read_through(
+    const tl::expected<relay::fetched, std::string>& response)
+{
+    if (!response || response->status != relay::status_ok)
+        return false;
+    const auto changes = platform::read_store_answer(response->body);
+    if (!changes)
+        return false;
+    this->last_revision = std::max(this->last_revision, changes->as_of);
+    this->events.call_answered();
+    this->events.items_received(changes->items, this->last_revision, false);
+    return true;
 }
 
 void store_reader::start_call()
--- a/src/greengagedrum/entry/store_reader.hpp
+++ b/src/greengagedrum/entry/store_reader.hpp
@@ -62,6 +62,13 @@
     // Calls the store now, for example when the known state may be outdated.
     void poll_now();
 
+    // Reads what has changed, by a call that begins after this one. All that
+    // the store had acknowledged before is then known, and `on_end` is called
+    // with true; with false if the store doesn't answer or all items would have
+    // to be read. Those that ask while such a call is under way share the next.
+    using read_handler = std::function<void(bool complete)>;
+    void read_through(read_handler on_end);
+
     // All items up to this revision were received from a peer.
     void skip_to_revision(std::uint64_t as_of);
 
@@ -78,6 +85,9 @@
     void stop();
 
 private:
+    void start_read_through();
+    bool apply_read_through(
+        const tl::expected<relay::fetched, std::string>& response);
     void start_call();
     void request_page();
     void request_watch();
@@ -92,6 +102,9 @@
 
     relay::asio::steady_timer timer;
     std::shared_ptr<relay::http_get> client;
+    std::shared_ptr<relay::http_get> read_through_client;
+    std::vector<read_handler> awaiting_read_through;
+    bool reading_through = false;
     base::ip_endpoint store;
     store_events events;
     routing::store_item_list pages; // the pages of a full listing in progress
--- a/src/greengagedrum/entry/stream_versions.cpp
+++ b/src/greengagedrum/entry/stream_versions.cpp
@@ -114,7 +114,7 @@
     const versions::stream_id stream(sought.begun_by);
     if (const auto own = this->records.find(stream, now)) {
         const versions::known_version found{*own};
-        this->end_lookup(sought, {found, 0, 0, 0, base::duration(0)});
+        this->log_result(sought, {found, 0, 0, 0, base::duration(0)});
         this->record(sought.begun_by, *own);
         return on_end(found);
     }
@@ -190,16 +190,43 @@
         ended.push_back(std::move(one));
         at = this->lookups.erase(at);
     }
-    for (pending_lookup& one : ended) {
+    for (const pending_lookup& one : ended) {
         const versions::lookup::result result = *one.progress.result_at(now);
-        this->record(one.sought.begun_by, versions::version_of(result.found));
-        this->end_lookup(one.sought, result);
-        one.on_end(result.found);
+        if (std::holds_alternative<versions::single_version>(result.found))
+            this->verify(one, result);
+        else
+            this->end(one, result);
     }
     this->set_timer();
 }
 
-void stream_versions::end_lookup(const resumed_stream& sought,
+void stream_versions::verify(const pending_lookup& decided,
+                             const versions::lookup::result& result)
+{
+    this->events.read_store([this, decided, result](bool complete) {
+        const base::instant now = this->state.clock();
+        versions::lookup::result verified = result;
+        this->update_history();
+        if (!complete || this->history.seen_so_far(decided.sought.service,
+                                                   now) != result.found)
+            verified.found = versions::unknown_version{};
+        // A record may have come meanwhile.
+        if (const auto known =
+                this->records.find(decided.progress.stream(), now))
+            verified.found = versions::known_version{*known};
+        this->end(decided, verified);
+    });
+}
+
+void stream_versions::end(const pending_lookup& decided,
+                          const versions::lookup::result& result)
+{
+    this->record(decided.sought.begun_by, versions::version_of(result.found));
+    this->log_result(decided.sought, result);
+    decided.on_end(result.found);
+}
+
+void stream_versions::log_result(const resumed_stream& sought,
                                  const versions::lookup::result& result)
 {
     const result_names names = std::visit(
--- a/src/greengagedrum/entry/stream_versions.hpp
+++ b/src/greengagedrum/entry/stream_versions.hpp
@@ -2,7 +2,9 @@
 // holds theirs, and looks up the version of a stream that a caller takes up.
 //
 // Records are hints sent by datagram. A lookup that finds neither a record nor
-// a history of a single version ends as unknown.
+// a history of a single version ends as unknown. A history counts only together
+// with what the store holds after the stream was taken up: the entries that
+// were asked may all have been out of step with it.
 #pragma once
 
 #include <greengagedrum/entry/request_handler.hpp>
@@ -29,6 +31,9 @@
     std::function<std::vector<versions::known_entry>()> known_entries;
     // Calls stream_versions::on_timer after `after`; replaces an earlier timer.
     std::function<void(base::duration after)> start_timer;
+    // Reads from the store what has changed, by a call that begins after this
+    // one. Calls `on_end` with whether all of it is known now.
+    std::function<void(std::function<void(bool complete)> on_end)> read_store;
 };
 
 class stream_versions
@@ -87,7 +92,12 @@
     void send_records();
     void update_history();
     versions::finding seen_lately(base::upstream_class_id service) const;
-    void end_lookup(const resumed_stream& sought,
+    // Ends a lookup that histories have decided, once the store was read.
+    void verify(const pending_lookup& decided,
+                const versions::lookup::result& result);
+    void end(const pending_lookup& decided,
+             const versions::lookup::result& result);
+    void log_result(const resumed_stream& sought,
                     const versions::lookup::result& result);
     void set_timer();
 
--- a/src/greengagedrum/versions/version_history.hpp
+++ b/src/greengagedrum/versions/version_history.hpp
@@ -37,11 +37,11 @@
     // record, that there were several, or that it isn't known.
     finding seen(base::upstream_class_id service, base::instant now) const;
 
-private:
     // The same by what was seen since the start, however short that is.
     finding seen_so_far(base::upstream_class_id service,
                         base::instant now) const;
 
+private:
     struct sighting {
         bool present = false;
         base::instant last_seen_at; // while not present
