Dispatch: members to be answered are known without a look at their sends

Cause: after each event a dispatcher looked at every send of every member for a decision that its member doesn't know of yet: 4% of its processor time in a burst, growing with members times requests. Change: each member's unacknowledged decisions are counted as they change.

--- a/src/greengagedrum/dispatch/member_request_table.cpp
+++ b/src/greengagedrum/dispatch/member_request_table.cpp
@@ -88,7 +88,8 @@
         const auto found = sender.sends.find(running.id);
         if (found != sender.sends.end()) {
             send_state& send = this->sends.at(found->second.value);
-            send.running = true;
+            this->change_send(send,
+                              [](send_state& one) { one.running = true; });
             send.last_report = sender.report_count;
             if (send.grant)
                 continue;
@@ -121,10 +122,8 @@
         return;
     const base::request_id id = found->second;
     out.events.push_back(to_event(id, update.status));
-    if (update.status == send_status::first_event)
-        return;
-    member.sends.erase(found);
-    this->sends.erase(id.value);
+    if (update.status != send_status::first_event)
+        this->erase_send(id.value);
 }
 
 void member_request_table::apply_slot_request(base::slot_id id,
@@ -173,7 +172,25 @@
         out.events.emplace_back(traffic::caller_left{id});
     if (!send.denial && !send.grant && !send.charged)
         out.refunds.push_back(send.charge);
-    this->members_by_id.at(send.member).sends.erase(send.id);
+    this->erase_send(id.value);
+}
+
+template <class Change>
+void member_request_table::change_send(send_state& send, const Change& apply)
+{
+    std::size_t& count = this->members_by_id.at(send.member).unacknowledged;
+    count -= send.is_unacknowledged() ? 1 : 0;
+    apply(send);
+    count += send.is_unacknowledged() ? 1 : 0;
+}
+
+void member_request_table::erase_send(std::uint64_t id)
+{
+    const auto found = this->sends.find(id);
+    const send_state& send = found->second;
+    member_state& member = this->members_by_id.at(send.member);
+    member.unacknowledged -= send.is_unacknowledged() ? 1 : 0;
+    member.sends.erase(send.id);
     this->sends.erase(found);
 }
 
@@ -211,12 +228,14 @@
     if (found == this->sends.end())
         return std::nullopt;
     send_state& send = found->second;
-    send.grant =
-        slot_grant{send.id,
-                   order.upstream,
-                   order.choice.expected_first_event,
-                   order.choice.own_requests + order.choice.peer_requests,
-                   order.choice.slots};
+    this->change_send(send, [&](send_state& one) {
+        one.grant =
+            slot_grant{one.id,
+                       order.upstream,
+                       order.choice.expected_first_event,
+                       order.choice.own_requests + order.choice.peer_requests,
+                       order.choice.slots};
+    });
     this->members_by_id.at(send.member).reply_due = true;
     if (send.charged)
         return std::nullopt;
@@ -231,8 +250,12 @@
     if (found == this->sends.end() || found->second.grant)
         return std::nullopt;
     send_state& send = found->second;
-    send.denial = slot_denial{
-        send.id, verdict.why, verdict.retry_after.value_or(base::duration(0))};
+    this->change_send(send, [&](send_state& one) {
+        one.denial =
+            slot_denial{one.id,
+                        verdict.why,
+                        verdict.retry_after.value_or(base::duration(0))};
+    });
     this->members_by_id.at(send.member).reply_due = true;
     if (send.charged)
         return std::nullopt;
@@ -246,31 +269,19 @@
     if (found == this->sends.end())
         return std::nullopt;
     const send_state ended = found->second;
-    this->members_by_id.at(ended.member).sends.erase(ended.id);
-    this->sends.erase(found);
+    this->erase_send(id.value);
     if (ended.charged)
         return std::nullopt;
     return ended.charge;
 }
 
-bool member_request_table::has_unacknowledged_decision(
-    const member_state& member) const
-{
-    return std::any_of(
-        member.sends.begin(), member.sends.end(), [&](const auto& entry) {
-            const send_state& send = this->sends.at(entry.second.value);
-            return send.denial || (send.grant && !send.running);
-        });
-}
-
 std::vector<base::slot_id>
 member_request_table::members_to_answer(base::instant now) const
 {
     std::vector<base::slot_id> out;
     for (const auto& [member, state] : this->members_by_id) {
         const bool due = now - state.replied_at >= resend_interval;
-        if (state.reply_due ||
-            (due && this->has_unacknowledged_decision(state)))
+        if (state.reply_due || (due && state.unacknowledged > 0))
             out.push_back(member);
     }
     return out;
--- a/src/greengagedrum/dispatch/member_request_table.hpp
+++ b/src/greengagedrum/dispatch/member_request_table.hpp
@@ -91,6 +91,11 @@
         std::optional<slot_grant> grant;
         std::optional<slot_denial> denial;
         bool running = false; // its member reports it as sent
+        // Whether its member has not shown yet that it knows of the decision.
+        bool is_unacknowledged() const
+        {
+            return this->denial || (this->grant && !this->running);
+        }
         // Count of the last report that listed it.
         std::uint64_t last_report = 0;
     };
@@ -102,6 +107,7 @@
         std::uint64_t acked_status = 0;
         bool reply_due = false;
         base::instant replied_at;
+        std::size_t unacknowledged = 0; // decisions
         std::map<send_id, base::request_id> sends;
     };
 
@@ -112,7 +118,10 @@
                             member_state& member,
                             const slot_request& request,
                             request_changes& out);
-    bool has_unacknowledged_decision(const member_state& member) const;
+    // Applies a change to a send, and counts its member's decisions.
+    template <class Change>
+    void change_send(send_state& send, const Change& apply);
+    void erase_send(std::uint64_t id);
     void end_send(base::request_id id, request_changes& out);
     void end_unlisted_sends(member_state& member, request_changes& out);
 
