--- a/src/programs/ggd_bench_traffic.cpp
+++ b/src/programs/ggd_bench_traffic.cpp
@@ -1,9 +1,11 @@
-// What a decision about a request costs, over the number of upstreams.
+// What a decision about a request costs, over the number of upstreams and of
+// requests that wait.
 #include <greengagedrum/traffic/scheduler.hpp>
 
 #include <array>
 #include <chrono>
 #include <cstdio>
+#include <deque>
 #include <string>
 
 namespace
@@ -18,6 +20,7 @@
 constexpr std::size_t peers = 7;
 constexpr std::uint64_t warm_up = 200;
 constexpr std::uint64_t measured = 2000;
+constexpr std::array<std::size_t, 4> queue_lengths = {1, 30, 100, 300};
 
 double microseconds_since(clock_type::time_point from)
 {
@@ -106,10 +109,87 @@
         message);
 }
 
+// A dispatcher whose upstreams are full: each answer frees a slot, which a
+// queued request gets, and another request arrives.
+struct burst {
+    run bench;
+    std::deque<std::pair<base::request_id, std::uint32_t>> running;
+    std::uint64_t next_request = 1;
+
+    burst(std::size_t upstreams, std::size_t queued) : bench(upstreams)
+    {
+        this->bench.tested.set_entry_count(data_centres);
+        while (this->bench.tested.waiting() < queued)
+            this->arrive();
+    }
+
+    void step(const traffic::event& what)
+    {
+        this->bench.out.clear();
+        this->bench.tested.step(what, this->bench.now, this->bench.out);
+        for (const traffic::action& one : this->bench.out) {
+            if (const auto* send = std::get_if<traffic::send_request>(&one))
+                this->running.emplace_back(send->request, send->send);
+        }
+    }
+
+    void arrive()
+    {
+        constexpr std::array<std::uint32_t, 3> prompts = {3700, 2900, 1100};
+        traffic::request_facts facts;
+        facts.priority = static_cast<std::uint32_t>(this->next_request % 3);
+        facts.kind = base::kind_id(std::to_string(facts.priority));
+        facts.service = base::upstream_class_id("models");
+        facts.stream = true;
+        facts.prompt_tokens = prompts.at(facts.priority);
+        facts.output_tokens = 100;
+        facts.latency_objective = std::chrono::seconds(30);
+        facts.event_gap_objective = std::chrono::milliseconds(400);
+        facts.time_left = std::chrono::minutes(10);
+        this->step(traffic::request_arrived{
+            base::request_id{this->next_request++}, facts});
+    }
+
+    void turn()
+    {
+        this->bench.now += std::chrono::microseconds(500);
+        const auto [id, send] = this->running.front();
+        this->running.pop_front();
+        this->step(traffic::events_received{id, send, 1});
+        this->step(traffic::answer_received{id, send, true});
+        this->arrive();
+    }
+};
+
+void measure_burst(std::size_t upstreams, std::size_t queued)
+{
+    burst bench(upstreams, queued);
+    for (std::uint64_t number = 0; number < warm_up; ++number)
+        bench.turn();
+    const std::uint64_t rated_before =
+        bench.bench.tested.counters().upstreams_rated;
+    const auto from = clock_type::now();
+    for (std::uint64_t number = 0; number < measured; ++number)
+        bench.turn();
+    const double request = microseconds_since(from) / measured;
+    const std::uint64_t rated =
+        bench.bench.tested.counters().upstreams_rated - rated_before;
+    std::printf("%6zu upstreams, %4zu waiting: %9.2f us and %7.1f upstreams "
+                "rated a request\n",
+                upstreams,
+                bench.bench.tested.waiting(),
+                request,
+                static_cast<double>(rated) / measured);
+}
+
 } // namespace
 
 int main()
 {
     for (const std::size_t upstreams : sizes)
         measure(upstreams);
+    for (const std::size_t upstreams : sizes) {
+        for (const std::size_t queued : queue_lengths)
+            measure_burst(upstreams, queued);
+    }
 }
