Quarantine: reports that change nothing decide nothing anew

Cause: whenever a peer's report of a suspect showed that the peer lacks an answer, all prompt parts were weighed anew, though nothing had changed here, and each weighing and each report built lists of crashes only to count them: some 10% of a dispatcher's remaining processor time in a burst with crashes. Change: merge_report tells a change from a report to be repeated; crashes are counted without a list; a report looks its record up once less.

--- a/src/greengagedrum/quarantine/crash_record.cpp
+++ b/src/greengagedrum/quarantine/crash_record.cpp
@@ -79,6 +79,14 @@
     return out;
 }
 
+std::size_t crash_record::crash_count() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->crashes.begin(), this->crashes.end(), [this](const auto& entry) {
+            return this->counts(entry.second);
+        }));
+}
+
 bool crash_record::was_answered_before() const
 {
     return this->answered_at &&
--- a/src/greengagedrum/quarantine/crash_record.hpp
+++ b/src/greengagedrum/quarantine/crash_record.hpp
@@ -50,7 +50,7 @@
 
     base::workspace_id workspace() const { return this->workspace_id; }
     suspect_kind kind() const { return this->record_kind; }
-    std::size_t crash_count() const { return this->counted_crashes().size(); }
+    std::size_t crash_count() const;
     // The upstreams of all crashes that count.
     std::vector<base::upstream_id> counted_crashes() const;
     // Answers arrived until shortly before the first crash that counts.
--- a/src/greengagedrum/quarantine/suspect_exchange.cpp
+++ b/src/greengagedrum/quarantine/suspect_exchange.cpp
@@ -143,12 +143,14 @@
             continue;
         request_record& record =
             this->find_or_add(report.request, report.workspace, report.kind);
-        const quarantine_state before = this->state_of(report.request, now);
-        if (this->merge_report(record, report, now)) {
+        const quarantine_state before =
+            this->state_of(report.request, record, now);
+        const merge_result merged = this->merge_report(record, report, now);
+        if (merged.changed || merged.repeat)
             record.changed_at = now;
-            parts_changed = parts_changed ||
-                            record.crashes.kind() == suspect_kind::prompt_part;
-        }
+        parts_changed = parts_changed ||
+                        (merged.changed &&
+                         record.crashes.kind() == suspect_kind::prompt_part);
         this->append_if_changed(report.request, record, before, now, out);
     }
     if (parts_changed)
@@ -156,9 +158,8 @@
     return out;
 }
 
-bool suspect_table::merge_report(request_record& record,
-                                 const suspect_report& received,
-                                 base::instant now)
+suspect_table::merge_result suspect_table::merge_report(
+    request_record& record, const suspect_report& received, base::instant now)
 {
     bool changed = record.crashes.merge_kind(received.kind);
     changed = record.crashes.merge_times(received, now) || changed;
@@ -176,8 +177,7 @@
     const auto answered = this->answers.last_answer(received.request);
     if (answered && record.crashes.record_answer(*answered))
         changed = true;
-    // The sender missed the reports of the answer, so they are repeated.
-    return changed || record.crashes.rules_out_crash_of(received, now);
+    return {changed, record.crashes.rules_out_crash_of(received, now)};
 }
 
 } // namespace greengagedrum::quarantine
--- a/src/greengagedrum/quarantine/suspect_table.hpp
+++ b/src/greengagedrum/quarantine/suspect_table.hpp
@@ -144,9 +144,13 @@
     void make_room(base::workspace_id workspace);
     void evict_least_suspect(base::workspace_id workspace);
     void erase(record_map::iterator record);
-    bool merge_report(request_record& record,
-                      const suspect_report& received,
-                      base::instant now);
+    struct merge_result {
+        bool changed = false;
+        bool repeat = false; // the sender lacks what is known here
+    };
+    merge_result merge_report(request_record& record,
+                              const suspect_report& received,
+                              base::instant now);
     double trial_jitter(const base::request_digest& request) const;
     // Appends the new state to `out` if it differs from `before`.
     void append_if_changed(const base::request_digest& request,
