Store reader: a read through the store goes on after a full answer

Cause: an answer of the store may hold a part of the changes only, so that a take-up could be verified by a state that is still old. Change: after an answer with 500 changes or more the same callers wait for the next one. Result: read_through_many_changes_reads_on_to_the_last; the two files of test-entry pass.

--- a/src/greengagedrum/entry/store_reader.cpp
+++ b/src/greengagedrum/entry/store_reader.cpp
@@ -28,6 +28,9 @@
 constexpr relay::answer_limits read_through_limits{
     std::chrono::milliseconds(600), std::chrono::seconds(2)};
 
+// An answer with so many changes may not be the last one.
+constexpr std::size_t full_answer_items = 500;
+
 // The delay after a failure grows by one step per failure, so that many entries
 // together leave the store room to recover.
 constexpr auto backoff_step = std::chrono::milliseconds(100);
@@ -92,18 +95,14 @@
 {
     this->awaiting_read_through.push_back(std::move(on_end));
     if (!this->reading_through)
-        this->start_read_through();
+        this->start_read_through(
+            std::exchange(this->awaiting_read_through, {}));
 }
 
-void store_reader::start_read_through()
+void store_reader::start_read_through(std::vector<read_handler> served)
 {
-    std::vector<read_handler> served =
-        std::exchange(this->awaiting_read_through, {});
-    if (this->stopped || this->last_revision == 0) {
-        for (const read_handler& one : served)
-            one(false);
-        return;
-    }
+    if (this->stopped || this->last_revision == 0)
+        return this->end_read_through(served, false);
     this->reading_through = true;
     this->read_through_client->ask(
         this->store,
@@ -112,26 +111,35 @@
         [this, served = std::move(served)](
             const tl::expected<relay::fetched, std::string>& response) {
             this->reading_through = false;
-            const bool complete = this->apply_read_through(response);
-            for (const read_handler& one : served)
-                one(complete);
-            if (!this->awaiting_read_through.empty() && !this->reading_through)
-                this->start_read_through();
+            const auto changes = this->apply_read_through(response);
+            if (changes.value_or(0) >= full_answer_items)
+                return this->start_read_through(served);
+            this->end_read_through(served, changes.has_value());
         });
 }
 
-bool store_reader::apply_read_through(
+void store_reader::end_read_through(std::span<const read_handler> served,
+                                    bool complete)
+{
+    for (const read_handler& one : served)
+        one(complete);
+    if (!this->awaiting_read_through.empty() && !this->reading_through)
+        this->start_read_through(
+            std::exchange(this->awaiting_read_through, {}));
+}
+
+std::optional<std::size_t> store_reader::apply_read_through(
     const tl::expected<relay::fetched, std::string>& response)
 {
     if (!response || response->status != relay::status_ok)
-        return false;
+        return std::nullopt;
     const auto changes = platform::read_store_answer(response->body);
     if (!changes)
-        return false;
+        return std::nullopt;
     this->last_revision = std::max(this->last_revision, changes->as_of);
     this->events.call_answered();
     this->events.items_received(changes->items, this->last_revision, false);
-    return true;
+    return changes->items.size();
 }
 
 void store_reader::start_call()
--- a/src/greengagedrum/entry/store_reader.hpp
+++ b/src/greengagedrum/entry/store_reader.hpp
@@ -14,7 +14,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace greengagedrum::entry
 {
@@ -85,8 +88,10 @@
     void stop();
 
 private:
-    void start_read_through();
-    bool apply_read_through(
+    void start_read_through(std::vector<read_handler> served);
+    void end_read_through(std::span<const read_handler> served, bool complete);
+    // The number of changes; nothing if the call failed.
+    std::optional<std::size_t> apply_read_through(
         const tl::expected<relay::fetched, std::string>& response);
     void start_call();
     void request_page();
--- a/src/greengagedrum/entry/test/read_through_test.cpp
+++ b/src/greengagedrum/entry/test/read_through_test.cpp
@@ -37,7 +37,9 @@
                 }
                 this->reads += 1;
                 std::this_thread::sleep_for(this->answer_delay.load());
-                out.set_content(one_change, json_type);
+                out.set_content(this->reads == 1 ? this->first_answer
+                                                 : one_change,
+                                json_type);
             });
         this->store.start();
         store_events callbacks;
@@ -96,6 +98,7 @@
     std::uint64_t newest = 0;
     std::vector<bool> results;
     std::atomic<int> reads{0};
+    std::string first_answer = one_change;
     std::atomic<std::chrono::milliseconds> answer_delay{20ms};
 };
 
@@ -128,6 +131,24 @@
     CHECK(this->reads == 2);
 }
 
+// Guards against an answer that holds a part of the changes only.
+TEST_CASE_FIXTURE(read_through_fixture,
+                  "read_through_many_changes_reads_on_to_the_last")
+{
+    constexpr int many = 500;
+    std::string events;
+    for (int number = 0; number < many; ++number)
+        events += R"({"key": "servers/x", "value": "e30=", "revision": 3},)";
+    events.pop_back();
+    this->first_answer = R"({"events": [)" + events + R"(], "at": 3})";
+    this->list();
+    this->read_through();
+    this->run_until([this] { return !this->results.empty(); });
+    CHECK(this->results == std::vector<bool>{true});
+    CHECK(this->reads == 2);
+    CHECK(this->changes_at_result == many + 1);
+}
+
 TEST_CASE_FIXTURE(read_through_fixture,
                   "read_through_store_silent_ends_incomplete")
 {
