Entry tests: real entries beside a release not read yet, and odd items

Change: a real entry over loopback, whose store is silent, lags in its watches or holds an odd item. The fixture publishes upstreams and sets how its store answers. One parameter of the fleet of stream versions is taken by reference, as the linter asks.

--- a/src/greengagedrum/entry/fleet_test/stream_version_fleet.cpp
+++ b/src/greengagedrum/entry/fleet_test/stream_version_fleet.cpp
@@ -103,8 +103,8 @@
         this->schedule_at(
             number, after, [](node& one) { one.versions->on_timer(); });
     };
-    out.read_store = [this, number](std::function<void(bool)> on_end) {
-        this->read_store(number, std::move(on_end));
+    out.read_store = [this, number](const std::function<void(bool)>& on_end) {
+        this->read_store(number, on_end);
     };
     fresh.versions = std::make_unique<stream_versions>(
         fresh.state, this->data_centre_of(number), std::move(out));
@@ -124,7 +124,7 @@
 
 // The store answers within a few milliseconds, or not at all.
 void stream_version_fleet::read_store(std::size_t number,
-                                      std::function<void(bool)> on_end)
+                                      const std::function<void(bool)>& on_end)
 {
     if (!this->nodes[number]->hears_store)
         return this->schedule_at(
--- a/src/greengagedrum/entry/fleet_test/stream_version_fleet.hpp
+++ b/src/greengagedrum/entry/fleet_test/stream_version_fleet.hpp
@@ -108,7 +108,8 @@
     bool are_apart(std::size_t from, std::size_t to) const;
     void apply(const routing::store_item& item);
     void read_all_items(node& one);
-    void read_store(std::size_t number, std::function<void(bool)> on_end);
+    void read_store(std::size_t number,
+                    const std::function<void(bool)>& on_end);
     base::duration random_time(base::duration from, base::duration to);
     static versions::entry_address address_of(std::size_t number);
     base::data_centre_id data_centre_of(std::size_t number) const;
--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -32,6 +32,18 @@
             {"leaseId", 0}};
 }
 
+json upstream(int port, const std::string& version)
+{
+    return {{"service", "models"},
+            {"address", "127.0.0.1:" + std::to_string(port)},
+            {"zone", "hall"},
+            {"version", version},
+            {"slots", 5},
+            {"state", "ready"},
+            {"warmupRemainingMs", 0},
+            {"sequence", 1}};
+}
+
 json route(const char* prefix, const char* type)
 {
     return {{"name", prefix},
@@ -159,20 +171,12 @@
     if (ports.empty())
         ports = {this->upstream_server.port};
     for (std::size_t at = 0; at < ports.size(); ++at)
-        entries.push_back(
-            item("servers/i-" + std::to_string(at + 1),
-                 {{"service", "models"},
-                  {"address", "127.0.0.1:" + std::to_string(ports[at])},
-                  {"zone", "hall"},
-                  {"version",
-                   at < options.upstream_versions.size()
-                       ? options.upstream_versions[at]
-                       : "v1"},
-                  {"slots", 5},
-                  {"state", "ready"},
-                  {"warmupRemainingMs", 0},
-                  {"sequence", 1}},
-                 2));
+        entries.push_back(item("servers/i-" + std::to_string(at + 1),
+                               upstream(ports[at],
+                                        at < options.upstream_versions.size()
+                                            ? options.upstream_versions[at]
+                                            : "v1"),
+                               2));
     const std::string page =
         json{{"entries", entries}, {"hasMore", false}, {"at", 2}}.dump();
     this->store_server.server.Get(
@@ -183,17 +187,54 @@
     this->store_server.server.Get(
         "/kv-watch",
         [this](const httplib::Request& request, httplib::Response& response) {
-            std::this_thread::sleep_for(20ms);
-            const std::lock_guard lock(this->mutex);
-            const bool behind = std::stoi(request.get_param_value("after")) <
-                                this->store_revision;
-            response.set_content(
-                "{\"events\": [" + (behind ? this->store_events : "") +
-                    "], \"at\": " + std::to_string(this->store_revision) + "}",
-                "application/json");
+            this->answer_watch(request, response);
         });
 }
 
+void entry_fixture::answer_watch(const httplib::Request& request,
+                                 httplib::Response& response)
+{
+    std::this_thread::sleep_for(20ms);
+    std::unique_lock lock(this->mutex);
+    if (this->mode == store_mode::silent) {
+        lock.unlock();
+        std::this_thread::sleep_for(1500ms);
+        lock.lock();
+        response.status = 503;
+        return;
+    }
+    const int after = std::stoi(request.get_param_value("after"));
+    const bool waits = request.get_param_value("waitMs") != "1";
+    const int as_of = this->mode == store_mode::watches_lag && waits
+                          ? after
+                          : this->store_revision;
+    response.set_content("{\"events\": [" +
+                             (after < as_of ? this->store_events : "") +
+                             "], \"at\": " + std::to_string(as_of) + "}",
+                         "application/json");
+}
+
+void entry_fixture::publish_upstream(
+    const std::string& name,
+    int port,
+    const std::string& version,
+    std::optional<std::uint64_t> started_unix_ms)
+{
+    json fields = upstream(port, version);
+    if (started_unix_ms)
+        fields["born"] = *started_unix_ms;
+    const std::lock_guard lock(this->mutex);
+    this->store_revision += 1;
+    this->store_events =
+        item("servers/" + name, fields, this->store_revision).dump();
+}
+
+void entry_fixture::set_store_mode(store_mode chosen)
+{
+    const std::lock_guard lock(this->mutex);
+    this->mode = chosen;
+}
+
 void entry_fixture::set_evacuated(bool evacuated)
 {
     const std::lock_guard lock(this->mutex);
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -88,10 +89,26 @@
     // Starts or ends the evacuation of the data centre.
     void set_evacuated(bool evacuated);
 
+    // Publishes an upstream; only the latest event is kept.
+    void publish_upstream(
+        const std::string& name,
+        int port,
+        const std::string& version,
+        std::optional<std::uint64_t> started_unix_ms = std::nullopt);
+
+    enum class store_mode : std::uint8_t {
+        normal,
+        watches_lag, // watches that wait tell nothing new
+        silent
+    };
+    void set_store_mode(store_mode chosen);
+
     std::unique_ptr<entry> entry_under_test;
 
 private:
     void publish(const fixture_options& options);
+    void answer_watch(const httplib::Request& request,
+                      httplib::Response& response);
     void wait_until_configured() const;
 
     // Declared before the servers, whose threads use the mutex and the data.
@@ -102,6 +119,7 @@
     std::vector<httplib::Request> requests;
     int store_revision = 2;
     std::string store_events; // as JSON, for watches behind store_revision
+    store_mode mode = store_mode::normal;
     handler upstream_handler = [](const httplib::Request& request,
                                   httplib::Response& response) {
         write_signed_answer(request, response, "answer");
