Entry tests: the store's answer is set under a mutex

Cause: the thread sanitizer reported three races in read_through_test: a test set the store's first answer after its server had started, and the order by sockets is unseen to it. Change: the answer is read and set under a mutex that outlives the server.

--- a/src/greengagedrum/entry/test/read_through_test.cpp
+++ b/src/greengagedrum/entry/test/read_through_test.cpp
@@ -37,9 +37,7 @@
                 }
                 this->reads += 1;
                 std::this_thread::sleep_for(this->answer_delay.load());
-                out.set_content(this->reads == 1 ? this->first_answer
-                                                 : one_change,
-                                json_type);
+                out.set_content(this->next_answer(), json_type);
             });
         this->store.start();
         store_events callbacks;
@@ -68,6 +66,18 @@
         this->store.stop();
     }
 
+    std::string next_answer()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->reads == 1 ? this->first_answer : one_change;
+    }
+
+    void set_first_answer(const std::string& answer)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->first_answer = answer;
+    }
+
     void list()
     {
         this->reader->start();
@@ -89,6 +99,11 @@
             this->context.run_for(10ms);
     }
 
+    // Declared before the server, whose threads use them.
+    std::mutex mutex;
+    std::string first_answer = one_change;
+    std::atomic<int> reads{0};
+    std::atomic<std::chrono::milliseconds> answer_delay{20ms};
     relay::asio::io_context context;
     fake_http_server store;
     std::unique_ptr<store_reader> reader;
@@ -97,9 +112,6 @@
     std::size_t changes_at_result = 0;
     std::uint64_t newest = 0;
     std::vector<bool> results;
-    std::atomic<int> reads{0};
-    std::string first_answer = one_change;
-    std::atomic<std::chrono::milliseconds> answer_delay{20ms};
 };
 
 } // namespace
@@ -140,7 +152,7 @@
     for (int number = 0; number < many; ++number)
         events += R"({"key": "servers/x", "value": "e30=", "revision": 3},)";
     events.pop_back();
-    this->first_answer = R"({"events": [)" + events + R"(], "at": 3})";
+    this->set_first_answer(R"({"events": [)" + events + R"(], "at": 3})");
     this->list();
     this->read_through();
     this->run_until([this] { return !this->results.empty(); });
