--- a/src/greengagedrum/traffic/dispatch_pass.hpp
+++ b/src/greengagedrum/traffic/dispatch_pass.hpp
@@ -35,7 +35,7 @@
     bool all_suspected = false;
     // The share of unreachable upstreams, where it isn't zero.
     std::vector<std::pair<base::data_centre_id, double>> unreachable_shares;
-    // Position in `full` of one that suited a request well.
+    // Index in `full` at which the search for a suitable upstream begins.
     std::size_t suitable_hint = 0;
     std::uint64_t rated = 0; // upstreams, for all requests of the pass
 
