Traffic: among equally urgent requests the one that has to start first goes first

What callers saw: a request whose last possible start was now waited behind equally urgent ones of a shorter kind whose callers had seconds left, and was refused after its wait.

Cause: within a priority the kind with the shorter hold time went first, and only within a kind did time count.

Change: the latest useful start (the caller's time less the expected first event) decides first, the shorter hold between two that have to start at the same time.

Evidence: caller_with_less_time_left_goes_first fails on the former code.

--- a/src/greengagedrum/traffic/test/wait_queue_test.cpp
+++ b/src/greengagedrum/traffic/test/wait_queue_test.cpp
@@ -59,6 +59,26 @@
     CHECK(this->order() == std::vector<std::uint64_t>{1, 4, 2, 3});
 }
 
+// Guards against a request whose last possible start is now, behind equally
+// urgent ones of a shorter kind whose callers have seconds left.
+TEST_CASE_FIXTURE(scheduler_fixture, "caller_with_less_time_left_goes_first")
+{
+    this->upstreams(1, 1);
+    request_facts short_kind = stream_facts();
+    short_kind.kind = base::kind_id("short");
+    const auto ended = this->arrive(short_kind);
+    this->advance(100ms);
+    this->answer(ended, 1);
+    const auto running = this->arrive(stream_facts());
+    const auto send = this->sent().send;
+    this->arrive(short_kind);
+    request_facts pressed = stream_facts();
+    pressed.time_left = 1s;
+    const auto first = this->arrive(pressed);
+    this->answer(running, send);
+    CHECK(this->sent().request == first);
+}
+
 // Guards against a late urgent request that other entries take for a less
 // urgent one, and use the slot that it waits for.
 TEST_CASE_FIXTURE(scheduler_fixture,
--- a/src/greengagedrum/traffic/wait_queue.cpp
+++ b/src/greengagedrum/traffic/wait_queue.cpp
@@ -92,8 +92,8 @@
 wait_queue::order_key wait_queue::key_of(const waiting_request& item) const
 {
     return {item.priority,
-            this->hold_seconds(item.kind),
             item.give_up_at,
+            this->hold_seconds(item.kind),
             item.request};
 }
 
--- a/src/greengagedrum/traffic/wait_queue.hpp
+++ b/src/greengagedrum/traffic/wait_queue.hpp
@@ -2,9 +2,9 @@
 // their order.
 //
 // The more urgent request goes first, however long it has waited. Among equally
-// urgent ones the kind with the shorter hold time goes first, since it delays
-// the others least, and within a kind the one that has to start first to be of
-// any use to its caller.
+// urgent ones it is the one that has to start first to be of any use, by the
+// time that its caller has and the expected first event; of two that have to
+// start at the same time, the kind that holds its slot for less.
 //
 // A priority that was recently served at less than a given fraction of the
 // overall rate gets the next slot, so that no priority starves in an endless
@@ -117,8 +117,8 @@
     // part first; less goes before.
     struct order_key {
         std::uint32_t priority = 0;
-        double hold = 0; // seconds
         base::instant give_up_at;
+        double hold = 0; // seconds
         base::request_id request;
 
         auto operator<=>(const order_key&) const = default;
