Gossip: a request's latency objective is not sent to dispatchers

Cause: dispatchers got it to rate upstreams by it, which they no longer do. How long a caller waits for its first event is sent beside it.

Change: the field of the schema is deprecated and no longer written, so that entries of both builds read each other.

Measured: test-gossip passes; the request that it sends has an objective, and none arrives.

--- a/src/greengagedrum/gossip/dispatch_codec.cpp
+++ b/src/greengagedrum/gossip/dispatch_codec.cpp
@@ -70,7 +70,6 @@
                               facts.output_tokens,
                               facts.stream,
                               at_most_once,
-                              facts.latency_objective.count(),
                               facts.event_gap_objective.count(),
                               facts.time_left.count(),
                               facts.first_event_timeout.count(),
@@ -95,7 +94,6 @@
     facts.stream = from.stream();
     facts.retry = from.at_most_once() ? routing::retry_policy::at_most_once
                                       : routing::retry_policy::idempotent;
-    facts.latency_objective = base::duration(from.objective_us());
     facts.event_gap_objective = base::duration(from.gap_objective_us());
     facts.time_left = base::duration(from.time_left_us());
     facts.first_event_timeout = base::duration(from.patience_us());
--- a/src/greengagedrum/gossip/gossip_generated.h
+++ b/src/greengagedrum/gossip/gossip_generated.h
@@ -749,7 +749,6 @@
     VT_OUTPUT_TOKENS = 18,
     VT_STREAM = 20,
     VT_AT_MOST_ONCE = 22,
-    VT_OBJECTIVE_US = 24,
     VT_GAP_OBJECTIVE_US = 26,
     VT_TIME_LEFT_US = 28,
     VT_PATIENCE_US = 30,
@@ -789,9 +788,6 @@
   bool at_most_once() const {
     return GetField<uint8_t>(VT_AT_MOST_ONCE, 0) != 0;
   }
-  int64_t objective_us() const {
-    return GetField<int64_t>(VT_OBJECTIVE_US, 0);
-  }
   int64_t gap_objective_us() const {
     return GetField<int64_t>(VT_GAP_OBJECTIVE_US, 0);
   }
@@ -828,7 +824,6 @@
            VerifyField<uint32_t>(verifier, VT_OUTPUT_TOKENS, 4) &&
            VerifyField<uint8_t>(verifier, VT_STREAM, 1) &&
            VerifyField<uint8_t>(verifier, VT_AT_MOST_ONCE, 1) &&
-           VerifyField<int64_t>(verifier, VT_OBJECTIVE_US, 8) &&
            VerifyField<int64_t>(verifier, VT_GAP_OBJECTIVE_US, 8) &&
            VerifyField<int64_t>(verifier, VT_TIME_LEFT_US, 8) &&
            VerifyField<int64_t>(verifier, VT_PATIENCE_US, 8) &&
@@ -876,9 +871,6 @@
   void add_at_most_once(bool at_most_once) {
     fbb_.AddElement<uint8_t>(Wanted::VT_AT_MOST_ONCE, static_cast<uint8_t>(at_most_once), 0);
   }
-  void add_objective_us(int64_t objective_us) {
-    fbb_.AddElement<int64_t>(Wanted::VT_OBJECTIVE_US, objective_us, 0);
-  }
   void add_gap_objective_us(int64_t gap_objective_us) {
     fbb_.AddElement<int64_t>(Wanted::VT_GAP_OBJECTIVE_US, gap_objective_us, 0);
   }
@@ -926,7 +918,6 @@
     uint32_t output_tokens = 0,
     bool stream = false,
     bool at_most_once = false,
-    int64_t objective_us = 0,
     int64_t gap_objective_us = 0,
     int64_t time_left_us = 0,
     int64_t patience_us = 0,
@@ -941,7 +932,6 @@
   builder_.add_patience_us(patience_us);
   builder_.add_time_left_us(time_left_us);
   builder_.add_gap_objective_us(gap_objective_us);
-  builder_.add_objective_us(objective_us);
   builder_.add_kind(kind);
   builder_.add_workspace(workspace);
   builder_.add_service(service);
@@ -970,7 +960,6 @@
     uint32_t output_tokens = 0,
     bool stream = false,
     bool at_most_once = false,
-    int64_t objective_us = 0,
     int64_t gap_objective_us = 0,
     int64_t time_left_us = 0,
     int64_t patience_us = 0,
@@ -992,7 +981,6 @@
       output_tokens,
       stream,
       at_most_once,
-      objective_us,
       gap_objective_us,
       time_left_us,
       patience_us,
--- a/src/greengagedrum/traffic/delegation.cpp
+++ b/src/greengagedrum/traffic/delegation.cpp
@@ -25,8 +25,6 @@
             continue;
         queued_send one{id, item.connects + 1, item.facts, item.tried};
         const base::duration first = this->first_event_expected(item);
-        one.facts.latency_objective =
-            item.arrived + item.facts.latency_objective - at;
         one.facts.time_left = item.deadline - at;
         one.facts.first_event_timeout =
             std::max(base::duration(0), item.give_up_at + first - at);
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -39,7 +39,8 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0; // expected
     std::uint32_t attempts_max = 1;
-    base::duration latency_objective{0}; // until the first event or the answer
+    // Until the first event or the answer; not sent to peers.
+    base::duration latency_objective{0};
     base::duration event_gap_objective{0}; // between two events of a stream
     base::duration time_left{0}; // until the caller's or the route's timeout
     bool caller_resumes = false; // the caller itself resumes a broken stream
