Traffic: Retry-After follows from the expected wait and the caller's time

What callers saw: a caller with 0.3 s left was told to come back in 0.2 s, one with a minute left and 20 s of queue ahead of it in 5 s, into the same queue.

Cause: the wait was kept between 0.2 s and 5 s whatever time the caller had, so that it could meet an objective.

Change: the expected wait, at least the age of entries' reports, at most a third of the time that the caller has left, which is as long as callers wait.

Evidence: retry_after_of_short_deadline_within_a_third_of_it (200 ms of 100 allowed) and retry_after_of_long_deadline_follows_expected_wait (5 s) fail on the former code. All of test-traffic passes.

--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -1,3 +1,4 @@
+#include <greengagedrum/base/retry_after.hpp>
 #include <greengagedrum/placement/seconds.hpp>
 #include <greengagedrum/traffic/scheduler.hpp>
 
@@ -308,12 +309,14 @@
 
 void scheduler::refuse(request& item, base::reason why)
 {
-    // Bounds of the suggested retry delay, which gives the queue time to drain
-    // far enough for the request to meet its objective.
-    constexpr base::duration least = std::chrono::milliseconds(200);
-    constexpr base::duration most = std::chrono::seconds(5);
-    const base::duration wait = this->wait_expected(item);
-    this->end(item, base::not_run(why, std::clamp(wait, least, most)));
+    // Entries know of each other's queues and slots by reports of that age, so
+    // a caller that came back sooner would find the same state.
+    constexpr base::duration reports_renewed = std::chrono::milliseconds(200);
+    const base::duration needed =
+        std::max(this->wait_expected(item), reports_renewed);
+    this->end(item,
+              base::not_run(
+                  why, base::retry_after(needed, item.deadline - this->now)));
 }
 
 void scheduler::fail(request& item, base::reason why)
--- a/src/greengagedrum/traffic/test/caller_time_test.cpp
+++ b/src/greengagedrum/traffic/test/caller_time_test.cpp
@@ -39,6 +39,33 @@
 
 } // namespace
 
+// Guards against a Retry-After that takes more of a caller's time than it
+// waits.
+TEST_CASE_FIXTURE(one_slot_fixture,
+                  "retry_after_of_short_deadline_within_a_third_of_it")
+{
+    request_facts facts = facts_with(300ms);
+    facts.service = base::upstream_class_id("other");
+    this->arrive(facts);
+    CHECK(*this->verdict().retry_after <= 100ms);
+}
+
+// Guards against a caller with much time that is told to come back into the
+// same queue.
+TEST_CASE_FIXTURE(one_slot_fixture,
+                  "retry_after_of_long_deadline_follows_expected_wait")
+{
+    request_facts facts = facts_with(60s);
+    facts.stream = false;
+    int queued = 0;
+    for (; queued < 400 && this->last_action<end_request>() == nullptr;
+         ++queued)
+        this->arrive(facts);
+    REQUIRE(queued < 400);
+    CHECK(*this->verdict().retry_after > 5s);
+    CHECK(*this->verdict().retry_after <= 20s);
+}
+
 // Guards against a caller that was refused before and goes behind callers that
 // came after it.
 TEST_CASE_FIXTURE(one_slot_fixture, "repeat_that_arrived_first_goes_first")
