Memory: Retry-After of a rejected body within a third of the caller's time

What callers saw: a body that found no room was rejected with Retry-After 1, whatever time its caller had; with 0.6 s left that is all of it.

Cause: a constant that followed from nothing.

Change: room is renewed once bodies that stand still have given theirs up, which is one second, and a caller is asked for at most a third of the time left.

Evidence: body_without_room_retry_after_within_a_third_of_deadline (0.6 s left, 0.20 expected); the former code answers 1.00 by its constant. test-relay passes; 13 cases of test-entry that name memory, bodies or room pass.

--- a/src/greengagedrum/entry/memory_keeping.cpp
+++ b/src/greengagedrum/entry/memory_keeping.cpp
@@ -1,5 +1,6 @@
 // The part of request_handler that keeps the process within its memory: who
 // waits, who is rejected, and whose response is ended.
+#include <greengagedrum/base/retry_after.hpp>
 #include <greengagedrum/entry/request_handler.hpp>
 #include <greengagedrum/entry/to_milliseconds.hpp>
 #include <greengagedrum/memory/rejection_order.hpp>
@@ -19,8 +20,6 @@
 // ones than a packet over loopback, a sender waits for its timer.
 constexpr int socket_buffer_bytes = 32 << 10;
 
-constexpr base::duration retry_after_rejection = std::chrono::seconds(1);
-
 // All connections are looked at, so not in each tick of 5 ms.
 constexpr base::duration check_period = std::chrono::milliseconds(20);
 
@@ -28,10 +27,6 @@
 // can try another entry within its deadline.
 constexpr base::duration wait_most = std::chrono::seconds(2);
 
-// A body of which no byte comes for so long gives its room to one that waits;
-// half of `wait_most`, so that the other gets it in time.
-constexpr base::duration body_stall_most = std::chrono::seconds(1);
-
 // While a body has waited for longer than this, a response whose caller has
 // taken nothing for `stall_most` is ended. Callers that don't read would else
 // keep all others out for as long as they like.
@@ -53,8 +48,11 @@
                                    std::uint64_t bytes) {
         platform::request_marks marks;
         platform::read_request_marks(from->head(), marks);
-        this->log_rejected(
-            marks.attempt, from->classified().priority, bytes, answer.reason);
+        this->log_rejected(marks.attempt,
+                           from->classified().priority,
+                           bytes,
+                           answer.reason,
+                           answer.retry_after.value_or(base::duration(0)));
     };
     // Connections inherit these.
     relay::error_code ignored; // the kernel holds more, no more than that
@@ -71,11 +69,13 @@
 request_handler::classify(const relay::request_head& head) const
 {
     relay::body_class out;
+    out.time_left = default_time_left;
     out.priority = std::numeric_limits<std::uint32_t>::max();
     const routing::route_table_ptr& table = this->state.cluster.routes();
     platform::request_marks marks;
     if (!table || platform::read_request_marks(head, marks))
         return out;
+    out.time_left = marks.time_left.value_or(default_time_left);
     const auto host = relay::find_header(head.headers, "Host").value_or("");
     const std::string_view path =
         std::string_view(head.target).substr(0, head.target.find('?'));
@@ -122,21 +122,24 @@
                 const auto found = this->requests.find(id);
                 if (found == this->requests.end() || found->second.sent_at)
                     return;
+                const active_request& queued = found->second;
+                const platform::request_marks& marks =
+                    queued.http_exchange->info().marks;
+                const base::duration left =
+                    marks.time_left.value_or(default_time_left) -
+                    (this->state.clock() - queued.arrived);
+                const base::duration retry_after =
+                    base::retry_after(memory::room_renewed_after, left);
                 this->log_rejected(
-                    found->second.http_exchange->info().marks.attempt,
-                    priority,
-                    bytes,
-                    "queued");
+                    marks.attempt, priority, bytes, "queued", retry_after);
                 this->refuse_queued_request(
-                    id, base::reason::overloaded, retry_after_rejection);
+                    id, base::reason::overloaded, retry_after);
             });
     }
     for (const relay::caller_ptr& one : this->callers) {
         sizes.push_back(
             {one->classified().priority, one->unfinished_body_bytes()});
-        reject.emplace_back([one] {
-            one->reject({503, "no room for the body", retry_after_rejection});
-        });
+        reject.emplace_back([one] { one->reject_for_room(); });
     }
     const auto order =
         memory::rejection_order(sizes, account.levels().small_body);
@@ -250,12 +253,12 @@
         one->retry_body();
         const auto since = one->waiting_since();
         if (since && now - *since > wait_most)
-            one->reject({503, "no room for the body", retry_after_rejection});
+            one->reject_for_room();
     }
     const std::vector<relay::caller_ptr> connections(this->callers.begin(),
                                                      this->callers.end());
     for (const relay::caller_ptr& one : connections) {
-        if (one->body_stalled(now) > body_stall_most)
+        if (one->body_stalled(now) > memory::room_renewed_after)
             one->reject({408, "the body came too slowly", std::nullopt});
     }
 }
@@ -263,18 +266,18 @@
 void request_handler::log_rejected(const std::string& request,
                                    std::uint32_t priority,
                                    std::uint64_t bytes,
-                                   std::string_view why)
+                                   std::string_view why,
+                                   base::duration retry_after)
 {
-    this->state.log.write(
-        this->state.clock(),
-        "memory",
-        "request_rejected_for_memory",
-        {{"request", request},
-         {"priority", priority},
-         {"bytes", bytes},
-         {"why", why},
-         {"held_bytes", this->state.memory->held()},
-         {"retry_after_ms", to_milliseconds(retry_after_rejection)}});
+    this->state.log.write(this->state.clock(),
+                          "memory",
+                          "request_rejected_for_memory",
+                          {{"request", request},
+                           {"priority", priority},
+                           {"bytes", bytes},
+                           {"why", why},
+                           {"held_bytes", this->state.memory->held()},
+                           {"retry_after_ms", to_milliseconds(retry_after)}});
     this->state.metrics.add(
         telemetry::process_count{telemetry::counter::memory_rejections});
 }
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -22,7 +22,6 @@
 // configuration leaves out.
 constexpr std::size_t default_body_bytes = 4U << 20U;
 constexpr std::size_t default_head_bytes = 16U << 10U;
-constexpr base::duration default_time_left = std::chrono::seconds(30);
 
 // The configuration arrives within a few store calls after the start.
 constexpr base::duration retry_after_unconfigured =
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -247,7 +247,12 @@
     void log_rejected(const std::string& request,
                       std::uint32_t priority,
                       std::uint64_t bytes,
-                      std::string_view why);
+                      std::string_view why,
+                      base::duration retry_after);
+
+    // Of a caller that states no deadline.
+    static constexpr base::duration default_time_left =
+        std::chrono::seconds(30);
 
     relay::asio::io_context& context;
     relay::tcp::acceptor acceptor;
--- a/src/greengagedrum/memory/levels.hpp
+++ b/src/greengagedrum/memory/levels.hpp
@@ -1,11 +1,17 @@
 // The sizes that the memory of a process allows to its account.
 #pragma once
 
+#include <greengagedrum/base/time.hpp>
+
+#include <chrono>
 #include <cstdint>
 
 namespace greengagedrum::memory
 {
 
+// A body of which no byte comes for so long gives its room to one that waits.
+inline constexpr base::duration room_renewed_after = std::chrono::seconds(1);
+
 // All in bytes.
 struct levels {
     std::uint64_t capacity = 0;
--- a/src/greengagedrum/relay/caller_connection.hpp
+++ b/src/greengagedrum/relay/caller_connection.hpp
@@ -41,6 +41,7 @@
 struct body_class {
     base::workspace_id workspace;
     std::uint32_t priority = 0;
+    base::duration time_left{0}; // of the caller, from the head on
 };
 
 // What the owner of connections does for them.
@@ -139,6 +140,8 @@
     base::duration body_stalled(base::instant now) const;
     // Rejects a request that isn't read whole yet.
     void reject(const own_answer& why);
+    // The same, with the time after which there may be room for its body.
+    void reject_for_room();
     // Notices that the caller left while nothing is read from it, and counts
     // what the kernel holds of this connection.
     void check_stopped();
@@ -193,6 +196,7 @@
     bool continue_sent = false;
     body_class body_kind;
     bool is_classified = false;
+    base::instant classified_at;
     std::optional<base::instant> waits; // for room for the body
     base::instant read_at;              // the last byte
     base::instant taken_at;             // the caller last took a byte
--- a/src/greengagedrum/relay/caller_connection_memory.cpp
+++ b/src/greengagedrum/relay/caller_connection_memory.cpp
@@ -1,4 +1,5 @@
 // The part of a caller's connection that keeps to the memory of the process.
+#include <greengagedrum/base/retry_after.hpp>
 #include <greengagedrum/relay/caller_connection.hpp>
 
 #include <linux/sockios.h>
@@ -14,8 +15,6 @@
 // A body in chunks says no length. It takes room in steps of at least this.
 constexpr std::size_t chunked_step = 32U << 10U;
 
-constexpr base::duration retry_after_no_room = std::chrono::seconds(1);
-
 // Bytes that the kernel holds of a socket; 0 if it doesn't tell.
 std::uint64_t queued_bytes(tcp::socket& socket, unsigned long which)
 {
@@ -63,6 +62,7 @@
     const memory::account& account = *this->events.memory;
     if (!this->is_classified) {
         this->is_classified = true;
+        this->classified_at = this->events.clock();
         this->body_kind = this->events.classify(this->reader->head());
         this->unsent_room.set_workspace(this->body_kind.workspace);
         this->body_room = {this->events.memory,
@@ -71,7 +71,7 @@
     }
     const std::uint64_t needed = this->room_needed();
     if (!account.fits_connection(needed)) {
-        this->reject({503, "no room for the body", retry_after_no_room});
+        this->reject_for_room();
         return false;
     }
     const std::uint64_t had = this->body_room.bytes();
@@ -133,6 +133,17 @@
     this->buffers.resize(sizeof(*this) + this->arrived.size());
 }
 
+void caller_connection::reject_for_room()
+{
+    const base::duration waited =
+        this->is_classified ? this->events.clock() - this->classified_at
+                            : base::duration(0);
+    this->reject({503,
+                  "no room for the body",
+                  base::retry_after(memory::room_renewed_after,
+                                    this->body_kind.time_left - waited)});
+}
+
 void caller_connection::release_body()
 {
     this->body_room.resize(0);
--- a/src/greengagedrum/relay/test/caller_connection_memory_test.cpp
+++ b/src/greengagedrum/relay/test/caller_connection_memory_test.cpp
@@ -42,7 +42,7 @@
         this->events.clock = [this] { return this->now; };
         this->events.memory = this->account;
         this->events.classify = [](const request_head&) {
-            return body_class{base::workspace_id(7), 0};
+            return body_class{base::workspace_id(7), 0, 600ms};
         };
         this->events.rejected =
             [this](const caller_ptr&, const own_answer&, std::uint64_t) {
@@ -99,6 +99,16 @@
     CHECK(this->account->held(base::workspace_id(7)) == 50'000);
 }
 
+// Guards against a rejection that tells a caller to come back when more than a
+// third of its time is over.
+TEST_CASE_FIXTURE(connection_fixture,
+                  "body_without_room_retry_after_within_a_third_of_deadline")
+{
+    this->send(head_start + "Content-Length: 500000\r\n\r\n");
+    CHECK(this->rejections == 1);
+    CHECK(this->received().find("Retry-After: 0.20\r\n") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(connection_fixture,
                   "caller_that_leaves_while_its_body_waits_is_noticed")
 {
