Traffic: a kept connection decides among upstreams that are equally fast

What callers saw: a request went to an upstream that answers a tenth later, or up to 15%, only because a connection to it was open.

Cause: the share was set by how often connections were used again, and their number is a price. To a caller a kept connection is worth one connect, a round trip.

Change: it decides only where estimates differ by less than the share within which upstreams are ordered differently at each entry. In the random choice of many entries, which is among upstreams that are about as good, its weight stays.

Evidence: kept_connection_does_not_outweigh_sooner_answer fails on the former code. All of test-traffic passes.

--- a/src/greengagedrum/traffic/test/kept_upstreams_test.cpp
+++ b/src/greengagedrum/traffic/test/kept_upstreams_test.cpp
@@ -94,6 +94,22 @@
     CHECK(this->place(repeatable_facts()) != this->all[0]);
 }
 
+// Guards against a caller that waits a tenth longer so that a connection is used
+// again.
+TEST_CASE_FIXTURE(kept_upstreams_fixture,
+                  "kept_connection_does_not_outweigh_sooner_answer")
+{
+    for (int number = 0; number < 6; ++number) {
+        auto near = upstream_named("i-" + std::to_string(number), 2);
+        near.data_centre = "hall";
+        this->tested.upstream_joined(near, this->now);
+    }
+    const upstream_load load[] = {{this->all[0], 0, 400, {}}};
+    this->tested.on_peer_report(base::slot_id("peer"), load, {}, this->now);
+    this->keep(this->all[0]);
+    CHECK(this->place(repeatable_facts()) != this->all[0]);
+}
+
 TEST_CASE_FIXTURE(kept_upstreams_fixture,
                   "delegated_request_prefers_connections_of_its_sender")
 {
--- a/src/greengagedrum/traffic/upstream_choice.cpp
+++ b/src/greengagedrum/traffic/upstream_choice.cpp
@@ -24,16 +24,13 @@
 constexpr double far_share = 0.06;
 constexpr double order_share = 0.04;
 
-// An upstream to which the sender keeps a connection counts as this share
-// faster. Estimates deviate by more than that, and an upstream where the
-// request would be late or disturb streams never goes first. In a simulated
-// data centre, 0.05 reused a connection for 0.25 of the requests, 0.15 for
-// 0.40. In another data centre, the share must not outweigh the distance.
-constexpr double kept_share = 0.15;
-constexpr double far_kept_share = 0.05;
-
-// Its weight in the random choice, against 1 for one without. Other entries
-// keep connections to other upstreams, so they don't all choose the same one.
+// An upstream to which the sender keeps a connection saves it a connect, which
+// decides only among those that are about equally fast.
+constexpr double kept_share = order_share;
+
+// Its weight in the random choice among those, against 1 for one without. Other
+// entries keep connections to other upstreams, so they don't all choose the same
+// one.
 constexpr double kept_weight = 8;
 
 // Actual gaps between events deviate from the expected ones by about a quarter.
@@ -219,9 +216,8 @@
         this->expected_on(one, all, query.prompt_tokens, pass.now);
     const bool kept =
         std::find(query.kept.begin(), query.kept.end(), id) != query.kept.end();
-    const double bonus = one.is_near ? kept_share : far_kept_share;
     const double finish =
-        this->distance(id, one) * (kept ? 1 - bonus : 1) *
+        this->distance(id, one) * (kept ? 1 - kept_share : 1) *
         (1 + unreachable_weight * pass.unreachable_share(one.data_centre)) *
         (expected +
          this->output_seconds(one, all, query.output_tokens, pass.now));
