Entry: one place owns the start: signals, then ports, then callers

What operators saw: a process that ended in its first second. SIGHUP or SIGTERM before the handlers were there ended it; a port that a draining predecessor or another program held for a moment ended it with exit 1, even the one for metrics; so did an address that came up late. What others had delegated to it or waited for at it was lost with it.

Cause: the constructor took whatever it met, in whatever order: callers' port first, signals by their default action until then, every fault final.

Change: SIGTERM, SIGINT and SIGHUP are blocked before the libraries' initializers (.preinit_array) and released once their handlers are there. entry::start tries again while an address is in use or not there, for as long as a predecessor may drain (graceS) and two seconds, and says so in the log; meanwhile it holds no port, and the callers' port comes last, so that no caller is taken by a process that may not serve. SIGTERM meanwhile ends it with success. Ports for metrics and for tunnels of peers are optional: the entry serves without them and tries again each second.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -107,7 +107,6 @@
             this->peers->on_message(bytes, from);
         },
         [this] { this->peers->on_timer(); });
-    this->listen_for_tunnels();
     store_events store_callbacks;
     store_callbacks.items_received =
         [this](const routing::store_item_list& items,
@@ -151,18 +150,8 @@
         [this](const relay::small_question& request) {
             return this->answer_control(request.target);
         });
-    this->metrics_server = std::make_unique<relay::small_server>(
-        this->context,
-        initial_settings.metrics_address,
-        this->state.clock,
-        [this](const relay::small_question& request) {
-            if (is_quarantine_request(request))
-                return answer_quarantine_request(this->state, request);
-            return relay::small_answer{
-                200,
-                std::string(telemetry::prometheus_content_type),
-                this->metrics_text()};
-        });
+    this->open_optional_ports();
+    this->handler->listen(initial_settings.caller_address);
 }
 
 peer_events entry::make_peer_events()
@@ -304,6 +293,15 @@
     return {200, "application/octet-stream", this->peers->answer(*query)};
 }
 
+relay::small_answer entry::answer_metrics(const relay::small_question& request)
+{
+    if (is_quarantine_request(request))
+        return answer_quarantine_request(this->state, request);
+    return {200,
+            std::string(telemetry::prometheus_content_type),
+            this->metrics_text()};
+}
+
 std::string entry::metrics_text() const
 {
     telemetry::registry registry = this->state.metrics;
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -21,7 +21,9 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
+#include <string_view>
 
 namespace greengagedrum::entry
 {
@@ -55,7 +57,10 @@
     peer_transport make_peer_transport();
     peer_paths::owner make_path_events();
     relay::tunnel_server::owner make_tunnel_events();
-    void listen_for_tunnels();
+    void open_optional_ports();
+    void open_optional_port(const base::ip_endpoint& address,
+                            const char* event, // logged if it is taken
+                            const std::function<void()>& open);
     void make_request_handler();
     void make_stream_versions();
     std::string service_name(base::upstream_class_id service) const;
@@ -82,6 +87,7 @@
     void apply_slow_start_limits();
     relay::small_answer answer_control(std::string_view target);
     relay::small_answer answer_readiness();
+    relay::small_answer answer_metrics(const relay::small_question& request);
     std::string metrics_text() const;
     bool ready() const;
 
@@ -98,13 +104,15 @@
     std::unique_ptr<peer_paths> paths;
     std::unique_ptr<stream_versions> streams;
     std::unique_ptr<request_handler> handler;
-    std::unique_ptr<relay::tunnel_server> tunnels; // null: the port is taken
+    // Null while the port is taken.
+    std::unique_ptr<relay::tunnel_server> tunnels;
     std::unique_ptr<peer_socket> peer_datagram_socket;
     std::unique_ptr<peer_protocol> peers;
     std::unique_ptr<store_reader> store;
     std::unique_ptr<relay::small_server> readiness_server;
     std::unique_ptr<relay::small_server> control_server;
-    std::unique_ptr<relay::small_server> metrics_server;
+    std::unique_ptr<relay::small_server> metrics_server; // as above
+    std::map<std::string_view, bool> missing_ports;      // by event
     base::instant last_store_answer;
     base::instant last_tick;
     base::instant next_tick_due;
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -164,11 +164,13 @@
         this->last_timeout_check = now;
         this->readiness_server->check_time(now);
         this->control_server->check_time(now);
-        this->metrics_server->check_time(now);
+        if (this->metrics_server)
+            this->metrics_server->check_time(now);
     }
     if (now - this->last_settings_check >= settings_period) {
         this->last_settings_check = now;
         this->check_settings();
+        this->open_optional_ports();
         if (this->state.kept_connections_max > 0)
             this->handler->set_entry_count(this->peers->serving_peers().size() +
                                            1);
--- a/src/greengagedrum/entry/entry_paths.cpp
+++ b/src/greengagedrum/entry/entry_paths.cpp
@@ -79,20 +79,54 @@
     return out;
 }
 
-// Without the port this entry still serves; its peers choose another one.
-void entry::listen_for_tunnels()
+// An entry without them serves callers all the same, so it tries again while it
+// runs.
+void entry::open_optional_ports()
 {
-    const base::ip_endpoint address{this->own_settings.ip,
-                                    this->own_settings.peer_port};
+    const base::ip_endpoint tunnel_address{this->own_settings.ip,
+                                           this->own_settings.peer_port};
+    if (!this->tunnels)
+        this->open_optional_port(
+            tunnel_address, "tunnel_port_unavailable", [&] {
+                this->tunnels = std::make_unique<relay::tunnel_server>(
+                    this->context, tunnel_address, this->make_tunnel_events());
+            });
+    if (!this->metrics_server)
+        this->open_optional_port(
+            this->own_settings.metrics_address,
+            "metrics_port_unavailable",
+            [this] {
+                this->metrics_server = std::make_unique<relay::small_server>(
+                    this->context,
+                    this->own_settings.metrics_address,
+                    this->state.clock,
+                    [this](const relay::small_question& request) {
+                        return this->answer_metrics(request);
+                    });
+            });
+}
+
+void entry::open_optional_port(const base::ip_endpoint& address,
+                               const char* event,
+                               const std::function<void()>& open)
+{
+    bool& missing = this->missing_ports[event];
     try {
-        this->tunnels = std::make_unique<relay::tunnel_server>(
-            this->context, address, this->make_tunnel_events());
+        open();
+        if (missing)
+            logs::write(logs::level::info,
+                        "entry",
+                        "port_available",
+                        {{"address", base::to_string(address)}});
+        missing = false;
     } catch (const boost::system::system_error& error) {
-        logs::write(
-            logs::level::error,
-            "paths",
-            "tunnel_port_unavailable",
-            {{"address", base::to_string(address)}, {"why", error.what()}});
+        if (!missing)
+            logs::write(
+                logs::level::error,
+                "entry",
+                event,
+                {{"address", base::to_string(address)}, {"why", error.what()}});
+        missing = true;
     }
 }
 
@@ -116,12 +150,8 @@
     this->paths = std::make_unique<peer_paths>(this->own_settings.instance,
                                                this->own_settings.ip,
                                                this->make_path_events());
-    this->handler =
-        std::make_unique<request_handler>(this->context,
-                                          this->own_settings.caller_address,
-                                          this->state,
-                                          *this->paths,
-                                          *this->streams);
+    this->handler = std::make_unique<request_handler>(
+        this->context, this->state, *this->paths, *this->streams);
     this->handler->on_load_changed = [this] {
         if (this->peers)
             this->peers->schedule_gossip();
--- a/src/greengagedrum/entry/memory_keeping.cpp
+++ b/src/greengagedrum/entry/memory_keeping.cpp
@@ -54,7 +54,11 @@
                            answer.reason,
                            answer.retry_after.value_or(base::duration(0)));
     };
-    // Connections inherit these.
+}
+
+// Connections inherit these.
+void request_handler::limit_socket_buffers()
+{
     relay::error_code ignored; // the kernel holds more, no more than that
     this->acceptor.set_option(
         relay::asio::socket_base::receive_buffer_size(socket_buffer_bytes),
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -58,11 +58,14 @@
 {
 public:
     request_handler(relay::asio::io_context& context,
-                    const base::ip_endpoint& address,
                     shared_state& state,
                     peer_paths& paths,
                     stream_versions& versions);
 
+    // Accepts callers from now on. Throws boost::system::system_error if the
+    // address can't be had.
+    void listen(const base::ip_endpoint& address);
+
     // Called when state has changed and at regular intervals.
     void tick();
     // Called when slots may have become free for queued requests.
@@ -237,6 +240,7 @@
 
     // Only where the memory of the process is limited.
     void limit_memory();
+    void limit_socket_buffers();
     relay::body_class classify(const relay::request_head& head) const;
     void keep_to_memory();
     void reject_for_memory();
--- a/src/greengagedrum/entry/test/memory_fixture.cpp
+++ b/src/greengagedrum/entry/test/memory_fixture.cpp
@@ -109,12 +109,9 @@
                 [](const std::function<void(bool)>& on_end) { on_end(true); }}),
       upstream(this->context,
                tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-      handler(this->context,
-              {"127.0.0.1", 0},
-              this->state,
-              this->paths,
-              this->versions)
+      handler(this->context, this->state, this->paths, this->versions)
 {
+    this->handler.listen({"127.0.0.1", 0});
     this->handler.apply_upstream_changes(this->state.cluster.apply(
         items(upstream_port != 0 ? upstream_port
                                  : this->upstream.local_endpoint().port(),
--- a/src/greengagedrum/entry/test/stop_bound_test.cpp
+++ b/src/greengagedrum/entry/test/stop_bound_test.cpp
@@ -32,15 +32,13 @@
                        telemetry::registry(1)};
     peer_paths paths{"entry-1", "127.0.0.1", path_events()};
     stream_versions versions{this->state, {}, {}};
-    request_handler tested{this->context,
-                           {"127.0.0.1", 0},
-                           this->state,
-                           this->paths,
-                           this->versions};
+    request_handler tested{
+        this->context, this->state, this->paths, this->versions};
     relay::tcp::socket caller{this->context};
 
     stop_bound_fixture()
     {
+        this->tested.listen({"127.0.0.1", 0});
         this->caller.connect(relay::tcp_endpoint(this->tested.address()));
         this->context.run_for(10ms);
     }
--- a/src/greengagedrum/gossip/test/gossip_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -206,7 +206,6 @@
     CHECK(got.facts.priority == 3);
     CHECK(got.facts.prompt_tokens == 1000);
     CHECK(got.facts.output_tokens == 80);
-    // Nothing of a peer's request is decided by its latency objective.
     CHECK(got.facts.latency_objective == 0ms);
     CHECK(got.facts.event_gap_objective == 200ms);
     CHECK(got.facts.time_left == 9s);
--- a/src/programs/greengagedrum_entry.cpp
+++ b/src/programs/greengagedrum_entry.cpp
@@ -1,15 +1,18 @@
 // The entry on the users' instances: what the instance is comes from the
 // platform's settings file, how the program behaves from flags and variables.
-#include <greengagedrum/entry/entry.hpp>
+#include <greengagedrum/entry/held_signals.hpp>
+#include <greengagedrum/entry/start.hpp>
 #include <greengagedrum/logs/output.hpp>
 #include <greengagedrum/logs/write.hpp>
 #include <greengagedrum/platform/settings_file.hpp>
 #include <greengagedrum/settings/entry_options.hpp>
 #include <greengagedrum/settings/help.hpp>
 
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdint>
 #include <cstdlib>
 #include <exception>
 #include <fstream>
@@ -25,6 +28,21 @@
 
 constexpr int exit_usage = 2;
 
+// A bare system call: sanitizers replace the library's functions, and aren't
+// ready yet.
+void hold_signals(int, char**, char**)
+{
+    constexpr std::uint64_t signals = (1ULL << (SIGHUP - 1)) |
+                                      (1ULL << (SIGINT - 1)) |
+                                      (1ULL << (SIGTERM - 1));
+    ::syscall(SYS_rt_sigprocmask, SIG_BLOCK, &signals, nullptr, sizeof signals);
+}
+
+// Runs before the initializers of shared libraries, which take most of the time
+// until main().
+[[gnu::used, gnu::section(".preinit_array")]] void (*const before_libraries)(
+    int, char**, char**) = hold_signals;
+
 // Ours goes before the platform's variable.
 std::string settings_path(const settings::entry_options& options)
 {
@@ -83,13 +101,18 @@
 
 int serve(const entry::settings& given,
           const std::string& path,
-          const settings::entry_options& options)
+          const settings::entry_options& options,
+          entry::held_signals& signals)
 {
     const logs::output lines(options.log_level, STDOUT_FILENO);
     settings_watch watch(path, options.metrics_port);
     try {
-        entry::entry self(given, [&watch] { return watch.read_if_changed(); });
-        self.run();
+        const auto self = entry::start(
+            given, [&watch] { return watch.read_if_changed(); }, signals);
+        if (!self)
+            return EXIT_SUCCESS;
+        signals.release();
+        self->run();
         return EXIT_SUCCESS;
     } catch (const std::exception& fault) {
         logs::write(logs::level::error,
@@ -108,7 +131,7 @@
 }
 
 // With --check and --print-settings the file counts as well.
-int run(const settings::entry_start& start)
+int run(const settings::entry_start& start, entry::held_signals& signals)
 {
     using settings::command;
     const command wanted = start.parsed.wanted;
@@ -125,20 +148,23 @@
                 with_metrics(*given, start.values.metrics_port));
         return *code;
     }
-    return serve(
-        with_metrics(*given, start.values.metrics_port), path, start.values);
+    return serve(with_metrics(*given, start.values.metrics_port),
+                 path,
+                 start.values,
+                 signals);
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
+    entry::held_signals signals;
     std::signal(SIGPIPE, SIG_IGN);
     const auto arguments = settings::program_arguments(argc, argv);
     const auto start =
         settings::parse_entry(arguments, settings::process_environment);
     if (start)
-        return run(*start);
+        return run(*start, signals);
     std::vector<std::string> faults;
     for (const settings::setting_fault& fault : start.error())
         faults.push_back(settings::to_string(fault));
