Settings: the memory limit holds whatever contracts are listed

What operators saw: a process that the platform kills for its memory, with all requests that it holds. 150 callers that send 3.9 of 4 MB and wait took 589 to 665 MB of the 260 that the process may use.

Cause: the limit was read only where the contract of slow readers is listed, so that the other deployments had no account of memory at all. The platform kills a process beyond its limit on every deployment. A test said that the limit would change how deployments without slow readers are served: it is to.

Change: the limit is read from the settings wherever it is given. Whether idle connections are kept and duties go by load hung on the same switch; they have settings of their own, read as before.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -23,14 +23,13 @@
 // each takes about 5.5 KiB.
 constexpr std::size_t max_metric_series = 256;
 
-// Idle connections kept at once, where the platform asks for little memory and
-// few connections. At 15 requests a second and kept for 0.5 to 2 s, an entry
-// has that many at most.
+// Idle connections kept at once. At 15 requests a second and kept for 0.5 to 2
+// s, an entry has that many at most.
 constexpr std::size_t kept_connections_max = 32;
 
 std::size_t kept_connections_max_of(const settings& from)
 {
-    return from.memory_bytes > 0 ? kept_connections_max : 0;
+    return from.keeps_connections ? kept_connections_max : 0;
 }
 
 base::incarnation new_incarnation()
--- a/src/greengagedrum/entry/settings.hpp
+++ b/src/greengagedrum/entry/settings.hpp
@@ -56,15 +56,16 @@
     std::vector<base::ip_endpoint> seeds;
     base::ip_endpoint store_address;
     double processors = 1; // in cores; entries with the most become dispatchers
-    // The memory that the process may use; 0: no limit is kept. Set where
-    // callers and upstreams may read slowly.
+    // The memory that the process may use; 0: no limit is known. A process that
+    // exceeds it is killed, with all requests that it holds.
     std::uint64_t memory_bytes = 0;
+    // Whether idle connections to upstreams are kept for further requests.
+    bool keeps_connections = false;
     double link_bytes_per_second = 0;  // in each direction; 0: unknown
     std::uint64_t max_descriptors = 0; // 0: unknown
     entry::bounds bounds;
     // Whether duties go to entries by their present load: set where entries are
-    // of several sizes and links are slow, in several regions or with limited
-    // memory.
+    // of several sizes and links are slow.
     bool duties_by_load = false;
 };
 
--- a/src/greengagedrum/entry/test/entry_fixture.cpp
+++ b/src/greengagedrum/entry/test/entry_fixture.cpp
@@ -92,6 +92,7 @@
     out.peer_port = options.peer_port;
     out.seeds = options.seeds;
     out.memory_bytes = options.memory_bytes;
+    out.keeps_connections = options.keeps_connections;
     return out;
 }
 
--- a/src/greengagedrum/entry/test/entry_fixture.hpp
+++ b/src/greengagedrum/entry/test/entry_fixture.hpp
@@ -51,6 +51,7 @@
     unsigned stream_attempts = 2;
     std::string ip = "127.0.0.1";
     std::uint64_t memory_bytes = 0; // 0: not limited
+    bool keeps_connections = false;
     base::duration stop_timeout = std::chrono::seconds(1);
     // Called on the entry's event loop.
     entry::settings_loader load_settings = [] { return std::nullopt; };
--- a/src/greengagedrum/platform/settings_file.cpp
+++ b/src/greengagedrum/platform/settings_file.cpp
@@ -126,9 +126,8 @@
 constexpr double megabyte = 1e6;
 constexpr double bits_per_byte = 8;
 
-// Where the platform has callers and upstreams that may read slowly, what a
-// process holds for them counts towards its memory.
-constexpr std::string_view slow_readers = "pressure";
+// Lists upstreams that take few connections, and entries of several sizes.
+constexpr std::string_view scarce_connections = "pressure";
 
 void read_limits(field_reader& from, entry::settings& out)
 {
@@ -137,9 +136,9 @@
         from.number("limits.linkMbps", 0) * megabyte / bits_per_byte;
     out.max_descriptors =
         static_cast<std::uint64_t>(from.number("limits.maxFds", 0));
-    if (from.lists("contracts", slow_readers))
-        out.memory_bytes = static_cast<std::uint64_t>(
-            from.number("limits.memoryMb", 0) * megabyte);
+    out.memory_bytes = static_cast<std::uint64_t>(
+        from.number("limits.memoryMb", 0) * megabyte);
+    out.keeps_connections = from.lists("contracts", scarce_connections);
 }
 
 entry::bounds read_bounds(field_reader& from)
@@ -193,7 +192,7 @@
     out.store_address = from.endpoint("platform.address");
     read_limits(from, out);
     out.duties_by_load =
-        out.memory_bytes > 0 || routing::spans_regions(out.regions);
+        out.keeps_connections || routing::spans_regions(out.regions);
     out.bounds = read_bounds(from);
     if (!faults.empty())
         return tl::unexpected(faults);
