Entry: descriptors are shared out, and callers beyond their part wait

What operators saw: an entry with fewer descriptors than callers' connections took a whole core for as long as that lasted, didn't answer its readiness probe and served nobody. Beyond 1,800 callers a connection was accepted and reset at once, with the request that was on it. An entry without a free descriptor would also have taken its upstreams for unreachable, and told its dispatcher so.

Cause: accepting failed with EMFILE and was asked for again at once; the limit of the settings was read and used by nothing, the process's own limit not looked at; a connect that failed here counted against the upstream.

Change: descriptor_shares gives callers (with one more for each request's upstream), peers, tunnels and operators their parts of the lower of both limits and keeps a reserve for the store, checks and log. bounded_acceptor, used by all listening ports, accepts only while its owner has room; at the bound, or when accepting fails, the connection that has been idle for longest is closed, others wait in the kernel, and accepting is tried again after 100 ms. A connect that fails for want of a resource of this process says nothing about the upstream: the request is refused as not run.

--- a/src/greengagedrum/dispatch/send_status_log.cpp
+++ b/src/greengagedrum/dispatch/send_status_log.cpp
@@ -15,9 +15,11 @@
 constexpr std::size_t max_updates = 64;
 
 struct status_reader {
-    send_status operator()(const traffic::connect_failed&) const
+    send_status operator()(const traffic::connect_failed& event) const
     {
-        return send_status::not_sent;
+        // The latter says nothing about the upstream.
+        return event.own_shortage ? send_status::reused_connection_lost
+                                  : send_status::not_sent;
     }
     send_status operator()(const traffic::send_rejected& event) const
     {
--- a/src/greengagedrum/entry/caller_accepting.cpp
+++ b/src/greengagedrum/entry/caller_accepting.cpp
@@ -1,6 +1,5 @@
 // The part of request_handler that accepts callers' connections.
 #include <greengagedrum/entry/request_handler.hpp>
-#include <greengagedrum/relay/small_server.hpp>
 
 namespace greengagedrum::entry
 {
@@ -8,9 +7,10 @@
 namespace
 {
 
-// The smallest instances allow about 4,000 file descriptors, and each request
-// in progress needs a second one.
-constexpr std::size_t max_callers = 1800;
+// Of a caller's connection, in the kernel. Larger ones would hold more bytes of
+// a caller that waits or doesn't read than its body or response; with smaller
+// ones than a packet over loopback, a sender waits for its timer.
+constexpr int socket_buffer_bytes = 32 << 10;
 
 // Limits used until a configuration is known, and for those that the
 // configuration leaves out.
@@ -21,29 +21,43 @@
 
 void request_handler::listen(const base::ip_endpoint& address)
 {
-    this->acceptor = relay::listen_on(this->context, address);
+    this->acceptor.listen(address);
     if (this->state.memory)
-        this->limit_socket_buffers();
-    this->accept();
+        this->acceptor.set_buffer_bytes(socket_buffer_bytes);
 }
 
-void request_handler::accept()
+relay::acceptor_events request_handler::make_acceptor_events()
 {
-    this->acceptor.async_accept(
-        [this](relay::error_code fault, relay::tcp::socket socket) {
-            if (fault == relay::asio::error::operation_aborted)
-                return;
-            if (!fault)
-                this->add_caller(std::move(socket));
-            if (this->acceptor.is_open())
-                this->accept();
-        });
+    relay::acceptor_events out;
+    out.has_room = [this] {
+        return this->callers.size() < this->state.descriptors.callers;
+    };
+    out.full = [this] {
+        this->log_shortage("callers_at_bound", "");
+        relay::close_longest_idle(this->callers);
+    };
+    out.accepted = [this](relay::tcp::socket socket) {
+        this->add_caller(std::move(socket));
+    };
+    out.failed = [this](const relay::error_code& fault) {
+        this->log_shortage("accept_failed", fault.message());
+    };
+    return out;
+}
+
+void request_handler::log_shortage(std::string_view event,
+                                   const std::string& why)
+{
+    this->state.log.write(this->state.clock(),
+                          "front",
+                          event,
+                          {{"why", why},
+                           {"connections", this->callers.size()},
+                           {"in_flight", this->requests.size()}});
 }
 
 void request_handler::add_caller(relay::tcp::socket socket)
 {
-    if (this->callers.size() >= max_callers)
-        return;
     const auto connection = std::make_shared<relay::caller_connection>(
         std::move(socket), this->events, this->bounds());
     if (this->state.stopping)
@@ -71,10 +85,4 @@
     return out;
 }
 
-base::ip_endpoint request_handler::address() const
-{
-    const relay::tcp::endpoint local = this->acceptor.local_endpoint();
-    return {local.address().to_string(), local.port()};
-}
-
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -81,7 +81,9 @@
             false,
             initial_settings.regions,
             account_for(initial_settings),
-            kept_connections_max_of(initial_settings)},
+            kept_connections_max_of(initial_settings),
+            share_descriptors(initial_settings.max_descriptors,
+                              descriptor_limit())},
       incarnation(new_incarnation()), timer(this->context),
       stream_timer(this->context),
       signals(this->context, SIGTERM, SIGINT, SIGHUP),
@@ -138,6 +140,7 @@
     this->readiness_server = std::make_unique<relay::small_server>(
         this->context,
         initial_settings.readiness_address,
+        this->state.descriptors.operators,
         this->state.clock,
         [this](const relay::small_question&) {
             return this->answer_readiness();
@@ -145,6 +148,7 @@
     this->control_server = std::make_unique<relay::small_server>(
         this->context,
         initial_settings.control_address,
+        this->state.descriptors.peers,
         this->state.clock,
         [this](const relay::small_question& request) {
             return this->answer_control(request.target);
--- a/src/greengagedrum/entry/entry_paths.cpp
+++ b/src/greengagedrum/entry/entry_paths.cpp
@@ -89,7 +89,10 @@
         this->open_optional_port(
             tunnel_address, "tunnel_port_unavailable", [&] {
                 this->tunnels = std::make_unique<relay::tunnel_server>(
-                    this->context, tunnel_address, this->make_tunnel_events());
+                    this->context,
+                    tunnel_address,
+                    this->state.descriptors.tunnels,
+                    this->make_tunnel_events());
             });
     if (!this->metrics_server)
         this->open_optional_port(
@@ -99,6 +102,7 @@
                 this->metrics_server = std::make_unique<relay::small_server>(
                     this->context,
                     this->own_settings.metrics_address,
+                    this->state.descriptors.operators,
                     this->state.clock,
                     [this](const relay::small_question& request) {
                         return this->answer_metrics(request);
--- a/src/greengagedrum/entry/exchange.cpp
+++ b/src/greengagedrum/entry/exchange.cpp
@@ -71,8 +71,10 @@
     relay::upstream_events out;
     const auto self = this->shared_from_this();
     out.connected = [self] { self->on_direct_connect(true); };
-    out.not_connected = [self] {
+    out.not_connected = [self](const relay::error_code& fault) {
         self->call.reset();
+        if (relay::is_own_shortage(fault))
+            return self->report_own_shortage(fault);
         self->on_direct_connect(false);
     };
     out.written = [self] {
--- a/src/greengagedrum/entry/exchange.hpp
+++ b/src/greengagedrum/entry/exchange.hpp
@@ -129,6 +129,7 @@
     void on_tunnel(const base::ip_endpoint& peer,
                    relay::tunnel_client::result result);
     void report_not_connected();
+    void report_own_shortage(const relay::error_code& fault);
     void on_head();
     void report_rate_limit();
     void on_body(std::string_view bytes);
--- a/src/greengagedrum/entry/exchange_sending.cpp
+++ b/src/greengagedrum/entry/exchange_sending.cpp
@@ -204,6 +204,13 @@
         traffic::carrier_stopping{this->request.id, this->send_number});
 }
 
+void exchange::report_own_shortage(const relay::error_code& fault)
+{
+    this->report_outcome(fault.message());
+    this->events.on_event(
+        traffic::connect_failed{this->request.id, this->send_number, true});
+}
+
 void exchange::report_not_connected()
 {
     this->report_outcome("connection failed");
--- a/src/greengagedrum/entry/memory_keeping.cpp
+++ b/src/greengagedrum/entry/memory_keeping.cpp
@@ -15,11 +15,6 @@
 namespace
 {
 
-// Of a caller's connection, in the kernel. Larger ones would hold more bytes of
-// a caller that waits or doesn't read than its body or response; with smaller
-// ones than a packet over loopback, a sender waits for its timer.
-constexpr int socket_buffer_bytes = 32 << 10;
-
 // All connections are looked at, so not in each tick of 5 ms.
 constexpr base::duration check_period = std::chrono::milliseconds(20);
 
@@ -56,18 +51,6 @@
     };
 }
 
-// Connections inherit these.
-void request_handler::limit_socket_buffers()
-{
-    relay::error_code ignored; // the kernel holds more, no more than that
-    this->acceptor.set_option(
-        relay::asio::socket_base::receive_buffer_size(socket_buffer_bytes),
-        ignored);
-    this->acceptor.set_option(
-        relay::asio::socket_base::send_buffer_size(socket_buffer_bytes),
-        ignored);
-}
-
 // Requests that are going to be refused are the least urgent.
 relay::body_class
 request_handler::classify(const relay::request_head& head) const
--- a/src/greengagedrum/entry/request_ending.cpp
+++ b/src/greengagedrum/entry/request_ending.cpp
@@ -52,18 +52,10 @@
     this->state.scheduler.set_stop_time(schedule.end());
 }
 
+// Connections that the kernel has accepted are refused rather than reset.
 void request_handler::stop_accepting()
 {
-    // Connections that the kernel has accepted are refused rather than reset.
-    relay::error_code fault;
-    this->acceptor.non_blocking(true, fault);
-    while (!fault) {
-        relay::tcp::socket socket(this->context);
-        this->acceptor.accept(socket, fault);
-        if (!fault)
-            this->add_caller(std::move(socket));
-    }
-    this->acceptor.close(fault);
+    this->acceptor.accept_rest_and_close();
 }
 
 void request_handler::close_idle_connections()
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -45,8 +45,9 @@
                                  shared_state& state,
                                  peer_paths& paths,
                                  stream_versions& versions)
-    : context(context), acceptor(context), state(state), paths(paths),
-      versions(versions), kept(context, state.kept_connections_max)
+    : context(context), acceptor(context, this->make_acceptor_events()),
+      state(state), paths(paths), versions(versions),
+      kept(context, state.kept_connections_max)
 {
     this->kept.on_change = [this] { this->update_kept_upstreams(); };
     this->events.request = [this](const relay::caller_ptr& from,
@@ -64,6 +65,7 @@
     };
     this->events.closed = [this](const relay::caller_ptr& from) {
         this->callers.erase(from);
+        this->acceptor.resume();
     };
     this->events.clock = this->state.clock;
     this->limit_memory();
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -5,10 +5,12 @@
 #include <greengagedrum/dispatch/member_request_table.hpp>
 #include <greengagedrum/dispatch/send_status_log.hpp>
 #include <greengagedrum/entry/cluster_state.hpp>
+#include <greengagedrum/entry/descriptor_shares.hpp>
 #include <greengagedrum/entry/exchange.hpp>
 #include <greengagedrum/entry/rate_limited_log.hpp>
 #include <greengagedrum/entry/settings.hpp>
 #include <greengagedrum/quota/usage_limiter.hpp>
+#include <greengagedrum/relay/bounded_acceptor.hpp>
 #include <greengagedrum/relay/caller_connection.hpp>
 #include <greengagedrum/shutdown/stop_schedule.hpp>
 #include <greengagedrum/telemetry/registry.hpp>
@@ -40,6 +42,7 @@
     std::shared_ptr<memory::account> memory{};
     // Idle connections to upstreams that are kept; 0: none.
     std::size_t kept_connections_max = 0;
+    descriptor_shares descriptors{};
 };
 
 // The limit state that a dispatcher hands over to the entries next in line for
@@ -98,7 +101,7 @@
     std::size_t kept_connection_count() const { return this->kept.size(); }
 
     // The listening address, with the actual port if it was configured as 0.
-    base::ip_endpoint address() const;
+    base::ip_endpoint address() const { return this->acceptor.address(); }
 
     std::size_t in_flight() const { return this->requests.size(); }
     std::size_t open_connections() const { return this->callers.size(); }
@@ -166,8 +169,9 @@
     bool takes_requests() const;
     bool may_send(const active_request& request,
                   const routing::published_upstream& to) const;
-    void accept();
+    relay::acceptor_events make_acceptor_events();
     void add_caller(relay::tcp::socket socket);
+    void log_shortage(std::string_view event, const std::string& why);
     void on_request(const relay::caller_ptr& from, base::duration waited);
     void on_caller_left(const relay::caller_ptr& from);
     void keep_abandoned(const std::shared_ptr<exchange>& running);
@@ -240,7 +244,6 @@
 
     // Only where the memory of the process is limited.
     void limit_memory();
-    void limit_socket_buffers();
     relay::body_class classify(const relay::request_head& head) const;
     void keep_to_memory();
     void reject_for_memory();
@@ -259,7 +262,7 @@
         std::chrono::seconds(30);
 
     relay::asio::io_context& context;
-    relay::tcp::acceptor acceptor;
+    relay::bounded_acceptor acceptor;
     shared_state& state;
     peer_paths& paths;
     stream_versions& versions;
--- a/src/greengagedrum/relay/asio.hpp
+++ b/src/greengagedrum/relay/asio.hpp
@@ -31,6 +31,16 @@
 // events.
 inline constexpr std::size_t read_bytes = 16'384;
 
+// Whether a call failed for want of a resource of this process or machine.
+inline bool is_own_shortage(const error_code& fault)
+{
+    using namespace boost::system::errc;
+    return fault == too_many_files_open ||
+           fault == too_many_files_open_in_system || fault == no_buffer_space ||
+           fault == not_enough_memory || fault == address_not_available ||
+           fault == resource_unavailable_try_again;
+}
+
 inline tcp::endpoint tcp_endpoint(const base::ip_endpoint& from)
 {
     return {asio::ip::make_address(from.ip), from.port};
--- a/src/greengagedrum/relay/caller_connection.hpp
+++ b/src/greengagedrum/relay/caller_connection.hpp
@@ -22,6 +22,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 namespace greengagedrum::relay
@@ -111,6 +112,8 @@
     // being read or in the socket, and all responses are sent. A request that
     // arrives later is not read, so its caller may repeat it.
     void close_idle(base::duration idle_for = base::duration(0));
+    // Since when it has been idle, see above; nothing if it isn't.
+    std::optional<base::instant> idle_since() const;
     // Refuses a request that is not read whole yet, and closes. False if there
     // is none.
     bool refuse_unread(const own_answer& why);
@@ -209,4 +212,7 @@
 // The status line and headers of an answer of our own.
 std::string own_head(const own_answer& what);
 
+// Closes the connection that has been idle for longest, if there is one.
+void close_longest_idle(const std::unordered_set<caller_ptr>& from);
+
 } // namespace greengagedrum::relay
--- a/src/greengagedrum/relay/caller_connection_ending.cpp
+++ b/src/greengagedrum/relay/caller_connection_ending.cpp
@@ -32,10 +32,18 @@
     return !this->inbox.empty() || this->reader->head_done();
 }
 
-void caller_connection::close_idle(base::duration idle_for)
+std::optional<base::instant> caller_connection::idle_since() const
 {
     if (this->closed || this->busy || this->lingering || this->is_reading() ||
-        this->unsent() > 0 || this->events.clock() - this->since < idle_for)
+        this->unsent() > 0)
+        return std::nullopt;
+    return this->since;
+}
+
+void caller_connection::close_idle(base::duration idle_for)
+{
+    const auto idle = this->idle_since();
+    if (!idle || this->events.clock() - *idle < idle_for)
         return;
     // A read that has completed, but whose handler has not run, still brings
     // its bytes.
@@ -44,6 +52,18 @@
     this->socket.cancel(ignored);
 }
 
+void close_longest_idle(const std::unordered_set<caller_ptr>& from)
+{
+    caller_ptr longest;
+    for (const caller_ptr& one : from) {
+        const auto since = one->idle_since();
+        if (since && (!longest || *since < *longest->idle_since()))
+            longest = one;
+    }
+    if (longest)
+        longest->close_idle();
+}
+
 void caller_connection::finish_idle_close()
 {
     error_code ignored; // 0 bytes of a broken connection
--- a/src/greengagedrum/relay/small_server.cpp
+++ b/src/greengagedrum/relay/small_server.cpp
@@ -5,33 +5,13 @@
 namespace greengagedrum::relay
 {
 
-namespace
-{
-
-constexpr int backlog = 1024;
-// Each member of a data centre keeps a connection to its dispatcher. With the
-// callers' own connections this stays below an instance's 4,100 descriptors.
-constexpr std::size_t callers_most = 512;
-
-} // namespace
-
-tcp::acceptor listen_on(asio::io_context& context,
-                        const base::ip_endpoint& address)
-{
-    const tcp::endpoint endpoint = tcp_endpoint(address);
-    tcp::acceptor out(context);
-    out.open(endpoint.protocol());
-    out.set_option(tcp::acceptor::reuse_address(true));
-    out.bind(endpoint);
-    out.listen(backlog);
-    return out;
-}
-
 small_server::small_server(asio::io_context& context,
                            const base::ip_endpoint& address,
+                           std::size_t connections_max,
                            std::function<base::instant()> clock,
                            handler answer)
-    : acceptor(listen_on(context, address)), answer(std::move(answer))
+    : acceptor(context, this->make_acceptor_events(connections_max)),
+      answer(std::move(answer))
 {
     this->events.request = [this](const caller_ptr& from, base::duration) {
         this->on_request(from);
@@ -40,24 +20,27 @@
     this->events.refused = [](const read_fault&) {};
     this->events.closed = [this](const caller_ptr& from) {
         this->callers.erase(from);
+        this->acceptor.resume();
     };
     this->events.clock = std::move(clock);
-    this->accept();
+    this->acceptor.listen(address);
 }
 
-void small_server::accept()
+acceptor_events small_server::make_acceptor_events(std::size_t connections_max)
 {
-    this->acceptor.async_accept([this](error_code fault, tcp::socket socket) {
-        if (fault == asio::error::operation_aborted)
-            return;
-        if (!fault && this->callers.size() < callers_most) {
-            const auto fresh = std::make_shared<caller_connection>(
-                std::move(socket), this->events, caller_bounds());
-            this->callers.insert(fresh);
-            fresh->start();
-        }
-        this->accept();
-    });
+    acceptor_events out;
+    out.has_room = [this, connections_max] {
+        return this->callers.size() < connections_max;
+    };
+    out.full = [this] { close_longest_idle(this->callers); };
+    out.accepted = [this](tcp::socket socket) {
+        const auto fresh = std::make_shared<caller_connection>(
+            std::move(socket), this->events, caller_bounds());
+        this->callers.insert(fresh);
+        fresh->start();
+    };
+    out.failed = [](const error_code&) {}; // callers' port logs the shortage
+    return out;
 }
 
 void small_server::on_request(const caller_ptr& from)
@@ -70,12 +53,6 @@
     from->answer(std::move(head), given.body);
 }
 
-base::ip_endpoint small_server::address() const
-{
-    const tcp::endpoint local = this->acceptor.local_endpoint();
-    return {local.address().to_string(), local.port()};
-}
-
 void small_server::check_time(base::instant now)
 {
     const std::vector<caller_ptr> all(this->callers.begin(),
@@ -92,10 +69,4 @@
     return out;
 }
 
-void small_server::stop()
-{
-    error_code ignored; // closed either way
-    this->acceptor.close(ignored);
-}
-
 } // namespace greengagedrum::relay
--- a/src/greengagedrum/relay/small_server.hpp
+++ b/src/greengagedrum/relay/small_server.hpp
@@ -2,6 +2,7 @@
 // operators.
 #pragma once
 
+#include <greengagedrum/relay/bounded_acceptor.hpp>
 #include <greengagedrum/relay/caller_connection.hpp>
 
 #include <functional>
@@ -30,34 +31,32 @@
     using handler = std::function<small_answer(const small_question&)>;
 
     // Throws boost::system::system_error when the address can't be had.
+    // Keeps at most `connections_max` connections.
     small_server(asio::io_context& context,
                  const base::ip_endpoint& address,
+                 std::size_t connections_max,
                  std::function<base::instant()> clock,
                  handler answer);
 
     // The listening address, with the actual port if it was configured as 0.
-    base::ip_endpoint address() const;
+    base::ip_endpoint address() const { return this->acceptor.address(); }
 
     // Closes what is idle or too slow.
     void check_time(base::instant now);
 
-    void stop();
+    void stop() { this->acceptor.close(); }
 
     // Bytes of answers that have not been sent.
     std::size_t unsent_bytes() const;
 
 private:
-    void accept();
+    acceptor_events make_acceptor_events(std::size_t connections_max);
     void on_request(const caller_ptr& from);
 
-    tcp::acceptor acceptor;
+    bounded_acceptor acceptor;
     handler answer;
     caller_events events;
     std::unordered_set<caller_ptr> callers;
 };
 
-// Listens on an address; throws boost::system::system_error.
-tcp::acceptor listen_on(asio::io_context& context,
-                        const base::ip_endpoint& address);
-
 } // namespace greengagedrum::relay
--- a/src/greengagedrum/relay/test/small_server_test.cpp
+++ b/src/greengagedrum/relay/test/small_server_test.cpp
@@ -30,6 +30,7 @@
     base::ip_endpoint address = free_address(this->context);
     small_server server{this->context,
                         this->address,
+                        members,
                         [] { return base::instant(1h); },
                         [](const small_question&) { return small_answer{}; }};
     std::vector<std::shared_ptr<http_get>> clients;
--- a/src/greengagedrum/relay/test/tunnel_test.cpp
+++ b/src/greengagedrum/relay/test/tunnel_test.cpp
@@ -39,6 +39,7 @@
         std::in_place,
         this->context,
         this->address,
+        16,
         tunnel_server::owner{
             [this](const std::string&) { return this->peer_known; },
             [this](base::upstream_id id) -> std::optional<base::ip_endpoint> {
--- a/src/greengagedrum/relay/tunnel_server.cpp
+++ b/src/greengagedrum/relay/tunnel_server.cpp
@@ -158,6 +158,7 @@
         this->peer.close(ignored);
         this->upstream.close(ignored);
         this->server.connections.erase(this->shared_from_this());
+        this->server.acceptor.resume();
     }
 
     tunnel_server& server;
@@ -175,11 +176,13 @@
 
 tunnel_server::tunnel_server(asio::io_context& context,
                              const base::ip_endpoint& address,
+                             std::size_t connections_max,
                              owner callbacks)
-    : context(context), acceptor(listen_on(context, address)),
+    : context(context),
+      acceptor(context, this->make_acceptor_events(connections_max)),
       events(std::move(callbacks))
 {
-    this->accept();
+    this->acceptor.listen(address);
 }
 
 tunnel_server::~tunnel_server()
@@ -191,19 +194,21 @@
         one->abort();
 }
 
-void tunnel_server::accept()
+acceptor_events tunnel_server::make_acceptor_events(std::size_t connections_max)
 {
-    this->acceptor.async_accept([this](error_code fault, tcp::socket socket) {
-        if (fault == asio::error::operation_aborted)
-            return;
-        if (!fault) {
-            const auto fresh =
-                std::make_shared<connection>(*this, std::move(socket));
-            this->connections.insert(fresh);
-            fresh->start();
-        }
-        this->accept();
-    });
+    acceptor_events out;
+    out.has_room = [this, connections_max] {
+        return this->connections.size() < connections_max;
+    };
+    out.full = [] {}; // none of them is idle
+    out.accepted = [this](tcp::socket socket) {
+        const auto fresh =
+            std::make_shared<connection>(*this, std::move(socket));
+        this->connections.insert(fresh);
+        fresh->start();
+    };
+    out.failed = [](const error_code&) {}; // callers' port logs the shortage
+    return out;
 }
 
 } // namespace greengagedrum::relay
--- a/src/greengagedrum/relay/tunnel_server.hpp
+++ b/src/greengagedrum/relay/tunnel_server.hpp
@@ -6,6 +6,7 @@
 // takes one hop at most.
 #pragma once
 
+#include <greengagedrum/relay/bounded_acceptor.hpp>
 #include <greengagedrum/relay/tunnel.hpp>
 #include <greengagedrum/relay/tunnel_codec.hpp>
 
@@ -38,9 +39,11 @@
         std::function<void(const tunnel_outcome&)> on_outcome;
     };
 
-    // Throws boost::system::system_error when the address can't be had.
+    // Serves at most `connections_max` connections. Throws
+    // boost::system::system_error when the address can't be had.
     tunnel_server(asio::io_context& context,
                   const base::ip_endpoint& address,
+                  std::size_t connections_max,
                   owner callbacks);
     ~tunnel_server();
     tunnel_server(const tunnel_server&) = delete;
@@ -53,10 +56,10 @@
     class connection;
     using connection_ptr = std::shared_ptr<connection>;
 
-    void accept();
+    acceptor_events make_acceptor_events(std::size_t connections_max);
 
     asio::io_context& context;
-    tcp::acceptor acceptor;
+    bounded_acceptor acceptor;
     owner events;
     std::unordered_set<connection_ptr> connections;
 };
--- a/src/greengagedrum/relay/upstream_call.cpp
+++ b/src/greengagedrum/relay/upstream_call.cpp
@@ -50,7 +50,7 @@
     if (fault) {
         const auto tell = this->events.not_connected;
         this->stop();
-        return tell();
+        return tell(fault);
     }
     this->events.connected();
     if (!this->over)
--- a/src/greengagedrum/relay/upstream_call.hpp
+++ b/src/greengagedrum/relay/upstream_call.hpp
@@ -36,7 +36,7 @@
 
 struct upstream_events {
     std::function<void()> connected = [] {};
-    std::function<void()> not_connected;   // nothing was written
+    std::function<void(const error_code&)> not_connected; // nothing was written
     std::function<void()> written = [] {}; // the whole request, or as far as
                                            // the connection took it
     std::function<void()> head;
--- a/src/greengagedrum/traffic/messages.hpp
+++ b/src/greengagedrum/traffic/messages.hpp
@@ -75,6 +75,9 @@
 struct connect_failed {
     base::request_id request;
     std::uint32_t send = 0;
+    // For want of a descriptor, port or memory of this process, which says
+    // nothing about the upstream.
+    bool own_shortage = false;
 };
 
 enum class rejection : std::uint8_t {
@@ -198,7 +201,8 @@
     base::duration peer_report_age{0}; // age of the oldest report
     base::duration expected_first_event{0};
     base::duration expected_gap{0}; // longest one expected there
-    // `disturbs` (streams that run there), `suits`, or `granted` by a dispatcher
+    // `disturbs` (streams that run there), `suits`, or `granted` by a
+    // dispatcher
     std::string_view suitability;
 };
 
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -137,16 +137,22 @@
     request* item = this->find_active_send(what.request, what.send);
     if (item == nullptr)
         return;
-    this->record_connect_failure(*item);
     this->suspects.on_not_run(features_of(*item), item->sent_at);
-    exclude(*item, item->upstream);
+    if (what.own_shortage) {
+        this->pool.probe_inconclusive(item->upstream);
+    } else {
+        this->record_connect_failure(*item);
+        exclude(*item, item->upstream);
+    }
     readmit_silent(*item);
     this->end_send(*item);
     item->sends -= 1;
     item->uncertain -= 1;
     if (item->facts.delegated)
         return this->forget(*item);
-    if (item->connects >= connects_max)
+    if (item->uncertain == 0 && what.own_shortage)
+        return this->refuse(*item, base::reason::overloaded);
+    if (item->connects >= connects_max || what.own_shortage)
         return item->uncertain == 0
                    ? this->refuse(*item, base::reason::no_upstream)
                    : this->fail(*item, base::reason::upstream_failed);
--- a/src/greengagedrum/traffic/test/kept_upstreams_test.cpp
+++ b/src/greengagedrum/traffic/test/kept_upstreams_test.cpp
@@ -94,8 +94,8 @@
     CHECK(this->place(repeatable_facts()) != this->all[0]);
 }
 
-// Guards against a caller that waits a tenth longer so that a connection is used
-// again.
+// Guards against a caller that waits a tenth longer so that a connection is
+// used again.
 TEST_CASE_FIXTURE(kept_upstreams_fixture,
                   "kept_connection_does_not_outweigh_sooner_answer")
 {
--- a/src/greengagedrum/traffic/test/scheduler_test.cpp
+++ b/src/greengagedrum/traffic/test/scheduler_test.cpp
@@ -90,6 +90,23 @@
     }
 }
 
+// Guards against an entry without a free descriptor that takes all upstreams
+// for dead.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "connect_failed_by_own_shortage_upstream_not_suspected")
+{
+    this->upstreams(1, 5);
+    for (int count = 0; count < 20; ++count) {
+        const auto id = this->arrive(facts_of(at_most_once, 2));
+        this->step(connect_failed{id, this->sent().send, true});
+        CHECK(this->verdict().run == base::run_state::not_run);
+        CHECK(this->verdict().why == base::reason::overloaded);
+        CHECK(this->last_action<suspicion_changed>() == nullptr);
+    }
+    this->arrive(stream_facts());
+    CHECK(this->last_action<send_request>() != nullptr);
+}
+
 TEST_CASE_FIXTURE(scheduler_fixture, "dead_upstream_probed_and_recovered")
 {
     this->upstreams(1, 5);
--- a/src/greengagedrum/traffic/upstream_choice.cpp
+++ b/src/greengagedrum/traffic/upstream_choice.cpp
@@ -29,8 +29,8 @@
 constexpr double kept_share = order_share;
 
 // Its weight in the random choice among those, against 1 for one without. Other
-// entries keep connections to other upstreams, so they don't all choose the same
-// one.
+// entries keep connections to other upstreams, so they don't all choose the
+// same one.
 constexpr double kept_weight = 8;
 
 // Actual gaps between events deviate from the expected ones by about a quarter.
--- a/test/end_to_end/entry_limits_test.cpp
+++ b/test/end_to_end/entry_limits_test.cpp
@@ -26,6 +26,53 @@
         return out;
     }
 
+    // Processor time that the process has used, in clock ticks.
+    static long processor_ticks(const child_process& of)
+    {
+        std::ifstream stat("/proc/" + std::to_string(of.id()) + "/stat");
+        std::string text;
+        std::getline(stat, text);
+        std::istringstream fields(text.substr(text.rfind(')') + 1));
+        constexpr int before_times = 11;
+        std::string skipped;
+        for (int count = 0; count < before_times; ++count)
+            fields >> skipped;
+        long user = 0;
+        long system = 0;
+        fields >> user >> system;
+        return user + system;
+    }
+
+    // The status of the answer to a short request; 0: none in time.
+    unsigned ask(std::uint16_t port, const char* target)
+    {
+        tcp::socket socket(this->context);
+        error_code fault;
+        socket.connect(this->endpoint(port), fault);
+        const std::string text = "GET " + std::string(target) +
+                                 " HTTP/1.1\r\nHost: a\r\n"
+                                 "X-Attempt-Id: a\r\n\r\n";
+        asio::write(socket, asio::buffer(text), fault);
+        socket.non_blocking(true);
+        std::string answer(12, ' '); // "HTTP/1.1 200"
+        std::size_t arrived = 0;
+        const auto end = std::chrono::steady_clock::now() + 2s;
+        while (arrived < answer.size() &&
+               std::chrono::steady_clock::now() < end) {
+            arrived += socket.read_some(asio::buffer(answer) + arrived, fault);
+            std::this_thread::sleep_for(5ms);
+        }
+        return arrived < answer.size()
+                   ? 0
+                   : static_cast<unsigned>(std::stoul(answer.substr(9)));
+    }
+
+    std::unique_ptr<child_process> start_with_descriptors(rlim_t count)
+    {
+        const lowered_descriptor_limit limit(count);
+        return this->start();
+    }
+
     void connect_callers(std::size_t count)
     {
         for (std::size_t number = 0; number < count; ++number) {
@@ -77,4 +124,37 @@
     CHECK(entry->wait(9s) == 0);
 }
 
+// Guards against an event loop that asks at once for a connection that it has
+// no descriptor for, and has no time for anything else.
+TEST_CASE_FIXTURE(entry_limits_fixture,
+                  "more_callers_than_descriptors_loop_stays_idle")
+{
+    const auto entry = this->start_with_descriptors(64);
+    REQUIRE(this->listens(callers_port, 2s));
+    this->connect_callers(120);
+    this->write_all("GET /x HTTP/1.1\r\nHost: a\r\n", 200ms); // not whole
+    const long before = processor_ticks(*entry);
+    std::this_thread::sleep_for(1s);
+    const long second = ::sysconf(_SC_CLK_TCK);
+    CHECK(processor_ticks(*entry) - before < second / 5);
+    CHECK(this->ask(readiness_port, "/readyz") == 503);
+    CHECK(this->ask(metrics_port, "/metrics") == 200);
+    CHECK_FALSE(entry->wait(0ms));
+}
+
+// Guards against callers that are kept out by others that only hold
+// connections.
+TEST_CASE_FIXTURE(entry_limits_fixture,
+                  "idle_callers_hold_all_connections_new_caller_is_answered")
+{
+    const auto entry = this->start_with_descriptors(64);
+    REQUIRE(this->listens(callers_port, 2s));
+    this->connect_callers(120);
+    std::this_thread::sleep_for(200ms);
+    CHECK(this->ask(callers_port, "/x") == 503); // no configuration yet
+    CHECK(this->log().find("callers_at_bound") != std::string::npos);
+    entry->signal(SIGTERM);
+    CHECK(entry->wait(9s) == 0);
+}
+
 } // namespace end_to_end
