--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -150,12 +150,12 @@
     item->uncertain -= 1;
     if (item->facts.delegated)
         return this->forget(*item);
-    if (item->uncertain == 0 && what.own_shortage)
-        return this->refuse(*item, base::reason::overloaded);
-    if (item->connects >= connects_max || what.own_shortage)
-        return item->uncertain == 0
-                   ? this->refuse(*item, base::reason::no_upstream)
-                   : this->fail(*item, base::reason::upstream_failed);
+    if (what.own_shortage)
+        return this->fail(*item, base::reason::overloaded);
+    if (item->connects >= connects_max)
+        return this->fail(*item,
+                          item->uncertain == 0 ? base::reason::no_upstream
+                                               : base::reason::upstream_failed);
     this->join_queue(*item);
 }
 
