Entry: a handler that throws costs what it worked on, and nothing else

Cause: the loop ran in one try block of main(). A handler that throws also left its timer, socket or flag unarmed, so that catching alone would have left an entry that no longer ticks, hears peers or accepts.

Change: the loop goes on after an exception and says so (handler_failed). The tick, signals, datagrams of peers and accepting renew themselves even if they throw, and the flag that holds back events is released by a guard. A request that throws as it is taken up is ended alone: 500, or no answer where it may have been sent. Twenty faults in ten seconds mean that the state is broken: the entry stops in order, so that what it holds gets a true answer, and exits with 1.

--- a/src/greengagedrum/entry/entry.cpp
+++ b/src/greengagedrum/entry/entry.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <stdexcept>
 
 namespace greengagedrum::entry
 {
@@ -227,8 +228,10 @@
     this->store->start();
     this->peers->schedule_gossip();
     this->schedule_tick();
-    this->context.run();
+    this->run_loop();
     this->log_stop("stopped");
+    if (this->failed)
+        throw std::runtime_error("handlers failed repeatedly");
 }
 
 bool entry::several_regions() const
--- a/src/greengagedrum/entry/entry.hpp
+++ b/src/greengagedrum/entry/entry.hpp
@@ -37,7 +37,8 @@
 
     entry(const settings& initial_settings, settings_loader load_settings);
 
-    // Serves until stopped and until the accepted requests have ended.
+    // Serves until stopped and until the accepted requests have ended. Throws
+    // std::runtime_error if it has stopped since handlers failed repeatedly.
     void run();
 
     // Requests a stop, like SIGTERM does. May be called from any thread.
@@ -69,6 +70,8 @@
     void check_stop();
     // Logs what the entry still holds.
     void log_stop(const char* what, const char* why = "") const;
+    void run_loop();
+    void on_handler_fault(const char* why);
     void schedule_tick();
     void tick();
     void detect_pause(base::instant now);
@@ -129,6 +132,9 @@
     bool accepting_connections = true;
     bool requests_ended = false; // by the stop
     bool store_unreachable = false;
+    std::uint32_t recent_faults = 0; // of handlers
+    base::instant first_recent_fault;
+    bool failed = false; // it stops since handlers fail again and again
 };
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/entry_lifecycle.cpp
+++ b/src/greengagedrum/entry/entry_lifecycle.cpp
@@ -6,7 +6,11 @@
 #include <greengagedrum/logs/write.hpp>
 #include <greengagedrum/relay/connect_check.hpp>
 
+#include <gsl/util>
+
 #include <csignal>
+#include <exception>
+#include <string_view>
 
 namespace greengagedrum::entry
 {
@@ -30,6 +34,10 @@
 // better than none.
 constexpr base::duration pause_timeout = std::chrono::milliseconds(500);
 
+// So many faults of handlers within that time end the process.
+constexpr std::uint32_t faults_most = 20;
+constexpr base::duration fault_window = std::chrono::seconds(10);
+
 } // namespace
 
 void entry::on_store_items(const routing::store_item_list& items,
@@ -124,6 +132,41 @@
     this->last_store_answer = now;
 }
 
+// A handler that throws costs what it worked on. Each handler that is called
+// again and again renews itself even if it throws, so the others go on.
+void entry::run_loop()
+{
+    while (true) {
+        try {
+            this->context.run();
+            return;
+        } catch (const std::exception& fault) {
+            this->on_handler_fault(fault.what());
+        }
+    }
+}
+
+// Many faults in a row mean that its state is broken: it stops, so that what it
+// holds gets a true answer and its peers take over.
+void entry::on_handler_fault(const char* why)
+{
+    const base::instant now = this->state.clock();
+    if (now - this->first_recent_fault > fault_window) {
+        this->first_recent_fault = now;
+        this->recent_faults = 0;
+    }
+    this->recent_faults += 1;
+    logs::write(
+        logs::level::error,
+        "entry",
+        "handler_failed",
+        {{"why", std::string_view(why)}, {"recent", this->recent_faults}});
+    if (this->recent_faults < faults_most || this->stopping)
+        return;
+    this->failed = true;
+    this->begin_stop(SIGTERM);
+}
+
 void entry::schedule_tick()
 {
     const bool waiting = this->state.scheduler.waiting() > 0;
@@ -136,8 +179,8 @@
     this->timer.async_wait([this](relay::error_code fault) {
         if (fault)
             return;
+        const auto next = gsl::finally([this] { this->schedule_tick(); });
         this->tick();
-        this->schedule_tick();
     });
 }
 
@@ -253,14 +296,16 @@
 
 void entry::on_signal(int number)
 {
+    const auto next = gsl::finally([this] {
+        this->signals.async_wait([this](relay::error_code fault, int later) {
+            if (!fault)
+                this->on_signal(later);
+        });
+    });
     if (number == SIGHUP)
         this->check_settings();
     else if (!this->stopping)
         this->begin_stop(number);
-    this->signals.async_wait([this](relay::error_code fault, int next) {
-        if (!fault)
-            this->on_signal(next);
-    });
 }
 
 void entry::stop()
--- a/src/greengagedrum/entry/peer_socket.cpp
+++ b/src/greengagedrum/entry/peer_socket.cpp
@@ -1,5 +1,6 @@
 #include <greengagedrum/entry/peer_socket.hpp>
 
+#include <gsl/util>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
@@ -55,12 +56,12 @@
         [this](relay::error_code error, std::size_t count) {
             if (error == relay::asio::error::operation_aborted)
                 return;
+            const auto next = gsl::finally([this] { this->receive(); });
             // An ICMP error for an earlier datagram is reported here; it is
             // ignored.
             if (!error)
                 this->on_datagram({this->receive_buffer.data(), count},
                                   this->remote.address().to_string());
-            this->receive();
         });
 }
 
--- a/src/greengagedrum/entry/request_ending.cpp
+++ b/src/greengagedrum/entry/request_ending.cpp
@@ -82,12 +82,13 @@
 
 void request_handler::end_all()
 {
-    this->processing_events = true;
-    traffic::actions actions;
-    this->state.scheduler.end_all(this->state.clock(), actions);
-    this->execute(actions);
-    this->process_pending_events();
-    this->processing_events = false;
+    {
+        const auto done = this->begin_processing();
+        traffic::actions actions;
+        this->state.scheduler.end_all(this->state.clock(), actions);
+        this->execute(actions);
+        this->process_pending_events();
+    }
     // The scheduler doesn't know those whose version is still being looked up.
     std::vector<base::request_id> left;
     for (const auto& [id, request] : this->requests)
--- a/src/greengagedrum/entry/request_handler.cpp
+++ b/src/greengagedrum/entry/request_handler.cpp
@@ -52,7 +52,7 @@
     this->kept.on_change = [this] { this->update_kept_upstreams(); };
     this->events.request = [this](const relay::caller_ptr& from,
                                   base::duration waited) {
-        this->on_request(from, waited);
+        this->serve(from, waited);
     };
     this->events.left = [this](const relay::caller_ptr& from) {
         this->on_caller_left(from);
@@ -153,6 +153,27 @@
     out.cost = owner->limit.in_tokens ? tokens : 1;
 }
 
+// Whatever a request does to this entry, it costs no other request.
+void request_handler::serve(const relay::caller_ptr& from,
+                            base::duration waited)
+{
+    try {
+        this->on_request(from, waited);
+    } catch (const std::exception& fault) {
+        this->state.log.write(this->state.clock(),
+                              "front",
+                              "request_failed_here",
+                              {{"why", std::string_view(fault.what())}});
+        if (this->by_caller.contains(from.get())) {
+            // It may have been sent.
+            this->on_caller_left(from);
+            from->abort();
+        } else {
+            from->answer(relay::own_answer{500, "internal", {}});
+        }
+    }
+}
+
 void request_handler::on_request(const relay::caller_ptr& from,
                                  base::duration waited)
 {
@@ -274,12 +295,11 @@
 {
     if (this->processing_events)
         return;
-    this->processing_events = true;
+    const auto done = this->begin_processing();
     traffic::actions actions;
     this->state.scheduler.dispatch_queued(this->state.clock(), actions);
     this->execute(actions);
     this->process_pending_events();
-    this->processing_events = false;
 }
 
 // Notices the end of a cut: connects to the upstreams of a service in turn.
@@ -309,12 +329,13 @@
 void request_handler::tick()
 {
     this->check_paths();
-    this->processing_events = true;
-    traffic::actions actions;
-    this->state.scheduler.tick(this->state.clock(), actions);
-    this->execute(actions);
-    this->process_pending_events();
-    this->processing_events = false;
+    {
+        const auto done = this->begin_processing();
+        traffic::actions actions;
+        this->state.scheduler.tick(this->state.clock(), actions);
+        this->execute(actions);
+        this->process_pending_events();
+    }
     const base::instant now = this->state.clock();
     const std::vector<relay::caller_ptr> connections(this->callers.begin(),
                                                      this->callers.end());
@@ -324,13 +345,12 @@
     this->keep_to_memory();
     this->renew_version_records();
     // An event processed at once could end requests.
-    this->processing_events = true;
+    const auto done = this->begin_processing();
     for (auto& [id, request] : this->requests) {
         request.http_exchange->resume_reading();
         request.http_exchange->check_carrier();
     }
     this->process_pending_events();
-    this->processing_events = false;
 }
 
 } // namespace greengagedrum::entry
--- a/src/greengagedrum/entry/request_handler.hpp
+++ b/src/greengagedrum/entry/request_handler.hpp
@@ -17,6 +17,8 @@
 #include <greengagedrum/traffic/scheduler.hpp>
 #include <greengagedrum/versions/messages.hpp>
 
+#include <gsl/util>
+
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -166,12 +168,19 @@
         telemetry::series_key series;
     };
 
+    // New events wait until the result is destroyed.
+    auto begin_processing()
+    {
+        this->processing_events = true;
+        return gsl::finally([this] { this->processing_events = false; });
+    }
     bool takes_requests() const;
     bool may_send(const active_request& request,
                   const routing::published_upstream& to) const;
     relay::acceptor_events make_acceptor_events();
     void add_caller(relay::tcp::socket socket);
     void log_shortage(std::string_view event, const std::string& why);
+    void serve(const relay::caller_ptr& from, base::duration waited);
     void on_request(const relay::caller_ptr& from, base::duration waited);
     void on_caller_left(const relay::caller_ptr& from);
     void keep_abandoned(const std::shared_ptr<exchange>& running);
--- a/src/greengagedrum/entry/scheduler_actions.cpp
+++ b/src/greengagedrum/entry/scheduler_actions.cpp
@@ -58,9 +58,8 @@
     this->pending_events.push_back(event);
     if (this->processing_events)
         return;
-    this->processing_events = true;
+    const auto done = this->begin_processing();
     this->process_pending_events();
-    this->processing_events = false;
 }
 
 void request_handler::process_pending_events()
--- a/src/greengagedrum/relay/bounded_acceptor.cpp
+++ b/src/greengagedrum/relay/bounded_acceptor.cpp
@@ -1,5 +1,7 @@
 #include <greengagedrum/relay/bounded_acceptor.hpp>
 
+#include <gsl/util>
+
 #include <utility>
 
 namespace greengagedrum::relay
@@ -63,10 +65,12 @@
     if (fault && fault != asio::error::would_block &&
         fault != asio::error::connection_aborted)
         return this->pause_after(fault);
+    const auto next = gsl::finally([this] {
+        if (this->acceptor.is_open())
+            this->wait();
+    });
     if (!fault)
         this->events.accepted(std::move(socket));
-    if (this->acceptor.is_open())
-        this->wait();
 }
 
 void bounded_acceptor::pause_after(const error_code& fault)
--- a/src/greengagedrum/traffic/scheduler.cpp
+++ b/src/greengagedrum/traffic/scheduler.cpp
@@ -132,33 +132,6 @@
         this->tell(this->pool.record_success(item.upstream));
 }
 
-void scheduler::on(const connect_failed& what)
-{
-    request* item = this->find_active_send(what.request, what.send);
-    if (item == nullptr)
-        return;
-    this->suspects.on_not_run(features_of(*item), item->sent_at);
-    if (what.own_shortage) {
-        this->pool.probe_inconclusive(item->upstream);
-    } else {
-        this->record_connect_failure(*item);
-        exclude(*item, item->upstream);
-    }
-    readmit_silent(*item);
-    this->end_send(*item);
-    item->sends -= 1;
-    item->uncertain -= 1;
-    if (item->facts.delegated)
-        return this->forget(*item);
-    if (what.own_shortage)
-        return this->fail(*item, base::reason::overloaded);
-    if (item->connects >= connects_max)
-        return this->fail(*item,
-                          item->uncertain == 0 ? base::reason::no_upstream
-                                               : base::reason::upstream_failed);
-    this->join_queue(*item);
-}
-
 void scheduler::on(const send_rejected& what)
 {
     request* item = this->find_active_send(what.request, what.send);
