--- a/test/end_to_end/entry_process_fixture.hpp
+++ b/test/end_to_end/entry_process_fixture.hpp
@@ -5,8 +5,8 @@
 #include <greengagedrum/relay/asio.hpp>
 
 #include "child_process.hpp"
+#include "lowered_descriptor_limit.hpp"
 #include <doctest/doctest.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <array>
@@ -40,26 +40,6 @@
            std::to_string(process / 50 % 250) + "." + std::to_string(++count);
 }
 
-// Lowers the limit of descriptors for processes that are started meanwhile.
-class lowered_descriptor_limit
-{
-public:
-    explicit lowered_descriptor_limit(rlim_t limit)
-    {
-        ::getrlimit(RLIMIT_NOFILE, &this->before);
-        rlimit lowered = this->before;
-        lowered.rlim_cur = limit;
-        ::setrlimit(RLIMIT_NOFILE, &lowered);
-    }
-    ~lowered_descriptor_limit() { ::setrlimit(RLIMIT_NOFILE, &this->before); }
-    lowered_descriptor_limit(const lowered_descriptor_limit&) = delete;
-    lowered_descriptor_limit&
-    operator=(const lowered_descriptor_limit&) = delete;
-
-private:
-    rlimit before{};
-};
-
 struct entry_process_fixture {
     entry_process_fixture()
     {
--- a/test/soak/entry_process.hpp
+++ b/test/soak/entry_process.hpp
@@ -5,12 +5,16 @@
 
 #include "coroutine.hpp"
 #include "ledger.hpp"
+#include "options.hpp"
 #include <end_to_end/child_process.hpp>
+#include <end_to_end/lowered_descriptor_limit.hpp>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -20,15 +24,16 @@
 class entry_process
 {
 public:
-    // `settings`: the text of the platform's file, written to the folder, which
-    // gets the log as well.
+    // `settings`: the text of the platform's file, written to the folder of
+    // `given`, which gets the log as well.
     entry_process(std::string name,
-                  const std::string& folder,
                   const std::string& settings,
-                  std::size_t memory_mb,
+                  const options& given,
                   ledger& ledger)
-        : memory_kib(memory_mb * 1'000'000 / 1024), name(std::move(name)),
-          path(folder + "/" + this->name), records(ledger)
+        : memory_kib(given.memory_mb * 1'000'000 / 1024),
+          descriptors(given.descriptors),
+          watches_processor(given.machine_faults), name(std::move(name)),
+          path(given.folder + "/" + this->name), records(ledger)
     {
         std::ofstream(this->path + ".toml") << settings;
     }
@@ -39,10 +44,36 @@
         ::setenv(greengagedrum::platform::settings_variable,
                  (this->path + ".toml").c_str(),
                  1);
+        std::optional<end_to_end::lowered_descriptor_limit> limit;
+        if (this->descriptors > 0)
+            limit.emplace(this->descriptors);
         this->process = std::make_unique<end_to_end::child_process>(
             "greengagedrum-entry",
             std::vector<std::string>{},
             this->path + ".log");
+        this->busy_since.reset();
+    }
+
+    // Starts another process beside this one, which has been asked to stop.
+    void start_beside()
+    {
+        this->check();
+        if (this->process && this->stop_began) {
+            this->predecessor = std::move(this->process);
+            this->predecessor_stop_began = std::exchange(this->stop_began, {});
+        }
+        if (!this->process)
+            this->start();
+    }
+
+    // Whether a signal would wait for its handler or find it. Until the loader
+    // is done, no program can see to that.
+    bool takes_signals() const
+    {
+        constexpr std::uint64_t hangup = 1ULL << (SIGHUP - 1);
+        const std::uint64_t masks =
+            this->status_value("SigBlk:") | this->status_value("SigCgt:");
+        return (masks & hangup) != 0;
     }
 
     void kill()
@@ -64,9 +95,12 @@
     // than the platform waits before it kills.
     void check()
     {
+        this->check_predecessor();
         if (!this->process)
             return;
         this->check_memory();
+        if (this->watches_processor)
+            this->check_processor();
         const auto ended = this->process->wait(std::chrono::milliseconds(0));
         if (ended && (!this->stop_began || *ended != 0))
             this->records.violation(this->name + " ended with status " +
@@ -84,7 +118,8 @@
     // False as well once the load balancer has seen that it stops.
     bool takes_callers() const
     {
-        return this->alive() &&
+        return this->alive() && !this->predecessor &&
+               clock::now() >= this->takes_over_at &&
                !(this->stop_began &&
                  clock::now() - *this->stop_began > probe_period);
     }
@@ -93,6 +128,79 @@
     // 8 s until SIGKILL, and what a busy machine needs to see the end.
     static constexpr std::chrono::milliseconds stop_bound{8500};
     static constexpr std::chrono::seconds probe_period{1};
+    // A whole core for so long is no work of these runs.
+    static constexpr std::chrono::seconds busy_bound{3};
+
+    // Of a line of the process's status in /proc; 0: it has ended.
+    std::uint64_t status_value(const std::string& key) const
+    {
+        if (!this->process)
+            return 0;
+        std::ifstream status("/proc/" + std::to_string(this->process->id()) +
+                             "/status");
+        std::string word;
+        std::uint64_t out = 0;
+        while (status >> word) {
+            if (word == key)
+                status >> std::hex >> out;
+        }
+        return out;
+    }
+
+    void check_predecessor()
+    {
+        if (!this->predecessor)
+            return;
+        const auto ended =
+            this->predecessor->wait(std::chrono::milliseconds(0));
+        const bool overdue =
+            clock::now() - *this->predecessor_stop_began > stop_bound;
+        if (!ended && !overdue)
+            return;
+        if (!ended || *ended != 0)
+            this->records.violation(
+                "the predecessor of " + this->name +
+                (ended ? " ended with status " + std::to_string(*ended)
+                       : " did not stop in time"));
+        this->predecessor.reset();
+        this->takes_over_at = clock::now() + probe_period;
+    }
+
+    void check_processor()
+    {
+        const auto now = clock::now();
+        const double used = this->processor_seconds();
+        if (!this->busy_since) {
+            this->busy_since = now;
+            this->used_before = used;
+            return;
+        }
+        const std::chrono::duration<double> passed = now - *this->busy_since;
+        if (passed < busy_bound)
+            return;
+        constexpr double whole = 0.95;
+        if (used - this->used_before > whole * passed.count())
+            this->records.violation(this->name + " burnt a core");
+        this->busy_since = now;
+        this->used_before = used;
+    }
+
+    double processor_seconds() const
+    {
+        std::ifstream stat("/proc/" + std::to_string(this->process->id()) +
+                           "/stat");
+        std::string text;
+        std::getline(stat, text);
+        std::istringstream fields(text.substr(text.rfind(')') + 1));
+        constexpr int before_times = 11;
+        std::string skipped;
+        for (int count = 0; count < before_times; ++count)
+            fields >> skipped;
+        double user = 0;
+        double system = 0;
+        fields >> user >> system;
+        return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    }
 
     void forget()
     {
@@ -116,8 +224,16 @@
                                     std::to_string(peak) + " KiB");
     }
 
-    std::size_t memory_kib; // that it may use
+    std::size_t memory_kib;  // that it may use
+    std::size_t descriptors; // that it gets; 0: as this program
+    bool watches_processor;
     bool over_limit = false;
+    std::optional<clock::time_point> busy_since;
+    double used_before = 0; // processor seconds
+    // Asked to stop, while its successor is there already.
+    std::unique_ptr<end_to_end::child_process> predecessor;
+    std::optional<clock::time_point> predecessor_stop_began;
+    clock::time_point takes_over_at;
     std::string name;
     std::string path; // of its files, without extension
     ledger& records;
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -46,6 +46,9 @@
 {
     for (std::size_t each = 0; each < this->given.entries; ++each)
         this->add_entry_faults(each);
+    if (this->given.machine_faults)
+        for (std::size_t each = 0; each < this->given.entries; ++each)
+            this->add_machine_faults(each);
     for (std::size_t each = 0; each < world::upstream_count; ++each)
         this->add_upstream_faults(each);
     this->faults.at(2).push_back({"large entries",
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -50,6 +50,16 @@
          .help = "Processes of entries; from nine on, they use dispatchers.",
          .type = settings::integer_type{entries_least, entries_most},
          .fallback = "4"},
+        {.name = "descriptors",
+         .help =
+             "Descriptors that each entry gets; 0: as many as this program.",
+         .type = settings::integer_type{0, 1'000'000},
+         .fallback = "0"},
+        {.name = "machine-faults",
+         .help = "Entries start beside predecessors, with ports held and "
+                 "signals in series.",
+         .type = settings::switch_type{},
+         .fallback = "false"},
         {.name = "crashing-part",
          .help = "Upstreams crash on requests with one part of the prompt.",
          .type = settings::switch_type{},
@@ -98,7 +108,10 @@
         static_cast<std::size_t>(parsed.get<std::int64_t>("memory"));
     given.entries =
         static_cast<std::size_t>(parsed.get<std::int64_t>("entries"));
+    given.descriptors =
+        static_cast<std::size_t>(parsed.get<std::int64_t>("descriptors"));
     given.crashing_part = parsed.get<bool>("crashing-part");
+    given.machine_faults = parsed.get<bool>("machine-faults");
     std::vector<std::int64_t> failed;
     for (std::int64_t seed = first; seed < first + seeds; ++seed) {
         given.seed = static_cast<std::uint64_t>(seed);
--- a/test/soak/soak.hpp
+++ b/test/soak/soak.hpp
@@ -71,6 +71,11 @@
     effect disturbs(disturbance& what, clock::duration margin) const;
     void add_upstream_faults(std::size_t number);
     void add_entry_faults(std::size_t number);
+    void add_machine_faults(std::size_t number);
+    static constexpr std::chrono::milliseconds port_held_for{400};
+    task hold_port(tcp::endpoint port);
+    void signal_in_series(std::size_t number);
+    task send_signals(std::size_t number);
     void draw_faults();
     void play_at(const fault& one, clock::duration at, clock::duration length);
     task play(fault one, clock::duration at, clock::duration length);
--- a/test/soak/world.cpp
+++ b/test/soak/world.cpp
@@ -143,9 +143,8 @@
     const std::size_t region = region_of(number);
     this->entries.push_back(
         std::make_unique<entry_process>("entry-" + std::to_string(number),
-                                        this->given.folder,
                                         this->settings_of(number),
-                                        this->given.memory_mb,
+                                        this->given,
                                         this->records));
     this->caller_links.push_back(
         this->add_link(endpoint_of(place, callers_link_port),
@@ -215,6 +214,15 @@
     this->publish_upstream(number);
 }
 
+std::array<tcp::endpoint, 3> world::ports_of(std::size_t entry)
+{
+    constexpr std::uint16_t metrics_port = 9464;
+    const std::size_t place = entries_begin + entry;
+    return {endpoint_of(place, callers_port),
+            endpoint_of(place, control_ports.at(region_of(entry))),
+            endpoint_of(place, metrics_port)};
+}
+
 tcp::endpoint world::callers_address(std::size_t entry)
 {
     return endpoint_of(entries_begin + entry, callers_link_port);
--- a/test/soak/world.hpp
+++ b/test/soak/world.hpp
@@ -10,6 +10,7 @@
 #include "entry_process.hpp"
 #include "ledger.hpp"
 #include "link.hpp"
+#include "options.hpp"
 #include "store.hpp"
 #include "upstream.hpp"
 
@@ -21,17 +22,6 @@
 namespace soak
 {
 
-// What a run of the test is given on the command line.
-struct options {
-    std::uint64_t seed = 1;
-    std::chrono::seconds length{8}; // of the time with faults
-    double rate = 150;              // requests per second
-    std::size_t memory_mb = 160;    // that each entry may use
-    std::size_t entries = 4;
-    bool crashing_part = false; // upstreams have that fault
-    std::string folder;         // of settings and logs; exists
-};
-
 class world
 {
 public:
@@ -52,6 +42,8 @@
 
     // Where callers connect to an entry.
     static tcp::endpoint callers_address(std::size_t entry);
+    // Where it listens to them, to its peers and for its metrics.
+    static std::array<tcp::endpoint, 3> ports_of(std::size_t entry);
 
 private:
     link* add_link(const tcp::endpoint& listening, const tcp::endpoint& target);
