Soak: the descriptors of the entries alone are lowered

Cause: the limit was lowered in the test program as it started an entry; with more connections than that it couldn't make the pipe for the entry's output ("no pipe").

Change: the limit is set on the started process.

--- a/test/soak/entry_process.hpp
+++ b/test/soak/entry_process.hpp
@@ -7,7 +7,7 @@
 #include "ledger.hpp"
 #include "options.hpp"
 #include <end_to_end/child_process.hpp>
-#include <end_to_end/lowered_descriptor_limit.hpp>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -44,13 +44,14 @@
         ::setenv(greengagedrum::platform::settings_variable,
                  (this->path + ".toml").c_str(),
                  1);
-        std::optional<end_to_end::lowered_descriptor_limit> limit;
-        if (this->descriptors > 0)
-            limit.emplace(this->descriptors);
         this->process = std::make_unique<end_to_end::child_process>(
             "greengagedrum-entry",
             std::vector<std::string>{},
             this->path + ".log");
+        // This program needs more, so the limit is the process's alone.
+        const rlimit limit{this->descriptors, this->descriptors};
+        if (this->descriptors > 0)
+            ::prlimit(this->process->id(), RLIMIT_NOFILE, &limit, nullptr);
         this->busy_since.reset();
     }
 
