--- a/src/greengagedrum/gossip/test/gossip_test.cpp
+++ b/src/greengagedrum/gossip/test/gossip_test.cpp
@@ -291,10 +291,8 @@
     CHECK(this->table.live_count(this->now) == 1);
 }
 
-// Entries of another data centre learn of the entries here only from lists in
-// messages. When those lists went to the own data centre alone, entries met
-// only through a common seed: dispatching without knowing each other's load
-// lost 0.05 of a simulated day's worth.
+// Guards against entries of two data centres that meet only through a common
+// seed and dispatch without knowing each other's load.
 TEST_CASE_FIXTURE(peers_fixture,
                   "known_entries_listed_to_both_recipient_groups")
 {
--- a/src/greengagedrum/quota/priority_demand.cpp
+++ b/src/greengagedrum/quota/priority_demand.cpp
@@ -9,7 +9,7 @@
 {
 
 // A priority is starved if the admitted part of its demand is below this ratio
-// of the admitted part of all demand. Operators call a quarter starvation.
+// of the admitted part of all demand, as in traffic::wait_queue.
 constexpr double starvation_ratio = 0.3;
 
 } // namespace
--- a/src/greengagedrum/traffic/upstream_speeds.cpp
+++ b/src/greengagedrum/traffic/upstream_speeds.cpp
@@ -34,8 +34,7 @@
 constexpr double pace_memory = 4; // seconds
 
 // On a busy engine, about three quarters of the mean time between events are
-// its own work (46 of 55 to 60 ms on the slowest engine measured). The rest is
-// prefill, which is estimated separately.
+// its own work. The rest is prefill, which is estimated separately.
 constexpr double own_work_share = 0.75;
 
 // Weight of one event in the service's mean; an entry receives hundreds a
--- a/src/greengagedrum/traffic/wait_queue.cpp
+++ b/src/greengagedrum/traffic/wait_queue.cpp
@@ -12,8 +12,9 @@
 {
 
 // A priority is starved when it was served at less than this fraction of the
-// overall rate. A quarter is what operators consider starvation; the margin
-// covers entries that see different mixes of requests.
+// overall rate: long work finishes even under strain, and no kind is served
+// less than a quarter as often as all. The margin covers entries that see
+// different mixes of requests.
 constexpr double starvation_ratio = 0.3;
 constexpr double starvation_arrivals_min = 3; // arrivals needed for a decision
 
